--- /dev/null
+++ b/key.go
@@ -0,0 +1,42 @@
+package arbutusfork
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+)
+
+const (
+	keyPrefix      = "af-"
+	keySecretBytes = 24
+)
+
+// Key is a caller credential. Only its digest is stored; the clear text is shown once, when the key is issued.
+type Key struct {
+	Name     string `json:"name"`
+	Customer string `json:"customer"`
+	// Digest is the hexadecimal SHA-256 of the clear text.
+	Digest string `json:"digest"`
+	// Withdrawn is never reset once true.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// NewKeySecret returns a random key in clear text.
+func NewKeySecret() string {
+	b := make([]byte, keySecretBytes)
+	_, _ = rand.Read(b) // crypto/rand.Read never returns an error.
+	return keyPrefix + base64.RawURLEncoding.EncodeToString(b)
+}
+
+// DigestKey returns the stored form of a key's clear text.
+func DigestKey(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// WithWithdrawn returns a copy that no longer admits requests.
+func (k Key) WithWithdrawn() Key {
+	k.Withdrawn = true
+	return k
+}
--- /dev/null
+++ b/pkg/afobject/object.go
@@ -0,0 +1,48 @@
+// Package afobject is a client of the platform's object API: versions, conditional updates and watches.
+package afobject
+
+import "encoding/json"
+
+// The kinds of objects, in the plural form of their paths.
+const (
+	Customers = "customers"
+	Keys      = "keys"
+	Services  = "services"
+	Routes    = "routes"
+	Models    = "models"
+	Endpoints = "endpoints"
+	Sheets    = "sheets"
+	Witnesses = "witnesses"
+	Shards    = "shards"
+	Shares    = "shares"
+	Claims    = "claims"
+	VMs       = "vms"
+)
+
+// Object is one versioned object.
+type Object struct {
+	Kind string
+	Name string
+	// Version is the collection version at which the object last changed. Zero means that it does not exist yet.
+	Version int64
+	Spec    json.RawMessage
+}
+
+// Event is one change that a watch reports. A bookmark has an empty object but for its version.
+type Event struct {
+	Type   EventType
+	Object Object
+}
+
+//go:generate stringer -type=EventType -linecomment -output=object_string.go
+
+// EventType tells what happened to an object.
+type EventType int
+
+// The types of events.
+const (
+	Added    EventType = iota // ADDED
+	Modified                  // MODIFIED
+	Deleted                   // DELETED
+	Bookmark                  // BOOKMARK
+)
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+set -euo pipefail
