--- /dev/null
+++ b/pkg/aftimer/service_test.go
@@ -0,0 +1,61 @@
+package aftimer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestAdvanceOrder guards against subscribers that run out of order of time or are skipped.
+func TestAdvanceOrder(t *testing.T) {
+	var s Service
+	s.Advance(start)
+	var calls []string
+	add := func(name string) func(time.Time) {
+		return func(now time.Time) { calls = append(calls, fmt.Sprint(name, now.Sub(start))) }
+	}
+	s.Every(2*time.Second, add("every"))
+	s.After(3*time.Second, add("after"))
+	s.Advance(start.Add(5 * time.Second))
+	require.Equal(t, []string{"every2s", "after3s", "every4s"}, calls)
+}
+
+// TestStop guards against a stopped subscription that still fires, also when it stops itself.
+func TestStop(t *testing.T) {
+	var s Service
+	s.Advance(start)
+	n := 0
+	var sub *Subscription
+	sub = s.Every(time.Second, func(time.Time) {
+		n++
+		sub.Stop()
+	})
+	other := s.After(time.Second, func(time.Time) { n += 10 })
+	other.Stop()
+	other.Stop()
+	s.Advance(start.Add(time.Minute))
+	require.Equal(t, 1, n)
+}
+
+// TestPause guards against a burst of missed periodic calls after the process was paused.
+func TestPause(t *testing.T) {
+	now := start
+	s := Service{Clock: func() time.Time { return now }}
+	n := 0
+	s.Every(time.Second, func(time.Time) { n++ })
+	now = start.Add(time.Hour)
+	s.fire(now)
+	require.Equal(t, 1, n)
+}
+
+func ExampleService_Advance() {
+	var s Service
+	s.Advance(start)
+	s.After(time.Second, func(now time.Time) { fmt.Println("due after", now.Sub(start)) })
+	s.Advance(start.Add(2 * time.Second))
+	// Output: due after 1s
+}
