--- /dev/null
+++ b/internal/afdemo/count.go
@@ -0,0 +1,88 @@
+package afdemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+const runningPoll = 10 * time.Millisecond
+
+type engineCounts struct {
+	Loads      map[string]int `json:"loads"`
+	Overcommit int            `json:"overcommit"`
+}
+
+type engineStatus struct {
+	Running int `json:"running"`
+}
+
+func (d *Demo) get(ctx context.Context, target string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	res, err := d.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered status %d", target, res.StatusCode)
+	}
+	return json.NewDecoder(res.Body).Decode(v)
+}
+
+// loads returns how often the engines have loaded the model.
+func (d *Demo) loads(ctx context.Context, model string) (int, error) {
+	n := 0
+	for _, engine := range d.Engines {
+		var counts engineCounts
+		if err := d.get(ctx, engine+"/counts", &counts); err != nil {
+			return 0, err
+		}
+		if counts.Overcommit > 0 {
+			return 0, fmt.Errorf("engine %s had its memory overcommitted %d times", engine, counts.Overcommit)
+		}
+		n += counts.Loads[model]
+	}
+	return n, nil
+}
+
+// runs returns how often the plain services have run the call with that id.
+func (d *Demo) runs(ctx context.Context, id string) (int, error) {
+	n := 0
+	for _, service := range d.Plain {
+		var runs map[string]int
+		if err := d.get(ctx, service+"/runs?id="+url.QueryEscape(id), &runs); err != nil {
+			return 0, err
+		}
+		n += runs[id]
+	}
+	return n, nil
+}
+
+// waitRunning returns once an engine runs a request.
+func (d *Demo) waitRunning(ctx context.Context) error {
+	tick := time.NewTicker(runningPoll)
+	defer tick.Stop()
+	for {
+		for _, engine := range d.Engines {
+			var status engineStatus
+			if err := d.get(ctx, engine+"/status", &status); err != nil {
+				return err
+			}
+			if status.Running > 0 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
