limits: add base shares with loans, and at-most-once claims

The daemon needs a rate limit that holds over all VMs without a coordinator, and claims that are durable before a call that must run at most once is dispatched.

Loans are expressed in parts of the customer's limit rather than in a rate and a capacity, which was ruled out because a lender and a borrower with different configurations would then disagree on the sum. With parts, the sum of the rates in force never exceeds the highest configured rate. Amounts are integers of 1e-9 token, so refills have no drift.

pkg/aflimit holds the bucket, the loans and the share record; pkg/afclaim the claim record; internal/afquota and internal/afbooking run them against peers and the platform.

Nothing is measured yet.

--- /dev/null
+++ b/internal/afquota/leave.go
@@ -0,0 +1,75 @@
+package afquota
+
+import (
+	"context"
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+)
+
+const leavePeriod = 50 * time.Millisecond
+
+func (s *Service) isLeaving() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.leaving
+}
+
+// Leave gives back the loans taken, recalls the loans given and releases the base shares. It returns when nothing is
+// left to release or ctx ends; what remains is reissued after the platform has listed the VM as gone. Requests that
+// still arrive are served from loans.
+func (s *Service) Leave(ctx context.Context) {
+	s.init()
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	for _, a := range s.all() {
+		a.mu.Lock()
+		now := s.now()
+		returned := a.takeBack(a.state.Loans(), now)
+		given := a.state.Recallable()
+		a.mu.Unlock()
+		s.sendBack(a, returned)
+		for _, l := range given {
+			s.recall(ctx, a, l)
+		}
+	}
+	tick := make(chan struct{}, 1)
+	sub := s.Timer.Every(leavePeriod, func(time.Time) { signal(tick) })
+	defer sub.Stop()
+	for !s.release(ctx) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+		case <-s.wake:
+		}
+	}
+}
+
+func (s *Service) recall(ctx context.Context, a *account, l aflimit.Lent) {
+	go func() {
+		if err := s.call(ctx, l.To.VM, KindGiveback, givebackMessage{Customer: a.name, Recall: l.ID}, &ackMessage{}); err != nil {
+			s.Log.Debug("a loan was not recalled; it ends with its term", "customer", a.name, "vm", l.To.VM, "error", err)
+		}
+	}()
+}
+
+// release writes each record without the parts of this VM that are not on loan. It reports whether none is left.
+func (s *Service) release(ctx context.Context) bool {
+	s.duty.Lock()
+	defer s.duty.Unlock()
+	done := true
+	for _, a := range s.all() {
+		value, _, _ := a.record.snapshot()
+		if value.Parts(s.Self) == 0 && len(a.record.writes) == 0 {
+			continue
+		}
+		if s.load(ctx, a) == nil {
+			s.adjust(ctx, a, 0)
+		}
+		value, _, _ = a.record.snapshot()
+		done = done && value.Parts(s.Self) == 0 && len(a.record.writes) == 0
+	}
+	return done
+}
--- /dev/null
+++ b/internal/afquota/status.go
@@ -0,0 +1,79 @@
+package afquota
+
+import (
+	"sync/atomic"
+
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Status is one customer's limit as this VM applies it. Parts are out of Whole, tokens are whole ones.
+type Status struct {
+	Customer string `json:"customer"`
+	Whole    int64  `json:"whole"`
+	Base     int64  `json:"base"`
+	Lent     int64  `json:"lent"`
+	Held     int64  `json:"held"`
+	Level    int64  `json:"level"`
+	Demand   int64  `json:"demand"`
+	Record   int64  `json:"record"`
+}
+
+type counts struct {
+	admitted, refused, rounds, given, taken, renewed, givenBack, writes atomic.Int64
+}
+
+var (
+	requestsDesc = prometheus.NewDesc("arbutusfork_quota_requests_total", "Requests by result of the limit.", []string{"result"}, nil)
+	loansDesc    = prometheus.NewDesc("arbutusfork_quota_loans_total", "Loan events of this VM.", []string{"event"}, nil)
+	writesDesc   = prometheus.NewDesc("arbutusfork_quota_record_writes_total", "Share record writes sent to the platform.", nil, nil)
+	partsDesc    = prometheus.NewDesc("arbutusfork_quota_share_ratio", "Share of a customer's limit by kind.", []string{"customer", "kind"}, nil)
+	levelDesc    = prometheus.NewDesc("arbutusfork_quota_level_tokens", "Tokens that a customer can reserve at this VM now.", []string{"customer"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (s *Service) Describe(c chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{requestsDesc, loansDesc, writesDesc, partsDesc, levelDesc} {
+		c <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (s *Service) Collect(c chan<- prometheus.Metric) {
+	counter := func(d *prometheus.Desc, v *atomic.Int64, labels ...string) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v.Load()), labels...)
+	}
+	counter(requestsDesc, &s.counts.admitted, "admitted")
+	counter(requestsDesc, &s.counts.refused, "refused")
+	counter(loansDesc, &s.counts.rounds, "round")
+	counter(loansDesc, &s.counts.given, "given")
+	counter(loansDesc, &s.counts.taken, "taken")
+	counter(loansDesc, &s.counts.renewed, "renewed")
+	counter(loansDesc, &s.counts.givenBack, "returned")
+	counter(writesDesc, &s.counts.writes)
+	for _, x := range s.Status() {
+		share := func(kind string, parts int64) {
+			c <- prometheus.MustNewConstMetric(partsDesc, prometheus.GaugeValue, float64(parts)/float64(x.Whole), x.Customer, kind)
+		}
+		share("base", x.Base)
+		share("lent", x.Lent)
+		share("held", x.Held)
+		c <- prometheus.MustNewConstMetric(levelDesc, prometheus.GaugeValue, float64(x.Level), x.Customer)
+	}
+}
+
+// Status returns the state of each customer's limit on this VM, in order of name.
+func (s *Service) Status() []Status {
+	var out []Status
+	for _, a := range s.all() {
+		_, version, _ := a.record.snapshot()
+		a.mu.Lock()
+		now := s.now()
+		out = append(out, Status{
+			Customer: a.name, Whole: aflimit.Whole, Base: a.state.Base(), Lent: a.state.Lent(), Held: a.state.Held(),
+			Level: a.state.Level(now).Floor(), Demand: a.state.Demand(now).Floor(), Record: version,
+		})
+		a.mu.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/afquota/wire.go
@@ -0,0 +1,110 @@
+package afquota
+
+import (
+	"context"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// borrowMessage asks for a loan or for the renewal of one.
+type borrowMessage struct {
+	Customer string `msgpack:"customer"`
+	ID       uint64 `msgpack:"id"`
+	Renew    uint64 `msgpack:"renew,omitempty"`
+	Parts    int64  `msgpack:"parts"`
+	Tokens   int64  `msgpack:"tokens"` // Tokens is in units of 1e-9 token.
+}
+
+// grantMessage answers a borrowMessage.
+type grantMessage struct {
+	Parts  int64 `msgpack:"parts"`
+	Tokens int64 `msgpack:"tokens"`
+	// Lent names the VMs that hold the lender's share, so that the borrower can ask them.
+	Lent []string `msgpack:"lent,omitempty"`
+}
+
+// givebackMessage ends a loan early, asks the borrower to end one, or tells that the share record has changed.
+type givebackMessage struct {
+	Customer string `msgpack:"customer"`
+	ID       uint64 `msgpack:"id,omitempty"`
+	Tokens   int64  `msgpack:"tokens,omitempty"`
+	Unused   bool   `msgpack:"unused,omitempty"`
+	// Recall is the ID of a loan that the lender wants back.
+	Recall uint64 `msgpack:"recall,omitempty"`
+	// Record is the version of a share record that has parts to take.
+	Record int64 `msgpack:"record,omitempty"`
+}
+
+// ackMessage answers a givebackMessage.
+type ackMessage struct{}
+
+// HandleBorrow answers a peer's request for a loan. The body is a msgpack borrowMessage.
+func (s *Service) HandleBorrow(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var m borrowMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "decode borrow", Kind: Malformed, Err: err}
+	}
+	c, ok := s.Customer(m.Customer)
+	if !ok || s.isLeaving() {
+		return grantMessage{}, nil
+	}
+	a := s.account(c)
+	a.mu.Lock()
+	now := s.now()
+	a.apply(c, now)
+	g := a.state.Lend(from, aflimit.Borrow{ID: m.ID, Renew: m.Renew, Parts: m.Parts, Tokens: aflimit.Amount(m.Tokens)}, now)
+	lent := a.state.Lendees()
+	surplus, _ := a.state.Surplus(now)
+	// A peer that is short needs the loans that this VM no longer uses, so they go back to their lenders at once.
+	returned := a.takeBack(surplus, now)
+	a.mu.Unlock()
+	s.sendBack(a, returned)
+	if g.Parts > 0 {
+		s.counts.given.Add(1)
+	}
+	return grantMessage{Parts: g.Parts, Tokens: int64(g.Tokens), Lent: lent}, nil
+}
+
+// HandleGiveback takes back a loan, ends one that its lender recalls, or notes a changed share record. The body is a
+// msgpack givebackMessage.
+func (s *Service) HandleGiveback(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var m givebackMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "decode giveback", Kind: Malformed, Err: err}
+	}
+	c, ok := s.Customer(m.Customer)
+	if !ok {
+		return ackMessage{}, nil
+	}
+	a := s.account(c)
+	if m.Record > 0 {
+		a.record.changed(m.Record)
+		signal(s.wake)
+	}
+	a.mu.Lock()
+	now := s.now()
+	if m.ID != 0 {
+		a.state.Return(from, aflimit.Giveback{ID: m.ID, Tokens: aflimit.Amount(m.Tokens), Unused: m.Unused}, now)
+	}
+	var returned []returnedLoan
+	for _, l := range a.state.Loans() {
+		if l.ID == m.Recall && l.From == from.VM {
+			returned = a.takeBack([]aflimit.Loan{l}, now)
+		}
+	}
+	a.mu.Unlock()
+	s.sendBack(a, returned)
+	if m.ID != 0 && s.isLeaving() {
+		signal(s.wake)
+	}
+	return ackMessage{}, nil
+}
+
+// call sends a message to a peer, bounded by callTimeout.
+func (s *Service) call(ctx context.Context, vm, kind string, message, answer any) error {
+	ctx, cancel := s.withTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.Call(ctx, vm, kind, message, answer)
+}
--- /dev/null
+++ b/pkg/afclaim/record.go
@@ -0,0 +1,109 @@
+package afclaim
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"maps"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+const (
+	// Buckets is the number of claim records that calls are spread over.
+	Buckets = 64
+	// Lifetime is how long a claim is kept.
+	Lifetime = 24 * time.Hour
+	// MaxBytes bounds the JSON form of a record. The platform takes values up to 1 MB.
+	MaxBytes = 512 << 10
+	// MaxAnswer bounds the body of an answer that is kept.
+	MaxAnswer = 4 << 10
+
+	idBytes = 16
+	// claimBytes is above the JSON size of a claim without its variable fields.
+	claimBytes = 192
+	// answerBytes is above the JSON size of an answer without its variable fields.
+	answerBytes = 64
+)
+
+// ID returns the digest of customer, route and key that the claim is kept under.
+func (c Call) ID() string {
+	h := sha256.New()
+	for _, s := range []string{c.Customer, c.Route, c.Key} {
+		// The length keeps different triples from having the same input.
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(s))))
+		_, _ = h.Write([]byte(s))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:idBytes])
+}
+
+// Bucket returns the number of the record that holds the claim, from 0 to Buckets-1.
+func (c Call) Bucket() int {
+	b, _ := hex.DecodeString(c.ID()[:2])
+	return int(b[0]) % Buckets
+}
+
+// Ticket names one attempt to claim. No two attempts share one.
+type Ticket struct {
+	VM    string `json:"vm"`
+	Start int64  `json:"start"`
+	Seq   uint64 `json:"seq"`
+}
+
+// Holder returns the start of the daemon that made the attempt.
+func (t Ticket) Holder() arbutusfork.Incarnation {
+	return arbutusfork.Incarnation{VM: t.VM, Start: t.Start}
+}
+
+// Claim is one call's entry in a record.
+type Claim struct {
+	Ticket Ticket `json:"ticket"`
+	Body   string `json:"body"`
+	// At is when the claim was made, in seconds of Unix time.
+	At int64 `json:"at"`
+	// Done tells that the call has run.
+	Done bool `json:"done,omitempty"`
+	// Answer is nil for a call that has not run or whose answer was too large to keep.
+	Answer *Answer `json:"answer,omitempty"`
+}
+
+// bytes returns an upper bound of the claim's JSON size.
+func (c Claim) bytes(id string) int {
+	n := claimBytes + 6*(len(id)+len(c.Body)+len(c.Ticket.VM))
+	if c.Answer != nil {
+		n += answerBytes + 6*len(c.Answer.Type) + (len(c.Answer.Body)+2)/3*4
+	}
+	return n
+}
+
+// Record holds the claims of one bucket. It is immutable; Apply returns a changed copy.
+type Record struct {
+	Claims map[string]Claim `json:"claims"`
+}
+
+// Size returns an upper bound of the record's JSON size in bytes.
+func (r Record) Size() int {
+	n := len(`{"claims":{}}`)
+	for id, c := range r.Claims {
+		n += c.bytes(id)
+	}
+	return n
+}
+
+// Get returns the claim with the ID.
+func (r Record) Get(id string) (Claim, bool) {
+	c, ok := r.Claims[id]
+	return c, ok
+}
+
+// withoutExpired returns a copy without the claims above their lifetime, and whether there were any.
+func (r Record) withoutExpired(now time.Time) (Record, bool) {
+	limit := now.Add(-Lifetime).Unix()
+	next := Record{Claims: maps.Clone(r.Claims)}
+	if next.Claims == nil {
+		next.Claims = make(map[string]Claim)
+	}
+	maps.DeleteFunc(next.Claims, func(_ string, c Claim) bool { return c.At < limit })
+	return next, len(next.Claims) != len(r.Claims)
+}
--- /dev/null
+++ b/pkg/aflimit/account.go
@@ -0,0 +1,146 @@
+package aflimit
+
+import (
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+// Account is one customer's state on one VM: the bucket for its base share less the loans given plus the loans taken.
+// The sum of parts over all VMs never exceeds Whole, and the level and refundable tokens of a VM never exceed the
+// capacity of its parts. It is not safe for concurrent use.
+type Account struct {
+	limit    Limit
+	base     int64
+	bucket   Bucket
+	lender   Lender
+	borrower Borrower
+	demand   meter
+	next     time.Duration // next is the earliest end of a loan, valid if loans exist.
+	loans    bool
+	last     uint64 // last is the latest request ID.
+	without  guard
+}
+
+// NewAccount returns an account without a base share.
+func NewAccount(l Limit, now time.Duration) *Account {
+	return &Account{limit: l, bucket: Bucket{at: now}}
+}
+
+// SetLimit changes the customer's rate and burst.
+func (a *Account) SetLimit(l Limit, now time.Duration) {
+	a.Advance(now)
+	a.limit = l
+	a.resize()
+}
+
+// Limit returns the customer's whole limit.
+func (a *Account) Limit() Limit { return a.limit }
+
+// SetBase changes the base share. New parts start without tokens, but for those of the fresh parts, which no VM has
+// held before.
+func (a *Account) SetBase(parts, fresh int64, now time.Duration) {
+	a.Advance(now)
+	a.base = parts
+	a.resize()
+	if fresh > 0 {
+		a.bucket.add(a.limit.Part(min(fresh, parts)).Burst)
+	}
+}
+
+// Base returns the base share.
+func (a *Account) Base() int64 { return a.base }
+
+// Lent returns the parts of the base share that are on loan to others.
+func (a *Account) Lent() int64 { return a.lender.Parts() }
+
+// Held returns the parts that the VM may use now.
+func (a *Account) Held() int64 { return max(0, a.base-a.lender.Parts()) + a.borrower.Parts() }
+
+// Level returns the tokens that can be reserved now.
+func (a *Account) Level(now time.Duration) Amount {
+	a.Advance(now)
+	return a.bucket.level
+}
+
+// Demand returns the recent demand per second.
+func (a *Account) Demand(now time.Duration) Amount { return a.demand.rate(now) }
+
+// Advance brings the account to now: refills, and ends loans each at its own instant.
+func (a *Account) Advance(now time.Duration) {
+	for a.loans && a.next <= now {
+		t := a.next
+		a.bucket.advance(t)
+		a.lender = a.lender.Expire(t)
+		a.borrower = a.borrower.Expire(t)
+		a.resize()
+	}
+	a.bucket.advance(now)
+}
+
+// resize applies the parts held to the bucket and finds the next end of a loan.
+func (a *Account) resize() {
+	a.bucket.without = a.without
+	a.bucket.resize(a.limit.Part(a.Held()))
+	a.loans = false
+	for _, l := range a.lender.loans {
+		a.expect(l.Until)
+	}
+	for _, l := range a.borrower.loans {
+		a.expect(l.Until)
+	}
+}
+
+func (a *Account) expect(t time.Duration) {
+	if !a.loans || t < a.next {
+		a.next, a.loans = t, true
+	}
+}
+
+// Reserve takes n tokens, or returns nil when they are not at hand.
+func (a *Account) Reserve(n int64, now time.Duration) *Hold {
+	a.Advance(now)
+	h := a.bucket.reserve(Tokens(n))
+	if h != nil {
+		a.demand.add(now, h.reserved)
+	}
+	return h
+}
+
+// Settle replaces a reservation by the actual count of tokens. A second settlement has no effect.
+func (a *Account) Settle(h *Hold, actual int64, now time.Duration) {
+	a.Advance(now)
+	if h.settled {
+		return
+	}
+	count := Tokens(actual)
+	a.bucket.settle(h, count)
+	a.demand.remove(now, h.at, h.reserved-count)
+}
+
+// Wait returns the time after which n tokens accrue over all VMs, if nobody else takes any.
+func (a *Account) Wait(n int64, now time.Duration) time.Duration {
+	lack := Tokens(n) - a.Level(now)
+	if lack <= 0 || a.limit.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(lack) / float64(a.limit.Rate) * float64(time.Second))
+}
+
+// Return takes back a loan that the borrower ends early. Only a loan that still runs has an effect, so a duplicate
+// or late message creates nothing.
+func (a *Account) Return(from arbutusfork.Incarnation, g Giveback, now time.Duration) bool {
+	a.Advance(now)
+	loan, ok := a.lender.Find(from, g.ID)
+	if !ok {
+		return false
+	}
+	tokens := max(0, min(g.Tokens, a.limit.Part(loan.Parts).Burst))
+	if g.Unused {
+		tokens = loan.Tokens
+	}
+	a.lender = a.lender.Without(from, g.ID)
+	a.resize()
+	a.bucket.add(tokens)
+	return true
+}
