afplacement: decide on loads, leases and routing in pure steps

Adds the shard record with write-ahead orders, the lease, the accounting of exposed and lost orders, the choice of endpoint, the keep-warm rule and the routing table as View.Step, and the owner loop in internal/afcontrol that carries out its effects. An order is sent at most once; one whose answer is lost keeps its charge until the endpoint shows its effect, a raised fence is acknowledged or the sender is gone. Resending lost orders was ruled out, because a late copy could recreate a charge that has ended.

No performance is measured yet. 'go test -race ./internal/afcontrol' covers demand from another VM, take-over, release, an outage and a lost answer.

--- /dev/null
+++ b/internal/afcontrol/demand.go
@@ -0,0 +1,185 @@
+package afcontrol
+
+import (
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+)
+
+const (
+	// summary is the period at which VMs report demand. New demand without a replica is reported at once.
+	summary = time.Second
+	// demandIdle is how long a model without requests stays in the summaries.
+	demandIdle = 5 * time.Second
+)
+
+// localDemand is this VM's demand for one model.
+type localDemand struct {
+	waiting, running, served int
+	changed                  time.Time
+	dirty                    bool
+}
+
+// demandMessage is the body of a demand message.
+type demandMessage struct {
+	Rows []demandRow `msgpack:"rows"`
+}
+
+type demandRow struct {
+	Model   string `msgpack:"model"`
+	Waiting int    `msgpack:"waiting"`
+	Running int    `msgpack:"running"`
+	// Served counts the arrivals since the last row of this model.
+	Served int `msgpack:"served"`
+}
+
+// Demand sets the number of this VM's requests that wait for the model. The deadline is the earliest of them.
+func (s *Service) Demand(model string, waiting int, _ time.Time) {
+	s.note(model, func(d *localDemand) bool {
+		urgent := waiting > 0 && d.waiting == 0
+		d.dirty = d.dirty || d.waiting != waiting
+		d.waiting = waiting
+		return urgent
+	})
+}
+
+// Served counts an arrival for the model.
+func (s *Service) Served(model string) {
+	s.note(model, func(d *localDemand) bool {
+		d.served++
+		return false
+	})
+}
+
+// Running sets the number of this VM's requests that run on the model. A model with running requests is not
+// unloaded.
+func (s *Service) Running(model string, n int) {
+	s.note(model, func(d *localDemand) bool {
+		d.dirty = d.dirty || d.running != n
+		d.running = n
+		return false
+	})
+}
+
+func (s *Service) note(model string, fn func(d *localDemand) bool) {
+	s.init()
+	now := s.Timer.Now()
+	s.mu.Lock()
+	d := s.local[model]
+	if d == nil {
+		d = &localDemand{}
+		s.local[model] = d
+	}
+	d.changed = now
+	wake := fn(d) && !s.woken
+	if wake {
+		s.woken = true
+	}
+	s.mu.Unlock()
+	if wake && !s.ring.Push(s.hurry) {
+		s.mu.Lock()
+		s.woken = false
+		s.mu.Unlock()
+	}
+}
+
+// hurry reports new demand for models without a replica.
+func (s *Service) hurry() {
+	table := s.Table()
+	s.mu.Lock()
+	s.woken = false
+	rows := make(map[string][]demandRow)
+	for model, d := range s.local {
+		if d.waiting > 0 && d.dirty && len(table.Replicas(model)) == 0 {
+			rows[s.home(model)] = append(rows[s.home(model)], d.row(model))
+		}
+	}
+	s.mu.Unlock()
+	s.report(rows)
+}
+
+// flush reports the demand summary.
+func (s *Service) flush(now time.Time) {
+	if now.Sub(s.flushed) < summary {
+		return
+	}
+	s.flushed = now
+	s.mu.Lock()
+	rows := make(map[string][]demandRow)
+	for model, d := range s.local {
+		if d.waiting == 0 && d.running == 0 && now.Sub(d.changed) > demandIdle {
+			delete(s.local, model)
+			continue
+		}
+		if home := s.home(model); home != "" {
+			rows[home] = append(rows[home], d.row(model))
+		}
+	}
+	s.mu.Unlock()
+	s.report(rows)
+}
+
+func (d *localDemand) row(model string) demandRow {
+	r := demandRow{Model: model, Waiting: d.waiting, Running: d.running, Served: d.served}
+	d.served, d.dirty = 0, false
+	return r
+}
+
+// home returns the shard that places the model, or serves the plain service of that name.
+func (s *Service) home(model string) string {
+	if s.config == nil {
+		return ""
+	}
+	if m, ok := s.config.Model(model); ok {
+		return afplacement.ShardName(m.Service, afplacement.ShardOf(m.Base(), max(s.counts[m.Service], 1)))
+	}
+	if v, ok := s.config.Service(model); ok && v.Kind == arbutusfork.ServicePlain {
+		return afplacement.ShardName(model, 0)
+	}
+	return ""
+}
+
+// report gives the rows to the owners of their shards.
+func (s *Service) report(rows map[string][]demandRow) {
+	for name, list := range rows {
+		sh := s.shards[name]
+		if sh == nil {
+			continue
+		}
+		owner := s.owner(sh)
+		if owner == "" || owner == s.Self.VM {
+			s.take(s.Self.VM, list)
+			continue
+		}
+		if err := s.Send(owner, "demand", demandMessage{Rows: list}); err != nil {
+			s.Log.Debug("demand not sent", "vm", owner, "shard", name, "error", err)
+		}
+	}
+}
+
+// owner returns the VM that is believed to own the shard.
+func (s *Service) owner(sh *shard) string {
+	if sh.view.Owner(s.Timer.Now()) {
+		return s.Self.VM
+	}
+	r, _ := sh.view.Record()
+	if p, ok := s.Table().Part(sh.name); ok && p.Epoch >= r.Fence {
+		return p.Owner.VM
+	}
+	return r.Owner.VM
+}
+
+// take applies demand that a VM reported.
+func (s *Service) take(vm string, rows []demandRow) {
+	for _, row := range rows {
+		sh := s.shards[s.home(row.Model)]
+		if sh == nil {
+			continue
+		}
+		if row.Served > 0 {
+			s.step(sh, afplacement.Arrived{Model: row.Model, Count: row.Served})
+		}
+		s.step(sh, afplacement.Wanted{Model: row.Model, VM: vm, Waiting: row.Waiting, Running: row.Running})
+	}
+}
--- /dev/null
+++ b/internal/afcontrol/endpoint.go
@@ -0,0 +1,172 @@
+package afcontrol
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+)
+
+const (
+	// pollBusy and pollIdle are the periods at which an owner asks endpoints for their status.
+	pollBusy = 100 * time.Millisecond
+	pollIdle = time.Second
+	// maxStatusBytes bounds an endpoint's report.
+	maxStatusBytes = 4 << 20
+)
+
+// poll is the state of asking one endpoint for its status.
+type poll struct {
+	asking bool
+	asked  time.Time
+}
+
+// orderBody is the body of a load or unload order of the model repository extension.
+type orderBody struct {
+	Parameters orderParameters `json:"parameters"`
+}
+
+type orderParameters struct {
+	Fence string `json:"fence"`
+	Order string `json:"order"`
+}
+
+// adapterBody is the body of an adapter order.
+type adapterBody struct {
+	Name  string `json:"lora_name"`
+	Path  string `json:"lora_path"`
+	Fence string `json:"fence"`
+	Order string `json:"order"`
+}
+
+// poll asks the endpoints of an owned shard for their status when it is due.
+func (s *Service) poll(sh *shard, now time.Time) {
+	if !sh.view.Owner(now) {
+		return
+	}
+	for _, ep := range sh.view.Config().Endpoints {
+		p := sh.polls[ep.Name]
+		if p == nil {
+			p = &poll{}
+			sh.polls[ep.Name] = p
+		}
+		period := pollIdle
+		if sh.view.Busy(ep.Name) {
+			period = pollBusy
+		}
+		if !p.asking && (p.asked.IsZero() || now.Sub(p.asked) >= period) {
+			s.status(sh, p, ep, now)
+		}
+	}
+}
+
+func (s *Service) status(sh *shard, p *poll, ep arbutusfork.Endpoint, now time.Time) {
+	p.asking, p.asked = true, now
+	s.spawn(func(ctx context.Context) func() {
+		st, err := s.getStatus(ctx, ep)
+		return func() {
+			p.asking = false
+			if err != nil {
+				s.Log.Debug("endpoint status not read", "endpoint", ep.Name, "error", err)
+			}
+			s.step(sh, afplacement.Observed{Endpoint: ep.Name, Asked: now, Status: st, Err: err != nil})
+		}
+	})
+}
+
+func (s *Service) getStatus(ctx context.Context, ep arbutusfork.Endpoint) (st afplacement.Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pollIdle)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ep.Address+"/status", nil)
+	if err != nil {
+		return st, &Error{Op: "status " + ep.Name, Kind: Malformed, Err: err}
+	}
+	resp, err := s.HTTP.Do(req)
+	if err != nil {
+		return st, &Error{Op: "status " + ep.Name, Kind: Unreachable, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return st, &Error{Op: "status " + ep.Name, Kind: Unreachable}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&st); err != nil {
+		return st, &Error{Op: "status " + ep.Name, Kind: Malformed, Err: err}
+	}
+	return st, nil
+}
+
+// send sends an order once and reports what became of it.
+func (s *Service) send(sh *shard, o afplacement.Order) {
+	ep := sh.view.Config().Endpoints[o.Endpoint]
+	s.spawn(func(ctx context.Context) func() {
+		reply, status := s.post(ctx, ep, o)
+		return func() {
+			s.Log.Info("order sent", "shard", sh.name, "order", o.ID, "fence", o.Fence, "verb", o.Verb, "model", o.Model,
+				"endpoint", o.Endpoint, "reply", reply, "status", status)
+			s.step(sh, afplacement.Answered{Order: o.ID, Reply: reply})
+		}
+	})
+}
+
+// post tells from the connection's trace whether an order without an answer may have left this VM.
+func (s *Service) post(ctx context.Context, ep arbutusfork.Endpoint, o afplacement.Order) (afplacement.Reply, int) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := orderRequest(ctx, ep, o)
+	if err != nil {
+		return afplacement.Unsent, 0
+	}
+	resp, err := s.HTTP.Do(req)
+	if err != nil {
+		if connected.Load() {
+			return afplacement.Lost, 0
+		}
+		return afplacement.Unsent, 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return afplacement.Accepted, resp.StatusCode
+	case http.StatusConflict:
+		return afplacement.Stale, resp.StatusCode
+	}
+	return afplacement.Refused, resp.StatusCode
+}
+
+func orderRequest(ctx context.Context, ep arbutusfork.Endpoint, o afplacement.Order) (*http.Request, error) {
+	fence, id := strconv.FormatInt(o.Fence, 10), strconv.FormatInt(o.ID, 10)
+	var (
+		path string
+		body any
+	)
+	if _, adapter := arbutusfork.SplitModel(o.Model); adapter != "" {
+		path = "/v1/" + o.Verb.String() + "_lora_adapter"
+		body = adapterBody{Name: o.Model, Path: o.Model, Fence: fence, Order: id}
+	} else {
+		path = "/v2/repository/models/" + url.PathEscape(o.Model) + "/" + o.Verb.String()
+		body = orderBody{Parameters: orderParameters{Fence: fence, Order: id}}
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ep.Address+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the order a second time on another connection.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
--- /dev/null
+++ b/internal/afcontrol/message.go
@@ -0,0 +1,127 @@
+package afcontrol
+
+import (
+	"context"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+)
+
+// pullMessage asks for a shard's part of the routing table.
+type pullMessage struct {
+	Shard string `msgpack:"shard"`
+}
+
+// releaseMessage asks the sender to send nothing below the fence any more.
+type releaseMessage struct {
+	Shard  string                  `msgpack:"shard"`
+	Sender arbutusfork.Incarnation `msgpack:"sender"`
+	Fence  int64                   `msgpack:"fence"`
+}
+
+// releaseAnswer states that the sender will send nothing below the fence, if OK. Doubt are its orders of unknown fate.
+type releaseAnswer struct {
+	OK    bool    `msgpack:"ok"`
+	Doubt []int64 `msgpack:"doubt"`
+}
+
+// HandleDemand takes another VM's demand.
+func (s *Service) HandleDemand(from arbutusfork.Incarnation, body []byte) (any, error) {
+	s.init()
+	var m demandMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "demand", Kind: Malformed, Err: err}
+	}
+	s.ring.Push(func() { s.take(from.VM, m.Rows) })
+	return nil, nil
+}
+
+// HandleTable takes a part of the routing table, unless a newer one is known.
+func (s *Service) HandleTable(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	p, err := afplacement.DecodePart(body)
+	if err != nil {
+		return nil, &Error{Op: "table", Kind: Malformed, Err: err}
+	}
+	s.adopt(p)
+	return nil, nil
+}
+
+// HandlePull answers with a part of the routing table.
+func (s *Service) HandlePull(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	var m pullMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "pull", Kind: Malformed, Err: err}
+	}
+	p, ok := s.Table().Part(m.Shard)
+	if !ok {
+		return nil, &Error{Op: "pull " + m.Shard, Kind: Unknown}
+	}
+	return p, nil
+}
+
+// HandleRelease makes this VM send nothing below the fence any more and answers which orders are of unknown fate.
+func (s *Service) HandleRelease(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	var m releaseMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "release", Kind: Malformed, Err: err}
+	}
+	if m.Sender != s.Self {
+		// Another incarnation on this VM cannot speak for the one that sent the orders.
+		return releaseAnswer{}, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var answer releaseAnswer
+	ok := s.ask(ctx, func() {
+		sh := s.shards[m.Shard]
+		if sh == nil {
+			return
+		}
+		s.step(sh, afplacement.Fenced{Fence: m.Fence})
+		answer = releaseAnswer{OK: true, Doubt: sh.view.Doubt()}
+	})
+	if !ok {
+		return nil, &Error{Op: "release " + m.Shard, Kind: Ended}
+	}
+	return answer, nil
+}
+
+// HandleDigest pulls the parts of the routing table of which the peer has a newer publication.
+func (s *Service) HandleDigest(from arbutusfork.Incarnation, digest map[string]int64) {
+	s.init()
+	own := s.Digest()
+	for name, d := range digest {
+		if d > own[name] {
+			s.ring.Push(func() { s.pull(from.VM, name, d) })
+		}
+	}
+}
+
+func (s *Service) pull(vm, name string, digest int64) {
+	if p, ok := s.Table().Part(name); ok && p.Digest() >= digest {
+		return
+	}
+	s.spawn(func(ctx context.Context) func() {
+		var p afplacement.Part
+		if err := s.Call(ctx, vm, "pull", pullMessage{Shard: name}, &p); err != nil {
+			s.Log.Debug("routing table not pulled", "vm", vm, "shard", name, "error", err)
+			return nil
+		}
+		return func() { s.adopt(p) }
+	})
+}
+
+func (s *Service) askRelease(sh *shard, e afplacement.AskRelease) {
+	s.spawn(func(ctx context.Context) func() {
+		var answer releaseAnswer
+		m := releaseMessage{Shard: sh.name, Sender: e.Sender, Fence: e.Fence}
+		if err := s.Call(ctx, e.Sender.VM, "release", m, &answer); err != nil || !answer.OK {
+			return nil
+		}
+		return func() {
+			s.step(sh, afplacement.Released{Sender: e.Sender, Fence: e.Fence, Doubt: answer.Doubt})
+		}
+	})
+}
--- /dev/null
+++ b/internal/afcontrol/service_test.go
@@ -0,0 +1,92 @@
+package afcontrol
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+func pair(t *testing.T) (*fleet, *engine) {
+	e := newEngine(t)
+	models := []arbutusfork.Model{{Name: "a", Memory: 10, Remote: 1000, Disk: 500, Host: 100}, {Name: "a:x", Memory: 1, Remote: 10, Disk: 10, Host: 10}}
+	endpoints := []arbutusfork.Endpoint{{Name: "r1", Address: e.server.Listener.Addr().String(), Memory: 20, Slots: 4}}
+	return newFleet(t, snapshot(t, arbutusfork.Service{Name: "s"}, models, endpoints), "vm1", "vm2"), e
+}
+
+func (f *fleet) others(name string) *Service {
+	for vm, s := range f.vms {
+		if vm != name {
+			return s
+		}
+	}
+	return nil
+}
+
+// TestLoadOnDemand guards against demand at a VM that does not own the shard being lost on the way to a load.
+func TestLoadOnDemand(t *testing.T) {
+	f, e := pair(t)
+	f.advance(3 * time.Second)
+	owner := f.owner("s-0")
+	require.NotEmpty(t, owner)
+	s := f.others(owner)
+	s.Demand("a:x", 1, f.now.Add(time.Minute))
+	f.advance(time.Second)
+	require.Equal(t, []string{"load a", "load a:x"}, e.got())
+	require.Len(t, s.Table().Replicas("a:x"), 1)
+	require.Equal(t, f.vms[owner].Digest(), s.Digest())
+}
+
+// TestTakeOver guards against a shard that stays without an owner after a death, and against a handover that
+// loses the replicas.
+func TestTakeOver(t *testing.T) {
+	f, e := pair(t)
+	f.advance(3 * time.Second)
+	owner := f.owner("s-0")
+	f.vms[owner].Demand("a", 1, f.now.Add(time.Minute))
+	f.advance(time.Second)
+	f.frozen[owner] = true
+	f.advance(10 * time.Second)
+	next := f.owner("s-0")
+	require.NotEqual(t, owner, next)
+	require.Len(t, f.vms[next].Table().Replicas("a"), 1)
+	require.Equal(t, []string{"load a"}, e.got())
+}
+
+// TestRelease guards against a planned stop that leaves the shard to expire.
+func TestRelease(t *testing.T) {
+	f, _ := pair(t)
+	f.advance(3 * time.Second)
+	owner := f.owner("s-0")
+	done := make(chan error, 1)
+	go func() { done <- f.vms[owner].Release(context.Background()) }()
+	for f.owner("s-0") == owner {
+		f.advance(tick)
+	}
+	f.advance(2 * time.Second)
+	require.NoError(t, <-done)
+	require.NotEqual(t, owner, f.owner("s-0"))
+	require.NotEmpty(t, f.owner("s-0"))
+}
+
+// TestPlatformFaults guards against a decision during an outage, and against a lost answer that stops the owner.
+func TestPlatformFaults(t *testing.T) {
+	f, e := pair(t)
+	f.advance(3 * time.Second)
+	owner := f.owner("s-0")
+	f.platform.mu.Lock()
+	f.platform.down = true
+	f.platform.mu.Unlock()
+	f.vms[owner].Demand("a", 1, f.now.Add(time.Minute))
+	f.advance(20 * time.Second)
+	require.Empty(t, e.got())
+	f.platform.mu.Lock()
+	f.platform.down, f.platform.lose = false, 1
+	f.platform.mu.Unlock()
+	f.vms[owner].Demand("a", 2, f.now.Add(time.Minute))
+	f.advance(15 * time.Second)
+	require.Equal(t, []string{"load a"}, e.got())
+}
--- /dev/null
+++ b/internal/afcontrol/shard.go
@@ -0,0 +1,210 @@
+package afcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+)
+
+const (
+	// followNear is the period at which the two preferred owners read a shard that another VM owns. With the
+	// expiry of 7.5 s it keeps a take-over within 10 s of a death.
+	followNear = time.Second
+	// followFar is the period of the other VMs, which bounds the platform's load in a large fleet.
+	followFar = 30 * time.Second
+	nearRanks = 2
+	// refresh is the period at which an owner publishes an unchanged part again, with new running counts.
+	refresh = 2 * time.Second
+)
+
+// shard is the loop's state of one shard.
+type shard struct {
+	name  string
+	view  afplacement.View
+	polls map[string]*poll
+	// fetching tells that a read is in flight, fetched is when the last one started.
+	fetching bool
+	fetched  time.Time
+	// part is what was last published from here, at published.
+	part      afplacement.Part
+	published time.Time
+	fence     int64
+	sequence  int64
+}
+
+// step applies an event to the shard and carries out the effects.
+func (s *Service) step(sh *shard, e afplacement.Event) {
+	now := s.Timer.Now()
+	view, effects := sh.view.Step(e, now)
+	sh.view = view
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case afplacement.Commit:
+			s.commit(sh, effect)
+		case afplacement.Fetch:
+			s.fetch(sh, now)
+		case afplacement.Send:
+			s.send(sh, effect.Order)
+		case afplacement.AskRelease:
+			s.askRelease(sh, effect)
+		case afplacement.Decision:
+			s.logDecision(sh, effect)
+		}
+	}
+	s.publish(sh, now)
+}
+
+// commit writes the record. Any error leads to a read, since the write may have taken effect.
+func (s *Service) commit(sh *shard, c afplacement.Commit) {
+	s.spawn(func(ctx context.Context) func() {
+		spec, err := json.Marshal(c.Record)
+		var o afobject.Object
+		if err == nil {
+			o = afobject.Object{Kind: afobject.Shards, Name: sh.name, Version: c.Version, Spec: spec}
+			if c.Version == 0 {
+				o, err = s.Create(ctx, o)
+			} else {
+				o, err = s.Update(ctx, o)
+			}
+		}
+		return func() {
+			if err != nil {
+				s.Log.Warn("shard record not committed; reading it back", "shard", sh.name, "version", c.Version, "error", err)
+				s.step(sh, afplacement.Failed{})
+				return
+			}
+			if old, _ := sh.view.Record(); old.Fence != c.Record.Fence {
+				s.Log.Info("shard ownership changed", "shard", sh.name, "owner", c.Record.Owner, "fence", c.Record.Fence)
+			}
+			s.step(sh, afplacement.Committed{Version: o.Version})
+		}
+	})
+}
+
+// fetch reads the record.
+func (s *Service) fetch(sh *shard, now time.Time) {
+	if sh.fetching {
+		return
+	}
+	sh.fetching, sh.fetched = true, now
+	s.spawn(func(ctx context.Context) func() {
+		o, err := s.Get(ctx, afobject.Shards, sh.name)
+		var r afplacement.Record
+		if err == nil {
+			err = json.Unmarshal(o.Spec, &r)
+		}
+		return func() {
+			sh.fetching = false
+			switch {
+			case afobject.IsKind(err, afobject.NotFound):
+				s.step(sh, afplacement.Read{})
+			case err == nil:
+				s.step(sh, afplacement.Read{Version: o.Version, Record: r})
+			default:
+				s.Log.Debug("shard record not read", "shard", sh.name, "error", err)
+			}
+		}
+	})
+}
+
+// follow reads the record when this VM needs to know whether its owner is alive, or must read back.
+func (s *Service) follow(sh *shard, now time.Time) {
+	period := followFar
+	switch {
+	case sh.view.Unsure():
+		period = tick
+	case sh.view.Owner(now):
+		return
+	case sh.view.Rank < nearRanks:
+		period = followNear
+	}
+	if sh.fetched.IsZero() || now.Sub(sh.fetched) >= period {
+		s.fetch(sh, now)
+	}
+}
+
+// checkGone asks the platform's list about senders whose orders are exposed.
+func (s *Service) checkGone(sh *shard, now time.Time) {
+	if !sh.view.Owner(now) || s.Gone == nil {
+		return
+	}
+	for _, sender := range sh.view.Exposed() {
+		if s.Gone(sender) {
+			s.Log.Info("earlier owner is gone; its orders are no longer exposed", "shard", sh.name, "sender", sender)
+			s.step(sh, afplacement.Gone{Sender: sender})
+		}
+	}
+}
+
+// publish sends the shard's part of the routing table to the other VMs if it has changed or is due.
+func (s *Service) publish(sh *shard, now time.Time) {
+	if !sh.view.Owner(now) {
+		return
+	}
+	members := s.Members()
+	vms := make([]string, 0, len(members)+1)
+	vms = append(vms, s.Self.VM)
+	for _, vm := range members {
+		if vm.Name != s.Self.VM && vm.State == arbutusfork.VMLive {
+			vms = append(vms, vm.Name)
+		}
+	}
+	p := sh.view.Part(sh.name, vms, now)
+	if p.Same(sh.part) && now.Sub(sh.published) < refresh {
+		return
+	}
+	if p.Epoch != sh.fence {
+		sh.fence, sh.sequence = p.Epoch, 0
+	}
+	sh.sequence++
+	p.Sequence = sh.sequence
+	sh.part, sh.published = p, now
+	s.adopt(p)
+	for _, vm := range vms[1:] {
+		if err := s.Send(vm, "table", p); err != nil {
+			s.Log.Debug("routing table not sent", "vm", vm, "shard", sh.name, "error", err)
+		}
+	}
+}
+
+// adopt puts a newer part into the table.
+func (s *Service) adopt(p afplacement.Part) bool {
+	for {
+		old := s.table.Load()
+		next, newer := old.With(p)
+		if !newer {
+			return false
+		}
+		if s.table.CompareAndSwap(old, next) {
+			return true
+		}
+	}
+}
+
+// Drop takes an endpoint out of the routing table until its shard's owner publishes again. Call it when an endpoint
+// answers that it is leaving or cannot be reached.
+func (s *Service) Drop(endpoint string) {
+	for {
+		old := s.table.Load()
+		if old == nil || s.table.CompareAndSwap(old, old.Without(endpoint)) {
+			return
+		}
+	}
+}
+
+func (s *Service) logDecision(sh *shard, d afplacement.Decision) {
+	args := []any{
+		"shard", sh.name, "verb", d.Verb, "model", d.Model, "endpoint", d.Endpoint, "reason", d.Reason,
+		"tier", d.Chosen.Tier, "ready", d.Chosen.Ready, "bare", d.Chosen.Bare, "free", d.Chosen.Free,
+		"evict", d.Chosen.Evict, "loads", d.Loads, "budget", d.Budget, "waiting", d.Waiting,
+	}
+	for _, c := range d.Others[:min(len(d.Others), 3)] {
+		args = append(args, slog.Group("or-"+c.Endpoint, "tier", c.Tier, "ready", c.Ready, "free", c.Free))
+	}
+	s.Log.Info("placement decision", args...)
+}
--- /dev/null
+++ b/pkg/afplacement/reconcile.go
@@ -0,0 +1,206 @@
+package afplacement
+
+import (
+	"maps"
+	"slices"
+)
+
+// reconcile brings the record in line with answers and reports and records the orders that follow.
+func (v View) reconcile(r Record) Record {
+	r = v.settle(r)
+	for _, a := range r.Assignments {
+		if _, ok := v.cfg.Endpoints[a.Endpoint]; !ok {
+			// An endpoint that left the configuration is gone, and its charges with it.
+			r = r.WithoutAssignment(a.Endpoint, a.Model)
+			continue
+		}
+		switch a.State {
+		case Loading:
+			r = v.reconcileLoading(r, a)
+		case Loaded:
+			r = v.reconcileLoaded(r, a)
+		case Unloading:
+			r = v.reconcileUnloading(r, a)
+		}
+	}
+	return v.adopt(v.refence(r))
+}
+
+// settle drops the orders that are over. The record keeps those that ended since the last commit for readers.
+func (v View) settle(r Record) Record {
+	orders := make([]Order, 0, len(r.Orders))
+	for _, o := range r.Orders {
+		_, known := v.cfg.Endpoints[o.Endpoint]
+		if o.State != Recorded || !known {
+			continue
+		}
+		if !v.live(r, o) || v.landed(r, o) {
+			o.State = Cancelled
+			if r.own(o) {
+				o.State = Done
+			}
+		}
+		orders = append(orders, o)
+	}
+	r.Orders = orders
+	return r
+}
+
+// landed reports whether an own order with a lost answer is known to have arrived: it was the only order that
+// can have had the effect that the endpoint has reported since.
+func (v View) landed(r Record, o Order) bool {
+	f := v.flights[o.ID]
+	if !r.own(o) || !f.answered || f.reply != Lost {
+		return false
+	}
+	for _, other := range r.Orders {
+		if other.ID != o.ID && other.Endpoint == o.Endpoint && other.Model == o.Model && v.live(r, other) {
+			return false
+		}
+	}
+	state, _, known := v.presence(place{o.Endpoint, o.Model})
+	return known && (state == "") == (o.Verb == Unload)
+}
+
+// orders counts the live orders for the place, and those of them that the owner has not lost sight of.
+func (v View) orders(r Record, p place) (loads, own int) {
+	for _, o := range r.Orders {
+		if o.Endpoint != p.endpoint || o.Model != p.model || !v.live(r, o) {
+			continue
+		}
+		if o.Verb == Load {
+			loads++
+		}
+		if f := v.flights[o.ID]; r.own(o) && (!f.answered || f.reply != Lost) {
+			own++
+		}
+	}
+	return loads, own
+}
+
+func (v View) reconcileLoading(r Record, a Assignment) Record {
+	p := place{a.Endpoint, a.Model}
+	loads, own := v.orders(r, p)
+	state, _, known := v.presence(p)
+	_, settled := v.settled[p]
+	switch {
+	case known && state == stateLoaded:
+		a.State = Loaded
+		return r.WithAssignment(a)
+	case own > 0 || state == stateLoading:
+		return r
+	case !known && (!settled || !v.variant.freeUnobserved):
+		return r
+	case !settled:
+		return r.WithOrder(Load, a)
+	case loads == 0:
+		return r.WithoutAssignment(a.Endpoint, a.Model)
+	case loads < maxCopies && !v.cfg.Endpoints[a.Endpoint].Fenced:
+		// The charge stays for the lost copy in any case, so another copy costs nothing.
+		return r.WithOrder(Load, a)
+	}
+	a.State = Unloading
+	return r.WithAssignment(a)
+}
+
+func (v View) reconcileLoaded(r Record, a Assignment) Record {
+	p := place{a.Endpoint, a.Model}
+	state, _, known := v.presence(p)
+	if !known || state == stateLoaded {
+		return r
+	}
+	if loads, _ := v.orders(r, p); loads == 0 && state == "" {
+		return r.WithoutAssignment(a.Endpoint, a.Model)
+	}
+	a.State = Unloading
+	if state == stateLoading {
+		a.State = Loading
+	}
+	return r.WithAssignment(a)
+}
+
+func (v View) reconcileUnloading(r Record, a Assignment) Record {
+	p := place{a.Endpoint, a.Model}
+	loads, own := v.orders(r, p)
+	state, _, known := v.presence(p)
+	settled, ever := v.settled[p]
+	switch {
+	case own > 0:
+		return r
+	case known && state == "", v.variant.freeUnobserved && ever:
+		if loads == 0 {
+			return r.WithoutAssignment(a.Endpoint, a.Model)
+		}
+		return r
+	case !ever:
+		return r.WithOrder(Unload, a)
+	case known && state == stateLoaded && v.reports[a.Endpoint].asked.Sub(settled) >= unloadPatience:
+		return r.WithOrder(Unload, a)
+	}
+	return r
+}
+
+// refence makes fenced endpoints refuse orders of unknown fate: it repeats an order under the present fence
+// where earlier ones are exposed, and raises the fence where an own order was lost.
+func (v View) refence(r Record) Record {
+	for _, o := range r.Orders {
+		ep := v.cfg.Endpoints[o.Endpoint]
+		if !ep.Fenced || !v.live(r, o) {
+			continue
+		}
+		a, ok := r.Assignment(o.Endpoint, o.Model)
+		if !ok {
+			a = Assignment{Endpoint: o.Endpoint, Model: o.Model, Memory: o.Memory, State: Unloading}
+			r = r.WithAssignment(a)
+		}
+		if r.own(o) {
+			if f := v.flights[o.ID]; f.answered && f.reply == Lost {
+				r.Fence++
+				return r
+			}
+			continue
+		}
+		if _, own := v.orders(r, place{o.Endpoint, o.Model}); own > 0 {
+			continue
+		}
+		verb := Load
+		if a.State == Unloading {
+			verb = Unload
+		}
+		r = r.WithOrder(verb, a)
+	}
+	return r
+}
+
+// adopt records models that endpoints hold without an assignment: as loaded within the decided bound, otherwise
+// to be unloaded.
+func (v View) adopt(r Record) Record {
+	for _, endpoint := range slices.Sorted(maps.Keys(v.cfg.Endpoints)) {
+		rep := v.reports[endpoint]
+		for _, m := range rep.status.Models {
+			cfg, ok := v.cfg.Models[m.Name]
+			if !ok || rep.asked.Before(v.tenure) {
+				continue
+			}
+			if _, ok := r.Assignment(endpoint, m.Name); ok {
+				continue
+			}
+			if _, _, known := v.presence(place{endpoint, m.Name}); !known {
+				continue
+			}
+			a := Assignment{Endpoint: endpoint, Model: m.Name, Memory: max(m.Memory, cfg.Memory), State: Loaded}
+			if v.count(r, m.Name) > v.bound(m.Name) || m.State == stateUnloading {
+				a.State = Unloading
+			}
+			r = r.WithAssignment(a)
+		}
+	}
+	return r
+}
+
+// The states of models in an endpoint's report.
+const (
+	stateLoading   = "loading"
+	stateLoaded    = "loaded"
+	stateUnloading = "unloading"
+)
--- a/pkg/afplacement/table.go
+++ b/pkg/afplacement/table.go
@@ -1,7 +1,18 @@
 // Package afplacement decides which replicas of which models are loaded where, and keeps the record of it.
+//
+// Decisions are pure: View.Step takes an immutable view, an event and the time, and returns the next view and
+// the effects that its caller carries out.
 package afplacement
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+)
 
 // Replica is a loaded copy of a model that requests may be sent to.
 type Replica struct {
@@ -13,6 +24,17 @@
 	Slots int `msgpack:"slots"`
 	// Running is the endpoint's own report of running requests and lags behind.
 	Running int `msgpack:"running"`
+	// Credits are the slots that each VM may use. Their sum over the endpoint is at most Slots.
+	Credits map[string]int `msgpack:"credits,omitempty"`
+}
+
+// Credit returns the number of slots that the VM may use. A replica without credits is not shared out and
+// offers all its slots to every VM.
+func (r Replica) Credit(vm string) int {
+	if r.Credits == nil {
+		return r.Slots
+	}
+	return r.Credits[vm]
 }
 
 // Estimate is the owner's forecast for a model that is being loaded or queued for loading.
@@ -22,13 +44,97 @@
 	Ready time.Duration `msgpack:"ready"`
 }
 
+// Part is one shard's part of the routing table, as its owner publishes it.
+type Part struct {
+	Shard   string                  `msgpack:"shard"`
+	Service string                  `msgpack:"service"`
+	Owner   arbutusfork.Incarnation `msgpack:"owner"`
+	// Epoch is the owner's fencing number and Sequence counts its publications. A part replaces another one of the
+	// same shard only if (Epoch, Sequence) is higher.
+	Epoch     int64      `msgpack:"epoch"`
+	Sequence  int64      `msgpack:"sequence"`
+	Replicas  []Replica  `msgpack:"replicas"`
+	Estimates []Estimate `msgpack:"estimates,omitempty"`
+}
+
+// digestShift leaves room for 2^32 publications of one owner, which is 13 years at ten a second.
+const digestShift = 32
+
+// Digest returns one number that orders the publications of a shard.
+func (p Part) Digest() int64 { return p.Epoch<<digestShift | p.Sequence }
+
+// Same reports whether the part says the same as the other one, apart from its sequence and running counts.
+func (p Part) Same(q Part) bool {
+	same := func(a, b Replica) bool {
+		return a.Model == b.Model && a.Endpoint == b.Endpoint && a.Address == b.Address && a.Centre == b.Centre &&
+			a.Slots == b.Slots && maps.Equal(a.Credits, b.Credits)
+	}
+	return p.Epoch == q.Epoch && p.Owner == q.Owner && slices.EqualFunc(p.Replicas, q.Replicas, same) &&
+		slices.EqualFunc(p.Estimates, q.Estimates, func(a, b Estimate) bool { return a.Model == b.Model })
+}
+
+// Encode returns the msgpack form of the part.
+func (p Part) Encode() ([]byte, error) { return msgpack.Marshal(p) }
+
+// DecodePart reads the msgpack form of a part.
+func DecodePart(b []byte) (Part, error) {
+	var p Part
+	err := msgpack.Unmarshal(b, &p)
+	return p, err
+}
+
 // Table is the routing table of all shards as one VM knows it. It is immutable.
 type Table struct {
+	parts     map[string]Part
 	replicas  map[string][]Replica
 	estimates map[string]time.Duration
 }
 
-// Replicas returns the loaded replicas of the model or adapter.
+// With returns a table with the part, and whether the part was newer than the one that it replaces.
+func (t *Table) With(p Part) (*Table, bool) {
+	next := &Table{parts: make(map[string]Part)}
+	if t != nil {
+		if old, ok := t.parts[p.Shard]; ok && old.Digest() >= p.Digest() {
+			return t, false
+		}
+		next.parts = maps.Clone(t.parts)
+	}
+	next.parts[p.Shard] = p
+	next.index()
+	return next, true
+}
+
+// Without returns a table without the replicas of an endpoint, which were found to be gone or leaving. The next
+// publication of the owner replaces the correction.
+func (t *Table) Without(endpoint string) *Table {
+	if t == nil {
+		return nil
+	}
+	next := &Table{parts: maps.Clone(t.parts)}
+	for name, p := range next.parts {
+		p.Replicas = slices.DeleteFunc(slices.Clone(p.Replicas), func(r Replica) bool { return r.Endpoint == endpoint })
+		next.parts[name] = p
+	}
+	next.index()
+	return next
+}
+
+func (t *Table) index() {
+	t.replicas = make(map[string][]Replica)
+	t.estimates = make(map[string]time.Duration)
+	for _, name := range slices.Sorted(maps.Keys(t.parts)) {
+		for _, r := range t.parts[name].Replicas {
+			t.replicas[r.Model] = append(t.replicas[r.Model], r)
+		}
+		for _, e := range t.parts[name].Estimates {
+			if d, ok := t.estimates[e.Model]; !ok || e.Ready < d {
+				t.estimates[e.Model] = e.Ready
+			}
+		}
+	}
+}
+
+// Replicas returns the loaded replicas of the model or adapter, or the endpoints of a plain service of that name.
 func (t *Table) Replicas(model string) []Replica {
 	if t == nil {
 		return nil
@@ -36,6 +142,14 @@
 	return t.replicas[model]
 }
 
+// Models returns the names that have replicas, in order.
+func (t *Table) Models() []string {
+	if t == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(t.replicas))
+}
+
 // Ready returns the estimated time until the model can serve, if the owner has published one.
 func (t *Table) Ready(model string) (time.Duration, bool) {
 	if t == nil {
@@ -44,3 +158,23 @@
 	d, ok := t.estimates[model]
 	return d, ok
 }
+
+// Part returns the part of a shard.
+func (t *Table) Part(shard string) (Part, bool) {
+	if t == nil {
+		return Part{}, false
+	}
+	p, ok := t.parts[shard]
+	return p, ok
+}
+
+// Digest returns the digest of each shard's part, by which VMs find out that they missed a publication.
+func (t *Table) Digest() map[string]int64 {
+	out := make(map[string]int64)
+	if t != nil {
+		for name, p := range t.parts {
+			out[name] = p.Digest()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/afplacement/view.go
@@ -0,0 +1,330 @@
+package afplacement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+const (
+	// Term is the lease term. A renewal every third of it leaves room for two lost renewals.
+	Term = 6 * time.Second
+	// expiry is the time after which a follower takes over: the term and 25 % for clock drift.
+	expiry = Term + Term/4
+	// renewal is the time between two renewals of the lease.
+	renewal = Term / 3
+	// retry is the pause after a commit that failed.
+	retry = 200 * time.Millisecond
+)
+
+// View is what one VM knows about a shard. It is immutable; Step returns the next one.
+type View struct {
+	// Self is this process.
+	Self arbutusfork.Incarnation
+	// Rank is this VM's place in the shard's order of preferred owners. Higher ranks take over later.
+	Rank int
+
+	cfg     Config
+	record  Record // record is the last one known to have committed.
+	version int64
+	seen    time.Time // seen is when the version was first observed here.
+	absent  time.Time // absent is since when the object is known not to exist.
+
+	pending *Record   // pending is the commit in flight.
+	sent    time.Time // sent is when the commit in flight was sent.
+	until   time.Time // until is the end of the own lease, counted from before the last renewal was sent.
+	first   time.Time // first is when the first commit on top of the present version was sent.
+	tenure  time.Time // tenure is when the take-over that gave the present fence was sent.
+	floor   int64     // floor is the fence below which this VM has promised to send nothing.
+	renewed time.Time // renewed is when the last successful commit was sent.
+	failed  time.Time // failed is when the last commit failed.
+	unsure  bool      // unsure means that the record must be read back before another commit.
+	resign  bool
+
+	flights  map[int64]flight    // flights are the own orders that were sent.
+	reports  map[string]report   // reports are the endpoints' last reports.
+	acks     map[string]int64    // acks are the highest fences that endpoints accepted.
+	settled  map[place]time.Time // settled is when the last order for a place was answered.
+	released map[arbutusfork.Incarnation]release
+	gone     map[arbutusfork.Incarnation]bool
+	asked    map[arbutusfork.Incarnation]time.Time
+
+	demand  map[string]demand
+	rates   map[string]rate
+	used    map[string]time.Time // used is when a model last had a request.
+	starts  map[place]start      // starts are the loads in progress.
+	budget  float64              // budget is the number of loads that the weight store has room for.
+	filled  time.Time            // filled is when budget was last computed.
+	variant variant
+}
+
+// place is a model on an endpoint.
+type place struct{ endpoint, model string }
+
+// flight is an own order that was sent.
+type flight struct {
+	reply    Reply
+	answered bool
+	at       time.Time
+}
+
+type report struct {
+	status Status
+	asked  time.Time
+	// misses counts reports that failed since the last good one.
+	misses int
+}
+
+type release struct {
+	fence int64
+	doubt []int64
+}
+
+// start is what was expected of a load when it was decided.
+type start struct {
+	at     time.Time
+	bare   time.Duration
+	ready  time.Duration
+	remote bool
+}
+
+// variant switches off single rules of the protocol, so that tests can show that each of them is needed.
+type variant struct {
+	sendUncommitted  bool
+	sendLapsed       bool
+	freeExposed      bool
+	freeUnobserved   bool
+	ignoreUnknown    bool
+	keepFence        bool
+	trustLost        bool
+	ignoreMemory     bool
+	ignoreReplicas   bool
+	earlyTakeover    bool
+	believeOldReport bool
+}
+
+// NewView returns the view of a VM that knows nothing about the shard yet.
+func NewView(self arbutusfork.Incarnation, cfg Config) View {
+	return View{Self: self, cfg: cfg}
+}
+
+// Owner reports whether this VM holds the shard at the time and may send orders.
+func (v View) Owner(now time.Time) bool {
+	return v.holds() && now.Before(v.until)
+}
+
+// holds reports whether the committed record names this VM.
+func (v View) holds() bool {
+	return v.version > 0 && v.record.Owner == v.Self
+}
+
+// Record returns the last record that is known to have committed, with its version.
+func (v View) Record() (Record, int64) { return v.record, v.version }
+
+// Step applies an event and returns the next view and what must be done.
+func (v View) Step(e Event, now time.Time) (View, []Effect) {
+	var effects []Effect
+	switch e := e.(type) {
+	case Configured:
+		v.cfg = e.Config
+	case Read:
+		v = v.read(e, now)
+	case Committed:
+		v = v.committed(e)
+	case Failed:
+		v.pending, v.unsure, v.failed = nil, true, now
+		return v, []Effect{Fetch{}}
+	case Observed:
+		v = v.observed(e)
+	case Answered:
+		v = v.answered(e, now)
+	case Wanted:
+		v = v.wanted(e, now)
+	case Arrived:
+		v = v.arrived(e, now)
+	case Released:
+		v.released = with(v.released, e.Sender, release{fence: e.Fence, doubt: e.Doubt})
+	case Gone:
+		v.gone = with(v.gone, e.Sender, true)
+	case Fenced:
+		v.floor = max(v.floor, e.Fence)
+	case Resign:
+		v.resign = true
+	}
+	v, effects = v.act(now)
+	return v, effects
+}
+
+// act does what the view calls for: take over, decide, renew, send.
+func (v View) act(now time.Time) (View, []Effect) {
+	if !v.holds() {
+		return v.follow(now)
+	}
+	var effects []Effect
+	if v.pending == nil && !v.unsure && now.Sub(v.failed) >= retry {
+		var commit []Effect
+		v, commit = v.commit(now)
+		effects = append(effects, commit...)
+	}
+	v, sends := v.send(now)
+	effects = append(effects, sends...)
+	v, asks := v.askReleases(now)
+	return v, append(effects, asks...)
+}
+
+// follow takes the shard over when its owner has let the lease expire or released it.
+func (v View) follow(now time.Time) (View, []Effect) {
+	if v.pending != nil || v.unsure || v.resign || now.Sub(v.failed) < retry {
+		return v, nil
+	}
+	wait := time.Duration(v.Rank) * time.Second
+	switch {
+	case v.version == 0:
+		if v.absent.IsZero() || now.Sub(v.absent) < wait {
+			return v, nil
+		}
+	case v.record.Owner.IsZero():
+		if now.Sub(v.seen) < wait {
+			return v, nil
+		}
+	case v.variant.earlyTakeover:
+	case now.Sub(v.seen) < expiry+wait/2:
+		return v, nil
+	}
+	next := v.record.WithOwner(v.Self)
+	if v.variant.keepFence {
+		next.Fence--
+	}
+	next.Term = Term.Milliseconds()
+	return v.propose(next, now)
+}
+
+// propose starts a commit. Each commit renews the lease.
+func (v View) propose(next Record, now time.Time) (View, []Effect) {
+	next.Beat++
+	v.pending, v.sent = &next, now
+	if v.first.IsZero() {
+		v.first = now
+	}
+	return v, []Effect{Commit{Version: v.version, Record: next}}
+}
+
+func (v View) committed(e Committed) View {
+	if v.pending == nil {
+		return v
+	}
+	next := *v.pending
+	if next.Fence != v.record.Fence || next.Owner != v.record.Owner {
+		v = v.forget()
+		v.tenure = v.sent
+	}
+	v.record, v.version, v.pending, v.first = next, e.Version, nil, time.Time{}
+	v.renewed, v.seen = v.sent, v.sent
+	v.until = v.sent.Add(Term)
+	v.failed = time.Time{}
+	return v
+}
+
+// forget drops what the VM knew as owner under an earlier fence, but for its orders of unknown fate.
+func (v View) forget() View {
+	v.flights = maps.Clone(v.flights)
+	maps.DeleteFunc(v.flights, func(_ int64, f flight) bool { return f.answered && f.reply != Lost })
+	v.asked, v.settled, v.reports, v.starts = nil, nil, nil, nil
+	return v
+}
+
+// read adopts what the platform holds. It is the truth after a commit whose answer was lost.
+func (v View) read(e Read, now time.Time) View {
+	if v.pending != nil && !v.unsure || e.Version != 0 && e.Version < v.version {
+		return v
+	}
+	if e.Version == 0 && v.version != 0 {
+		// The object was deleted. Whoever takes the shard over creates it again with what is known of it.
+		v.record.Owner = arbutusfork.Incarnation{}
+		v.version, v.unsure = 0, false
+		return v
+	}
+	v.unsure = false
+	if e.Version != 0 {
+		v.absent = time.Time{}
+	} else if v.absent.IsZero() {
+		v.absent = now
+	}
+	if e.Version != 0 && e.Version != v.version {
+		if e.Record.Fence != v.record.Fence {
+			v = v.forget()
+			v.tenure = now
+		}
+		v.record, v.version, v.seen = e.Record, e.Version, now
+		// Of several commits on top of one version any may have landed, so the lease counts from the first.
+		if v.holds() && !v.first.IsZero() {
+			v.until, v.renewed = v.first.Add(Term), v.first
+		}
+		v.first = time.Time{}
+	}
+	return v
+}
+
+func (v View) observed(e Observed) View {
+	old := v.reports[e.Endpoint]
+	if e.Err {
+		old.misses++
+		v.reports = with(v.reports, e.Endpoint, old)
+		return v
+	}
+	if e.Asked.Before(old.asked) {
+		return v
+	}
+	v.reports = with(v.reports, e.Endpoint, report{status: e.Status, asked: e.Asked})
+	if e.Status.Fence > v.acks[e.Endpoint] {
+		v.acks = with(v.acks, e.Endpoint, e.Status.Fence)
+	}
+	return v
+}
+
+func (v View) answered(e Answered, now time.Time) View {
+	o, ok := v.record.order(e.Order)
+	if !ok && e.Reply != Lost || e.Reply == Unsent {
+		v.flights = maps.Clone(v.flights)
+		delete(v.flights, e.Order)
+	}
+	if !ok && e.Reply == Lost {
+		v.flights = with(v.flights, e.Order, flight{reply: Lost, answered: true, at: now})
+	}
+	if !ok {
+		return v
+	}
+	if e.Reply == Unsent {
+		v.settled = with(v.settled, place{o.Endpoint, o.Model}, now)
+		return v
+	}
+	if e.Reply == Accepted && o.Fence > v.acks[o.Endpoint] {
+		v.acks = with(v.acks, o.Endpoint, o.Fence)
+	}
+	v.flights = with(v.flights, e.Order, flight{reply: e.Reply, answered: true, at: now})
+	v.settled = with(v.settled, place{o.Endpoint, o.Model}, now)
+	return v
+}
+
+// Doubt answers an AskRelease: it returns the sent orders of which this VM does not know the fate. The caller must
+// have applied Fenced first, so that nothing below the fence is sent any more.
+func (v View) Doubt() (doubt []int64) {
+	for id, f := range v.flights {
+		if !f.answered || f.reply == Lost {
+			doubt = append(doubt, id)
+		}
+	}
+	slices.Sort(doubt)
+	return doubt
+}
+
+func with[K comparable, V any](m map[K]V, k K, x V) map[K]V {
+	c := maps.Clone(m)
+	if c == nil {
+		c = make(map[K]V)
+	}
+	c[k] = x
+	return c
+}
