entry: add the callers' interface, dispatch and stand-ins

The daemon's wiring needs a first working path of a request from a caller to an engine.

internal/afentry serves callers over nbhttp. The engine's close event is delivered only after the running handler has ended, and its parser closes malformed requests without an answer. Each connection therefore gets a session of its own that takes the parser's place, runs one request at a time, sees hang-ups at once, wraps the parser's processor to check framing, and answers what the parser refuses. A parser of our own was ruled out. The engine also drops unsent bytes when a connection is closed, so the link waits for them first.

internal/afdispatch holds one owner goroutine with the fair queue of pkg/afqueue, chooses an endpoint and relays the answer. pkg/afretry classifies failures. Each endpoint connection counts its writes and is sealed before a failure is classified, so "not run" does not depend on the order of the transport's hooks.

internal/afstandin holds the engine, the plain service and the weight store, and cmd/arbutusfork-standin runs them. The platform stand-in is not part of this change.

A golden session covers streams, whole answers and 22 refusals: 'go test -race -count=3 ./internal/afentry' passes. Nothing is measured yet.

--- /dev/null
+++ b/cmd/arbutusfork-standin/main.go
@@ -0,0 +1,83 @@
+// Command arbutusfork-standin runs stand-ins for the outside systems.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"arbutusfork.example/arbutusfork/internal/afstandin"
+)
+
+// runner is a stand-in that serves until its context ends.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func main() {
+	app := kingpin.New("arbutusfork-standin", "Runs stand-ins for the outside systems.")
+	app.HelpFlag.Short('h')
+	verbs := map[string]runner{}
+	engineVerb(app, verbs)
+	serviceVerb(app, verbs)
+	weightsVerb(app, verbs)
+	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := verbs[verb].Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+func engineVerb(app *kingpin.Application, verbs map[string]runner) {
+	e := &afstandin.Engine{Cache: make(map[string]string)}
+	c := app.Command("engine", "Runs a model engine.")
+	c.Flag("address", "Address to listen on.").Required().StringVar(&e.Address)
+	c.Flag("memory", "Accelerator memory in MB.").Int64Var(&e.Memory)
+	c.Flag("slots", "Requests that run at once.").Default("8").IntVar(&e.Slots)
+	c.Flag("fenced", "Refuse orders with an old fencing number.").BoolVar(&e.Fenced)
+	c.Flag("resume", "Offer to resume streams.").BoolVar(&e.Resume)
+	c.Flag("cache", "Where a checkpoint is kept, as MODEL=memory or MODEL=disk.").StringMapVar(&e.Cache)
+	c.Flag("store", "Address of the weight store.").StringVar(&e.Store)
+	c.Flag("first", "Time to the first token.").Default("20ms").DurationVar(&e.First)
+	c.Flag("next", "Time between tokens.").Default("5ms").DurationVar(&e.Next)
+	verbs[c.FullCommand()] = e
+}
+
+func serviceVerb(app *kingpin.Application, verbs map[string]runner) {
+	s := &afstandin.Service{}
+	c := app.Command("service", "Runs a plain service.")
+	c.Flag("address", "Address to listen on.").Required().StringVar(&s.Address)
+	verbs[c.FullCommand()] = s
+}
+
+func weightsVerb(app *kingpin.Application, verbs map[string]runner) {
+	s := &afstandin.Weights{}
+	c := app.Command("weights", "Runs a weight store.")
+	c.Flag("address", "Address to listen on.").Required().StringVar(&s.Address)
+	c.Flag("rate", "Loads that may start per second.").Default("2.5").Float64Var(&s.Rate)
+	c.Flag("parallel", "Loads that run at once at full speed.").Default("4").IntVar(&s.Parallel)
+	c.Flag("models", "Checkpoints as JSON: {NAME: {memory, remote, disk, host}}, in MB and ms.").SetValue((*checkpoints)(&s.Models))
+	verbs[c.FullCommand()] = s
+}
+
+// checkpoints reads the weight store's models from a flag.
+type checkpoints map[string]afstandin.Checkpoint
+
+// Set parses the JSON form.
+func (c *checkpoints) Set(v string) error {
+	return json.Unmarshal([]byte(v), (*map[string]afstandin.Checkpoint)(c))
+}
+
+// String returns the JSON form.
+func (c *checkpoints) String() string {
+	b, _ := json.Marshal(*c) // Checkpoints hold only numbers.
+	return string(b)
+}
--- /dev/null
+++ b/internal/afdispatch/event.go
@@ -0,0 +1,78 @@
+package afdispatch
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+const (
+	// doneMark is the data of the last event of an engine's stream.
+	doneMark = "[DONE]"
+	// eventBuffer is the read buffer of an open stream. One event of a token has about 200 bytes.
+	eventBuffer = 2 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+)
+
+var dataField = []byte("data:")
+
+// eventReader splits a stream into server-sent events.
+type eventReader struct {
+	r   *bufio.Reader
+	raw []byte
+	// data is the payload of the event: its data lines without the field name, joined by line feeds.
+	data []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the next event. The slices are valid until the next call. The error is io.EOF only if the stream
+// ended between two events.
+func (e *eventReader) next() (raw, data []byte, err error) {
+	e.raw, e.data = e.raw[:0], e.data[:0]
+	fields := 0
+	for {
+		start := len(e.raw)
+		if err := e.line(); err != nil {
+			if err == io.EOF && len(e.raw) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, nil, err
+		}
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
+		if len(line) == 0 {
+			if start == 0 {
+				e.raw = e.raw[:0]
+				continue
+			}
+			return e.raw, e.data, nil
+		}
+		if payload, ok := bytes.CutPrefix(line, dataField); ok {
+			if fields > 0 {
+				e.data = append(e.data, '\n')
+			}
+			fields++
+			e.data = append(e.data, bytes.TrimPrefix(payload, []byte(" "))...)
+		}
+	}
+}
+
+// line appends one line with its line feed to raw.
+func (e *eventReader) line() error {
+	for {
+		b, err := e.r.ReadSlice('\n')
+		e.raw = append(e.raw, b...)
+		if len(e.raw) > maxEvent {
+			return errTooLarge
+		}
+		if err != bufio.ErrBufferFull {
+			return err
+		}
+	}
+}
+
+// buffered reports whether more of the stream is at hand.
+func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
--- /dev/null
+++ b/internal/afdispatch/send.go
@@ -0,0 +1,162 @@
+package afdispatch
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afretry"
+)
+
+const (
+	// LeavingHeader is set to "true" by an endpoint on a 503 answer to say that it takes no new work.
+	LeavingHeader = "X-Leaving"
+	// RequestHeader carries the request id.
+	RequestHeader = "X-Request-Id"
+	// ResumeHeader carries the number of events that were already received. An engine that can resume a stream
+	// from there answers with the same value.
+	ResumeHeader = "X-Resume-Offset"
+)
+
+// resumeWait bounds the search for an engine that resumes a broken stream.
+const resumeWait = 5 * time.Second
+
+// Call is a request as it is sent to an endpoint.
+type Call struct {
+	// ID is sent as the request id.
+	ID     string
+	Method string
+	// Path is the escaped path with its query.
+	Path string
+	// Header holds what is forwarded. It never contains the caller's key.
+	Header http.Header
+	Body   []byte
+	// Idempotent tells that the call may be sent again after it may have run.
+	Idempotent bool
+	// Resumable tells that the answer is a stream that an engine may resume.
+	Resumable bool
+
+	offset int
+}
+
+// Sink receives an answer. Its functions are called by the goroutine that sends. An error ends the sending.
+type Sink struct {
+	// Whole receives an answer that is not a stream of events, after all of it has arrived.
+	Whole func(status int, h http.Header, body []byte) error
+	// Event receives one event of a stream. Raw includes the empty line at its end. Start is called before the
+	// first event.
+	Start func(status int, h http.Header) error
+	Event func(raw, data []byte) error
+	// Flush is called when no further event is at hand.
+	Flush func() error
+	// Used returns the tokens used so far.
+	Used func() int64
+}
+
+// Result is the end of a call.
+type Result struct {
+	Outcome arbutusfork.Outcome
+	// Refusal tells why the call was not answered. It is nil after a complete answer.
+	Refusal *arbutusfork.Refusal
+	// Relayed tells that a part of the answer has reached the sink.
+	Relayed bool
+}
+
+// Send waits for an endpoint, sends the call and relays the answer. It sends again after a failure if that
+// cannot run a call twice that is not idempotent, within the retry budgets and the deadline.
+func (s *Service) Send(ctx context.Context, r Request, c Call, k Sink) Result {
+	s.init()
+	s.budget.earn(r, s.Timer.Now())
+	worst := arbutusfork.OutcomeNotRun
+	var last *arbutusfork.Refusal
+	relayed := false
+	for n := 1; ; n++ {
+		lease, refusal := s.Acquire(ctx, r)
+		if refusal != nil {
+			if relayed && last != nil {
+				refusal = last
+			}
+			return Result{Outcome: worst, Refusal: refusal.WithOutcome(worst), Relayed: relayed}
+		}
+		a := s.attempt(ctx, lease, c, k)
+		lease.Release(k.Used())
+		outcome := afretry.Classify(a.Attempt)
+		relayed = relayed || a.relayed
+		if outcome == arbutusfork.OutcomeAnswered && a.err == nil {
+			s.send(event{kind: eventWell, endpoint: lease.Replica.Endpoint})
+			return Result{Outcome: outcome, Relayed: relayed}
+		}
+		worst = max(worst, outcome)
+		if outcome == arbutusfork.OutcomeAnswered {
+			worst = arbutusfork.OutcomeUnknown
+		}
+		last = a.refusal().WithOutcome(worst)
+		s.note(r, lease, a, outcome)
+		again := a.isRetryable() && (afretry.May(outcome, c.Idempotent, relayed) || (a.resumable && c.Idempotent))
+		if !again || ctx.Err() != nil || !s.budget.spend(r, s.Timer.Now()) || !s.pause(ctx, a, n) {
+			return Result{Outcome: worst, Refusal: last, Relayed: relayed}
+		}
+		if relayed {
+			c.offset += a.events
+			r.Arrived = s.Timer.Now()
+			r.Deadline = r.Arrived.Add(resumeWait)
+		}
+	}
+}
+
+// note tells the owner goroutine and the log about a failed attempt.
+func (s *Service) note(r Request, l *Lease, a attempt, outcome arbutusfork.Outcome) {
+	switch {
+	case a.leaving:
+		s.send(event{kind: eventLeaving, endpoint: l.Replica.Endpoint})
+	case a.isEndpointFault():
+		s.send(event{kind: eventFailed, endpoint: l.Replica.Endpoint})
+	}
+	s.Log.LogAttrs(context.Background(), slog.LevelWarn, "attempt failed",
+		slog.String("request", r.ID), slog.String("endpoint", l.Replica.Endpoint),
+		slog.String("outcome", outcome.String()), slog.Int("status", a.Status),
+		slog.Bool("relayed", a.relayed), slog.Bool("leaving", a.leaving), slog.Any("cause", a.err))
+}
+
+// pause waits before the next attempt. It reports false if ctx ended. A refusal by a leaving endpoint needs no
+// delay, since another endpoint is used.
+func (s *Service) pause(ctx context.Context, a attempt, n int) bool {
+	if a.leaving {
+		return true
+	}
+	due := make(chan struct{})
+	sub := s.Timer.After(afretry.Backoff(n, float64(s.Random(1000))/1000), func(time.Time) { close(due) })
+	defer sub.Stop()
+	select {
+	case <-due:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request builds the HTTP request of one attempt.
+func (c Call) request(ctx context.Context, address string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = c.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	req.Header.Set(RequestHeader, c.ID)
+	if c.Resumable {
+		req.Header.Set(ResumeHeader, strconv.Itoa(c.offset))
+	}
+	// A body without GetBody keeps the transport from sending the request again by itself on a reused connection,
+	// which it does for empty bodies and for requests with an Idempotency-Key.
+	if len(c.Body) > 0 || !c.Idempotent {
+		req.Body = &onceBody{data: c.Body}
+		req.ContentLength = int64(len(c.Body))
+	}
+	return req, nil
+}
--- /dev/null
+++ b/internal/afdispatch/service.go
@@ -0,0 +1,223 @@
+// Package afdispatch chooses an endpoint for each request, sends the request and reads the answer.
+package afdispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+	"arbutusfork.example/arbutusfork/pkg/afqueue"
+	"arbutusfork.example/arbutusfork/pkg/afring"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	// ringSize bounds the events that wait for the owner goroutine. Each waiting request has two at most.
+	ringSize = 1 << 15
+	// expiryPeriod is how often late entries are looked for.
+	expiryPeriod = 10 * time.Millisecond
+	// expiryMargin is how long before a caller's deadline its waiting ends, so that the refusal arrives in time.
+	expiryMargin = 2 * expiryPeriod
+	// defaultProgress is the longest time without a byte from an endpoint in mid-stream. The slowest engines
+	// pause for about 1 s between tokens under load.
+	defaultProgress = 10 * time.Second
+	// defaultSuspect is the time without an answer after which a reused connection is checked over a new one.
+	defaultSuspect = 3 * time.Second
+)
+
+// Service dispatches requests to endpoints. Its fields are set before Run.
+type Service struct {
+	// Replicas returns where the model is loaded. Replica.Slots is this VM's credit at the endpoint.
+	Replicas func(model string) []afplacement.Replica
+	// Endpoints returns the endpoints of a plain service, with Slots as this VM's credit.
+	Endpoints func(service string) []afplacement.Replica
+	// Ready returns the estimated time until the model can serve, if there is an estimate.
+	Ready func(model string) (time.Duration, bool)
+	// Demand is called when requests wait for a model that has no replica, and when their number changes. It
+	// must not block.
+	Demand func(model string, waiting int, deadline time.Time)
+	// Served is called when a request is given to a replica of the model. It must not block.
+	Served func(model string)
+	// Centre is this VM's data centre.
+	Centre string
+	Log    *slog.Logger
+	Timer  *aftimer.Service
+	// Progress is the longest time without a byte from an endpoint in mid-stream. Zero means 10 s.
+	Progress time.Duration
+	// Suspect is the time without an answer after which a reused connection is checked. Zero means 3 s.
+	Suspect time.Duration
+	// Random returns a number in [0, n). Nil means math/rand.
+	Random func(n int) int
+
+	once   sync.Once
+	ring   *afring.Ring[event]
+	done   chan struct{}
+	state  state
+	ids    atomic.Uint64
+	pools  pools
+	budget budgets
+}
+
+// Request is what the choice of an endpoint depends on.
+type Request struct {
+	// ID is the caller's request id, for the log.
+	ID       string
+	Customer string
+	Route    string
+	// Weight is the customer's weight in fair queuing.
+	Weight float64
+	// Model is the model or adapter. It is empty for a call of a plain service.
+	Model string
+	// Service is the plain service.
+	Service string
+	// Cost is the expected work in tokens.
+	Cost int64
+	// Prefix is a hash of the first bytes of the prompt, or zero.
+	Prefix uint64
+	// Detached tells that the call goes on after ctx ends, once it has been sent.
+	Detached bool
+	// Arrived and Deadline bound the time to the first byte of the answer.
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// class returns the name that the fair queue knows the request's resource by.
+func (r Request) class() string {
+	if r.Model != "" {
+		return r.Model
+	}
+	return plainPrefix + r.Service
+}
+
+// plainPrefix cannot start a model's name, which keeps plain services and models apart in the queue.
+const plainPrefix = "/"
+
+// Lease is the right to run one request at an endpoint. Release ends it.
+type Lease struct {
+	Replica afplacement.Replica
+
+	service  *Service
+	request  Request
+	released atomic.Bool
+}
+
+// Release returns the slot. Actual is the number of tokens that the request used.
+func (l *Lease) Release(actual int64) {
+	if l.released.CompareAndSwap(false, true) {
+		l.service.send(event{kind: eventRelease, lease: l, actual: actual})
+	}
+}
+
+// Run owns the waiting requests until ctx ends. Requests that still wait then are refused as not run.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	defer close(s.done)
+	tick := s.Timer.Every(expiryPeriod, func(time.Time) { s.ring.Push(event{kind: eventTick}) })
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.refuseAll()
+			return nil
+		case e := <-s.ring.Items():
+			s.handle(e)
+			for n := s.ring.Len(); n > 0; n-- {
+				s.handle(<-s.ring.Items())
+			}
+			s.match()
+		}
+	}
+}
+
+// Wake looks again at the waiting requests after a change of the routing table.
+func (s *Service) Wake(...string) {
+	s.init()
+	s.ring.Push(event{kind: eventTick})
+}
+
+// Acquire waits in the fair queue until an endpoint has a free slot for the request, its deadline comes or ctx
+// ends. All refusals are not run.
+func (s *Service) Acquire(ctx context.Context, r Request) (*Lease, *arbutusfork.Refusal) {
+	s.init()
+	w := &waiter{id: s.ids.Add(1), request: r, reply: make(chan grant, 1)}
+	if !s.ring.Push(event{kind: eventAcquire, waiter: w}) {
+		return nil, arbutusfork.Refuse(arbutusfork.CodeNoCapacity, "too many requests arrive at once").WithRetryAfter(time.Second)
+	}
+	select {
+	case g := <-w.reply:
+		return g.lease, g.refusal
+	case <-s.done:
+		return nil, arbutusfork.Refuse(arbutusfork.CodeStopping, "the server is stopping")
+	case <-ctx.Done():
+		s.send(event{kind: eventCancel, waiter: w})
+		return nil, arbutusfork.Refuse(arbutusfork.CodeTimeout, "the caller stopped waiting")
+	}
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		s.ring = afring.New[event](ringSize)
+		s.done = make(chan struct{})
+		s.state = newState()
+		if s.Log == nil {
+			s.Log = slog.New(slog.DiscardHandler)
+		}
+		if s.Random == nil {
+			s.Random = rand.IntN
+		}
+		if s.Progress <= 0 {
+			s.Progress = defaultProgress
+		}
+		if s.Suspect <= 0 {
+			s.Suspect = defaultSuspect
+		}
+	})
+}
+
+// send adds an event that must not be lost while Run is alive.
+func (s *Service) send(e event) {
+	if s.ring.Push(e) {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-s.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	s.ring.Wait(ctx, e)
+}
+
+// replicas returns the endpoints that may serve the class.
+func (s *Service) replicas(class string) []afplacement.Replica {
+	if len(class) > 0 && class[:1] == plainPrefix {
+		if s.Endpoints == nil {
+			return nil
+		}
+		return s.Endpoints(class[1:])
+	}
+	return s.Replicas(class)
+}
+
+// entry returns the request's form in the fair queue.
+func (w *waiter) entry() afqueue.Entry {
+	r := w.request
+	return afqueue.Entry{
+		ID: w.id, Customer: r.Customer, Weight: r.Weight, Class: r.class(), Cost: r.Cost,
+		Arrived: r.Arrived, Deadline: r.Deadline.Add(-expiryMargin),
+	}
+}
+
+// isLeaving reports whether an answer says that the endpoint takes no new work.
+func isLeaving(status int, h http.Header) bool {
+	return status == http.StatusServiceUnavailable && h.Get(LeavingHeader) == "true"
+}
--- /dev/null
+++ b/internal/afdispatch/state.go
@@ -0,0 +1,229 @@
+package afdispatch
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afqueue"
+	"arbutusfork.example/arbutusfork/pkg/afretry"
+)
+
+type eventKind int
+
+const (
+	eventTick eventKind = iota
+	eventAcquire
+	eventCancel
+	eventRelease
+	eventFailed
+	eventLeaving
+	eventWell
+)
+
+// event is one message to the owner goroutine.
+type event struct {
+	kind     eventKind
+	waiter   *waiter
+	lease    *Lease
+	actual   int64
+	endpoint string
+}
+
+type grant struct {
+	lease   *Lease
+	refusal *arbutusfork.Refusal
+}
+
+// waiter is a request in the fair queue. Reply receives exactly one grant.
+type waiter struct {
+	id      uint64
+	request Request
+	reply   chan grant
+	// answered is owned by the owner goroutine.
+	answered bool
+	lease    *Lease
+}
+
+// state is owned by the goroutine of Run.
+type state struct {
+	queue     afqueue.Queue
+	waiters   map[uint64]*waiter
+	endpoints map[string]*endpoint
+	// reported is the number of waiting requests last told through Demand, by model.
+	reported map[string]int
+	dirty    map[string]bool
+}
+
+// endpoint is what this VM knows about an endpoint beyond the routing table.
+type endpoint struct {
+	running  int
+	failures int
+	// until is the end of the backoff after failures.
+	until time.Time
+	// left is when the endpoint was last seen leaving.
+	left time.Time
+}
+
+// leavingTime is how long an endpoint that said that it is leaving gets no new work. By then the routing table
+// no longer lists it, or it has changed its mind.
+const leavingTime = 30 * time.Second
+
+func newState() state {
+	return state{
+		waiters:   make(map[uint64]*waiter),
+		endpoints: make(map[string]*endpoint),
+		reported:  make(map[string]int),
+		dirty:     make(map[string]bool),
+	}
+}
+
+func (s *state) endpoint(name string) *endpoint {
+	e := s.endpoints[name]
+	if e == nil {
+		e = &endpoint{}
+		s.endpoints[name] = e
+	}
+	return e
+}
+
+func (s *Service) handle(e event) {
+	now := s.Timer.Now()
+	switch e.kind {
+	case eventAcquire:
+		s.enqueue(e.waiter, now)
+	case eventCancel:
+		s.cancel(e.waiter)
+	case eventRelease:
+		s.release(e.lease, e.actual)
+	case eventFailed:
+		p := s.state.endpoint(e.endpoint)
+		p.failures++
+		p.until = now.Add(afretry.Backoff(p.failures, float64(s.Random(1000))/1000))
+	case eventWell:
+		s.state.endpoint(e.endpoint).failures = 0
+	case eventLeaving:
+		s.state.endpoint(e.endpoint).left = now
+	case eventTick:
+	}
+}
+
+func (s *Service) enqueue(w *waiter, now time.Time) {
+	entry := w.entry()
+	if !entry.Deadline.After(now) {
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "the deadline has passed"))
+		return
+	}
+	if d, ok := s.estimate(entry); ok && d > entry.Deadline.Sub(now) {
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline,
+			"the model cannot answer within the deadline; expected wait "+d.Round(time.Millisecond).String()).WithRetryAfter(d))
+		return
+	}
+	s.state.waiters[w.id] = w
+	s.state.queue.Push(entry)
+	s.state.dirty[entry.Class] = true
+}
+
+// estimate returns the expected wait of the entry, if anything is known about it.
+func (s *Service) estimate(e afqueue.Entry) (time.Duration, bool) {
+	if len(s.replicas(e.Class)) > 0 {
+		return s.state.queue.Estimate(e, 0), true
+	}
+	if s.Ready == nil {
+		return 0, false
+	}
+	ready, ok := s.Ready(e.Class)
+	return ready, ok
+}
+
+func (s *Service) cancel(w *waiter) {
+	switch {
+	case s.state.queue.Remove(w.id):
+		delete(s.state.waiters, w.id)
+		s.state.dirty[w.request.class()] = true
+	case w.lease != nil && w.lease.released.CompareAndSwap(false, true):
+		// The grant and the caller's end crossed. The lease was never used.
+		s.release(w.lease, 0)
+	}
+}
+
+func (s *Service) release(l *Lease, actual int64) {
+	s.state.endpoint(l.Replica.Endpoint).running--
+	s.state.queue.Settle(l.request.Customer, actual-l.request.Cost)
+}
+
+func (s *Service) refuse(w *waiter, r *arbutusfork.Refusal) {
+	if w.answered {
+		return
+	}
+	w.answered = true
+	w.reply <- grant{refusal: r}
+}
+
+// match gives free slots to waiting requests, refuses late ones and reports demand.
+func (s *Service) match() {
+	now := s.Timer.Now()
+	for _, e := range s.state.queue.Expire(now) {
+		w := s.state.waiters[e.ID]
+		delete(s.state.waiters, e.ID)
+		s.state.dirty[e.Class] = true
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "no endpoint was free within the deadline").WithRetryAfter(time.Second))
+	}
+	for {
+		e, ok := s.state.queue.Next(now, func(class string) bool { return s.open(class, now) })
+		if !ok {
+			break
+		}
+		s.grant(e, now)
+	}
+	s.report()
+}
+
+func (s *Service) grant(e afqueue.Entry, now time.Time) {
+	w := s.state.waiters[e.ID]
+	delete(s.state.waiters, e.ID)
+	s.state.dirty[e.Class] = true
+	c := s.choose(w.request, now)
+	s.state.endpoint(c.replica.Endpoint).running++
+	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
+	w.answered = true
+	if s.Served != nil && w.request.Model != "" {
+		s.Served(w.request.Model)
+	}
+	s.Log.LogAttrs(context.Background(), slog.LevelInfo, "request routed",
+		slog.String("request", w.request.ID), slog.String("customer", w.request.Customer),
+		slog.String("class", e.Class), slog.String("endpoint", c.replica.Endpoint),
+		slog.Duration("waited", now.Sub(e.Arrived)), slog.Int64("cost", e.Cost),
+		slog.Float64("score", c.score), slog.Bool("prefix", c.affine),
+		slog.Any("alternatives", c.others))
+	w.reply <- grant{lease: w.lease}
+}
+
+// report tells Demand about models without a replica whose number of waiting requests has changed.
+func (s *Service) report() {
+	for class := range s.state.dirty {
+		delete(s.state.dirty, class)
+		if class[:1] == plainPrefix || s.Demand == nil {
+			continue
+		}
+		waiting := s.state.queue.Waiting(class)
+		if waiting == s.state.reported[class] || (waiting > 0 && len(s.Replicas(class)) > 0) {
+			continue
+		}
+		if waiting == 0 {
+			delete(s.state.reported, class)
+		} else {
+			s.state.reported[class] = waiting
+		}
+		deadline, _ := s.state.queue.Earliest(class)
+		s.Demand(class, waiting, deadline)
+	}
+}
+
+func (s *Service) refuseAll() {
+	for _, w := range s.state.waiters {
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeStopping, "the server is stopping"))
+	}
+	clear(s.state.waiters)
+}
--- /dev/null
+++ b/internal/afentry/request.go
@@ -0,0 +1,127 @@
+package afentry
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+)
+
+const (
+	pathModels     = "/v1/models"
+	pathChat       = "/v1/chat/completions"
+	pathText       = "/v1/completions"
+	pathEmbeddings = "/v1/embeddings"
+
+	timeoutHeader = "X-Request-Timeout"
+	onceHeader    = "Idempotency-Key"
+	maxOnceKey    = 255
+	// maxTimeout bounds X-Request-Timeout, so that a forgotten request does not wait for days.
+	maxTimeout = time.Hour
+)
+
+// exchange is one request with what was decided about it.
+type exchange struct {
+	id       string
+	w        http.ResponseWriter
+	r        *http.Request
+	link     *link
+	arrived  time.Time
+	body     []byte
+	snapshot *afconfig.Snapshot
+	// digest is the digest of the caller's key. It is empty without a key.
+	digest string
+	// customer is empty on open routes without a key.
+	customer arbutusfork.Customer
+	route    arbutusfork.Route
+	service  string
+	infer    *inference // infer is nil for calls of plain services.
+	deadline time.Time
+	once     string // once is the idempotency key of a call on a route with Once.
+	// param names the field of the request that a refusal is about.
+	param string
+}
+
+// parse reads what the headers and the path say.
+func (s *Server) parse(x *exchange) *arbutusfork.Refusal {
+	x.id = x.r.Header.Get(requestHeader)
+	if !isSaneID(x.id) {
+		x.id = s.NewID()
+	}
+	x.snapshot = s.Snapshot()
+	p := x.r.URL.Path
+	if p == "" || p[0] != '/' || (path.Clean(p) != p && path.Clean(p)+"/" != p) {
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the path is not in its shortest form")
+	}
+	body, err := io.ReadAll(x.r.Body)
+	if err != nil {
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the body cannot be read")
+	}
+	x.body = body
+	return nil
+}
+
+// timeout sets the deadline to the first byte of the answer.
+func (x *exchange) timeout() *arbutusfork.Refusal {
+	d := x.route.Timeout()
+	if v := x.r.Header.Get(timeoutHeader); v != "" {
+		seconds, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+			x.param = timeoutHeader
+			return arbutusfork.Refuse(arbutusfork.CodeBadRequest, timeoutHeader+" is not a positive number of seconds")
+		}
+		d = time.Duration(min(seconds, maxTimeout.Seconds()) * float64(time.Second))
+	}
+	x.deadline = x.arrived.Add(d)
+	return nil
+}
+
+// idempotency reads the idempotency key of a call on a route with Once.
+func (x *exchange) idempotency() *arbutusfork.Refusal {
+	v := x.r.Header.Get(onceHeader)
+	if !x.route.Once || v == "" {
+		return nil
+	}
+	if len(v) > maxOnceKey {
+		x.param = onceHeader
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, onceHeader+" is longer than 255 bytes")
+	}
+	x.once = v
+	return nil
+}
+
+// plainRoute returns the route with the longest path that is a prefix of p in whole elements.
+func plainRoute(s *afconfig.Snapshot, p string) (arbutusfork.Route, bool) {
+	var best arbutusfork.Route
+	for _, r := range s.Routes() {
+		prefix := strings.TrimSuffix(r.Path, "/")
+		if prefix == "" || (p != prefix && !strings.HasPrefix(p, prefix+"/")) {
+			continue
+		}
+		if len(prefix) > len(strings.TrimSuffix(best.Path, "/")) {
+			best = r
+		}
+	}
+	return best, best.Path != ""
+}
+
+// modelRoute returns the route that offers the model. It prefers one that the customer may use, and an open one
+// if there is no customer.
+func modelRoute(s *afconfig.Snapshot, m arbutusfork.Model, customer string) (r arbutusfork.Route, offered, admitted bool) {
+	for _, c := range s.Routes() {
+		if c.Path != "" || c.Service != m.Service || !c.Offers(m.Name) {
+			continue
+		}
+		if c.Open || (customer != "" && c.Admits(customer)) {
+			return c, true, true
+		}
+		offered = true
+	}
+	return arbutusfork.Route{}, offered, false
+}
--- /dev/null
+++ b/pkg/afretry/attempt.go
@@ -0,0 +1,50 @@
+// Package afretry decides whether a call that failed may be sent again.
+package afretry
+
+import (
+	"net/http"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+// NotRunHeader is set to "true" by an endpoint on a 503 answer to say that it did not run the call.
+const NotRunHeader = "X-Not-Run"
+
+// Attempt is what is known about one sending of a call.
+type Attempt struct {
+	// Handed tells that bytes of the request were handed to a connection and may have reached the endpoint.
+	Handed bool
+	// Status is the status of the endpoint's answer. Zero means that there was none.
+	Status int
+	// NotRun tells that the answer carried NotRunHeader.
+	NotRun bool
+	// Broken tells that the answer ended before it was complete.
+	Broken bool
+}
+
+// Classify returns what the attempt says about whether the call ran.
+func Classify(a Attempt) arbutusfork.Outcome {
+	switch {
+	case a.Status == http.StatusTooManyRequests, a.Status == http.StatusServiceUnavailable && a.NotRun:
+		return arbutusfork.OutcomeNotRun
+	case a.Status != 0 && !a.Broken:
+		return arbutusfork.OutcomeAnswered
+	case a.Status == 0 && !a.Handed:
+		return arbutusfork.OutcomeNotRun
+	default:
+		return arbutusfork.OutcomeUnknown
+	}
+}
+
+// May reports whether the call may be sent again after an attempt with the outcome. Relayed tells that a part
+// of an answer has already reached the caller.
+func May(outcome arbutusfork.Outcome, idempotent, relayed bool) bool {
+	switch outcome {
+	case arbutusfork.OutcomeNotRun:
+		return !relayed
+	case arbutusfork.OutcomeUnknown:
+		return idempotent && !relayed
+	default:
+		return false
+	}
+}
