operator: add settings, operator interface and client verbs

The daemon wiring needs the settings and the operators' server, and operators need a client that never overwrites another operator's change.

A write is conditional on the version that the operator saw; without one, an existing object is answered with 428. A lost answer is resolved by reading back and by sending the write again under the same condition, so that at most one attempt takes effect. Reading back alone was ruled out, since a write that is still under way could land after the read.

The settings collect raw text first, because kingpin stops at the first fault while every fault has to be listed.

Checked with go test -race ./internal/afverb ./internal/afsettings.

--- a/cmd/arbutusfork/main.go
+++ b/cmd/arbutusfork/main.go
@@ -2,13 +2,18 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/alecthomas/kingpin/v2"
+	"arbutusfork.example/arbutusfork/internal/afverb"
 )
 
 func main() {
-	app := kingpin.New("arbutusfork", "Serves rarely used models.")
-	app.HelpFlag.Short('h')
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
+	code := p.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/internal/afoperator/check.go
@@ -0,0 +1,285 @@
+package afoperator
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+// nameForm excludes characters that need escaping in paths. The colon separates a base model from its adapter.
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,126}$`)
+
+const modelPath = "/v1/"
+
+func checkName(path, name string) error {
+	if !nameForm.MatchString(path) {
+		return errors.Errorf("%q is not a valid name: letters, digits, '.', '_', '-' and ':' up to 127 characters", path)
+	}
+	if name != path {
+		return errors.Errorf("the name in the body is %q, not %q", name, path)
+	}
+	return nil
+}
+
+func checkCustomer(_ context.Context, _ *Server, name string, c arbutusfork.Customer) (arbutusfork.Customer, error) {
+	c.Name = orName(c.Name, name)
+	switch {
+	case c.Rate <= 0:
+		return c, errors.New("rate must be above zero tokens per second")
+	case c.Burst <= 0:
+		return c, errors.New("burst must be above zero tokens")
+	case c.Weight < 0:
+		return c, errors.New("weight must not be negative")
+	}
+	return c, checkName(name, c.Name)
+}
+
+func checkKey(ctx context.Context, s *Server, name string, k arbutusfork.Key) (arbutusfork.Key, error) {
+	k.Name = orName(k.Name, name)
+	if err := checkName(name, k.Name); err != nil {
+		return k, err
+	}
+	if b, err := hex.DecodeString(k.Digest); err != nil || len(b) != 32 {
+		return k, errors.New("digest must be the SHA-256 of the key in 64 hexadecimal digits")
+	}
+	k.Digest = strings.ToLower(k.Digest)
+	if other, ok := s.Snapshot().Key(k.Digest); ok && other.Name != name {
+		return k, errors.Errorf("keys/%s has the same digest", other.Name)
+	}
+	return k, s.require(ctx, afobject.Customers, k.Customer)
+}
+
+// replaceKey keeps a withdrawn key withdrawn and a name bound to one secret.
+func replaceKey(stored []byte, next any) error {
+	var old arbutusfork.Key
+	if err := json.Unmarshal(stored, &old); err != nil {
+		return err
+	}
+	k := next.(arbutusfork.Key)
+	switch {
+	case old.Withdrawn && !k.Withdrawn:
+		return errors.New("a withdrawn key stays withdrawn; issue a new one")
+	case old.Digest != k.Digest || old.Customer != k.Customer:
+		return errors.New("the digest and the customer of a key do not change; issue a new one")
+	}
+	return nil
+}
+
+func releaseKey(stored []byte) error {
+	var old arbutusfork.Key
+	if err := json.Unmarshal(stored, &old); err != nil {
+		return err
+	}
+	if !old.Withdrawn {
+		return errors.New("the key is not withdrawn")
+	}
+	return nil
+}
+
+func checkService(_ context.Context, _ *Server, name string, v arbutusfork.Service) (arbutusfork.Service, error) {
+	v.Name = orName(v.Name, name)
+	switch {
+	case v.Kind != arbutusfork.ServiceModel && v.Kind != arbutusfork.ServicePlain:
+		return v, errors.New("kind must be 0 (models) or 1 (plain)")
+	case v.Loads < 0, v.Parallel < 0, v.Policy.Cold < 0, v.Policy.Idle < 0, v.Policy.Replicas < 0:
+		return v, errors.New("loads, parallel and the policy must not be negative")
+	}
+	return v, checkName(name, v.Name)
+}
+
+func replaceService(stored []byte, next any) error {
+	var old arbutusfork.Service
+	if err := json.Unmarshal(stored, &old); err != nil {
+		return err
+	}
+	if old.Kind != next.(arbutusfork.Service).Kind {
+		return errors.New("the kind of a service does not change")
+	}
+	return nil
+}
+
+// service returns a service from the snapshot or, if it is new, from the platform.
+func (s *Server) service(ctx context.Context, name string) (arbutusfork.Service, error) {
+	if v, ok := s.Snapshot().Service(name); ok {
+		return v, nil
+	}
+	var v arbutusfork.Service
+	o, err := s.Get(ctx, afobject.Services, name)
+	if afobject.IsKind(err, afobject.NotFound) {
+		return v, errors.Errorf("services/%s does not exist", name)
+	}
+	if err != nil {
+		return v, err
+	}
+	return v, json.Unmarshal(o.Spec, &v)
+}
+
+func checkRoute(ctx context.Context, s *Server, name string, r arbutusfork.Route) (arbutusfork.Route, error) {
+	r.Name = orName(r.Name, name)
+	if err := checkName(name, r.Name); err != nil {
+		return r, err
+	}
+	v, err := s.service(ctx, r.Service)
+	if err != nil {
+		return r, err
+	}
+	switch {
+	case r.Deadline < 0 || r.Tokens < 0:
+		return r, errors.New("deadline and tokens must not be negative")
+	case v.Kind == arbutusfork.ServiceModel && r.Path != "":
+		return r, errors.New("a route to a model service has no path; it is reached under /v1/")
+	case v.Kind == arbutusfork.ServicePlain && len(r.Models) > 0:
+		return r, errors.New("a route to a plain service offers no models")
+	case v.Kind == arbutusfork.ServicePlain && !validPath(r.Path):
+		return r, errors.New("path must begin with '/', lie outside /v1/ and hold no '..', query or fragment")
+	case r.Open && len(r.Customers) > 0:
+		return r, errors.New("an open route lists no customers")
+	}
+	for _, other := range s.Snapshot().Routes() {
+		if r.Path != "" && other.Path == r.Path && other.Name != name {
+			return r, errors.Errorf("routes/%s has the same path", other.Name)
+		}
+	}
+	if err := s.require(ctx, afobject.Customers, r.Customers...); err != nil {
+		return r, err
+	}
+	return r, s.require(ctx, afobject.Models, r.Models...)
+}
+
+func validPath(p string) bool {
+	return strings.HasPrefix(p, "/") && !strings.HasPrefix(p+"/", modelPath) &&
+		!strings.Contains(p, "..") && !strings.ContainsAny(p, "?# ")
+}
+
+func checkModel(ctx context.Context, s *Server, name string, m arbutusfork.Model) (arbutusfork.Model, error) {
+	m.Name = orName(m.Name, name)
+	if err := checkName(name, m.Name); err != nil {
+		return m, err
+	}
+	v, err := s.service(ctx, m.Service)
+	if err != nil {
+		return m, err
+	}
+	switch {
+	case v.Kind != arbutusfork.ServiceModel:
+		return m, errors.Errorf("services/%s is not a model service", v.Name)
+	case m.Memory <= 0:
+		return m, errors.New("memory must be above zero MB")
+	case m.Remote < 0 || m.Disk < 0 || m.Host < 0 || m.Replicas < 0:
+		return m, errors.New("load times and replicas must not be negative")
+	}
+	if m.IsAdapter() {
+		if _, adapter := arbutusfork.SplitModel(name); adapter == "" || strings.Contains(adapter, ":") {
+			return m, errors.New("the name of an adapter has the form base:adapter")
+		}
+		return m, s.require(ctx, afobject.Models, m.Base())
+	}
+	return m, nil
+}
+
+func checkEndpoint(ctx context.Context, s *Server, name string, e arbutusfork.Endpoint) (arbutusfork.Endpoint, error) {
+	e.Name = orName(e.Name, name)
+	if err := checkName(name, e.Name); err != nil {
+		return e, err
+	}
+	v, err := s.service(ctx, e.Service)
+	if err != nil {
+		return e, err
+	}
+	if _, err := netip.ParseAddrPort(e.Address); err != nil {
+		return e, errors.Errorf("address %q is not an IP address and port", e.Address)
+	}
+	switch {
+	case e.Centre == "":
+		return e, errors.New("centre is required")
+	case e.Slots <= 0:
+		return e, errors.New("slots must be above zero")
+	case e.Memory < 0 || e.Accelerators < 0:
+		return e, errors.New("memory and accelerators must not be negative")
+	case v.Kind == arbutusfork.ServiceModel && e.Memory == 0:
+		return e, errors.New("an endpoint of a model service needs memory in MB")
+	}
+	for _, other := range s.Snapshot().Endpoints() {
+		if other.Address == e.Address && other.Name != name {
+			return e, errors.Errorf("endpoints/%s has the same address", other.Name)
+		}
+	}
+	return e, nil
+}
+
+func orName(name, fallback string) string {
+	if name == "" {
+		return fallback
+	}
+	return name
+}
+
+func customerUsers(c *afconfig.Snapshot, name string) []string {
+	var users []string
+	for _, k := range c.Keys() {
+		if k.Customer == name {
+			users = append(users, afobject.Keys+"/"+k.Name)
+		}
+	}
+	for _, r := range c.Routes() {
+		if slices.Contains(r.Customers, name) {
+			users = append(users, afobject.Routes+"/"+r.Name)
+		}
+	}
+	for _, row := range c.Sheet().Rows {
+		if row.Customer == name {
+			return append(users, "the demand sheet")
+		}
+	}
+	return users
+}
+
+func serviceUsers(c *afconfig.Snapshot, name string) []string {
+	var users []string
+	for _, r := range c.Routes() {
+		if r.Service == name {
+			users = append(users, afobject.Routes+"/"+r.Name)
+		}
+	}
+	for _, m := range c.Models() {
+		if m.Service == name {
+			users = append(users, afobject.Models+"/"+m.Name)
+		}
+	}
+	for _, e := range c.Endpoints() {
+		if e.Service == name {
+			users = append(users, afobject.Endpoints+"/"+e.Name)
+		}
+	}
+	return users
+}
+
+func modelUsers(c *afconfig.Snapshot, name string) []string {
+	var users []string
+	for _, m := range c.Models() {
+		if m.IsAdapter() && m.Base() == name {
+			users = append(users, afobject.Models+"/"+m.Name)
+		}
+	}
+	for _, r := range c.Routes() {
+		if slices.Contains(r.Models, name) {
+			users = append(users, afobject.Routes+"/"+r.Name)
+		}
+	}
+	for _, row := range c.Sheet().Rows {
+		if row.Model == name {
+			return append(users, "the demand sheet")
+		}
+	}
+	return users
+}
--- /dev/null
+++ b/internal/afverb/program.go
@@ -0,0 +1,162 @@
+// Package afverb is the command line: the daemon's start and the operators' verbs, which are clients of any VM's
+// operator interface.
+package afverb
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/internal/afsettings"
+)
+
+// The exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// A change waits for the platform and once for the witnesses, so the bound is above the server's own.
+const callTimeout = 20 * time.Second
+
+// Program runs one command line. Set the exported fields before Run.
+type Program struct {
+	Out io.Writer
+	Err io.Writer
+	In  io.Reader
+	// Serve runs the daemon until ctx ends.
+	Serve func(ctx context.Context, s afsettings.Settings) error
+	// Do sends a request. Nil means an http.Client.
+	Do func(*http.Request) (*http.Response, error)
+	// ReadFile returns the content of a file. Nil means os.ReadFile.
+	ReadFile func(name string) ([]byte, error)
+
+	server string
+	token  string
+	json   bool
+	verbs  map[string]func(ctx context.Context) error
+}
+
+// exit carries an exit code through kingpin, which expects that its terminate function does not return.
+type exit int
+
+// Run parses args, runs the verb and returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) (code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			status, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			code = int(status)
+		}
+	}()
+	app := p.application()
+	verb, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(p.Err, "arbutusfork: %v; see arbutusfork --help\n", err)
+		return ExitUsage
+	}
+	return p.report(p.verbs[verb](ctx))
+}
+
+func (p *Program) application() *kingpin.Application {
+	app := kingpin.New("arbutusfork", "Serves rarely used models: the daemon of an entry VM and the operators' client.")
+	app.HelpFlag.Short('h')
+	app.Terminate(func(status int) { panic(exit(status)) })
+	app.UsageWriter(p.Out)
+	app.ErrorWriter(p.Err)
+	app.Flag("server", "Operators' address of any VM, as URL or address and port.").
+		Envar("ARBUTUSFORK_SERVER").Default("127.0.0.1:8081").StringVar(&p.server)
+	app.Flag("token", "Operator token. Prefer the environment variable, since process lists show flags.").
+		Envar("ARBUTUSFORK_TOKEN").StringVar(&p.token)
+	app.Flag("json", "Print JSON for scripts.").BoolVar(&p.json)
+	p.verbs = make(map[string]func(context.Context) error)
+	p.serveVerb(app)
+	for _, r := range resources {
+		p.resourceVerbs(app.Command(r.verb, r.help), r)
+	}
+	p.sheetVerbs(app)
+	p.applyVerb(app)
+	p.systemVerbs(app)
+	return app
+}
+
+func (p *Program) verb(cmd *kingpin.CmdClause, run func(ctx context.Context) error) {
+	p.verbs[cmd.FullCommand()] = run
+}
+
+func (p *Program) serveVerb(app *kingpin.Application) {
+	cmd := app.Command("serve", "Run the daemon of this VM.")
+	form := afsettings.Flags(cmd)
+	p.verb(cmd, func(ctx context.Context) error {
+		s, err := form.Settings()
+		if err != nil {
+			return &Error{Op: "serve", Kind: Usage, Err: err}
+		}
+		if p.Serve == nil {
+			return errors.New("serve: this program is built without the daemon")
+		}
+		return p.Serve(ctx, s)
+	})
+}
+
+// report prints the error and returns the exit code.
+func (p *Program) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	e, ok := errors.Into[*Error](err)
+	switch {
+	case !ok:
+		p.complain("%v", err)
+	case e.Kind == Usage:
+		p.complain("%v", e.Err)
+		return ExitUsage
+	case e.Kind == Faulty:
+		// The faults are printed already.
+	case e.refusal != nil:
+		p.printRefusal(e)
+	default:
+		p.complain("%v", e)
+	}
+	return ExitFailed
+}
+
+func (p *Program) complain(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.Err, "arbutusfork: "+format+"\n", args...)
+}
+
+func (p *Program) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.Out, format+"\n", args...)
+}
+
+func (p *Program) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(p.In)
+	}
+	if p.ReadFile != nil {
+		return p.ReadFile(name)
+	}
+	return os.ReadFile(name)
+}
+
+func (p *Program) client() client {
+	base := strings.TrimRight(p.server, "/")
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	do := p.Do
+	if do == nil {
+		do = (&http.Client{Timeout: callTimeout}).Do
+	}
+	return client{base: base, token: p.token, do: do}
+}
--- /dev/null
+++ b/internal/afverb/session_test.go
@@ -0,0 +1,118 @@
+package afverb_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afoperator"
+	"arbutusfork.example/arbutusfork/internal/afverb"
+)
+
+const token = "operators-token-of-the-tests"
+
+var update = flag.Bool("update", false, "rewrite the expected output of the sessions")
+
+// session is one script's server, store and last exit code.
+type session struct {
+	store   *store
+	address string
+	drained chan struct{}
+	code    int
+}
+
+// TestSessions runs whole sessions of an operator against the real server over loopback. They guard against a change
+// that is lost, answered wrongly or shown wrongly.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/session",
+		UpdateScripts: *update,
+		Setup:         setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"af":      runVerb,
+			"code":    checkCode,
+			"fault":   func(ts *testscript.TestScript, _ bool, args []string) { of(ts).store.fault(args[0]) },
+			"rival":   runRival,
+			"drained": func(ts *testscript.TestScript, _ bool, _ []string) { <-of(ts).drained },
+		},
+	})
+}
+
+func of(ts *testscript.TestScript) *session { return ts.Value(sessionKey{}).(*session) }
+
+type sessionKey struct{}
+
+func setup(env *testscript.Env) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s := &session{store: newStore(), address: ln.Addr().String(), drained: make(chan struct{})}
+	issued := 0
+	server := &afoperator.Server{
+		Address: s.address, Token: arbutusfork.DigestKey(token),
+		Listen:   func(string, string) (net.Listener, error) { return ln, nil },
+		Snapshot: s.store.current, Get: s.store.get, Create: s.store.create, Update: s.store.update, Delete: s.store.remove,
+		Confirm:  s.store.confirm,
+		Ready:    func() (bool, string) { return false, "configuration is stale" },
+		Status:   func() any { return map[string]any{"vm": "entry-1", "ready": false, "shards": []string{"fuqaa-llm-0"}} },
+		Explain:  explain,
+		Drain:    func() { close(s.drained) },
+		Gatherer: prometheus.NewRegistry(),
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Secret:   func() string { issued++; return "af-secret-" + strconv.Itoa(issued) },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	env.Defer(func() {
+		cancel()
+		if err := <-done; err != nil {
+			panic(err)
+		}
+	})
+	env.Values[sessionKey{}] = s
+	return nil
+}
+
+func explain(request, _ string) (any, bool) {
+	if request != "r-1" {
+		return nil, false
+	}
+	return []any{map[string]any{"message": "routed", "model": "llama-8b-ar", "endpoint": "llm-3"}}, true
+}
+
+func runVerb(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	var stderr bytes.Buffer
+	p := afverb.Program{
+		Out: ts.Stdout(), Err: io.MultiWriter(ts.Stderr(), &stderr), In: strings.NewReader(ts.Getenv("STDIN")),
+		ReadFile: func(name string) ([]byte, error) { return os.ReadFile(ts.MkAbs(name)) },
+	}
+	s.code = p.Run(context.Background(), append([]string{"--server", s.address, "--token", token}, args...))
+	if (s.code != afverb.ExitOK) != neg {
+		ts.Fatalf("exit code %d: %s", s.code, stderr.String())
+	}
+}
+
+func checkCode(ts *testscript.TestScript, _ bool, args []string) {
+	if got := fmt.Sprint(of(ts).code); got != args[0] {
+		ts.Fatalf("exit code %s, not %s", got, args[0])
+	}
+}
+
+func runRival(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(of(ts).store.rival(args[0], args[1], args[2]))
+}
