example: generate the configurations of both deployments

Checked with go test ./internal/afexample ./internal/afverb: the files are current, the sizes hold, every model fits on every runner, and the operator interface accepts both configurations and sheets.

--- /dev/null
+++ b/internal/afexample/deployment_test.go
@@ -0,0 +1,63 @@
+package afexample
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afsheet"
+)
+
+// TestFiles guards against example files that differ from what the generator writes now.
+func TestFiles(t *testing.T) {
+	for _, d := range All() {
+		for name, want := range map[string][]byte{"config.json": d.Config(), "sheet.csv": d.CSV()} {
+			got, err := os.ReadFile(filepath.Join("..", "..", "examples", d.Name, name))
+			require.NoError(t, err)
+			require.True(t, string(want) == string(got), "%s/%s is not current: run go generate ./internal/afexample", d.Name, name)
+		}
+	}
+}
+
+// TestSizes guards against examples that leave the sizes of the design page.
+func TestSizes(t *testing.T) {
+	for _, want := range []struct {
+		d                                  Deployment
+		bases, adapters, runners, services int
+	}{{Fuqaa(), 50, 40, 9, 3}, {Umurongo(), 65, 75, 12, 4}} {
+		var adapters, runners, largest int
+		known := make(map[string]bool)
+		for _, m := range want.d.Models {
+			known[m.Name] = true
+			if m.IsAdapter() {
+				adapters++
+				require.True(t, known[m.Base()], m.Name)
+			}
+			largest = max(largest, int(m.Memory))
+		}
+		for _, e := range want.d.Endpoints {
+			if e.Memory > 0 {
+				runners++
+				require.GreaterOrEqual(t, int(e.Memory), largest, "every model fits on every runner")
+			}
+		}
+		require.Equal(t, want.adapters, adapters)
+		require.Len(t, want.d.Models, want.bases+adapters)
+		require.Equal(t, want.runners, runners)
+		require.Len(t, want.d.Endpoints, runners+want.services)
+		require.Len(t, want.d.VMs, 6)
+		customers := make(map[string]arbutusfork.Customer)
+		for _, c := range want.d.Customers {
+			customers[c.Name] = c
+		}
+		checked, faults := afsheet.Check(want.d.CSV(), afsheet.Catalogue{
+			Model:    func(name string) bool { return known[name] },
+			Customer: func(name string) bool { return customers[name].Rate > 0 },
+		})
+		require.Empty(t, faults)
+		require.Len(t, checked.Rows, len(want.d.Sheet.Rows))
+	}
+}
--- /dev/null
+++ b/internal/afexample/fuqaa.go
@@ -0,0 +1,67 @@
+package afexample
+
+import (
+	"math/rand/v2"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+// Fuqaa returns the deployment of Fuqaa Supplies in Cairo: order chat, photo tags and catalogue rewriting for shops.
+func Fuqaa() Deployment {
+	r := rand.New(rand.NewPCG(1, 1))
+	centres := []string{"cairo-a", "cairo-b", "cairo-c"}
+	d := Deployment{
+		Name: "fuqaa",
+		VMs:  vms(centres),
+		Customers: []arbutusfork.Customer{
+			{Name: "nile-grocers", Rate: 9000, Burst: 270000},
+			{Name: "delta-kitchens", Rate: 6000, Burst: 180000},
+			{Name: "giza-pharmacies", Rate: 2500, Burst: 75000},
+			{Name: "zamalek-cafes", Rate: 1200, Burst: 40000},
+			{Name: "maadi-hardware", Rate: 800, Burst: 40000},
+		},
+		Services: []arbutusfork.Service{
+			{
+				Name: "fuqaa-llm", Kind: arbutusfork.ServiceModel, Loads: 2.5, Parallel: 4,
+				Policy: arbutusfork.Policy{Cold: 4, Idle: 1, Replicas: 3},
+			},
+			{Name: "fuqaa-app", Kind: arbutusfork.ServicePlain},
+		},
+	}
+	for _, f := range []family{
+		{"order", []string{"ar", "arz", "en", "fr"}, []string{"3b", "4b", "8b", "14b"}},
+		{"photo", []string{"produce", "bakery", "pharmacy", "hardware", "textile", "packaging"}, []string{"2b", "7b", "11b"}},
+		{"rewrite", []string{"ar", "en", "fr", "tr"}, []string{"8b", "14b", "32b", "70b"}},
+	} {
+		d.Models = append(d.Models, f.models("fuqaa-llm")...)
+	}
+	d.Models = append(d.Models, adapters(r, "fuqaa-llm", []string{
+		"order-ar-8b", "order-arz-8b", "order-arz-4b", "order-en-8b",
+		"photo-produce-7b", "rewrite-ar-8b", "rewrite-ar-14b", "rewrite-en-14b",
+	}, d.Customers, 5, 15)...)
+	d.Endpoints = append(
+		layout{
+			service: "fuqaa-llm", prefix: "fuqaa-llm", network: "127.0.2.0", port: modelPort, n: 9, centres: centres, unfenced: 3,
+			runners: []runner{{48000, 1, 24}, {48000, 1, 24}, {96000, 2, 48}},
+		}.endpoints(),
+		layout{
+			service: "fuqaa-app", prefix: "fuqaa-app", network: "127.0.3.0", port: plainPort, n: 3, centres: centres,
+			runners: []runner{{slots: plainSlots}},
+		}.endpoints()...,
+	)
+	d.Routes = []arbutusfork.Route{
+		{Name: "order-chat", Service: "fuqaa-llm", Models: names(d.Models, "order"), Deadline: 20000, Tokens: 300},
+		{Name: "photo-tags", Service: "fuqaa-llm", Models: names(d.Models, "photo"), Deadline: 15000, Tokens: 64},
+		{Name: "catalogue-rewriting", Service: "fuqaa-llm", Models: names(d.Models, "rewrite"), Deadline: 120000, Tokens: 2000},
+		{Name: "payments", Path: "/app/payments", Service: "fuqaa-app", Once: true, Deadline: 10000},
+		{Name: "reorders", Path: "/app/reorders", Service: "fuqaa-app", Once: true, Deadline: 10000},
+		{Name: "stock", Path: "/app/stock", Service: "fuqaa-app", Deadline: 3000},
+		{Name: "branches", Path: "/app/branches", Service: "fuqaa-app", Open: true, Deadline: 3000},
+	}
+	d.Sheet = sheet(r, []use{
+		{"order", 24000, []float64{0.05, 0.35, 1, 0.6, 0.4, 0.5, 0.3}, 180, 420},
+		{"photo", 9000, []float64{0.02, 0.4, 1, 0.5, 0.3, 0.3, 0.1}, 90, 260},
+		{"rewrite", 4200, []float64{0.05, 0.05, 0.15, 0.3, 0.4, 1, 0.7}, 1200, 3800},
+	}, d.Models, d.Customers)
+	return d
+}
--- /dev/null
+++ b/internal/afexample/umurongo.go
@@ -0,0 +1,69 @@
+package afexample
+
+import (
+	"math/rand/v2"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+// Umurongo returns the deployment of Umurongo Soft in Kigali: quotes, history summaries and catalogue notes for
+// traders, with bookings and payments.
+func Umurongo() Deployment {
+	r := rand.New(rand.NewPCG(2, 2))
+	centres := []string{"kigali-a", "kigali-b", "kigali-c", "kigali-d"}
+	d := Deployment{
+		Name: "umurongo",
+		VMs:  vms(centres),
+		Customers: []arbutusfork.Customer{
+			{Name: "virunga-retail", Rate: 11000, Burst: 330000},
+			{Name: "kivu-traders", Rate: 7000, Burst: 210000},
+			{Name: "akagera-travel", Rate: 5000, Burst: 150000},
+			{Name: "nyungwe-crafts", Rate: 1500, Burst: 45000},
+			{Name: "rusizi-parts", Rate: 1000, Burst: 40000},
+		},
+		Services: []arbutusfork.Service{
+			{
+				Name: "assistant", Kind: arbutusfork.ServiceModel, Loads: 3.5, Parallel: 4,
+				Policy: arbutusfork.Policy{Cold: 1.5, Idle: 1, Replicas: 3},
+			},
+			{Name: "shop", Kind: arbutusfork.ServicePlain},
+		},
+	}
+	for _, f := range []family{
+		{"quote", []string{"rw", "en", "fr", "sw"}, []string{"3b", "8b", "14b", "24b"}},
+		{"summary", []string{"rw", "en", "fr", "sw", "lg"}, []string{"4b", "8b", "14b", "32b", "70b"}},
+		{"notes", []string{"rw", "en", "fr", "sw"}, []string{"3b", "8b", "14b", "24b", "32b", "70b"}},
+	} {
+		d.Models = append(d.Models, f.models("assistant")...)
+	}
+	d.Models = append(d.Models, adapters(r, "assistant", []string{
+		"quote-rw-3b", "quote-rw-8b", "quote-en-8b", "quote-fr-8b", "quote-sw-8b", "quote-rw-14b",
+		"summary-rw-4b", "summary-rw-8b", "summary-en-8b", "summary-fr-8b", "summary-sw-8b",
+		"notes-rw-8b", "notes-en-8b", "notes-fr-14b", "notes-rw-14b",
+	}, d.Customers, 5, 10)...)
+	d.Endpoints = append(
+		layout{
+			service: "assistant", prefix: "assistant", network: "127.0.4.0", port: modelPort, n: 12, centres: centres, unfenced: 4,
+			runners: []runner{{48000, 1, 24}, {80000, 1, 32}, {48000, 1, 24}},
+		}.endpoints(),
+		layout{
+			service: "shop", prefix: "shop", network: "127.0.5.0", port: plainPort, n: 4, centres: centres,
+			runners: []runner{{slots: plainSlots}},
+		}.endpoints()...,
+	)
+	d.Routes = []arbutusfork.Route{
+		{Name: "quotes", Service: "assistant", Models: names(d.Models, "quote"), Deadline: 20000, Tokens: 400},
+		{Name: "history-summary", Service: "assistant", Models: names(d.Models, "summary"), Deadline: 60000, Tokens: 800},
+		{Name: "catalogue-notes", Service: "assistant", Models: names(d.Models, "notes"), Deadline: 120000, Tokens: 1500},
+		{Name: "bookings", Path: "/shop/bookings", Service: "shop", Once: true, Deadline: 10000},
+		{Name: "payments", Path: "/shop/payments", Service: "shop", Once: true, Deadline: 10000},
+		{Name: "stock", Path: "/shop/stock", Service: "shop", Deadline: 3000},
+		{Name: "hours", Path: "/shop/hours", Service: "shop", Open: true, Deadline: 3000},
+	}
+	d.Sheet = sheet(r, []use{
+		{"quote", 30000, []float64{0.02, 0.5, 1, 0.7, 0.5, 0.4, 0.1}, 200, 520},
+		{"summary", 7000, []float64{0.05, 0.3, 0.5, 0.5, 0.6, 1, 0.4}, 700, 2400},
+		{"notes", 3600, []float64{0.05, 0.05, 0.2, 0.3, 0.4, 1, 0.6}, 900, 3200},
+	}, d.Models, d.Customers)
+	return d
+}
--- a/internal/afverb/session_test.go
+++ b/internal/afverb/session_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -55,6 +56,9 @@
 type sessionKey struct{}
 
 func setup(env *testscript.Env) error {
+	if err := os.CopyFS(filepath.Join(env.WorkDir, "examples"), os.DirFS(filepath.Join("..", "..", "examples"))); err != nil {
+		return err
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
