sheet: test the check, the difference and the adjustment

A row whose quotes are never closed ends at the end of the file; the fault now names the line where the row begins. A malformed header ends the check, since the next row would be taken for the header otherwise.

Checked with go test -race ./internal/afsheet.

--- a/internal/afsheet/check.go
+++ b/internal/afsheet/check.go
@@ -106,7 +106,10 @@
 			break
 		}
 		if e, ok := errors.Into[*csv.ParseError](err); ok {
-			k.fault(e.Line, max(e.Column, 1), "%s", e.Err)
+			k.malformed(e)
+			if k.index == nil {
+				return // Without a header, the rows cannot be read.
+			}
 			continue
 		}
 		if k.index == nil {
@@ -122,6 +125,14 @@
 	}
 }
 
+func (k *checker) malformed(e *csv.ParseError) {
+	if e.StartLine != e.Line {
+		k.fault(e.Line, max(e.Column, 1), "%s; the row begins at line %d", e.Err, e.StartLine)
+		return
+	}
+	k.fault(e.Line, max(e.Column, 1), "%s", e.Err)
+}
+
 func invalidUTF8(data []byte) int {
 	for at := 0; at < len(data); {
 		r, size := utf8.DecodeRune(data[at:])
@@ -226,7 +237,7 @@
 	text, line, at := k.field(record, "requests")
 	n, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(n) || n < 0 || n > maxRequests {
-		k.fault(line, at, "requests %q is not a number from 0 to %g", text, maxRequests)
+		k.fault(line, at, "requests %q is not a number from 0 to %d", text, int64(maxRequests))
 	}
 	return n
 }
--- /dev/null
+++ b/internal/afsheet/sheet_test.go
@@ -0,0 +1,93 @@
+package afsheet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+var catalogue = Catalogue{
+	Model:    func(name string) bool { return strings.HasPrefix(name, "chat-8b") },
+	Customer: func(name string) bool { return name == "nile" || name == "delta" },
+}
+
+// TestCheck guards against a fault that is missed, shown at another place or hides later ones.
+func TestCheck(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.csv")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".csv")
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			require.NoError(t, err)
+			sheet, faults := Check(data, catalogue)
+			var b strings.Builder
+			for _, f := range faults {
+				fmt.Fprintln(&b, f)
+			}
+			if len(faults) == 0 {
+				b.Write(Format(sheet))
+			}
+			goldie.New(t).Assert(t, name, []byte(b.String()))
+		})
+	}
+}
+
+// TestCheckBounds guards against an answer that grows with the number of faults.
+func TestCheckBounds(t *testing.T) {
+	_, faults := Check([]byte(strings.Join(columns, ",")+"\n"+strings.Repeat("no\n", 5000)), catalogue)
+	require.Len(t, faults, maxFaults+1)
+	require.Contains(t, faults[maxFaults].Message, "4500 more")
+}
+
+func row(model string, from, until int, requests float64) arbutusfork.SheetRow {
+	return arbutusfork.SheetRow{Model: model, Customer: "nile", From: from, Until: until, Requests: requests, Tokens: 100}
+}
+
+// TestDiff guards against a difference that an operator is not shown before accepting.
+func TestDiff(t *testing.T) {
+	from := arbutusfork.Sheet{Rows: []arbutusfork.SheetRow{row("a", 0, 60, 1), row("b", 0, 60, 1), row("c", 0, 60, 1)}}
+	to := arbutusfork.Sheet{Rows: []arbutusfork.SheetRow{row("d", 0, 60, 1), row("c", 0, 90, 1), row("a", 0, 60, 1)}}
+	changes := Diff(from, to)
+	require.Len(t, changes, 3)
+	require.Equal(t, "b of nile from 00:00", changes[0].Key.String())
+	require.Nil(t, changes[0].New)
+	require.Equal(t, 60, changes[1].Old.Until)
+	require.Equal(t, 90, changes[1].New.Until)
+	require.Nil(t, changes[2].Old)
+	require.Empty(t, Diff(to, to))
+}
+
+// TestAdjust guards against a change of another row or of the given sheet.
+func TestAdjust(t *testing.T) {
+	requests, tokens, negative := 7.5, int64(9), -1.0
+	s := arbutusfork.Sheet{Rows: []arbutusfork.SheetRow{row("a", 0, 60, 1), row("a", 60, 90, 1)}}
+	for _, c := range []struct {
+		key    Key
+		change Adjustment
+		kind   ErrorKind
+		ok     bool
+	}{
+		{Key{"a", "nile", 60}, Adjustment{Requests: &requests, Tokens: &tokens}, 0, true},
+		{Key{"a", "nile", 30}, Adjustment{Requests: &requests}, NoRow, false},
+		{Key{"a", "nile", 60}, Adjustment{Requests: &negative}, OutOfRange, false},
+	} {
+		next, err := Adjust(s, c.key, c.change)
+		if !c.ok {
+			require.True(t, IsKind(err, c.kind), "%v", err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, s.Rows[0], next.Rows[0])
+		require.Equal(t, arbutusfork.SheetRow{Model: "a", Customer: "nile", From: 60, Until: 90, Requests: 7.5, Tokens: 9}, next.Rows[1])
+		require.Equal(t, 1.0, s.Rows[1].Requests)
+	}
+}
