--- /dev/null
+++ b/internal/afserve/build.go
@@ -0,0 +1,166 @@
+package afserve
+
+import (
+	"context"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afbooking"
+	"arbutusfork.example/arbutusfork/internal/afcontrol"
+	"arbutusfork.example/arbutusfork/internal/afdispatch"
+	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/afoperator"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/internal/afquota"
+	"arbutusfork.example/arbutusfork/internal/afsync"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
+)
+
+func (s *Server) buildPeers() {
+	s.peers = &afpeer.Service{
+		Self:    s.self,
+		Address: s.Settings.Peers,
+		Centre:  s.Settings.Centre,
+		Seeds:   s.Settings.Seeds,
+		Timer:   s.timer,
+		Log:     s.log,
+	}
+	s.sync = &afsync.Service{Self: s.self, Client: s.client, Timer: s.timer, Log: s.log}
+	s.sync.Attach(s.peers)
+	heard := s.peers.Heard
+	s.peers.Heard = func(from arbutusfork.Incarnation, sent time.Time, r afpeer.Report) {
+		s.heard(from)
+		heard(from, sent, r)
+	}
+}
+
+func (s *Server) buildLimits() {
+	s.quota = &afquota.Service{
+		Self:      s.self,
+		Timer:     s.timer,
+		Log:       s.log,
+		Customer:  func(name string) (arbutusfork.Customer, bool) { return s.sync.Snapshot().Customer(name) },
+		Customers: func() []arbutusfork.Customer { return s.sync.Snapshot().Customers() },
+		Call:      s.peers.Call,
+		Members:   s.peers.Members,
+		Get:       s.client.Get,
+		Create:    s.client.Create,
+		Update:    s.client.Update,
+		Gone:      s.gone,
+	}
+	s.peers.Handle(afquota.KindBorrow, s.quota.HandleBorrow)
+	s.peers.Handle(afquota.KindGiveback, s.quota.HandleGiveback)
+	s.booking = &afbooking.Service{
+		Self:   s.self,
+		Timer:  s.timer,
+		Log:    s.log,
+		Get:    s.client.Get,
+		Create: s.client.Create,
+		Update: s.client.Update,
+		Gone:   s.gone,
+	}
+}
+
+func (s *Server) buildPlacement() {
+	s.control = &afcontrol.Service{
+		Self:     s.self,
+		Timer:    s.timer,
+		Log:      s.log,
+		Snapshot: s.sync.Snapshot,
+		Get:      s.client.Get,
+		Create:   s.client.Create,
+		Update:   s.client.Update,
+		Send:     s.peers.Send,
+		Call:     s.peers.Call,
+		Members:  s.peers.Members,
+		Gone:     s.gone,
+		HTTP:     endpointClient(),
+	}
+	s.peers.Handle("demand", s.control.HandleDemand)
+	s.peers.Handle("table", s.handleTable)
+	s.peers.Handle("pull", s.control.HandlePull)
+	s.peers.Handle("release", s.control.HandleRelease)
+	s.peers.Digests = s.control.Digest
+	s.peers.Learn = s.control.HandleDigest
+	s.dispatch = &afdispatch.Service{
+		Replicas:  s.replicas,
+		Endpoints: s.replicas,
+		Ready:     func(model string) (time.Duration, bool) { return s.control.Table().Ready(model) },
+		Demand:    s.control.Demand,
+		Served:    s.control.Served,
+		Centre:    s.Settings.Centre,
+		Log:       s.log,
+		Timer:     s.timer,
+		Progress:  s.Settings.Progress,
+	}
+}
+
+// handleTable takes a part of the routing table and lets the requests that wait for it go on.
+func (s *Server) handleTable(from arbutusfork.Incarnation, body []byte) (any, error) {
+	answer, err := s.control.HandleTable(from, body)
+	s.dispatch.Wake()
+	return answer, err
+}
+
+// replicas returns the replicas with this VM's credit as their slots.
+func (s *Server) replicas(model string) []afplacement.Replica {
+	all := s.control.Table().Replicas(model)
+	out := make([]afplacement.Replica, 0, len(all))
+	for _, r := range all {
+		r.Slots = r.Credit(s.self.VM)
+		out = append(out, r)
+	}
+	return out
+}
+
+func (s *Server) buildEntry() {
+	s.entry = &afentry.Server{
+		Snapshot:    s.sync.Snapshot,
+		Fresh:       func() bool { return s.sync.Fresh(s.timer.Now()) },
+		Reserve:     s.reserve,
+		Claim:       s.booking.Claim,
+		Finish:      s.booking.Finish,
+		Cancel:      s.booking.Cancel,
+		Dispatch:    s.dispatch,
+		Address:     s.Settings.Callers,
+		Log:         s.log,
+		Timer:       s.timer,
+		Registry:    s.registry,
+		MaxBody:     int(s.Settings.Body),
+		MaxConns:    s.Settings.Connections,
+		IdleTimeout: s.Settings.Idle,
+		ReadTimeout: s.Settings.Receive,
+	}
+	s.sync.Subscribe(func(c *afconfig.Snapshot) {
+		s.entry.Recheck(c)
+		s.dispatch.Wake()
+	})
+}
+
+func (s *Server) reserve(ctx context.Context, customer string, tokens int64) (func(int64), *arbutusfork.Refusal) {
+	r, refusal := s.quota.Reserve(ctx, customer, tokens)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return r.Settle, nil
+}
+
+func (s *Server) buildOperator() {
+	s.operator = &afoperator.Server{
+		Address:  s.Settings.Operators,
+		Token:    s.Settings.Digest,
+		Snapshot: s.sync.Snapshot,
+		Get:      s.client.Get,
+		Create:   s.client.Create,
+		Update:   s.client.Update,
+		Delete:   s.client.Delete,
+		Confirm:  s.sync.Confirm,
+		Ready:    s.ready,
+		Status:   s.status,
+		Explain:  s.explainRequest,
+		Drain:    s.drain,
+		Gatherer: s.registry,
+		Log:      s.log,
+	}
+}
--- /dev/null
+++ b/internal/afserve/status.go
@@ -0,0 +1,116 @@
+package afserve
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afcontrol"
+	"arbutusfork.example/arbutusfork/internal/afquota"
+)
+
+// statusAnswer is what an operator sees of one VM.
+type statusAnswer struct {
+	VM       string                  `json:"vm"`
+	Centre   string                  `json:"centre"`
+	Ready    bool                    `json:"ready"`
+	Reason   string                  `json:"reason,omitempty"`
+	Version  int64                   `json:"version"`
+	Fresh    bool                    `json:"fresh"`
+	Members  []arbutusfork.VM        `json:"members"`
+	Shards   []afcontrol.ShardStatus `json:"shards"`
+	Limits   []afquota.Status        `json:"limits"`
+	Platform platformCalls           `json:"platform"`
+}
+
+// platformCalls counts the calls to the platform since the start.
+type platformCalls struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+}
+
+// ready reports whether the VM takes callers' requests, and otherwise why not.
+func (s *Server) ready() (bool, string) {
+	switch {
+	case s.stopping.Load():
+		return false, "shutting down"
+	case s.sync.Version() == 0:
+		return false, "no configuration yet"
+	case !s.sync.Fresh(s.timer.Now()):
+		return false, "configuration not known to be recent"
+	}
+	return true, ""
+}
+
+func (s *Server) status() any {
+	ready, reason := s.ready()
+	return statusAnswer{
+		VM:      s.self.VM,
+		Centre:  s.Settings.Centre,
+		Ready:   ready,
+		Reason:  reason,
+		Version: s.sync.Version(),
+		Fresh:   s.sync.Fresh(s.timer.Now()),
+		Members: s.peers.Members(),
+		Shards:  s.control.Status(),
+		Limits:  s.quota.Status(),
+		Platform: platformCalls{
+			Reads:   s.client.Reads.Load(),
+			Writes:  s.client.Writes.Load(),
+			Watches: s.client.Watches.Load(),
+		},
+	}
+}
+
+// explainAnswer joins the recorded decisions with the placement of the model.
+type explainAnswer struct {
+	Decisions any                    `json:"decisions"`
+	Placement *afcontrol.Explanation `json:"placement,omitempty"`
+}
+
+func (s *Server) explainRequest(request, model string) (any, bool) {
+	decisions, ok := s.explain.Explain(request, model)
+	if model == "" {
+		return explainAnswer{Decisions: decisions}, ok
+	}
+	placement := s.control.Explain(model)
+	return explainAnswer{Decisions: decisions, Placement: &placement}, true
+}
+
+// collect registers the metrics of the slices.
+func (s *Server) collect() {
+	s.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		s.quota,
+		s.booking,
+		s.gauge("arbutusfork_configuration_version", "Version of the configuration in force.",
+			func() float64 { return float64(s.sync.Version()) }),
+		s.gauge("arbutusfork_configuration_fresh", "1 while the configuration is known to be recent.",
+			func() float64 {
+				if s.sync.Fresh(s.timer.Now()) {
+					return 1
+				}
+				return 0
+			}),
+		s.gauge("arbutusfork_members", "VMs that are believed to be live.",
+			func() float64 { return float64(len(s.peers.Members())) }),
+		s.counter("arbutusfork_platform_reads_total", "Reads of the platform's object API.",
+			func() float64 { return float64(s.client.Reads.Load()) }),
+		s.counter("arbutusfork_platform_writes_total", "Writes to the platform's object API.",
+			func() float64 { return float64(s.client.Writes.Load()) }),
+		s.counter("arbutusfork_peer_sent_bytes_total", "Bytes sent to other VMs.",
+			func() float64 { return float64(s.peers.Stats().BytesOut) }),
+		s.counter("arbutusfork_peer_messages_sent_total", "Messages sent to other VMs.",
+			func() float64 { return float64(s.peers.Stats().MessagesOut) }),
+	)
+}
+
+func (s *Server) gauge(name, help string, fn func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, fn)
+}
+
+func (s *Server) counter(name, help string, fn func() float64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, fn)
+}
