afobject: add the platform client and its stand-in

Configuration sync, placement and claims all need conditional updates and watches on the platform's object API, and tests need a platform with faults.

The client maps each failure to what the caller may do next: a write whose connection could not be opened is Unavailable, any other failed write is Unknown, because a server or a proxy may fail after the write took effect. Taking 503 as "not carried out" was ruled out for that reason. Write resolves Unknown by reading back. A watch always opens a new connection, and a call that times out drops the idle connections: reusing them failed the test of a silent watch.

All configuration kinds share the pseudo-plural "configuration". Its version is the version of the latest configuration change: with the global counter, lease renewals would make every probe look newer than every VM.

The stand-in keeps one version counter, a bounded history per collection and the faults down, slow, lose and silent. Network joins parties without sockets so that tests run under testing/synctest.

Tests: go test -race ./pkg/afobject

--- /dev/null
+++ b/pkg/afobject/client_test.go
@@ -0,0 +1,127 @@
+package afobject_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/internal/afstandin"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+// start runs a platform stand-in on an in-memory network. The test function runs under synctest.
+func start(t *testing.T, p *afstandin.Platform) (*afobject.Client, *afstandin.Network) {
+	n := new(afstandin.Network)
+	l, err := n.Listen("platform")
+	require.NoError(t, err)
+	server := &http.Server{Handler: p.Handler()}
+	go func() { _ = server.Serve(l) }()
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return n.Dial(ctx, "vm", "platform")
+	}}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		require.NoError(t, server.Close())
+	})
+	return &afobject.Client{Base: "http://platform", HTTP: &http.Client{Transport: transport}}, n
+}
+
+func object(name, spec string) afobject.Object {
+	return afobject.Object{Kind: afobject.Customers, Name: name, Spec: json.RawMessage(spec)}
+}
+
+// TestConditionalWrites guards against a lost update: two writers that read the same version must not both win.
+func TestConditionalWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := start(t, new(afstandin.Platform))
+		ctx := t.Context()
+		first, err := c.Create(ctx, object("a", `{"rate":1}`))
+		require.NoError(t, err)
+		_, err = c.Create(ctx, object("a", `{"rate":2}`))
+		require.True(t, afobject.IsKind(err, afobject.Conflict), err)
+		second, err := c.Update(ctx, afobject.Object{Kind: first.Kind, Name: "a", Version: first.Version, Spec: []byte(`{"rate":3}`)})
+		require.NoError(t, err)
+		require.Greater(t, second.Version, first.Version)
+		_, err = c.Update(ctx, first)
+		require.True(t, afobject.IsKind(err, afobject.Conflict), err)
+		require.True(t, afobject.IsKind(c.Delete(ctx, first.Kind, "a", first.Version), afobject.Conflict))
+		require.NoError(t, c.Delete(ctx, first.Kind, "a", second.Version))
+		_, err = c.Get(ctx, first.Kind, "a")
+		require.True(t, afobject.IsKind(err, afobject.NotFound), err)
+	})
+}
+
+// TestWriteResolvesLostAnswer guards against a write reported as failed although it stands, and against an
+// outcome called certain while nobody can know it.
+func TestWriteResolvesLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := new(afstandin.Platform)
+		c, n := start(t, p)
+		ctx := t.Context()
+		p.SetFaults(afstandin.Faults{Lose: true})
+		_, err := c.Create(ctx, object("a", `{"rate":1}`))
+		require.True(t, afobject.IsKind(err, afobject.Unknown), err)
+		found, err := c.Write(ctx, object("b", `{ "rate": 1 }`))
+		require.NoError(t, err)
+		require.JSONEq(t, `{"rate":1}`, string(found.Spec))
+		found.Spec = []byte(`{"rate":2}`)
+		updated, err := c.Write(ctx, found)
+		require.NoError(t, err)
+		require.Greater(t, updated.Version, found.Version)
+		_, err = c.Write(ctx, found)
+		require.True(t, afobject.IsKind(err, afobject.Conflict) || err == nil, err)
+
+		p.SetFaults(afstandin.Faults{Down: true})
+		_, err = c.Write(ctx, object("c", `{}`))
+		require.True(t, afobject.IsKind(err, afobject.Unknown), err)
+		n.Cut("vm", "platform")
+		_, err = c.Write(ctx, object("c", `{}`))
+		require.True(t, afobject.IsKind(err, afobject.Unavailable), err)
+	})
+}
+
+// TestWatch guards against missed, reordered or foreign events, and against a start version that is too old
+// being taken for a complete history.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &afstandin.Platform{History: 3}
+		c, _ := start(t, p)
+		c.Silence = 20 * time.Second
+		put := func(kind, name string) {
+			_, err := p.Put(kind, name, map[string]string{})
+			require.NoError(t, err)
+		}
+		put(afobject.Customers, "a")
+		var got []string
+		done := make(chan error, 1)
+		go func() {
+			done <- c.Watch(t.Context(), "", 0, func(e afobject.Event) {
+				got = append(got, e.Type.String()+" "+e.Object.Kind+"/"+e.Object.Name)
+			})
+		}()
+		synctest.Wait()
+		put(afobject.Shards, "s")
+		put(afobject.Keys, "k")
+		p.Remove(afobject.Customers, "a")
+		synctest.Wait()
+		require.Equal(t, []string{"ADDED customers/a", "ADDED keys/k", "DELETED customers/a"}, got)
+		require.EqualValues(t, 1, p.Counts().Watches)
+		version, err := c.Version(t.Context())
+		require.NoError(t, err)
+		require.EqualValues(t, 4, version)
+
+		<-time.After(6 * time.Second) // The bubble's clock passes one interval of bookmarks.
+		p.SetFaults(afstandin.Faults{Silent: true})
+		err = <-done // Returns once the watch has been silent for long enough.
+		require.True(t, afobject.IsKind(err, afobject.Unavailable), err)
+		require.Contains(t, got, "BOOKMARK configuration/")
+		err = c.Watch(t.Context(), "", 0, func(afobject.Event) {})
+		require.True(t, afobject.IsKind(err, afobject.Expired), err)
+	})
+}
--- a/pkg/afobject/object.go
+++ b/pkg/afobject/object.go
@@ -46,3 +46,16 @@
 	Deleted                   // DELETED
 	Bookmark                  // BOOKMARK
 )
+
+// ConfigurationPath is the plural that stands for all configuration kinds together in lists and watches. The
+// version of that list is the version of the latest change to any of them, deletions included.
+const ConfigurationPath = "configuration"
+
+// IsConfiguration reports whether objects of the kind are part of the configuration.
+func IsConfiguration(kind string) bool {
+	switch kind {
+	case Customers, Keys, Services, Routes, Models, Endpoints, Sheets, Witnesses:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/afobject/write.go
@@ -0,0 +1,66 @@
+package afobject
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"reflect"
+)
+
+// writeAttempts bounds how often Write sends the same conditional write.
+const writeAttempts = 3
+
+// Write creates the object if its Version is zero and updates it otherwise. A lost answer is resolved by
+// reading back: the write took effect if the object has a newer version and the same content. Where it matters
+// who wrote, the content must name the writer.
+//
+// While the object is unchanged, the write is sent again: it is conditional, so that it takes effect at most
+// once. Conflict then also covers a write that took effect and was overwritten by another writer. Write fails
+// with Unknown only if the platform cannot be read.
+func (c *Client) Write(ctx context.Context, o Object) (Object, error) {
+	var err error
+	for attempt := range writeAttempts {
+		var written Object
+		if o.Version == 0 {
+			written, err = c.Create(ctx, o)
+		} else {
+			written, err = c.Update(ctx, o)
+		}
+		if err == nil {
+			return written, nil
+		}
+		// A conflict after a lost answer may come from the lost write itself.
+		if !IsKind(err, Unknown) && (attempt == 0 || !IsKind(err, Conflict)) {
+			return Object{}, err
+		}
+		found, readErr := c.Get(ctx, o.Kind, o.Name)
+		switch {
+		case readErr == nil && found.Version > o.Version && sameSpec(found.Spec, o.Spec):
+			return found, nil
+		case readErr == nil && found.Version != o.Version,
+			IsKind(readErr, NotFound) && o.Version != 0:
+			return Object{}, &Error{Op: "write", Object: o.Kind + "/" + o.Name, Kind: Conflict}
+		case readErr != nil && !IsKind(readErr, NotFound):
+			return Object{}, err
+		}
+	}
+	return Object{}, err
+}
+
+// sameSpec compares the values, since the platform may store another textual form.
+func sameSpec(a, b json.RawMessage) bool {
+	if bytes.Equal(a, b) {
+		return true
+	}
+	x, errX := decodeSpec(a)
+	y, errY := decodeSpec(b)
+	return errX == nil && errY == nil && reflect.DeepEqual(x, y)
+}
+
+func decodeSpec(b json.RawMessage) (any, error) {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.UseNumber()
+	var v any
+	err := d.Decode(&v)
+	return v, err
+}
