afsync: keep the configuration current over watches and peers

The daemon needs a configuration that is in force everywhere within seconds and never reverts, also during a platform outage.

afconfig gets the evidence table, the freshness rule, deltas between versions and the next witness set; afmember the membership view and the rendezvous choices; afpeer the links between VMs; afsync joins them to the platform.

Each VM dials its own link to each neighbour and asks for heartbeats on it, so that each side finds out by itself whether the other answers and the age of evidence counts from its own request. One shared link per pair was ruled out: it saves half the heartbeats, but the age then needs a second exchange.

Evidence above the VM's own version does not end older evidence. Ending it at once was ruled out: each change would make all VMs refuse requests until they have pulled it.

A VM vouches only once it has been fresh, and Confirm asks a majority twice and counts only incarnations that answered both times. Otherwise a witness could acknowledge a change, start again, catch up with less and vouch for that.

Tests: go test -race ./internal/... ./pkg/...

--- /dev/null
+++ b/internal/afpeer/beat.go
@@ -0,0 +1,139 @@
+package afpeer
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afframe"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+)
+
+const (
+	beatPeriod = 500 * time.Millisecond
+	// maxMissed is the number of unanswered heartbeats after which the VM is checked over a new connection.
+	maxMissed = 3
+)
+
+// hello opens a link and is answered in kind.
+type hello struct {
+	VM      string `msgpack:"vm"`
+	Start   int64  `msgpack:"start"`
+	Address string `msgpack:"address"`
+	Centre  string `msgpack:"centre"`
+	Leaving bool   `msgpack:"leaving,omitempty"`
+}
+
+func (h hello) vm() arbutusfork.VM {
+	return arbutusfork.VM{Name: h.VM, Address: h.Address, Centre: h.Centre}
+}
+
+func (h hello) incarnation() arbutusfork.Incarnation {
+	return arbutusfork.Incarnation{VM: h.VM, Start: h.Start}
+}
+
+// beatRequest asks for a beat. Its answer echoes the number of the frame, so that the age of what the answer
+// says counts from the request.
+type beatRequest struct {
+	Leaving bool `msgpack:"leaving,omitempty"`
+}
+
+type beatAnswer struct {
+	Version  int64            `msgpack:"version"`
+	Epoch    int64            `msgpack:"epoch"`
+	Vouching bool             `msgpack:"vouching,omitempty"`
+	Leaving  bool             `msgpack:"leaving,omitempty"`
+	Evidence []beatEvidence   `msgpack:"evidence,omitempty"`
+	Digests  map[string]int64 `msgpack:"digests,omitempty"`
+}
+
+type beatEvidence struct {
+	Witness string `msgpack:"witness"`
+	Start   int64  `msgpack:"start"`
+	Version int64  `msgpack:"version"`
+	Epoch   int64  `msgpack:"epoch"`
+	// Age is the time since the witness was asked, when the answer was sent.
+	Age time.Duration `msgpack:"age"`
+}
+
+func (s *Service) hello() hello {
+	return hello{
+		VM: s.Self.VM, Start: s.Self.Start, Address: s.address, Centre: s.Centre, Leaving: s.leaving.Load(),
+	}
+}
+
+// greet answers a hello and takes note of the VM that sent it.
+func (s *Service) greet(l *link, body []byte) hello {
+	var h hello
+	if err := msgpack.Unmarshal(body, &h); err != nil || h.VM == "" {
+		s.log().Warn("malformed hello", "error", err)
+		return s.hello()
+	}
+	from := h.incarnation()
+	l.from.Store(&from)
+	if h.VM != s.Self.VM {
+		s.events.Push(func() { s.met(h) })
+	}
+	return s.hello()
+}
+
+// beat answers a heartbeat.
+func (s *Service) beat(from arbutusfork.Incarnation, body []byte) beatAnswer {
+	var in beatRequest
+	if err := msgpack.Unmarshal(body, &in); err == nil && in.Leaving {
+		s.events.Push(func() { s.left(from.VM) })
+	}
+	out := beatAnswer{Leaving: s.leaving.Load()}
+	if s.Report != nil {
+		now := s.Timer.Now()
+		r := s.Report(now)
+		out.Version, out.Epoch, out.Vouching = r.Version, r.Epoch, r.Vouching
+		for _, e := range r.Evidence {
+			out.Evidence = append(out.Evidence, beatEvidence{e.Witness, e.Start, e.Version, e.Epoch, now.Sub(e.Sent)})
+		}
+	}
+	if s.Digests != nil {
+		out.Digests = s.Digests()
+	}
+	return out
+}
+
+// sendBeat asks the VM behind a link for its heartbeat.
+func (s *Service) sendBeat(p *peer) {
+	l, sent := p.link, s.Timer.Now()
+	body, _ := msgpack.Marshal(beatRequest{Leaving: s.leaving.Load()}) // A plain struct can always be encoded.
+	p.missed++
+	l.request(kindBeat, body, func(f afframe.Frame, err error) {
+		var a beatAnswer
+		if err != nil || f.Kind != kindBeat || msgpack.Unmarshal(f.Body, &a) != nil {
+			return
+		}
+		s.heard(*l.from.Load(), sent, a)
+		s.events.Push(func() { s.answered(p, l, a.Leaving) })
+	})
+}
+
+// heard passes on what a heartbeat says. Its age counts from when it was asked for.
+func (s *Service) heard(from arbutusfork.Incarnation, sent time.Time, a beatAnswer) {
+	if s.Heard != nil {
+		r := Report{Version: a.Version, Epoch: a.Epoch, Vouching: a.Vouching}
+		for _, e := range a.Evidence {
+			r.Evidence = append(r.Evidence, afconfig.Evidence{
+				Witness: e.Witness, Start: e.Start, Version: e.Version, Epoch: e.Epoch, Sent: sent.Add(-e.Age),
+			})
+		}
+		s.Heard(from, sent, r)
+	}
+	if s.Learn != nil && len(a.Digests) > 0 {
+		s.Learn(from, a.Digests)
+	}
+}
+
+func (s *Service) observe(p *peer) {
+	s.view = s.view.WithObservation(afmember.Observation{
+		VM: p.vm, Alive: p.alive, Suspected: p.suspected, Leaving: p.leaving,
+	})
+	s.changed()
+}
--- /dev/null
+++ b/internal/afpeer/service.go
@@ -0,0 +1,310 @@
+// Package afpeer keeps the links between VMs: messages, calls, heartbeats and the membership that follows.
+package afpeer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afframe"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afring"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	eventQueue = 1024
+	// acceptedIdle is how long a link that another VM dialled may stay silent. The other VM sends heartbeats on
+	// it; one that died without closing it would leave it open for good.
+	acceptedIdle = 30 * time.Second
+)
+
+// Report is what a VM tells others in its heartbeats about its configuration.
+type Report struct {
+	// Version and Epoch are the configuration version and the witness epoch that the VM holds.
+	Version, Epoch int64
+	// Vouching means that the report counts as evidence.
+	Vouching bool
+	// Evidence is what the VM knows about the witnesses, with Sent on its own clock.
+	Evidence []afconfig.Evidence
+}
+
+// Handler takes a message from another VM and returns the answer, which is sent only to a Call. It runs on the
+// goroutine of the link, after the messages that the VM sent before.
+type Handler func(from arbutusfork.Incarnation, body []byte) (any, error)
+
+// Service holds one dialled link to each neighbour and answers on the links that others dialled, so that each
+// side finds out by itself whether the other one answers. Set the fields before Run.
+type Service struct {
+	Self arbutusfork.Incarnation
+	// Address is the IP address and port to listen on. Other VMs must reach it under this address unless
+	// Advertise is set.
+	Address string
+	// Advertise is the address that is told to other VMs. Empty means the bound address.
+	Advertise string
+	Centre    string
+	// Seeds are addresses of VMs to connect to without the platform's list.
+	Seeds []string
+	Timer *aftimer.Service
+	// Log receives the service's log lines. Nil means slog.Default.
+	Log *slog.Logger
+	// Transport opens connections. The zero value means TCP.
+	Transport Transport
+
+	// Report returns what to tell others about the configuration. It must not block.
+	Report func(now time.Time) Report
+	// Heard is called with the report of another VM and the moment when it was asked for. It must not block.
+	Heard func(from arbutusfork.Incarnation, sent time.Time, r Report)
+	// Digests returns the versions of the shards that this VM knows. It must not block.
+	Digests func() map[string]int64
+	// Learn is called with the digests of another VM. It must not block.
+	Learn func(from arbutusfork.Incarnation, digests map[string]int64)
+	// Changed is called after each change of the membership. It must not block.
+	Changed func(afmember.View)
+
+	once     sync.Once
+	ctx      context.Context
+	events   *afring.Ring[func()]
+	handlers map[string]Handler
+	shared   atomic.Pointer[shared]
+	leaving  atomic.Bool
+	stats    counters
+	ready    chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	peers   map[string]*peer
+	seeds   map[string]*seed
+	view    afmember.View
+	address string
+}
+
+// shared is what other goroutines see of the service. It is immutable.
+type shared struct {
+	view  afmember.View
+	links map[string]*link
+}
+
+type counters struct {
+	messagesIn, messagesOut, bytesIn, bytesOut atomic.Int64
+}
+
+// Stats counts messages and bytes since the start.
+type Stats struct {
+	MessagesIn, MessagesOut int64
+	BytesIn, BytesOut       int64
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		s.events = afring.New[func()](eventQueue)
+		s.handlers = make(map[string]Handler)
+		s.peers = make(map[string]*peer)
+		s.seeds = make(map[string]*seed)
+		s.ready = make(chan struct{})
+		s.view = afmember.New(arbutusfork.VM{Name: s.Self.VM, Address: s.Address, Centre: s.Centre})
+		s.shared.Store(&shared{view: s.view})
+	})
+}
+
+func (s *Service) log() *slog.Logger {
+	if s.Log != nil {
+		return s.Log
+	}
+	return slog.Default()
+}
+
+// Handle sets the handler for a kind of message. It must be called before Run.
+func (s *Service) Handle(kind string, h Handler) {
+	s.init()
+	s.handlers[kind] = h
+}
+
+// Run listens and keeps the links until ctx ends. It fails with Listening.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	s.ctx = ctx
+	if s.Transport.Listen == nil {
+		s.Transport = NewTransport()
+	}
+	bound, stop, err := s.Transport.Listen(s.Address, s.accept)
+	if err != nil {
+		return &Error{Op: "listen", VM: s.Self.VM, Kind: Listening, Err: err}
+	}
+	defer stop()
+	s.address = bound
+	if s.Advertise != "" {
+		s.address = s.Advertise
+	}
+	s.view = s.view.WithSelf(arbutusfork.VM{Name: s.Self.VM, Address: s.address, Centre: s.Centre})
+	s.publish()
+	close(s.ready)
+	tick := s.Timer.Every(beatPeriod, func(now time.Time) { s.events.Push(func() { s.tick(now) }) })
+	defer tick.Stop()
+	s.tick(s.Timer.Now())
+	s.events.Drain(ctx, func(fn func()) { fn() })
+	for _, p := range s.peers {
+		if p.link != nil {
+			p.link.close()
+		}
+	}
+	return nil
+}
+
+// Ready returns a channel that is closed once the service listens.
+func (s *Service) Ready() <-chan struct{} {
+	s.init()
+	return s.ready
+}
+
+// accept takes a connection that another VM opened.
+func (s *Service) accept(conn *Conn) {
+	<-s.ready
+	l := s.newLink(conn)
+	go func() {
+		check := s.Timer.Every(acceptedIdle, func(time.Time) {
+			if l.frames.Swap(0) == 0 {
+				l.close()
+			}
+		})
+		defer check.Stop()
+		l.serve()
+	}()
+}
+
+func (s *Service) publish() {
+	links := make(map[string]*link, len(s.peers))
+	for name, p := range s.peers {
+		if p.link != nil {
+			links[name] = p.link
+		}
+	}
+	s.shared.Store(&shared{view: s.view, links: links})
+}
+
+func (s *Service) changed() {
+	s.publish()
+	if s.Changed != nil {
+		s.Changed(s.view)
+	}
+}
+
+// Members returns the live VMs, this one included, in order of name.
+func (s *Service) Members() []arbutusfork.VM { return s.View().Live() }
+
+// View returns the membership as this VM sees it.
+func (s *Service) View() afmember.View {
+	s.init()
+	return s.shared.Load().view
+}
+
+// SetVMs takes an answer of the platform's list of VMs.
+func (s *Service) SetVMs(vms []arbutusfork.VM) {
+	s.init()
+	s.events.Push(func() {
+		s.view = s.view.WithList(vms)
+		s.changed()
+	})
+}
+
+// Leave tells the other VMs that this one stops.
+func (s *Service) Leave() {
+	s.init()
+	s.leaving.Store(true)
+	s.events.Push(func() {
+		s.view = s.view.WithSelf(arbutusfork.VM{
+			Name: s.Self.VM, Address: s.address, Centre: s.Centre, State: arbutusfork.VMLeaving,
+		})
+		s.changed()
+		for _, p := range s.peers {
+			if p.link != nil {
+				s.sendBeat(p)
+			}
+		}
+	})
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{
+		MessagesIn: s.stats.messagesIn.Load(), MessagesOut: s.stats.messagesOut.Load(),
+		BytesIn: s.stats.bytesIn.Load(), BytesOut: s.stats.bytesOut.Load(),
+	}
+}
+
+// Send queues a message to a VM. Without a link to it, one is opened and the message follows. A nil error does
+// not mean that the message arrives. It fails with Malformed, or with Unreachable if too many messages wait.
+func (s *Service) Send(vm, kind string, message any) error {
+	s.init()
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return &Error{Op: "send", VM: vm, Kind: Malformed, Err: err}
+	}
+	f := afframe.Frame{Kind: kind, Body: body}
+	if l := s.shared.Load().links[vm]; l != nil && l.alive() {
+		if err := l.write(f); err != nil {
+			l.close()
+			return &Error{Op: "send", VM: vm, Kind: Unreachable, Err: err}
+		}
+		return nil
+	}
+	if !s.events.Push(func() { s.queue(vm, f) }) {
+		return &Error{Op: "send", VM: vm, Kind: Unreachable, Err: errors.New("too many messages wait")}
+	}
+	return nil
+}
+
+// Call sends a message to a VM and decodes the answer into answer unless it is nil. Without a link to the VM it
+// waits for one until ctx ends. It fails with Unreachable, Broken, Refused or Malformed.
+func (s *Service) Call(ctx context.Context, vm, kind string, message, answer any) error {
+	s.init()
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return &Error{Op: "call", VM: vm, Kind: Malformed, Err: err}
+	}
+	l, err := s.connected(ctx, vm)
+	if err != nil {
+		return &Error{Op: "call", VM: vm, Kind: Unreachable, Err: err}
+	}
+	f, err := l.call(ctx, kind, body)
+	if err != nil {
+		return &Error{Op: "call", VM: vm, Kind: Broken, Err: err}
+	}
+	if f.Kind == kindError {
+		var text string
+		_ = msgpack.Unmarshal(f.Body, &text) // Without a text the kind still says it.
+		return &Error{Op: "call", VM: vm, Kind: Refused, Err: errors.New(text)}
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := msgpack.Unmarshal(f.Body, answer); err != nil {
+		return &Error{Op: "call", VM: vm, Kind: Malformed, Err: err}
+	}
+	return nil
+}
+
+func (s *Service) connected(ctx context.Context, vm string) (*link, error) {
+	if l := s.shared.Load().links[vm]; l != nil && l.alive() {
+		return l, nil
+	}
+	found := make(chan *link, 1)
+	if !s.events.Wait(ctx, func() { s.await(vm, found) }) {
+		return nil, ctx.Err()
+	}
+	select {
+	case l := <-found:
+		if l == nil {
+			return nil, errors.New("no connection")
+		}
+		return l, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/afpeer/tcp_test.go
@@ -0,0 +1,57 @@
+package afpeer_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// TestCallOverTCP guards against a transport that loses, mixes up or never delivers messages on real sockets.
+func TestCallOverTCP(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	start := func(name string, seeds ...string) (*afpeer.Service, chan afmember.View) {
+		views := make(chan afmember.View, 100)
+		s := &afpeer.Service{
+			Self: arbutusfork.Incarnation{VM: name, Start: 1}, Address: "127.0.0.1:0", Seeds: seeds,
+			Timer: new(aftimer.Service), Log: slog.New(slog.DiscardHandler),
+			Changed: func(v afmember.View) { views <- v },
+		}
+		s.Handle("double", func(from arbutusfork.Incarnation, body []byte) (any, error) {
+			var n int
+			err := msgpack.Unmarshal(body, &n)
+			return map[string]int{from.VM: 2 * n}, err
+		})
+		running.Go(func() { require.NoError(t, s.Run(ctx)) })
+		<-s.Ready()
+		return s, views
+	}
+	a, _ := start("a")
+	b, views := start("b", a.Members()[0].Address)
+	for found := 1; found < 2; { // Ends when b has found a through its seed.
+		found = len((<-views).Live())
+	}
+	var calls sync.WaitGroup
+	for n := range 100 {
+		calls.Go(func() {
+			var answer map[string]int
+			require.NoError(t, b.Call(ctx, "a", "double", n, &answer))
+			require.Equal(t, map[string]int{"b": 2 * n}, answer)
+		})
+	}
+	calls.Wait()
+	require.True(t, afpeer.IsKind(b.Call(ctx, "a", "other", 1, nil), afpeer.Refused))
+	require.True(t, afpeer.IsKind(b.Call(ctx, "c", "double", 1, nil), afpeer.Unreachable))
+	require.GreaterOrEqual(t, b.Stats().MessagesOut, int64(100))
+}
--- /dev/null
+++ b/internal/afsync/confirm.go
@@ -0,0 +1,186 @@
+package afsync
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+const (
+	kindHold = "hold"
+	// holdPeriod is the time between two rounds of questions to witnesses that lag behind.
+	holdPeriod = 100 * time.Millisecond
+	// holdTimeout bounds one question, so that a witness that does not answer delays nothing.
+	holdTimeout    = time.Second
+	confirmTimeout = 5 * time.Second
+
+	witnessKey = "witnesses"
+)
+
+// hold asks a witness whether it holds a version.
+type hold struct {
+	Version int64 `msgpack:"version"`
+}
+
+type holdAnswer struct {
+	Start   int64 `msgpack:"start"`
+	Version int64 `msgpack:"version"`
+}
+
+// serveHold answers with the version that this VM holds. If it is behind, it pulls from the VM that asks.
+func (s *Service) serveHold(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var in hold
+	if err := msgpack.Unmarshal(body, &in); err != nil {
+		return nil, &Error{Op: "hold", Kind: Malformed, Err: err}
+	}
+	version := s.Version()
+	if version < in.Version {
+		s.events.Push(func() {
+			if s.Version() < in.Version {
+				s.pull(from.VM)
+			}
+		})
+	}
+	return holdAnswer{Start: s.Self.Start, Version: version}, nil
+}
+
+// Confirm waits until a majority of the witnesses holds the version. It fails with Unconfirmed when ctx ends.
+//
+// The majority is asked twice, and the second answers must come from the incarnations that gave the first ones.
+// So there is a moment at which all of them held the version, and a witness that starts again afterwards learns
+// it from the others before it gives evidence. With one round, a witness could acknowledge, start again and
+// catch up with less from witnesses that acknowledge only later.
+func (s *Service) Confirm(ctx context.Context, version int64) error {
+	for {
+		raised := s.wait()
+		snapshot := s.Snapshot()
+		if snapshot.Version >= version {
+			set := snapshot.Witnesses()
+			first := s.askWitnesses(ctx, set, version, nil)
+			if len(first) >= set.Majority() {
+				second := s.askWitnesses(ctx, set, version, first)
+				if len(second) >= set.Majority() {
+					return nil
+				}
+			}
+		}
+		pause := make(chan struct{})
+		sub := s.Timer.After(holdPeriod, func(time.Time) { close(pause) })
+		select {
+		case <-pause:
+		case <-raised:
+		case <-ctx.Done():
+			sub.Stop()
+			return &Error{Op: "confirm", Kind: Unconfirmed, Err: ctx.Err()}
+		}
+		sub.Stop()
+	}
+}
+
+// askWitnesses returns the starts of the witnesses that hold the version, and of those in before only if they
+// have not started again. It returns when a majority has answered so or all have answered.
+func (s *Service) askWitnesses(ctx context.Context, set afconfig.WitnessSet, version int64, before map[string]int64) map[string]int64 {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	type ack struct {
+		vm     string
+		answer holdAnswer
+		err    error
+	}
+	acks := make(chan ack, len(set.VMs))
+	asked := 0
+	for _, vm := range set.VMs {
+		if _, ok := before[vm]; before != nil && !ok {
+			continue
+		}
+		asked++
+		if vm == s.Self.VM {
+			acks <- ack{vm: vm, answer: holdAnswer{Start: s.Self.Start, Version: s.Version()}}
+			continue
+		}
+		go func() {
+			a := ack{vm: vm}
+			a.err = s.Call(ctx, vm, kindHold, hold{Version: version}, &a.answer)
+			acks <- a
+		}()
+	}
+	held := make(map[string]int64)
+	for range asked {
+		a := <-acks
+		if a.err != nil || a.answer.Version < version {
+			continue
+		}
+		if start, ok := before[a.vm]; ok && start != a.answer.Start {
+			continue
+		}
+		held[a.vm] = a.answer.Start
+		if len(held) >= set.Majority() {
+			break
+		}
+	}
+	return held
+}
+
+// maintain changes the witness set by one member if the platform's list of VMs calls for it. It runs on one VM,
+// the home of the set; should two VMs believe that they are it, the conditional update lets one of them win.
+func (s *Service) maintain() {
+	home, ok := s.View().Home(witnessKey)
+	if !ok || home.Name != s.Self.VM || s.maintaining || s.vms == nil || !s.evidence.Load().Fresh(s.Timer.Now()) {
+		return
+	}
+	snapshot := s.Snapshot()
+	set := snapshot.Witnesses()
+	next, changed := set.Next(s.vms)
+	if !changed {
+		return
+	}
+	s.maintaining = true
+	version := snapshot.ObjectVersion(afobject.Witnesses, afconfig.CurrentName)
+	confirm := s.mustConfirm(set, s.vms)
+	go func() {
+		err := s.replaceWitnesses(next, version, confirm)
+		s.events.Wait(s.ctx, func() {
+			s.maintaining = false
+			s.log().Info("witness set changed",
+				"epoch", next.Epoch, "witnesses", next.VMs, "before", set.VMs, "error", err)
+		})
+	}()
+}
+
+// mustConfirm reports whether the set can still confirm its successor. A set that has lost its majority for
+// good cannot, and nobody relies on it.
+func (s *Service) mustConfirm(set afconfig.WitnessSet, vms []arbutusfork.VM) bool {
+	present := 0
+	for _, vm := range vms {
+		if slices.Contains(set.VMs, vm.Name) {
+			present++
+		}
+	}
+	return len(set.VMs) > 0 && present >= set.Majority()
+}
+
+func (s *Service) replaceWitnesses(next afconfig.WitnessSet, version int64, confirm bool) error {
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	if confirm {
+		// The set may change only after its own majority holds it, so that no reader relies on an older one.
+		if err := s.Confirm(ctx, version); err != nil {
+			return err
+		}
+	}
+	spec, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	_, err = s.Client.Write(ctx, afobject.Object{
+		Kind: afobject.Witnesses, Name: afconfig.CurrentName, Version: version, Spec: spec,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/afsync/service.go
@@ -0,0 +1,220 @@
+// Package afsync keeps the configuration snapshot of one VM current and tells whether the VM may rely on it.
+package afsync
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/pkg/afconfig"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afring"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	eventQueue  = 1024
+	probePeriod = time.Second
+	// listPeriod is the interval at which each VM reads the platform's list of VMs.
+	listPeriod = 5 * time.Second
+	// witnessPeriod is the interval at which the responsible VM looks at the witness set.
+	witnessPeriod = 2 * time.Second
+	// standIn is how long a VM that lost its peer evidence keeps watching the platform by itself.
+	standIn = 10 * time.Second
+)
+
+// Service watches the platform if this VM is a watcher, pulls changes from peers otherwise, and keeps the
+// evidence that the snapshot is current. Set the fields before Run.
+type Service struct {
+	Self arbutusfork.Incarnation
+	// Client calls the platform.
+	Client *afobject.Client
+	Timer  *aftimer.Service
+	// Log receives the service's log lines. Nil means slog.Default.
+	Log *slog.Logger
+
+	// Call sends a message to another VM and decodes the answer.
+	Call func(ctx context.Context, vm, kind string, message, answer any) error
+	// View returns the membership.
+	View func() afmember.View
+	// SetVMs passes on the platform's list of VMs.
+	SetVMs func([]arbutusfork.VM)
+
+	once     sync.Once
+	ctx      context.Context
+	events   *afring.Ring[func()]
+	snapshot atomic.Pointer[afconfig.Snapshot]
+	evidence atomic.Pointer[afconfig.View]
+
+	mu          sync.Mutex
+	subscribers []func(*afconfig.Snapshot)
+	raised      chan struct{} // raised is closed when the version rises.
+
+	// The fields below belong to the goroutine of Run.
+	watch       *watch
+	retry       time.Time // retry is when the next watch may be opened.
+	backoff     time.Duration
+	lag         time.Duration // lag is how long a watch may stay behind. Zero means minLag.
+	probes      int           // probes is the number of probes under way.
+	standUntil  time.Time     // standUntil is until when the VM watches although it is no watcher.
+	pulling     bool
+	listing     bool
+	maintaining bool
+	vms         []arbutusfork.VM // vms is the platform's list, nil until it has been read.
+}
+
+// Attach joins the service and the links between VMs. It must be called before either runs.
+func (s *Service) Attach(p *afpeer.Service) {
+	s.Call, s.View, s.SetVMs = p.Call, p.View, p.SetVMs
+	p.Report, p.Heard = s.Report, s.Heard
+	p.Handle(kindPull, s.servePull)
+	p.Handle(kindHold, s.serveHold)
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		s.events = afring.New[func()](eventQueue)
+		s.raised = make(chan struct{})
+		s.snapshot.Store(new(afconfig.Snapshot))
+		s.evidence.Store(&afconfig.View{Self: s.Self.VM, Start: s.Timer.Now()})
+	})
+}
+
+func (s *Service) log() *slog.Logger {
+	if s.Log != nil {
+		return s.Log
+	}
+	return slog.Default()
+}
+
+// Snapshot returns the configuration that this VM holds. It may be out of date unless Fresh says otherwise.
+func (s *Service) Snapshot() *afconfig.Snapshot {
+	s.init()
+	return s.snapshot.Load()
+}
+
+// Version returns the version of the configuration that this VM holds. It never falls.
+func (s *Service) Version() int64 { return s.Snapshot().Version }
+
+// Fresh reports whether this VM may rely on its configuration at the moment now of the timer service.
+func (s *Service) Fresh(now time.Time) bool {
+	s.init()
+	return s.evidence.Load().Fresh(now)
+}
+
+// Subscribe calls fn after each change of the snapshot, one call at a time. fn must not block.
+func (s *Service) Subscribe(fn func(*afconfig.Snapshot)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, fn)
+}
+
+// Run keeps the snapshot current until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	s.ctx = ctx
+	for _, duty := range []struct {
+		period time.Duration
+		fn     func(now time.Time)
+	}{
+		{probePeriod, s.tick},
+		{listPeriod, func(time.Time) { s.listVMs() }},
+		{witnessPeriod, func(time.Time) { s.maintain() }},
+	} {
+		sub := s.Timer.Every(duty.period, func(now time.Time) { s.events.Push(func() { duty.fn(now) }) })
+		defer sub.Stop()
+	}
+	s.listVMs()
+	s.tick(s.Timer.Now())
+	s.events.Drain(ctx, func(fn func()) { fn() })
+	s.closeWatch()
+	return nil
+}
+
+// tick sees to the watch and the probe.
+func (s *Service) tick(now time.Time) {
+	watches := s.View().Watches()
+	if watches || !s.evidence.Load().Fresh(now) {
+		s.standUntil = now.Add(standIn)
+	}
+	if !watches && now.After(s.standUntil) {
+		s.closeWatch()
+		return
+	}
+	s.probe()
+	s.checkWatch(now)
+}
+
+// apply merges a change into the snapshot and the evidence.
+func (s *Service) apply(d afconfig.Delta, source string) {
+	old := s.snapshot.Load()
+	next, err := old.Merge(d)
+	if err != nil {
+		s.log().Error("malformed configuration object counts as deleted", "source", source, "error", err)
+	}
+	if next == old {
+		return
+	}
+	s.snapshot.Store(next)
+	s.updateEvidence(func(v afconfig.View) afconfig.View { return v.WithSnapshot(next) })
+	s.log().Info("configuration changed",
+		"version", next.Version, "before", old.Version, "objects", len(d.Objects), "source", source)
+	s.mu.Lock()
+	subscribers := s.subscribers
+	close(s.raised)
+	s.raised = make(chan struct{})
+	s.mu.Unlock()
+	for _, fn := range subscribers {
+		fn(next)
+	}
+}
+
+// updateEvidence replaces the view of the evidence and logs when freshness begins or ends.
+func (s *Service) updateEvidence(fn func(afconfig.View) afconfig.View) {
+	now := s.Timer.Now()
+	old := s.evidence.Load()
+	next := fn(*old).Settle(now)
+	s.evidence.Store(&next)
+	if before, after := old.Fresh(now), next.Fresh(now); before != after {
+		s.log().Info("configuration freshness changed", "fresh", after, "version", next.Version())
+	}
+}
+
+// wait returns a channel that is closed when the version next rises.
+func (s *Service) wait() <-chan struct{} {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.raised
+}
+
+// Report returns what other VMs may know about this one's configuration.
+func (s *Service) Report(now time.Time) afpeer.Report {
+	s.init()
+	v := s.evidence.Load()
+	r := afpeer.Report{Version: v.Version(), Epoch: v.Witnesses().Epoch, Vouching: v.Vouching()}
+	r.Evidence = v.Evidence(now)
+	return r
+}
+
+// Heard takes another VM's report, which was asked for at the moment sent.
+func (s *Service) Heard(from arbutusfork.Incarnation, sent time.Time, r afpeer.Report) {
+	s.init()
+	s.events.Push(func() {
+		evidence := r.Evidence
+		if r.Vouching {
+			evidence = append(evidence, afconfig.Evidence{
+				Witness: from.VM, Start: from.Start, Version: r.Version, Epoch: r.Epoch, Sent: sent,
+			})
+		}
+		s.updateEvidence(func(v afconfig.View) afconfig.View { return v.WithEvidence(evidence...) })
+		if r.Version > s.Version() {
+			s.pull(from.VM)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/afconfig/evidence.go
@@ -0,0 +1,188 @@
+package afconfig
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// EvidenceAge is the age up to which evidence counts. A change is in force within 5 s if evidence from before
+// its acceptance ends 2 s earlier, which leaves time to end open streams.
+const EvidenceAge = 3 * time.Second
+
+// Evidence is what one witness held at one moment.
+type Evidence struct {
+	Witness string
+	// Start tells the incarnations of a witness apart. A witness that starts again has lost its memory.
+	Start int64
+	// Version is the configuration version that the witness held, and Epoch its witness set's.
+	Version int64
+	Epoch   int64
+	// Sent is a moment on the reader's clock that is not later than the one at which the witness answered.
+	Sent time.Time
+}
+
+// Probe is the platform's answer to a version probe.
+type Probe struct {
+	Version int64
+	// Sent is when the probe was sent, on the reader's clock.
+	Sent time.Time
+}
+
+// View is all that one VM knows about how current its configuration is. It is immutable; methods return changed
+// copies.
+//
+// Evidence above the VM's own version does not replace older evidence that still counts: until that is too
+// old, no change that the VM lacks can have been accepted for longer than the evidence age.
+type View struct {
+	// Self is the VM's name, and Start a moment on its clock before it learnt anything.
+	Self  string
+	Start time.Time
+
+	version   int64
+	witnesses WitnessSet
+	vouching  bool
+	probe     claim[Probe]
+	evidence  map[string]claim[Evidence]
+
+	// minority accepts evidence of any witness. Only tests set it, to show that the majority is needed.
+	minority bool
+}
+
+// claim holds the latest answer that the VM's own version covers, and the latest one at all.
+type claim[T any] struct {
+	covered, latest T
+}
+
+// Version returns the version that the VM holds.
+func (v View) Version() int64 { return v.version }
+
+// WithSnapshot returns the view of a VM that holds the snapshot. An older snapshot changes nothing.
+func (v View) WithSnapshot(s *Snapshot) View {
+	if s.Version < v.version {
+		return v
+	}
+	v.version, v.witnesses = s.Version, s.Witnesses()
+	v.probe = v.promoteProbe(v.probe)
+	old := v.evidence
+	v.evidence = make(map[string]claim[Evidence], len(old))
+	for name, c := range old {
+		if slices.Contains(v.witnesses.VMs, name) {
+			v.evidence[name] = v.promote(c)
+		}
+	}
+	return v
+}
+
+// WithProbe returns the view after an answered probe.
+func (v View) WithProbe(p Probe) View {
+	if p.Sent.Before(v.probe.latest.Sent) {
+		return v
+	}
+	v.probe.latest = p
+	v.probe = v.promoteProbe(v.probe)
+	return v
+}
+
+// WithEvidence returns the view after more evidence. Evidence from before the VM's start does not count, since
+// it may precede an acknowledgement that the VM itself gave before it started again.
+func (v View) WithEvidence(list ...Evidence) View {
+	v.evidence = maps.Clone(v.evidence)
+	if v.evidence == nil {
+		v.evidence = make(map[string]claim[Evidence])
+	}
+	for _, e := range list {
+		c := v.evidence[e.Witness]
+		if e.Sent.Before(v.Start) || e.Sent.Before(c.latest.Sent) {
+			continue
+		}
+		if e.Start == c.latest.Start {
+			// A witness never lowers its version, but relayed evidence may arrive late.
+			e.Version = max(e.Version, c.latest.Version)
+			e.Epoch = max(e.Epoch, c.latest.Epoch)
+		}
+		c.latest = e
+		v.evidence[e.Witness] = v.promote(c)
+	}
+	return v
+}
+
+func (v View) promoteProbe(c claim[Probe]) claim[Probe] {
+	if c.latest.Version <= v.version {
+		c.covered = c.latest
+	}
+	return c
+}
+
+func (v View) promote(c claim[Evidence]) claim[Evidence] {
+	if c.latest.Version <= v.version && c.latest.Epoch <= v.witnesses.Epoch {
+		c.covered = c.latest
+	}
+	return c
+}
+
+// Fresh reports whether the VM may rely on its configuration at the moment now.
+func (v View) Fresh(now time.Time) bool { return v.probed(now) || v.witnessed(now) }
+
+func (v View) probed(now time.Time) bool {
+	return !v.probe.covered.Sent.IsZero() && now.Sub(v.probe.covered.Sent) <= EvidenceAge
+}
+
+func (v View) witnessed(now time.Time) bool {
+	n := 0
+	for _, name := range v.witnesses.VMs {
+		if name == v.Self {
+			if v.vouching {
+				n++
+			}
+			continue
+		}
+		c, ok := v.evidence[name]
+		if ok && !c.covered.Sent.IsZero() && now.Sub(c.covered.Sent) <= EvidenceAge {
+			n++
+		}
+	}
+	if v.minority {
+		return n > 0
+	}
+	return n >= v.witnesses.Majority()
+}
+
+// Majority returns the number of members that is a majority. An empty set has none: the result is out of reach.
+func (w WitnessSet) Majority() int { return len(w.VMs)/2 + 1 }
+
+// Settle returns a view that may vouch if the VM is fresh. From then on the VM holds every version that an
+// earlier incarnation of it has acknowledged, so that it may give evidence and count itself.
+func (v View) Settle(now time.Time) View {
+	v.vouching = v.vouching || v.Fresh(now)
+	return v
+}
+
+// Vouching reports whether the VM may give evidence.
+func (v View) Vouching() bool { return v.vouching }
+
+// Witnesses returns the witness set that the VM knows.
+func (v View) Witnesses() WitnessSet { return v.witnesses }
+
+// Evidence returns the latest evidence of the witnesses that still counts at now, in order of name.
+func (v View) Evidence(now time.Time) []Evidence {
+	var out []Evidence
+	for _, name := range slices.Sorted(maps.Keys(v.evidence)) {
+		e := v.evidence[name].latest
+		if now.Sub(e.Sent) <= EvidenceAge {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Ahead returns the witness that holds the highest version above the VM's own, if there is one.
+func (v View) Ahead(now time.Time) (Evidence, bool) {
+	best := Evidence{Version: v.version}
+	for _, e := range v.Evidence(now) {
+		if e.Version > best.Version {
+			best = e
+		}
+	}
+	return best, best.Witness != ""
+}
--- a/pkg/afconfig/snapshot.go
+++ b/pkg/afconfig/snapshot.go
@@ -35,8 +35,17 @@
 	sheet     arbutusfork.Sheet
 	witnesses WitnessSet
 	names     map[string]string // names maps a key object's name to its digest.
+
+	// objects holds the raw form of each object. A deleted object stays as a tombstone without Spec.
+	objects map[objectID]afobject.Object
+	// tombstones counts the deleted objects in objects.
+	tombstones int
+	// floor is the lowest version since which every change is known as an object or a tombstone.
+	floor int64
 }
 
+type objectID struct{ kind, name string }
+
 // Customer returns the customer of that name.
 func (s *Snapshot) Customer(name string) (arbutusfork.Customer, bool) {
 	c, ok := s.customers[name]
@@ -110,10 +119,40 @@
 }
 
 // With returns a copy with the changed objects applied. An object whose Spec is nil is deleted. Objects of
-// kinds that are not configuration only raise the version.
+// kinds that are not configuration only raise the version. An object that is older than the one at hand is
+// ignored, so that late and repeated changes do no harm. The error is Malformed; the copy is nil then.
 func (s *Snapshot) With(version int64, objects ...afobject.Object) (*Snapshot, error) {
-	next := *s
+	next, err := s.Apply(version, objects...)
+	if err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// Apply does what With does, but a malformed object does not stop the others: it counts as deleted, so that a
+// withdrawal that cannot be read never leaves the key in force. The error names the last malformed object and
+// the copy is valid in any case.
+func (s *Snapshot) Apply(version int64, objects ...afobject.Object) (*Snapshot, error) {
+	next := s.clone()
 	next.Version = max(s.Version, version)
+	var failed error
+	for _, o := range objects {
+		next.Version = max(next.Version, o.Version)
+		if !afobject.IsConfiguration(o.Kind) || !next.keep(o) {
+			continue
+		}
+		if err := next.apply(o); err != nil {
+			failed = &Error{Op: "apply " + o.Kind + "/" + o.Name, Kind: Malformed, Err: err}
+			o.Spec = nil
+			_ = next.apply(o) // A deletion decodes nothing and cannot fail.
+		}
+	}
+	next.prune()
+	return next, failed
+}
+
+func (s *Snapshot) clone() *Snapshot {
+	next := *s
 	next.customers = maps.Clone(s.customers)
 	next.keys = maps.Clone(s.keys)
 	next.services = maps.Clone(s.services)
@@ -121,13 +160,11 @@
 	next.models = maps.Clone(s.models)
 	next.endpoints = maps.Clone(s.endpoints)
 	next.names = maps.Clone(s.names)
-	for _, o := range objects {
-		next.Version = max(next.Version, o.Version)
-		if err := next.apply(o); err != nil {
-			return nil, &Error{Op: "apply " + o.Kind + "/" + o.Name, Kind: Malformed, Err: err}
-		}
+	next.objects = maps.Clone(s.objects)
+	if next.objects == nil {
+		next.objects = make(map[objectID]afobject.Object)
 	}
-	return &next, nil
+	return &next
 }
 
 func (s *Snapshot) apply(o afobject.Object) error {
