serve: run the whole path as separate processes

Need: the slices had never run together. 'make demo' starts the platform stand-in, the weight store, 9 engines, 3 plain services and 6 daemons, applies the Fuqaa example, and drives it as callers and an operator would.

Before: burst refused after its deadline.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure
+.PHONY: build test generate model measure bench demo demo-umurongo up
 
 build:
 	@mkdir -p $(BIN)
@@ -15,3 +15,18 @@
 
 model:
 	bash spec/check.sh
+
+measure: build
+	$(BIN)/arbutusfork-bench policy
+
+bench: build
+	$(BIN)/arbutusfork-bench latency
+
+demo: build
+	scripts/example.sh demo fuqaa
+
+demo-umurongo: build
+	scripts/example.sh demo umurongo
+
+up: build
+	scripts/example.sh up fuqaa
--- a/cmd/arbutusfork-standin/main.go
+++ b/cmd/arbutusfork-standin/main.go
@@ -23,6 +23,7 @@
 	app := kingpin.New("arbutusfork-standin", "Runs stand-ins for the outside systems.")
 	app.HelpFlag.Short('h')
 	verbs := map[string]runner{}
+	platformVerb(app, verbs)
 	engineVerb(app, verbs)
 	serviceVerb(app, verbs)
 	weightsVerb(app, verbs)
@@ -36,6 +37,15 @@
 	}
 }
 
+func platformVerb(app *kingpin.Application, verbs map[string]runner) {
+	p := &platform{}
+	c := app.Command("platform", "Runs the platform's object API.")
+	c.Flag("address", "Address to listen on.").Required().StringVar(&p.address)
+	c.Flag("lag", "Lag of the list of VMs.").Default("2s").DurationVar(&p.standin.Lag)
+	c.Flag("vms", "VMs as JSON: {NAME: {address, datacentre, state}}.").Default("{}").StringVar(&p.vms)
+	verbs[c.FullCommand()] = p
+}
+
 func engineVerb(app *kingpin.Application, verbs map[string]runner) {
 	e := &afstandin.Engine{Cache: make(map[string]string)}
 	c := app.Command("engine", "Runs a model engine.")
@@ -64,10 +74,39 @@
 	c.Flag("address", "Address to listen on.").Required().StringVar(&s.Address)
 	c.Flag("rate", "Loads that may start per second.").Default("2.5").Float64Var(&s.Rate)
 	c.Flag("parallel", "Loads that run at once at full speed.").Default("4").IntVar(&s.Parallel)
+	c.Flag("config", "Configuration file whose models are the checkpoints.").SetValue((*catalogue)(&s.Models))
 	c.Flag("models", "Checkpoints as JSON: {NAME: {memory, remote, disk, host}}, in MB and ms.").SetValue((*checkpoints)(&s.Models))
 	verbs[c.FullCommand()] = s
 }
 
+// catalogue reads the weight store's models from a configuration file.
+type catalogue map[string]afstandin.Checkpoint
+
+// Set reads the file of that name.
+func (c *catalogue) Set(name string) error {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	var file struct {
+		Models []struct {
+			Name string `json:"name"`
+			afstandin.Checkpoint
+		} `json:"models"`
+	}
+	if err := json.Unmarshal(b, &file); err != nil {
+		return err
+	}
+	*c = make(catalogue, len(file.Models))
+	for _, m := range file.Models {
+		(*c)[m.Name] = m.Checkpoint
+	}
+	return nil
+}
+
+// String returns nothing, since the file's name is not kept.
+func (c *catalogue) String() string { return "" }
+
 // checkpoints reads the weight store's models from a flag.
 type checkpoints map[string]afstandin.Checkpoint
 
--- a/cmd/arbutusfork/main.go
+++ b/cmd/arbutusfork/main.go
@@ -7,12 +7,13 @@
 	"os/signal"
 	"syscall"
 
+	"arbutusfork.example/arbutusfork/internal/afserve"
 	"arbutusfork.example/arbutusfork/internal/afverb"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
+	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Serve: afserve.Run}
 	code := p.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/afcontrol/demand.go
+++ b/internal/afcontrol/demand.go
@@ -152,7 +152,7 @@
 			s.take(s.Self.VM, list)
 			continue
 		}
-		if err := s.Send(owner, "demand", demandMessage{Rows: list}); err != nil {
+		if err := s.Send(owner, KindDemand, demandMessage{Rows: list}); err != nil {
 			s.Log.Debug("demand not sent", "vm", owner, "shard", name, "error", err)
 		}
 	}
--- a/internal/afcontrol/endpoint.go
+++ b/internal/afcontrol/endpoint.go
@@ -110,8 +110,8 @@
 	s.spawn(func(ctx context.Context) func() {
 		reply, status := s.post(ctx, ep, o)
 		return func() {
-			s.Log.Info("order sent", "shard", sh.name, "order", o.ID, "fence", o.Fence, "verb", o.Verb, "model", o.Model,
-				"endpoint", o.Endpoint, "reply", reply, "status", status)
+			s.Log.Info("order sent", "shard", sh.name, "order", o.ID, "fence", o.Fence, "verb", o.Verb.String(), "model", o.Model,
+				"endpoint", o.Endpoint, "reply", reply.String(), "status", status)
 			s.step(sh, afplacement.Answered{Order: o.ID, Reply: reply})
 		}
 	})
--- a/internal/afcontrol/fake_test.go
+++ b/internal/afcontrol/fake_test.go
@@ -192,7 +192,7 @@
 	b, err := msgpack.Marshal(message)
 	require.NoError(f.t, err)
 	handler := map[string]func(arbutusfork.Incarnation, []byte) (any, error){
-		"demand": s.HandleDemand, "table": s.HandleTable, "pull": s.HandlePull, "release": s.HandleRelease,
+		KindDemand: s.HandleDemand, KindTable: s.HandleTable, KindFetch: s.HandlePull, KindRelease: s.HandleRelease,
 	}[kind]
 	out, err := handler(from, b)
 	if err != nil || answer == nil {
--- a/internal/afcontrol/message.go
+++ b/internal/afcontrol/message.go
@@ -9,6 +9,14 @@
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 )
 
+// The kinds of peer messages. The service's handlers are registered under them.
+const (
+	KindDemand  = "demand"
+	KindTable   = "table"
+	KindFetch   = "fetch"
+	KindRelease = "release"
+)
+
 // pullMessage asks for a shard's part of the routing table.
 type pullMessage struct {
 	Shard string `msgpack:"shard"`
@@ -105,7 +113,7 @@
 	}
 	s.spawn(func(ctx context.Context) func() {
 		var p afplacement.Part
-		if err := s.Call(ctx, vm, "pull", pullMessage{Shard: name}, &p); err != nil {
+		if err := s.Call(ctx, vm, KindFetch, pullMessage{Shard: name}, &p); err != nil {
 			s.Log.Debug("routing table not pulled", "vm", vm, "shard", name, "error", err)
 			return nil
 		}
@@ -117,7 +125,7 @@
 	s.spawn(func(ctx context.Context) func() {
 		var answer releaseAnswer
 		m := releaseMessage{Shard: sh.name, Sender: e.Sender, Fence: e.Fence}
-		if err := s.Call(ctx, e.Sender.VM, "release", m, &answer); err != nil || !answer.OK {
+		if err := s.Call(ctx, e.Sender.VM, KindRelease, m, &answer); err != nil || !answer.OK {
 			return nil
 		}
 		return func() {
--- a/internal/afcontrol/shard.go
+++ b/internal/afcontrol/shard.go
@@ -166,7 +166,7 @@
 	sh.part, sh.published = p, now
 	s.adopt(p)
 	for _, vm := range vms[1:] {
-		if err := s.Send(vm, "table", p); err != nil {
+		if err := s.Send(vm, KindTable, p); err != nil {
 			s.Log.Debug("routing table not sent", "vm", vm, "shard", sh.name, "error", err)
 		}
 	}
@@ -199,12 +199,12 @@
 
 func (s *Service) logDecision(sh *shard, d afplacement.Decision) {
 	args := []any{
-		"shard", sh.name, "verb", d.Verb, "model", d.Model, "endpoint", d.Endpoint, "reason", d.Reason,
-		"tier", d.Chosen.Tier, "ready", d.Chosen.Ready, "bare", d.Chosen.Bare, "free", d.Chosen.Free,
+		"shard", sh.name, "verb", d.Verb.String(), "model", d.Model, "endpoint", d.Endpoint, "reason", d.Reason,
+		"tier", d.Chosen.Tier.String(), "ready", d.Chosen.Ready, "bare", d.Chosen.Bare, "free", d.Chosen.Free,
 		"evict", d.Chosen.Evict, "loads", d.Loads, "budget", d.Budget, "waiting", d.Waiting,
 	}
 	for _, c := range d.Others[:min(len(d.Others), 3)] {
-		args = append(args, slog.Group("or-"+c.Endpoint, "tier", c.Tier, "ready", c.Ready, "free", c.Free))
+		args = append(args, slog.Group("or-"+c.Endpoint, "tier", c.Tier.String(), "ready", c.Ready, "free", c.Free))
 	}
 	s.Log.Info("placement decision", args...)
 }
--- a/internal/afdemo/count.go
+++ b/internal/afdemo/count.go
@@ -5,15 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/url"
 	"time"
 )
 
 const runningPoll = 10 * time.Millisecond
 
 type engineCounts struct {
-	Loads      map[string]int `json:"loads"`
-	Overcommit int            `json:"overcommit"`
+	Models      map[string]int `json:"models"`
+	Overcommits int            `json:"overcommits"`
+	Keys        int            `json:"keys"`
 }
 
 type engineStatus struct {
@@ -44,10 +44,13 @@
 		if err := d.get(ctx, engine+"/counts", &counts); err != nil {
 			return 0, err
 		}
-		if counts.Overcommit > 0 {
-			return 0, fmt.Errorf("engine %s had its memory overcommitted %d times", engine, counts.Overcommit)
+		if counts.Overcommits > 0 {
+			return 0, fmt.Errorf("engine %s had its memory overcommitted %d times", engine, counts.Overcommits)
 		}
-		n += counts.Loads[model]
+		if counts.Keys > 0 {
+			return 0, fmt.Errorf("engine %s saw %d requests with a caller's key", engine, counts.Keys)
+		}
+		n += counts.Models[model]
 	}
 	return n, nil
 }
@@ -57,7 +60,7 @@
 	n := 0
 	for _, service := range d.Plain {
 		var runs map[string]int
-		if err := d.get(ctx, service+"/runs?id="+url.QueryEscape(id), &runs); err != nil {
+		if err := d.get(ctx, service+"/runs", &runs); err != nil {
 			return 0, err
 		}
 		n += runs[id]
--- a/internal/afdemo/demo.go
+++ b/internal/afdemo/demo.go
@@ -34,14 +34,9 @@
 	Customers []string
 	Small     string
 
-	// Issue creates a key of the customer and returns it in clear.
-	Issue func(ctx context.Context, name, customer string) (string, error)
-	// Withdraw ends a key.
-	Withdraw func(ctx context.Context, name string) error
-	// Drain asks the VM with that index for a graceful shutdown.
-	Drain func(ctx context.Context, vm int) error
-	// Ready reports whether the VM with that index takes new requests.
-	Ready func(ctx context.Context, vm int) bool
+	// Operators holds the base URL of each VM's operators' listener, and Token the operator token.
+	Operators []string
+	Token     string
 
 	Out  io.Writer
 	HTTP *http.Client
@@ -85,7 +80,7 @@
 
 func (d *Demo) issueKeys(ctx context.Context) (string, error) {
 	for _, customer := range d.Customers {
-		secret, err := d.Issue(ctx, "demo-"+customer+"-"+d.run, customer)
+		secret, err := d.issue(ctx, "demo-"+customer+"-"+d.run, customer)
 		if err != nil {
 			return "", err
 		}
@@ -154,33 +149,45 @@
 	return fmt.Sprintf("whole stream of %s, first token after %s", d.Adapter, a.First.Round(time.Millisecond)), nil
 }
 
+// limited sends the small customer's requests at all VMs at once until one is refused, and then hangs up the rest.
 func (d *Demo) limited(ctx context.Context) (string, error) {
-	served := 0
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		a   answer
+		err error
+	}
+	results := make(chan result, limitTries)
 	for i := range limitTries {
-		a, err := d.caller(i%len(d.Callers), d.Small).chat(ctx, d.Cold, "how many", limitTokens, false)
-		if err != nil {
-			return "", err
-		}
-		switch a.Status {
-		case http.StatusOK:
+		go func() {
+			a, err := d.caller(i%len(d.Callers), d.Small).chat(ctx, d.Cold, "how many", limitTokens, false)
+			results <- result{a, err}
+		}()
+	}
+	served := 0
+	for range limitTries {
+		r := <-results
+		switch {
+		case r.err != nil:
+			return "", r.err
+		case r.a.Status == http.StatusOK:
 			served++
-		case http.StatusTooManyRequests:
-			if a.Error.Outcome != "not run" || a.Retry == "" {
-				return "", fmt.Errorf("refusal lacks its terms: outcome %q, Retry-After %q", a.Error.Outcome, a.Retry)
-			}
-			return fmt.Sprintf("%s had %d requests served, then %s (%s, retry after %s s)",
-				d.Small, served, a.Error.Code, a.Error.Outcome, a.Retry), nil
+		case r.a.Status != http.StatusTooManyRequests:
+			return "", fmt.Errorf("status %d, code %s: %s", r.a.Status, r.a.Error.Code, r.a.Error.Message)
+		case r.a.Error.Outcome != "not run" || r.a.Retry == "":
+			return "", fmt.Errorf("refusal lacks its terms: outcome %q, Retry-After %q", r.a.Error.Outcome, r.a.Retry)
 		default:
-			return "", fmt.Errorf("status %d, code %s: %s", a.Status, a.Error.Code, a.Error.Message)
+			return fmt.Sprintf("of %d requests for %d tokens each, %s got %s (%s, retry after %s s)",
+				limitTries, limitTokens, d.Small, r.a.Error.Code, r.a.Error.Outcome, r.a.Retry), nil
 		}
 	}
-	return "", fmt.Errorf("%d requests of %d tokens were all served", limitTries, limitTokens)
+	return "", fmt.Errorf("%d of %d requests of %d tokens were served and none refused", served, limitTries, limitTokens)
 }
 
 func (d *Demo) withdrawn(ctx context.Context) (string, error) {
 	name := "demo-withdrawn-" + d.run
 	customer := d.Customers[0]
-	secret, err := d.Issue(ctx, name, customer)
+	secret, err := d.issue(ctx, name, customer)
 	if err != nil {
 		return "", err
 	}
@@ -189,7 +196,7 @@
 		return "", err
 	}
 	start := time.Now()
-	if err := d.Withdraw(ctx, name); err != nil {
+	if err := d.withdraw(ctx, name); err != nil {
 		return "", err
 	}
 	if err := d.eventually(ctx, http.StatusUnauthorized); err != nil {
@@ -261,7 +268,7 @@
 	if err := d.waitRunning(ctx); err != nil {
 		return "", err
 	}
-	if err := d.Drain(ctx, last); err != nil {
+	if err := d.post(ctx, last, "/v1/drain", struct{}{}, nil); err != nil {
 		return "", err
 	}
 	<-done
@@ -271,7 +278,7 @@
 	if err := wholeStream(a, 10*coldTokens); err != nil {
 		return "", err
 	}
-	if d.Ready(ctx, last) {
+	if d.ready(ctx, last) {
 		return "", errors.New("the VM is still ready after the drain")
 	}
 	return fmt.Sprintf("VM %d finished its open stream and takes no new request", last+1), nil
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -77,10 +77,10 @@
 		Gone:     s.gone,
 		HTTP:     endpointClient(),
 	}
-	s.peers.Handle("demand", s.control.HandleDemand)
-	s.peers.Handle("table", s.handleTable)
-	s.peers.Handle("pull", s.control.HandlePull)
-	s.peers.Handle("release", s.control.HandleRelease)
+	s.peers.Handle(afcontrol.KindDemand, s.control.HandleDemand)
+	s.peers.Handle(afcontrol.KindTable, s.handleTable)
+	s.peers.Handle(afcontrol.KindFetch, s.control.HandlePull)
+	s.peers.Handle(afcontrol.KindRelease, s.control.HandleRelease)
 	s.peers.Digests = s.control.Digest
 	s.peers.Learn = s.control.HandleDigest
 	s.dispatch = &afdispatch.Service{
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -122,7 +122,7 @@
 	s.timer = &aftimer.Service{}
 	s.draining = make(chan struct{})
 	s.departures.Store(&afmember.Departures{})
-	s.explain = &afexplain.Ring{Limit: s.Settings.Explain}
+	s.explain = &afexplain.Ring{Bytes: s.Settings.Explain}
 	s.log = slog.New(s.explain.Handler(s.logHandler()))
 	s.registry = prometheus.NewRegistry()
 	s.client = &afobject.Client{Base: s.Settings.Platform, Timeout: s.Settings.Call}
--- a/internal/afstandin/engine.go
+++ b/internal/afstandin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -47,10 +48,12 @@
 
 // EngineCounts is the answer of GET /counts.
 type EngineCounts struct {
-	Loads    int64 `json:"loads"`
-	Unloads  int64 `json:"unloads"`
-	Refused  int64 `json:"refused"`
-	Requests int64 `json:"requests"`
+	Loads int64 `json:"loads"`
+	// Models counts the loads by model.
+	Models   map[string]int64 `json:"models"`
+	Unloads  int64            `json:"unloads"`
+	Refused  int64            `json:"refused"`
+	Requests int64            `json:"requests"`
 	// Memory and Replicas are high-water marks in MB and models.
 	Memory   int64 `json:"memory"`
 	Replicas int   `json:"replicas"`
@@ -80,7 +83,9 @@
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.counts
+	counts := e.counts
+	counts.Models = maps.Clone(e.counts.Models)
+	return counts
 }
 
 // Handler returns the engine's HTTP interface.
--- a/internal/afstandin/load.go
+++ b/internal/afstandin/load.go
@@ -72,8 +72,8 @@
 
 // order is what load and unload orders carry besides the model.
 type order struct {
-	Fence int64 `json:"fence"`
-	Order int64 `json:"order"`
+	Fence int64 `json:"fence,string"`
+	Order int64 `json:"order,string"`
 }
 
 // admit checks the order's fencing number. It reports false after it has refused the order.
@@ -159,6 +159,10 @@
 	m := &engineModel{state: stateLoading, done: make(chan struct{})}
 	e.models[name] = m
 	e.counts.Loads++
+	if e.counts.Models == nil {
+		e.counts.Models = make(map[string]int64)
+	}
+	e.counts.Models[name]++
 	tier := e.Cache[name]
 	e.mu.Unlock()
 	defer close(m.done)
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -30,6 +30,7 @@
 	record  Record // record is the last one known to have committed.
 	version int64
 	seen    time.Time // seen is when the version was first observed here.
+	checked time.Time // checked is when a read last confirmed the version.
 	absent  time.Time // absent is since when the object is known not to exist.
 
 	pending *Record   // pending is the commit in flight.
@@ -190,7 +191,8 @@
 			return v, nil
 		}
 	case v.variant.earlyTakeover:
-	case now.Sub(v.seen) < expiry+wait/2:
+	case v.checked.Sub(v.seen) < expiry+wait/2:
+		// Only a read can tell that the owner did not renew: without one the version is merely old news.
 		return v, nil
 	}
 	next := v.record.WithOwner(v.Self)
@@ -246,7 +248,7 @@
 		v.version, v.unsure = 0, false
 		return v
 	}
-	v.unsure = false
+	v.unsure, v.checked = false, now
 	if e.Version != 0 {
 		v.absent = time.Time{}
 	} else if v.absent.IsZero() {
