operator: test sessions, lost answers, races and shutdown

Messages of conflicts now tell a deleted object, an existing one and a changed one apart; all three said "is at version N, not M" before.

The server uses nbhttp's blocking mode. In the polling mode the race detector reports the hand-over of a connection inside nbio, whose order goes through epoll and is invisible to it. Its code also queues answers that do not fit into the socket buffer and drops the queue when the engine stops; that was read, not measured. The cost is a goroutine per operator connection and that a malformed request leaves its connection open until the read timeout, which is 30 s now instead of 120 s.

--- a/internal/afoperator/server.go
+++ b/internal/afoperator/server.go
@@ -22,10 +22,12 @@
 	// The platform refuses values above 1 MB. The request also carries field names and CSV quoting.
 	maxBodyBytes   = 4 << 20
 	maxConnections = 1024
-	handlers       = 64
 	// A request makes a few calls to the platform and waits once for confirmation.
 	defaultCall    = 10 * time.Second
 	defaultConfirm = 3 * time.Second
+	writeTimeout   = 10 * time.Second
+	// In this mode nbhttp keeps a connection open after a malformed request, so that this bound closes it.
+	readTimeout = 30 * time.Second
 	// Bounds the wait for requests that are being answered when the server stops.
 	stopWait = 5 * time.Second
 )
@@ -73,15 +75,19 @@
 // Run serves until ctx ends, then answers the requests that it has begun. The error is an *Error.
 func (s *Server) Run(ctx context.Context) error {
 	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name:                   "operators",
-		Network:                "tcp",
-		Addrs:                  []string{s.Address},
-		Listen:                 s.Listen,
-		MaxLoad:                maxConnections,
-		MaxHTTPBodySize:        maxBodyBytes,
-		MessageHandlerPoolSize: handlers,
-		Handler:                s.Handler(),
-		SupportServerOnly:      true,
+		Name:              "operators",
+		Network:           "tcp",
+		Addrs:             []string{s.Address},
+		Listen:            s.Listen,
+		MaxLoad:           maxConnections,
+		MaxHTTPBodySize:   2 * maxBodyBytes, // The handlers answer bodies above their own bound.
+		Handler:           s.Handler(),
+		SupportServerOnly: true,
+		// A goroutine per connection, since operators are few. Its writes return once the kernel has the answer,
+		// so that a shutdown after the handlers cuts none.
+		IOMod:         nbhttp.IOModBlocking,
+		WriteTimeout:  writeTimeout,
+		KeepaliveTime: readTimeout,
 	})
 	if err := engine.Start(); err != nil {
 		return &Error{Op: "listen on " + s.Address, Kind: Failed, Err: err}
@@ -101,7 +107,11 @@
 	case <-time.After(stopWait):
 		s.Log.Warn("operator requests cut at shutdown", "after", stopWait)
 	}
-	engine.Stop()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWait)
+	defer cancel()
+	if err := engine.Shutdown(stop); err != nil {
+		return &Error{Op: "stop", Kind: Failed, Err: err}
+	}
 	return nil
 }
 
--- a/internal/afoperator/write.go
+++ b/internal/afoperator/write.go
@@ -106,16 +106,20 @@
 	return &Error{Op: op, Kind: Unclear, Err: err}
 }
 
-// conflict shows the operator's version and the current one. A zero current object was deleted.
+// conflict shows the operator's version and the current one. A zero current object does not exist.
 func conflict(op string, yours, current afobject.Object, lost bool) *Error {
-	e := fail(op, Conflict, "%s/%s is at version %d, not %d; another operator changed it",
-		yours.Kind, yours.Name, current.Version, yours.Version)
-	if lost {
-		e = fail(op, Conflict, "%s/%s is at version %d; your change may have taken effect before that",
-			yours.Kind, yours.Name, current.Version)
+	name := yours.Kind + "/" + yours.Name
+	e := fail(op, Conflict, "%s is at version %d, not %d; another operator changed it", name, current.Version, yours.Version)
+	switch {
+	case lost:
+		e = fail(op, Conflict, "%s is at version %d; your change may have taken effect before that", name, current.Version)
+	case current.Version == 0:
+		e = fail(op, Conflict, "%s does not exist, although you saw version %d; another operator deleted it", name, yours.Version)
+	case yours.Version == 0:
+		e = fail(op, Conflict, "%s exists already, at version %d", name, current.Version)
 	}
 	e.detail = map[string]any{"yours": wire(yours), "current": nil}
-	if current.Spec != nil {
+	if current.Version > 0 {
 		e.detail["current"] = wire(current)
 	}
 	return e
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -45,6 +45,9 @@
 	verbs  map[string]func(ctx context.Context) error
 }
 
+// The server refuses larger bodies.
+const maxFileBytes = 4 << 20
+
 // exit carries an exit code through kingpin, which expects that its terminate function does not return.
 type exit int
 
@@ -139,14 +142,20 @@
 	_, _ = fmt.Fprintf(p.Out, format+"\n", args...)
 }
 
+// readFile reads a file, or standard input for the name "-".
 func (p *Program) readFile(name string) ([]byte, error) {
+	read := os.ReadFile
+	if p.ReadFile != nil {
+		read = p.ReadFile
+	}
 	if name == "-" {
-		return io.ReadAll(p.In)
+		read = func(string) ([]byte, error) { return io.ReadAll(io.LimitReader(p.In, maxFileBytes+1)) }
 	}
-	if p.ReadFile != nil {
-		return p.ReadFile(name)
+	b, err := read(name)
+	if err == nil && len(b) > maxFileBytes {
+		return nil, errors.Errorf("%s is above %d bytes", name, maxFileBytes)
 	}
-	return os.ReadFile(name)
+	return b, err
 }
 
 func (p *Program) client() client {
--- a/internal/afverb/session_test.go
+++ b/internal/afverb/session_test.go
@@ -105,7 +105,11 @@
 		Out: ts.Stdout(), Err: io.MultiWriter(ts.Stderr(), &stderr), In: strings.NewReader(ts.Getenv("STDIN")),
 		ReadFile: func(name string) ([]byte, error) { return os.ReadFile(ts.MkAbs(name)) },
 	}
-	s.code = p.Run(context.Background(), append([]string{"--server", s.address, "--token", token}, args...))
+	credential := token
+	if t := ts.Getenv("TOKEN"); t != "" {
+		credential = t
+	}
+	s.code = p.Run(context.Background(), append([]string{"--server", s.address, "--token", credential}, args...))
 	if (s.code != afverb.ExitOK) != neg {
 		ts.Fatalf("exit code %d: %s", s.code, stderr.String())
 	}
--- a/internal/afverb/sheet.go
+++ b/internal/afverb/sheet.go
@@ -107,7 +107,7 @@
 	for _, line := range changeLines(v.Changes) {
 		p.say("%s", line)
 	}
-	p.say("%d changes to version %d", len(v.Changes), v.Version)
+	p.say("%d changes; accept them with --seen %d", len(v.Changes), v.Version)
 	return nil
 }
 
