--- a/internal/afoperator/check.go
+++ b/internal/afoperator/check.go
@@ -108,20 +108,21 @@
 	return nil
 }
 
-// service returns a service from the snapshot or, if it is new, from the platform.
-func (s *Server) service(ctx context.Context, name string) (arbutusfork.Service, error) {
-	if v, ok := s.Snapshot().Service(name); ok {
-		return v, nil
-	}
-	var v arbutusfork.Service
-	o, err := s.Get(ctx, afobject.Services, name)
+// lookup returns an object from the snapshot or, if it is new, from the platform.
+func lookup[T any](ctx context.Context, s *Server, kind, name string) (T, error) {
+	v, ok := find[kind](s.Snapshot(), name)
+	if ok {
+		return v.(T), nil
+	}
+	var fresh T
+	o, err := s.Get(ctx, kind, name)
 	if afobject.IsKind(err, afobject.NotFound) {
-		return v, errors.Errorf("services/%s does not exist", name)
+		return fresh, errors.Errorf("%s/%s does not exist", kind, name)
 	}
 	if err != nil {
-		return v, err
+		return fresh, err
 	}
-	return v, json.Unmarshal(o.Spec, &v)
+	return fresh, json.Unmarshal(o.Spec, &fresh)
 }
 
 func checkRoute(ctx context.Context, s *Server, name string, r arbutusfork.Route) (arbutusfork.Route, error) {
@@ -129,7 +130,7 @@
 	if err := checkName(name, r.Name); err != nil {
 		return r, err
 	}
-	v, err := s.service(ctx, r.Service)
+	v, err := lookup[arbutusfork.Service](ctx, s, afobject.Services, r.Service)
 	if err != nil {
 		return r, err
 	}
@@ -153,7 +154,16 @@
 	if err := s.require(ctx, afobject.Customers, r.Customers...); err != nil {
 		return r, err
 	}
-	return r, s.require(ctx, afobject.Models, r.Models...)
+	for _, model := range r.Models {
+		m, err := lookup[arbutusfork.Model](ctx, s, afobject.Models, model)
+		if err != nil {
+			return r, err
+		}
+		if m.Service != r.Service {
+			return r, errors.Errorf("models/%s belongs to services/%s", model, m.Service)
+		}
+	}
+	return r, nil
 }
 
 func validPath(p string) bool {
@@ -166,7 +176,7 @@
 	if err := checkName(name, m.Name); err != nil {
 		return m, err
 	}
-	v, err := s.service(ctx, m.Service)
+	v, err := lookup[arbutusfork.Service](ctx, s, afobject.Services, m.Service)
 	if err != nil {
 		return m, err
 	}
@@ -192,7 +202,7 @@
 	if err := checkName(name, e.Name); err != nil {
 		return e, err
 	}
-	v, err := s.service(ctx, e.Service)
+	v, err := lookup[arbutusfork.Service](ctx, s, afobject.Services, e.Service)
 	if err != nil {
 		return e, err
 	}
@@ -217,6 +227,18 @@
 	return e, nil
 }
 
+// releaseEndpoint makes the operator take an endpoint out of service first, so that its requests finish.
+func releaseEndpoint(stored []byte) error {
+	var old arbutusfork.Endpoint
+	if err := json.Unmarshal(stored, &old); err != nil {
+		return err
+	}
+	if !old.Leaving {
+		return errors.New("the endpoint is not leaving")
+	}
+	return nil
+}
+
 func orName(name, fallback string) string {
 	if name == "" {
 		return fallback
--- a/internal/afoperator/kind.go
+++ b/internal/afoperator/kind.go
@@ -53,8 +53,9 @@
 		users: modelUsers,
 	},
 	afobject.Endpoints: {
-		list:  lister((*afconfig.Snapshot).Endpoints),
-		check: checker(checkEndpoint),
+		list:    lister((*afconfig.Snapshot).Endpoints),
+		check:   checker(checkEndpoint),
+		release: releaseEndpoint,
 	},
 }
 
--- a/internal/afoperator/write.go
+++ b/internal/afoperator/write.go
@@ -14,7 +14,7 @@
 	// A conditional write is sent again only under the same condition, so at most one of the attempts takes effect.
 	writeAttempts = 3
 	// The largest value that the platform stores.
-	maxSpecBytes = 1 << 20
+	maxSpecBytes = 1_000_000
 	// The VM learns of a deletion by its watch. The poll only reads a pointer.
 	deletionPoll = 20 * time.Millisecond
 )
--- a/internal/afverb/session_test.go
+++ b/internal/afverb/session_test.go
@@ -34,6 +34,14 @@
 	code    int
 }
 
+// TestMain also offers the program as a command, since kingpin prints completions to the process's own output.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"arbutusfork": func() {
+		p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
+		os.Exit(p.Run(context.Background(), os.Args[1:]))
+	}})
+}
+
 // TestSessions runs whole sessions of an operator against the real server over loopback. They guard against a change
 // that is lost, answered wrongly or shown wrongly.
 func TestSessions(t *testing.T) {
