cmd: let a second signal end the process

The program catches the first SIGINT or SIGTERM to shut down gracefully. Without a change, it would also swallow the second one, and an operator who does not want to wait for the drain could only use SIGKILL.

The handler is removed when the first signal arrives, so that the second one has its default effect.

--- a/cmd/arbutusfork/main.go
+++ b/cmd/arbutusfork/main.go
@@ -12,6 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
 	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
 	code := p.Run(ctx, os.Args[1:])
 	stop()
