--- a/internal/afverb/session_test.go
+++ b/internal/afverb/session_test.go
@@ -34,6 +34,14 @@
 	code    int
 }
 
+// TestMain also offers the program as a command, since kingpin prints completions to the process's own output.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"arbutusfork": func() {
+		p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
+		os.Exit(p.Run(context.Background(), os.Args[1:]))
+	}})
+}
+
 // TestSessions runs whole sessions of an operator against the real server over loopback. They guard against a change
 // that is lost, answered wrongly or shown wrongly.
 func TestSessions(t *testing.T) {
@@ -105,7 +113,11 @@
 		Out: ts.Stdout(), Err: io.MultiWriter(ts.Stderr(), &stderr), In: strings.NewReader(ts.Getenv("STDIN")),
 		ReadFile: func(name string) ([]byte, error) { return os.ReadFile(ts.MkAbs(name)) },
 	}
-	s.code = p.Run(context.Background(), append([]string{"--server", s.address, "--token", token}, args...))
+	credential := token
+	if t := ts.Getenv("TOKEN"); t != "" {
+		credential = t
+	}
+	s.code = p.Run(context.Background(), append([]string{"--server", s.address, "--token", credential}, args...))
 	if (s.code != afverb.ExitOK) != neg {
 		ts.Fatalf("exit code %d: %s", s.code, stderr.String())
 	}
