aflimit: prove the interval bound, with lost and late record writes

A base share may be reissued only when its holder cannot use it any more, also when a write's answer is lost and the write lands late. The logic for that sat beside platform calls and could not be tested with the rest, so it moves into the pure type Share: a VM uses the least of what the record names and of its own writes that may still take effect.

A rapid test runs the real Account and Share of three VMs with messages that are lost, duplicated, late and crossed, clocks that are 10 % wrong, deaths, rebirths, and platform answers that are lost. It compares every pair of instants. Keeping the test at the level of messages between daemons was ruled out, since it reaches fewer states per second.

--- a/internal/afquota/account.go
+++ b/internal/afquota/account.go
@@ -13,7 +13,7 @@
 type account struct {
 	name string
 
-	mu    sync.Mutex // mu guards the fields up to record. It is never held during a call.
+	mu    sync.Mutex // mu guards the fields below. It is never held during a call.
 	state *aflimit.Account
 	rate  int64
 	burst int64
@@ -24,7 +24,9 @@
 	renewing map[uint64]bool          // renewing holds the loans with an open renewal.
 	idle     map[uint64]time.Duration // idle holds when a loan was first seen as surplus.
 
-	record record // record is owned by the record duty, but for its fields that have their own lock.
+	// share is the cached share record. Only the holder of the service's duty lock changes it.
+	share    aflimit.Share
+	schedule schedule
 }
 
 // account returns the customer's account and creates it at the first request.
@@ -44,6 +46,7 @@
 	a = &account{
 		name: c.Name, rate: c.Rate, burst: c.Burst,
 		state:    aflimit.NewAccount(limitOf(c), s.now()),
+		share:    aflimit.NewShare(s.Self),
 		renewing: make(map[uint64]bool), idle: make(map[uint64]time.Duration),
 	}
 	if s.accounts == nil {
@@ -83,3 +86,16 @@
 func limitOf(c arbutusfork.Customer) aflimit.Limit {
 	return aflimit.Limit{Rate: aflimit.Tokens(max(0, c.Rate)), Burst: aflimit.Tokens(max(0, c.Burst))}
 }
+
+// holders returns the VMs that the cached record names.
+func (a *account) holders() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []string
+	for _, h := range a.share.Record().Holders {
+		if !slices.Contains(out, h.VM) {
+			out = append(out, h.VM)
+		}
+	}
+	return out
+}
--- a/internal/afquota/error.go
+++ b/internal/afquota/error.go
@@ -8,7 +8,7 @@
 // The kinds of errors.
 const (
 	Malformed ErrorKind = iota // malformed message
-	Platform                   // platform call failed
+	Stale                      // record older than one seen before
 )
 
 // Error tells which operation failed and why.
--- a/internal/afquota/error_string.go
+++ b/internal/afquota/error_string.go
@@ -9,12 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Malformed-0]
-	_ = x[Platform-1]
+	_ = x[Stale-1]
 }
 
-const _ErrorKind_name = "malformed messageplatform call failed"
+const _ErrorKind_name = "malformed messagerecord older than one seen before"
 
-var _ErrorKind_index = [...]uint8{0, 17, 37}
+var _ErrorKind_index = [...]uint8{0, 17, 50}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/afquota/fleet_test.go
+++ b/internal/afquota/fleet_test.go
@@ -115,7 +115,7 @@
 		peer := f.vms[vm]
 		f.mu.Unlock()
 		if peer == nil {
-			return &Error{Op: "call", Kind: Platform}
+			return &Error{Op: "call", Kind: Stale}
 		}
 		body, err := msgpack.Marshal(message)
 		require.NoError(f.t, err)
--- a/internal/afquota/leave.go
+++ b/internal/afquota/leave.go
@@ -61,15 +61,32 @@
 	defer s.duty.Unlock()
 	done := true
 	for _, a := range s.all() {
-		value, _, _ := a.record.snapshot()
-		if value.Parts(s.Self) == 0 && len(a.record.writes) == 0 {
+		if a.released() {
+			continue
+		}
+		if a.allLent(s.now()) {
+			done = false
 			continue
 		}
 		if s.load(ctx, a) == nil {
 			s.adjust(ctx, a, 0)
 		}
-		value, _, _ = a.record.snapshot()
-		done = done && value.Parts(s.Self) == 0 && len(a.record.writes) == 0
+		done = done && a.released()
 	}
 	return done
 }
+
+// released reports whether the record names no share of this VM and will not name one.
+func (a *account) released() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.share.Parts() == 0 && !a.share.Doubtful()
+}
+
+// allLent reports whether nothing can be released before a loan ends.
+func (a *account) allLent(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Advance(now)
+	return !a.share.Doubtful() && a.share.Parts() <= a.state.Lent()
+}
--- a/internal/afquota/record.go
+++ b/internal/afquota/record.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
 	"time"
 
-	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/aflimit"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -18,65 +16,16 @@
 	settleTime = 2 * time.Second
 	// minRetry and maxRetry bound the pause before a record without free parts is read again.
 	minRetry = 2 * time.Second
-	maxRetry = time.Minute
+	maxRetry = 10 * time.Second
 )
 
-// record is the cached share record. Only the record duty changes it; mu guards what others read or set.
-type record struct {
-	mu      sync.Mutex
-	value   aflimit.Record
-	version int64 // version never falls. Zero means that the record does not exist or has not been read.
-	known   int64 // known is the latest version that a peer told of.
-
-	loaded bool
-	writes []doubtfulWrite // writes holds those with the cached version as base.
-	set    []string
-	since  time.Duration // since is when the share set last changed.
-	next   time.Duration // next is the earliest time of another read.
-	retry  time.Duration
-	gone   map[arbutusfork.Incarnation]time.Duration // gone holds when a holder was first seen as gone.
-}
-
-// doubtfulWrite is a write whose answer was lost. It may take effect as long as the record has its base version.
-type doubtfulWrite struct {
-	version int64
-	before  int64
-	after   int64
-	fresh   int64
-}
-
-// effective returns the parts that the VM may use when the record names parts: a release whose write may still take
-// effect counts.
-func (r *record) effective(parts int64) int64 {
-	for _, w := range r.writes {
-		parts = min(parts, w.after)
-	}
-	return parts
-}
-
-// changed notes a version that a peer told of.
-func (r *record) changed(version int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.known = max(r.known, version)
-}
-
-func (r *record) holders() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []string
-	for _, h := range r.value.Holders {
-		if !slices.Contains(out, h.VM) {
-			out = append(out, h.VM)
-		}
-	}
-	return out
-}
-
-func (r *record) snapshot() (value aflimit.Record, version, known int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.value, r.version, r.known
+// schedule says when an account's share record is read or changed. The account's mu guards it.
+type schedule struct {
+	known int64         // known is the latest version that a peer told of.
+	set   []string      // set is the share set that the membership calls for.
+	since time.Duration // since is when the set last changed.
+	next  time.Duration // next is the earliest time of another platform call.
+	retry time.Duration // retry is the pause after the next call.
 }
 
 // keepRecords compares each cached share record with the membership and changes it where needed.
@@ -98,67 +47,40 @@
 }
 
 func (s *Service) keepRecord(ctx context.Context, a *account, live []string) {
-	r, now := &a.record, s.now()
 	set := aflimit.ShareSet(a.name, live)
-	if !slices.Equal(set, r.set) {
-		first := r.set == nil
-		r.set, r.since = set, now
-		r.next, r.retry = now, 0
-		if first {
-			r.since = now - settleTime
-		}
-	}
-	s.noteGone(r, now)
 	target := aflimit.Target(s.Self.VM, set)
-	_, version, known := r.snapshot()
-	if known > version {
-		r.next = now
-	}
-	if r.loaded && known <= version && !s.due(a, target, now) {
-		return
-	}
-	if now < r.next {
-		return
-	}
-	r.retry = min(max(minRetry, 2*r.retry), maxRetry)
-	r.next = now + r.retry
-	if s.load(ctx, a) != nil || now-r.since < settleTime {
-		return
+	a.mu.Lock()
+	now := s.now()
+	a.share = a.share.WithGone(s.Gone, now)
+	due, settled := a.due(set, target, now)
+	a.mu.Unlock()
+	if due && s.load(ctx, a) == nil && settled {
+		s.adjust(ctx, a, target)
 	}
-	s.adjust(ctx, a, target)
-}
-
-// due reports whether the cached record calls for a write, or for a read to find free parts.
-func (s *Service) due(a *account, target int64, now time.Duration) bool {
-	r := &a.record
-	value, _, _ := r.snapshot()
-	return len(r.writes) > 0 || value.Parts(s.Self) != target && now-r.since >= settleTime
 }
 
-// noteGone keeps the time since when each holder has been gone without interruption.
-func (s *Service) noteGone(r *record, now time.Duration) {
-	value, _, _ := r.snapshot()
-	gone := make(map[arbutusfork.Incarnation]time.Duration)
-	for _, h := range value.Holders {
-		i := h.Incarnation()
-		if i == s.Self || !s.Gone(i) {
-			continue
-		}
-		since, ok := r.gone[i]
-		if !ok {
-			since = now
+// due reports whether the record must be read, and whether shares may move. The caller holds mu.
+func (a *account) due(set []string, target int64, now time.Duration) (due, settled bool) {
+	r := &a.schedule
+	if !slices.Equal(set, r.set) {
+		r.since, r.next, r.retry = now, 0, 0
+		if r.set == nil {
+			r.since = now - settleTime // The first set needs no observation, since nothing is held yet.
 		}
-		gone[i] = since
+		r.set = set
 	}
-	r.gone = gone
-}
-
-// reissuable reports whether a holder is gone and every loan that it made has ended.
-func (r *record) reissuable(now time.Duration) func(arbutusfork.Incarnation) bool {
-	return func(i arbutusfork.Incarnation) bool {
-		since, ok := r.gone[i]
-		return ok && now-since >= aflimit.Term+aflimit.Margin
+	settled = now-r.since >= settleTime
+	unread := !a.share.Loaded() || r.known > a.share.Version()
+	if r.known > a.share.Version() {
+		r.next = 0
+	}
+	wanted := settled && (a.share.Doubtful() || a.share.Parts() != target)
+	if now < r.next || !unread && !wanted {
+		return false, settled
 	}
+	r.retry = min(max(minRetry, 2*r.retry), maxRetry)
+	r.next = now + r.retry
+	return true, settled
 }
 
 // load reads the record and brings the base share in line with it.
@@ -167,115 +89,99 @@
 	defer cancel()
 	o, err := s.Get(ctx, afobject.Shares, a.name)
 	if afobject.IsKind(err, afobject.NotFound) {
-		o, err = afobject.Object{Kind: afobject.Shares, Name: a.name}, nil
+		o, err = afobject.Object{}, nil
 	}
 	if err != nil {
 		s.Log.Debug("share record cannot be read", "customer", a.name, "error", err)
 		return err
 	}
-	return s.observe(a, o)
-}
-
-// observe applies the record as the platform holds it.
-func (s *Service) observe(a *account, o afobject.Object) error {
-	value := aflimit.NewRecord()
+	var value aflimit.Record
 	if o.Version > 0 {
-		value = aflimit.Record{}
 		if err := json.Unmarshal(o.Spec, &value); err != nil {
 			s.Log.Error("share record is malformed", "customer", a.name, "error", err)
 			return &Error{Op: "decode record", Kind: Malformed, Err: err}
 		}
 	}
-	r := &a.record
-	r.mu.Lock()
-	if o.Version < r.version {
-		r.mu.Unlock()
-		return &Error{Op: "read record", Kind: Platform}
-	}
-	r.value, r.version = value, o.Version
-	r.loaded = true
-	r.mu.Unlock()
+	return s.observe(a, value, o.Version)
+}
 
-	parts, fresh := value.Parts(s.Self), int64(0)
-	pending := r.writes[:0:0]
-	for _, w := range r.writes {
-		switch {
-		case w.version >= o.Version:
-			pending = append(pending, w)
-		case parts == w.after && w.after != w.before:
-			fresh = w.fresh
-		}
-	}
-	r.writes = pending
-	parts = r.effective(parts)
+// observe applies the record as the platform holds it.
+func (s *Service) observe(a *account, value aflimit.Record, version int64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if parts != a.state.Base() || fresh > 0 {
-		a.state.SetBase(parts, fresh, s.now())
+	now := s.now()
+	next, fresh, ok := a.share.WithRecord(value, version)
+	if !ok {
+		return &Error{Op: "read record", Kind: Stale}
 	}
+	a.share = next.WithGone(s.Gone, now)
+	a.applyBase(fresh, now)
 	return nil
 }
 
-// adjust writes the record that the share set calls for.
+// applyBase brings the share's parts into force. The caller holds mu.
+func (a *account) applyBase(fresh int64, now time.Duration) {
+	if parts := a.share.Parts(); parts != a.state.Base() || fresh > 0 {
+		a.state.SetBase(parts, fresh, now)
+	}
+}
+
+// adjust writes the record that the target calls for, if it differs.
 func (s *Service) adjust(ctx context.Context, a *account, target int64) {
-	r := &a.record
-	value, version, _ := r.snapshot()
-	before := value.Parts(s.Self)
 	a.mu.Lock()
 	now := s.now()
-	next, fresh, changed := value.Plan(s.Self, target, a.state.Lent(), r.reissuable(now))
-	after := next.Parts(s.Self)
-	if after < a.state.Base() {
-		// The share is given up here before the record lets another VM take it.
-		a.state.SetBase(after, 0, now)
-	}
-	a.mu.Unlock()
-	if !changed && len(r.writes) == 0 {
+	w, needed := a.share.Plan(target, a.state.Lent(), now)
+	if !needed {
+		a.mu.Unlock()
 		return
 	}
-	// An unchanged record is written too while an earlier write may still take effect, since that ends the doubt.
-	s.Log.Info("share record changes", "customer", a.name, "version", version, "before", before, "after", after,
-		"target", target, "set", r.set)
-	o, err := s.put(ctx, a, next, version)
-	if err == nil || afobject.IsKind(err, afobject.Unknown) {
-		r.writes = append(r.writes, doubtfulWrite{version: version, before: before, after: after, fresh: fresh})
-	}
-	r.next, r.retry = 0, 0
+	a.share = a.share.WithWrite(w)
+	a.applyBase(0, now)
+	set := a.schedule.set
+	a.mu.Unlock()
+	s.Log.Info("share record changes", "customer", a.name, "version", w.Version, "before", w.Before(),
+		"after", w.After(), "target", target, "set", set)
+
+	version, err := s.put(ctx, a, w)
 	switch {
 	case err == nil:
-		_ = s.observe(a, o)
-		if after < before {
-			s.announce(a, o.Version)
+		_ = s.observe(a, w.Record, version)
+		if w.After() < w.Before() {
+			s.announce(a, set, version)
 		}
-	case afobject.IsKind(err, afobject.Unknown), afobject.IsKind(err, afobject.Conflict):
-		_ = s.load(ctx, a)
-	default:
-		// The write was not carried out, so the base share follows the cached record again.
-		r.next, r.retry = s.now()+minRetry, minRetry
+	case afobject.IsKind(err, afobject.Unavailable), afobject.IsKind(err, afobject.Conflict), afobject.IsKind(err, afobject.Invalid):
+		a.mu.Lock()
+		a.share = a.share.WithoutWrite()
+		a.applyBase(0, s.now())
+		a.mu.Unlock()
+	}
+	if err == nil || afobject.IsKind(err, afobject.Unknown) || afobject.IsKind(err, afobject.Conflict) {
 		a.mu.Lock()
-		a.state.SetBase(r.effective(before), 0, s.now())
+		a.schedule.next, a.schedule.retry = 0, 0
 		a.mu.Unlock()
 	}
 }
 
-func (s *Service) put(ctx context.Context, a *account, value aflimit.Record, version int64) (afobject.Object, error) {
+func (s *Service) put(ctx context.Context, a *account, w aflimit.Write) (int64, error) {
 	ctx, cancel := s.withTimeout(ctx, platformTimeout)
 	defer cancel()
 	s.counts.writes.Add(1)
-	spec, err := json.Marshal(value)
+	spec, err := json.Marshal(w.Record)
 	if err != nil {
-		return afobject.Object{}, &Error{Op: "encode record", Kind: Malformed, Err: err}
+		return 0, &afobject.Error{Op: "encode", Object: a.name, Kind: afobject.Invalid, Err: err}
 	}
-	o := afobject.Object{Kind: afobject.Shares, Name: a.name, Version: version, Spec: spec}
-	if version == 0 {
-		return s.Create(ctx, o)
+	o := afobject.Object{Kind: afobject.Shares, Name: a.name, Version: w.Version, Spec: spec}
+	if w.Version == 0 {
+		o, err = s.Create(ctx, o)
+	} else {
+		o, err = s.Update(ctx, o)
 	}
-	return s.Update(ctx, o)
+	return o.Version, err
 }
 
 // announce tells the share set that the record has free parts, so that nobody has to poll for them.
-func (s *Service) announce(a *account, version int64) {
-	for _, vm := range a.record.set {
+func (s *Service) announce(a *account, set []string, version int64) {
+	for _, vm := range set {
 		if vm == s.Self.VM {
 			continue
 		}
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -234,7 +234,7 @@
 // lenders returns the VMs that are likely to hold base shares.
 func (s *Service) lenders(a *account) []string {
 	live := s.live()
-	known := a.record.holders()
+	known := a.holders()
 	var out []string
 	for _, vm := range live {
 		if vm != s.Self.VM && slices.Contains(known, vm) {
--- a/internal/afquota/status.go
+++ b/internal/afquota/status.go
@@ -66,12 +66,11 @@
 func (s *Service) Status() []Status {
 	var out []Status
 	for _, a := range s.all() {
-		_, version, _ := a.record.snapshot()
 		a.mu.Lock()
 		now := s.now()
 		out = append(out, Status{
 			Customer: a.name, Whole: aflimit.Whole, Base: a.state.Base(), Lent: a.state.Lent(), Held: a.state.Held(),
-			Level: a.state.Level(now).Floor(), Demand: a.state.Demand(now).Floor(), Record: version,
+			Level: a.state.Level(now).Floor(), Demand: a.state.Demand(now).Floor(), Record: a.share.Version(),
 		})
 		a.mu.Unlock()
 	}
--- a/internal/afquota/wire.go
+++ b/internal/afquota/wire.go
@@ -79,12 +79,9 @@
 		return ackMessage{}, nil
 	}
 	a := s.account(c)
-	if m.Record > 0 {
-		a.record.changed(m.Record)
-		signal(s.wake)
-	}
 	a.mu.Lock()
 	now := s.now()
+	a.schedule.known = max(a.schedule.known, m.Record)
 	if m.ID != 0 {
 		a.state.Return(from, aflimit.Giveback{ID: m.ID, Tokens: aflimit.Amount(m.Tokens), Unused: m.Unused}, now)
 	}
@@ -96,7 +93,7 @@
 	}
 	a.mu.Unlock()
 	s.sendBack(a, returned)
-	if m.ID != 0 && s.isLeaving() {
+	if m.Record > 0 || s.isLeaving() {
 		signal(s.wake)
 	}
 	return ackMessage{}, nil
--- /dev/null
+++ b/pkg/aflimit/amount_test.go
@@ -0,0 +1,62 @@
+package aflimit
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestRefillIsExact guards against drift: many small refills must give what one refill gives, at any rate.
+func TestRefillIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := Amount(rapid.Int64Range(1, int64(Tokens(5_000_000))).Draw(t, "rate"))
+		b := Bucket{limit: Limit{Rate: rate, Burst: Tokens(maxTokens)}}
+		now := time.Duration(0)
+		for range 50 {
+			now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "step"))
+			b.advance(now)
+		}
+		once, _, ok := refill(rate, now, 0)
+		require.True(t, ok)
+		require.Equal(t, once, b.level)
+	})
+}
+
+// TestPartsNeverExceedWhole guards against rounding up when a limit is split over many VMs.
+func TestPartsNeverExceedWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limitOf(rapid.Int64Range(1, 10_000_000).Draw(t, "rate"), rapid.Int64Range(1, 1_000_000_000).Draw(t, "burst"))
+		sum, left := Limit{}, Whole
+		for range 380 {
+			parts := rapid.Int64Range(0, left/8).Draw(t, "parts")
+			left -= parts
+			x := l.Part(parts)
+			sum.Rate, sum.Burst = sum.Rate+x.Rate, sum.Burst+x.Burst
+		}
+		x := l.Part(left)
+		require.LessOrEqual(t, sum.Rate+x.Rate, l.Rate)
+		require.LessOrEqual(t, sum.Burst+x.Burst, l.Burst)
+		need := Amount(rapid.Int64Range(1, int64(l.Burst)).Draw(t, "need"))
+		require.GreaterOrEqual(t, l.Part(l.PartsForBurst(need)).Burst, need)
+	})
+}
+
+// TestShareSetIsStable guards against a VM's departure that moves shares of more than one VM.
+func TestShareSetIsStable(t *testing.T) {
+	var vms []string
+	for i := range 380 {
+		vms = append(vms, arbutusfork.Incarnation{VM: "vm", Start: int64(i)}.String())
+	}
+	before := ShareSet("c", vms)
+	require.Len(t, before, ShareSetSize)
+	after := ShareSet("c", slices.DeleteFunc(vms, func(vm string) bool { return vm == before[3] }))
+	for i, vm := range before {
+		require.Equal(t, i != 3, slices.Contains(after, vm))
+	}
+	require.EqualValues(t, Whole/ShareSetSize, Target(before[0], before))
+	require.Zero(t, Target("other", before))
+}
--- a/pkg/aflimit/guard.go
+++ b/pkg/aflimit/guard.go
@@ -9,6 +9,7 @@
 	guardMargin                      // The lender waits longer than the borrower.
 	guardRefundCut                   // Refundable tokens are cut when the level rises.
 	guardProof                       // A share is reissued only when its holder is gone.
+	guardRelease                     // A release counts before its write is confirmed.
 	guardWait                        // A dead holder's share is reissued only after its loans have ended.
 )
 
--- a/pkg/aflimit/record.go
+++ b/pkg/aflimit/record.go
@@ -77,18 +77,6 @@
 	return r
 }
 
-// Plan returns the record that the VM should write, the fresh parts that it then gains, and whether it differs. Parts
-// on loan are not released. reissue reports whether a holder is gone and its loans have ended.
-func (r Record) Plan(self arbutusfork.Incarnation, target, lent int64, reissue func(arbutusfork.Incarnation) bool) (next Record, fresh int64, changed bool) {
-	mine := r.Parts(self)
-	want := max(target, lent)
-	if want > mine && want-mine > r.Fresh+r.Free() {
-		r = r.Without(func(i arbutusfork.Incarnation) bool { return i != self && reissue(i) })
-	}
-	next, fresh = r.WithParts(self, want)
-	return next, fresh, next.Parts(self) != mine
-}
-
 // Target returns the parts that the VM should hold: an equal split over the share set, or none outside of it.
 func Target(vm string, set []string) int64 {
 	if !slices.Contains(set, vm) {
