--- a/internal/afdemo/deployment.go
+++ b/internal/afdemo/deployment.go
@@ -25,9 +25,15 @@
 var Deployments = map[string]Deployment{
 	"fuqaa": {
 		Engines: 9, Plain: 3, EngineNet: "127.0.2", PlainNet: "127.0.3",
-		Cold: "order-fr-3b", Adapter: "order-ar-8b:nile-grocers", Once: "/app/payments",
-		Customers: []string{"nile-grocers", "delta-kitchens", "giza-pharmacies", "zamalek-cafes", "maadi-hardware"},
-		Small:     "maadi-hardware",
+		Cold: "order-fr-3b", Adapter: "order-ar-8b:nile-party-shops", Once: "/app/payments",
+		Customers: []string{"nile-party-shops", "delta-events", "giza-weddings", "zamalek-toys", "maadi-balloons"},
+		Small:     "maadi-balloons",
+	},
+	"umurongo": {
+		Engines: 12, Plain: 4, EngineNet: "127.0.4", PlainNet: "127.0.5",
+		Cold: "quote-sw-3b", Adapter: "quote-rw-3b:virunga-bars", Once: "/shop/payments",
+		Customers: []string{"virunga-bars", "kivu-hotels", "akagera-lodges", "nyungwe-cafes", "rusizi-stools"},
+		Small:     "rusizi-stools",
 	},
 }
 
--- a/internal/afexample/fuqaa.go
+++ b/internal/afexample/fuqaa.go
@@ -6,7 +6,8 @@
 	"arbutusfork.example/arbutusfork"
 )
 
-// Fuqaa returns the deployment of Fuqaa Supplies in Cairo: order chat, photo tags and catalogue rewriting for shops.
+// Fuqaa returns the deployment of Fuqaa Supplies in Cairo: which sells bubble solution, wands and
+// party machines to shops and event planners.
 func Fuqaa() Deployment {
 	r := rand.New(rand.NewPCG(1, 1))
 	centres := []string{"cairo-a", "cairo-b", "cairo-c"}
@@ -14,11 +15,11 @@
 		Name: "fuqaa",
 		VMs:  vms(centres),
 		Customers: []arbutusfork.Customer{
-			{Name: "nile-grocers", Rate: 9000, Burst: 270000},
-			{Name: "delta-kitchens", Rate: 6000, Burst: 180000},
-			{Name: "giza-pharmacies", Rate: 2500, Burst: 75000},
-			{Name: "zamalek-cafes", Rate: 1200, Burst: 40000},
-			{Name: "maadi-hardware", Rate: 800, Burst: 40000},
+			{Name: "nile-party-shops", Rate: 9000, Burst: 270000},
+			{Name: "delta-events", Rate: 6000, Burst: 180000},
+			{Name: "giza-weddings", Rate: 2500, Burst: 75000},
+			{Name: "zamalek-toys", Rate: 1200, Burst: 40000},
+			{Name: "maadi-balloons", Rate: 800, Burst: 40000},
 		},
 		Services: []arbutusfork.Service{
 			{
@@ -30,14 +31,14 @@
 	}
 	for _, f := range []family{
 		{"order", []string{"ar", "arz", "en", "fr"}, []string{"3b", "4b", "8b", "14b"}},
-		{"photo", []string{"produce", "bakery", "pharmacy", "hardware", "textile", "packaging"}, []string{"2b", "7b", "11b"}},
+		{"photo", []string{"wands", "solutions", "machines", "costumes", "balloons", "gifts"}, []string{"2b", "7b", "11b"}},
 		{"rewrite", []string{"ar", "en", "fr", "tr"}, []string{"8b", "14b", "32b", "70b"}},
 	} {
 		d.Models = append(d.Models, f.models("fuqaa-llm")...)
 	}
 	d.Models = append(d.Models, adapters(r, "fuqaa-llm", []string{
 		"order-ar-8b", "order-arz-8b", "order-arz-4b", "order-en-8b",
-		"photo-produce-7b", "rewrite-ar-8b", "rewrite-ar-14b", "rewrite-en-14b",
+		"photo-wands-7b", "rewrite-ar-8b", "rewrite-ar-14b", "rewrite-en-14b",
 	}, d.Customers, 5, 15)...)
 	d.Endpoints = append(
 		layout{
--- a/internal/afexample/umurongo.go
+++ b/internal/afexample/umurongo.go
@@ -6,8 +6,8 @@
 	"arbutusfork.example/arbutusfork"
 )
 
-// Umurongo returns the deployment of Umurongo Soft in Kigali: quotes, history summaries and catalogue notes for
-// traders, with bookings and payments.
+// Umurongo returns the deployment of Umurongo Soft in Kigali: one ordering service for bar-stool
+// wholesalers, whose traders ask for quotes, history summaries and catalogue notes.
 func Umurongo() Deployment {
 	r := rand.New(rand.NewPCG(2, 2))
 	centres := []string{"kigali-a", "kigali-b", "kigali-c", "kigali-d"}
@@ -15,11 +15,11 @@
 		Name: "umurongo",
 		VMs:  vms(centres),
 		Customers: []arbutusfork.Customer{
-			{Name: "virunga-retail", Rate: 11000, Burst: 330000},
-			{Name: "kivu-traders", Rate: 7000, Burst: 210000},
-			{Name: "akagera-travel", Rate: 5000, Burst: 150000},
-			{Name: "nyungwe-crafts", Rate: 1500, Burst: 45000},
-			{Name: "rusizi-parts", Rate: 1000, Burst: 40000},
+			{Name: "virunga-bars", Rate: 11000, Burst: 330000},
+			{Name: "kivu-hotels", Rate: 7000, Burst: 210000},
+			{Name: "akagera-lodges", Rate: 5000, Burst: 150000},
+			{Name: "nyungwe-cafes", Rate: 1500, Burst: 45000},
+			{Name: "rusizi-stools", Rate: 1000, Burst: 40000},
 		},
 		Services: []arbutusfork.Service{
 			{
--- a/scripts/example.sh
+++ b/scripts/example.sh
@@ -20,7 +20,7 @@
 	;;
 umurongo)
 	engine_net=127.0.4 engines=12 plain_net=127.0.5 plain=4 centres=(kigali-a kigali-b kigali-c kigali-d)
-	rate=3.5 cold= base= unfenced=" 4 8 12 "
+	rate=3.5 cold=quote-sw-3b base=quote-rw-3b unfenced=" 4 8 12 "
 	;;
 *)
 	echo "unknown deployment $deployment" >&2
