afconfig: check the freshness rule with a state machine

The counting of acknowledgements moves from afsync to afconfig, so that the machine runs the real code.

--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -52,23 +52,13 @@
 }
 
 // Confirm waits until a majority of the witnesses holds the version. It fails with Unconfirmed when ctx ends.
-//
-// The majority is asked twice, and the second answers must come from the incarnations that gave the first ones.
-// So there is a moment at which all of them held the version, and a witness that starts again afterwards learns
-// it from the others before it gives evidence. With one round, a witness could acknowledge, start again and
-// catch up with less from witnesses that acknowledge only later.
 func (s *Service) Confirm(ctx context.Context, version int64) error {
 	for {
 		raised := s.wait()
-		snapshot := s.Snapshot()
-		if snapshot.Version >= version {
-			set := snapshot.Witnesses()
-			first := s.askWitnesses(ctx, set, version, nil)
-			if len(first) >= set.Majority() {
-				second := s.askWitnesses(ctx, set, version, first)
-				if len(second) >= set.Majority() {
-					return nil
-				}
+		if snapshot := s.Snapshot(); snapshot.Version >= version {
+			c := s.askWitnesses(ctx, afconfig.Confirm(version, snapshot.Witnesses()))
+			if s.askWitnesses(ctx, c).Done() {
+				return nil
 			}
 		}
 		pause := make(chan struct{})
@@ -84,9 +74,8 @@
 	}
 }
 
-// askWitnesses returns the starts of the witnesses that hold the version, and of those in before only if they
-// have not started again. It returns when a majority has answered so or all have answered.
-func (s *Service) askWitnesses(ctx context.Context, set afconfig.WitnessSet, version int64, before map[string]int64) map[string]int64 {
+// askWitnesses runs one round of a confirmation. It returns once the round is complete or all have answered.
+func (s *Service) askWitnesses(ctx context.Context, c afconfig.Confirmation) afconfig.Confirmation {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	type ack struct {
@@ -94,38 +83,30 @@
 		answer holdAnswer
 		err    error
 	}
-	acks := make(chan ack, len(set.VMs))
-	asked := 0
-	for _, vm := range set.VMs {
-		if _, ok := before[vm]; before != nil && !ok {
-			continue
-		}
-		asked++
+	round, vms := c.Ask()
+	question := hold{Version: c.Version()}
+	acks := make(chan ack, len(vms))
+	for _, vm := range vms {
 		if vm == s.Self.VM {
 			acks <- ack{vm: vm, answer: holdAnswer{Start: s.Self.Start, Version: s.Version()}}
 			continue
 		}
 		go func() {
 			a := ack{vm: vm}
-			a.err = s.Call(ctx, vm, kindHold, hold{Version: version}, &a.answer)
+			a.err = s.Call(ctx, vm, kindHold, question, &a.answer)
 			acks <- a
 		}()
 	}
-	held := make(map[string]int64)
-	for range asked {
+	for range vms {
 		a := <-acks
-		if a.err != nil || a.answer.Version < version {
-			continue
-		}
-		if start, ok := before[a.vm]; ok && start != a.answer.Start {
-			continue
+		if a.err == nil {
+			c = c.With(round, a.vm, a.answer.Start, a.answer.Version)
 		}
-		held[a.vm] = a.answer.Start
-		if len(held) >= set.Majority() {
+		if next, _ := c.Ask(); next != round || c.Done() {
 			break
 		}
 	}
-	return held
+	return c
 }
 
 // maintain changes the witness set by one member if the platform's list of VMs calls for it. It runs on one VM,
