--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -118,13 +118,13 @@
 	}
 	snapshot := s.Snapshot()
 	set := snapshot.Witnesses()
-	next, changed := set.Next(s.vms)
+	next, changed := set.Next(s.candidates(set))
 	if !changed {
 		return
 	}
 	s.maintaining = true
 	version := snapshot.ObjectVersion(afobject.Witnesses, afconfig.CurrentName)
-	confirm := s.mustConfirm(set, s.vms)
+	confirm := s.mustConfirm(set)
 	go func() {
 		err := s.replaceWitnesses(next, version, confirm)
 		s.events.Wait(s.ctx, func() {
@@ -135,11 +135,22 @@
 	}()
 }
 
+// candidates returns the platform's list without the VMs that are no members and do not answer. A member that
+// does not answer stays, since only the list says for certain that it is gone; a VM that is still starting must
+// not become one, since the set could then lose its majority.
+func (s *Service) candidates(set afconfig.WitnessSet) []arbutusfork.VM {
+	live := s.View().Live()
+	return slices.DeleteFunc(slices.Clone(s.vms), func(vm arbutusfork.VM) bool {
+		return !slices.Contains(set.VMs, vm.Name) &&
+			!slices.ContainsFunc(live, func(other arbutusfork.VM) bool { return other.Name == vm.Name })
+	})
+}
+
 // mustConfirm reports whether the set can still confirm its successor. A set that has lost its majority for
 // good cannot, and nobody relies on it.
-func (s *Service) mustConfirm(set afconfig.WitnessSet, vms []arbutusfork.VM) bool {
+func (s *Service) mustConfirm(set afconfig.WitnessSet) bool {
 	present := 0
-	for _, vm := range vms {
+	for _, vm := range s.vms {
 		if slices.Contains(set.VMs, vm.Name) {
 			present++
 		}
--- a/pkg/afconfig/evidence.go
+++ b/pkg/afconfig/evidence.go
@@ -164,25 +164,13 @@
 // Witnesses returns the witness set that the VM knows.
 func (v View) Witnesses() WitnessSet { return v.witnesses }
 
-// Evidence returns the latest evidence of the witnesses that still counts at now, in order of name.
+// Evidence returns the latest evidence of the witnesses that still counts at now.
 func (v View) Evidence(now time.Time) []Evidence {
 	var out []Evidence
-	for _, name := range slices.Sorted(maps.Keys(v.evidence)) {
-		e := v.evidence[name].latest
-		if now.Sub(e.Sent) <= EvidenceAge {
+	for _, name := range v.witnesses.VMs {
+		if e := v.evidence[name].latest; !e.Sent.IsZero() && now.Sub(e.Sent) <= EvidenceAge {
 			out = append(out, e)
 		}
 	}
 	return out
 }
-
-// Ahead returns the witness that holds the highest version above the VM's own, if there is one.
-func (v View) Ahead(now time.Time) (Evidence, bool) {
-	best := Evidence{Version: v.version}
-	for _, e := range v.Evidence(now) {
-		if e.Version > best.Version {
-			best = e
-		}
-	}
-	return best, best.Witness != ""
-}
--- a/pkg/afobject/write.go
+++ b/pkg/afobject/write.go
@@ -47,6 +47,31 @@
 	return Object{}, err
 }
 
+// Remove deletes an object that has the version. A lost answer is resolved by reading back, as in Write: the
+// deletion took effect if the object is gone, whoever deleted it.
+func (c *Client) Remove(ctx context.Context, kind, name string, version int64) error {
+	var err error
+	for attempt := range writeAttempts {
+		err = c.Delete(ctx, kind, name, version)
+		if attempt > 0 && IsKind(err, NotFound) {
+			return nil
+		}
+		if !IsKind(err, Unknown) {
+			return err
+		}
+		found, readErr := c.Get(ctx, kind, name)
+		switch {
+		case IsKind(readErr, NotFound):
+			return nil
+		case readErr != nil:
+			return err
+		case found.Version != version:
+			return &Error{Op: "remove", Object: kind + "/" + name, Kind: Conflict}
+		}
+	}
+	return err
+}
+
 // sameSpec compares the values, since the platform may store another textual form.
 func sameSpec(a, b json.RawMessage) bool {
 	if bytes.Equal(a, b) {
