--- /dev/null
+++ b/pkg/afconfig/delta_test.go
@@ -0,0 +1,126 @@
+package afconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+// TestMergeConverges guards against deltas that lose a deletion, bring back an older object or lower the
+// version, whatever the order in which they arrive and however old they are.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := []*Snapshot{new(Snapshot)}
+		held := new(Snapshot)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			last := history[len(history)-1]
+			o := afobject.Object{
+				Kind: afobject.Customers, Name: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name")), Version: last.Version + 1,
+			}
+			if rapid.Bool().Draw(t, "store") {
+				o.Spec, _ = json.Marshal(arbutusfork.Customer{Name: o.Name, Rate: o.Version})
+			}
+			next, err := last.With(0, o)
+			require.NoError(t, err)
+			history = append(history, next)
+
+			source := rapid.SampledFrom(history).Draw(t, "source")
+			since := rapid.Int64Range(0, source.Version).Draw(t, "since")
+			before := held.Version
+			held, err = held.Merge(source.Since(since))
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, held.Version, before)
+			require.Equal(t, history[held.Version].Customers(), held.Customers())
+		}
+	})
+}
+
+// TestTombstonesAreBounded guards against memory that grows with each deletion, and against a VM that is far
+// behind and keeps a deleted key.
+func TestTombstonesAreBounded(t *testing.T) {
+	s := new(Snapshot)
+	put := func(name string, spec string) {
+		var err error
+		s, err = s.With(0, afobject.Object{Kind: afobject.Keys, Name: name, Version: s.Version + 1, Spec: []byte(spec)})
+		require.NoError(t, err)
+	}
+	put("k", `{"digest":"d"}`)
+	behind, err := new(Snapshot).Merge(s.Since(0))
+	require.NoError(t, err)
+	s, err = s.With(0, afobject.Object{Kind: afobject.Keys, Name: "k", Version: s.Version + 1})
+	require.NoError(t, err)
+	for i := range 2 * maxTombstones {
+		put(fmt.Sprint(i), `{}`)
+		s, err = s.With(0, afobject.Object{Kind: afobject.Keys, Name: fmt.Sprint(i), Version: s.Version + 1})
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, len(s.objects), maxTombstones+1)
+	d := s.Since(behind.Version)
+	require.True(t, d.Full)
+	behind, err = behind.Merge(d)
+	require.NoError(t, err)
+	_, ok := behind.Key("d")
+	require.False(t, ok)
+	require.Equal(t, s.Version, behind.Version)
+}
+
+// TestMalformedObject guards against a key that stays in force because its withdrawal cannot be read, and
+// against one malformed object that stops all later changes.
+func TestMalformedObject(t *testing.T) {
+	s, err := new(Snapshot).With(0, afobject.Object{Kind: afobject.Keys, Name: "k", Version: 1, Spec: []byte(`{"digest":"d"}`)})
+	require.NoError(t, err)
+	_, err = s.With(0, afobject.Object{Kind: afobject.Keys, Name: "k", Version: 2, Spec: []byte(`[]`)})
+	require.Error(t, err)
+	s, err = s.Apply(0, afobject.Object{Kind: afobject.Keys, Name: "k", Version: 2, Spec: []byte(`[]`)},
+		afobject.Object{Kind: afobject.Customers, Name: "c", Version: 3, Spec: []byte(`{"name":"c"}`)})
+	require.Error(t, err)
+	_, ok := s.Key("d")
+	require.False(t, ok)
+	_, ok = s.Customer("c")
+	require.True(t, ok)
+	require.EqualValues(t, 3, s.Version)
+}
+
+// TestNextWitnesses guards against successive witness sets whose majorities do not intersect.
+func TestNextWitnesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var set WitnessSet
+		var list []arbutusfork.VM
+		for i := range rapid.IntRange(0, 10).Draw(t, "vms") {
+			name := nodeName(i)
+			if rapid.Bool().Draw(t, "member") && len(set.VMs) < MaxWitnesses {
+				set.VMs = append(set.VMs, name)
+			}
+			state := arbutusfork.VMState(rapid.IntRange(0, 2).Draw(t, "state"))
+			list = append(list, arbutusfork.VM{Name: name, State: state})
+		}
+		present := 0
+		for _, vm := range list {
+			for _, name := range set.VMs {
+				if vm.Name == name && vm.State != arbutusfork.VMGone {
+					present++
+				}
+			}
+		}
+		next, changed := set.Next(list)
+		if !changed {
+			return
+		}
+		require.Equal(t, set.Epoch+1, next.Epoch)
+		require.NotEmpty(t, next.VMs)
+		require.LessOrEqual(t, len(next.VMs), MaxWitnesses)
+		union := make(map[string]bool)
+		for _, name := range append(append([]string(nil), set.VMs...), next.VMs...) {
+			union[name] = true
+		}
+		if present >= set.Majority() {
+			require.Greater(t, set.Majority()+next.Majority(), len(union))
+		}
+	})
+}
