--- a/internal/afbooking/bucket.go
+++ b/internal/afbooking/bucket.go
@@ -123,6 +123,9 @@
 func (b *bucket) decide(w *work, d afclaim.Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if w.decided {
+		return
+	}
 	granted := w.op.Verb == afclaim.Take && d.Verdict == afclaim.Granted && !d.Full
 	if w.abandoned && granted {
 		w.doubtful = true
--- /dev/null
+++ b/pkg/afclaim/record_test.go
@@ -0,0 +1,60 @@
+package afclaim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"github.com/stretchr/testify/require"
+)
+
+func nobody(arbutusfork.Incarnation) bool { return false }
+
+func take(i int) Op {
+	return Op{Verb: Take, ID: Call{Key: fmt.Sprint(i)}.ID(), Ticket: Ticket{VM: "vm", Start: 1 << 60, Seq: uint64(i)}, Body: strings.Repeat("f", 64)}
+}
+
+// TestRecordIsBounded guards against a record that outgrows the platform's limit, and against claims that outlive a day.
+func TestRecordIsBounded(t *testing.T) {
+	now, r := time.Unix(1_000_000, 0), Record{}
+	full := 0
+	for i := 0; full == 0; i++ {
+		finish := take(i)
+		finish.Verb, finish.Answer = Finish, Answer{Status: 200, Type: "text/plain", Body: []byte(strings.Repeat("\x00", MaxAnswer))}
+		next, d, _ := r.Apply([]Op{take(i), finish}, now, nobody)
+		if r = next; d[0].Full {
+			full = i
+		}
+	}
+	raw, err := json.Marshal(r)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(raw), r.Size())
+	require.LessOrEqual(t, r.Size(), MaxBytes)
+	t.Logf("%d claims in %d bytes", full, len(raw))
+
+	r, d, changed := r.Apply([]Op{take(full)}, now.Add(Lifetime+time.Second), nobody)
+	require.True(t, changed)
+	require.Equal(t, Decision{Verdict: Granted, Changes: true}, d[0])
+	require.Len(t, r.Claims, 1)
+}
+
+// TestLargeAnswerIsNotKept guards against a second run of a call whose answer was too large to keep.
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	finish := take(1)
+	finish.Verb, finish.Answer = Finish, Answer{Body: make([]byte, MaxAnswer+1)}
+	r, _, _ := Record{}.Apply([]Op{take(1), finish}, time.Unix(0, 0), nobody)
+	second := take(1)
+	second.Ticket.Seq = 2
+	_, d, changed := r.Apply([]Op{second}, time.Unix(0, 0), nobody)
+	require.False(t, changed)
+	require.Equal(t, Unclear, d[0].Verdict)
+}
+
+// TestIDsDiffer guards against two calls that share a claim because their fields join to the same text.
+func TestIDsDiffer(t *testing.T) {
+	require.NotEqual(t, Call{Customer: "a", Route: "bc"}.ID(), Call{Customer: "ab", Route: "c"}.ID())
+	require.Less(t, Call{Key: "k"}.Bucket(), Buckets)
+}
