afsync: probe before peer evidence lapses; log lost freshness

A VM cut off from its peers asked the platform only once it had stopped being fresh, and refused requests for about a second although the platform answered. It now starts 1.5 s before the peer evidence lapses, and goes on while that evidence is missing instead of stopping after 10 s.

The end of freshness was logged only with the next message; the tick logs it now. afpeer tells a VM's incarnation, which shares and claims refer to.

Tests: go test ./internal/...

--- a/internal/afpeer/peer.go
+++ b/internal/afpeer/peer.go
@@ -164,6 +164,7 @@
 		s.log().Info("silent link replaced", "vm", p.vm.Name)
 		old.close()
 	}
+	s.log().Info("VM connected", "vm", p.vm.Name, "incarnation", p.from.String(), "suspected", p.suspected)
 	p.alive, p.suspected, p.leaving = true, false, h.Leaving
 	s.observe(p)
 	s.release(p, l)
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -89,6 +89,7 @@
 type shared struct {
 	view  afmember.View
 	links map[string]*link
+	froms map[string]arbutusfork.Incarnation
 }
 
 type counters struct {
@@ -181,12 +182,16 @@
 
 func (s *Service) publish() {
 	links := make(map[string]*link, len(s.peers))
+	froms := map[string]arbutusfork.Incarnation{s.Self.VM: s.Self}
 	for name, p := range s.peers {
 		if p.link != nil {
 			links[name] = p.link
 		}
+		if !p.from.IsZero() {
+			froms[name] = p.from
+		}
 	}
-	s.shared.Store(&shared{view: s.view, links: links})
+	s.shared.Store(&shared{view: s.view, links: links, froms: froms})
 }
 
 func (s *Service) changed() {
@@ -205,6 +210,14 @@
 	return s.shared.Load().view
 }
 
+// Incarnation returns the incarnation that a VM had when it last answered on a new link. ok is false if none is
+// known.
+func (s *Service) Incarnation(vm string) (from arbutusfork.Incarnation, ok bool) {
+	s.init()
+	from, ok = s.shared.Load().froms[vm]
+	return from, ok
+}
+
 // SetVMs takes an answer of the platform's list of VMs.
 func (s *Service) SetVMs(vms []arbutusfork.VM) {
 	s.init()
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -24,8 +24,10 @@
 	listPeriod = 5 * time.Second
 	// witnessPeriod is the interval at which the responsible VM looks at the witness set.
 	witnessPeriod = 2 * time.Second
-	// standIn is how long a VM that lost its peer evidence keeps watching the platform by itself.
+	// standIn is how long a VM whose peer evidence was about to lapse keeps watching the platform by itself.
 	standIn = 10 * time.Second
+	// standInLead is how long before the evidence lapses a VM begins to do so: a tick and the time of a probe.
+	standInLead = 1500 * time.Millisecond
 )
 
 // Service watches the platform if this VM is a watcher, pulls changes from peers otherwise, and keeps the
@@ -65,6 +67,7 @@
 	pulling     bool
 	listing     bool
 	maintaining bool
+	fresh       bool             // fresh is what was logged last.
 	vms         []arbutusfork.VM // vms is the platform's list, nil until it has been read.
 }
 
@@ -139,7 +142,8 @@
 // tick sees to the watch and the probe.
 func (s *Service) tick(now time.Time) {
 	watches := s.View().Watches()
-	if watches || !s.evidence.Load().Fresh(now) {
+	s.noteFreshness(now)
+	if watches || !s.evidence.Load().Witnessed(now.Add(standInLead)) {
 		s.standUntil = now.Add(standIn)
 	}
 	if !watches && now.After(s.standUntil) {
@@ -174,14 +178,22 @@
 	}
 }
 
-// updateEvidence replaces the view of the evidence and logs when freshness begins or ends.
+// updateEvidence replaces the view of the evidence.
 func (s *Service) updateEvidence(fn func(afconfig.View) afconfig.View) {
 	now := s.Timer.Now()
 	old := s.evidence.Load()
 	next := fn(*old).Settle(now)
 	s.evidence.Store(&next)
-	if before, after := old.Fresh(now), next.Fresh(now); before != after {
-		s.log().Info("configuration freshness changed", "fresh", after, "version", next.Version())
+	s.noteFreshness(now)
+}
+
+// noteFreshness logs when freshness begins or ends.
+func (s *Service) noteFreshness(now time.Time) {
+	v := s.evidence.Load()
+	if fresh := v.Fresh(now); fresh != s.fresh {
+		s.fresh = fresh
+		s.log().Info("configuration freshness changed",
+			"fresh", fresh, "peers", v.Witnessed(now), "version", v.Version(), "epoch", v.Witnesses().Epoch)
 	}
 }
 
--- a/pkg/afconfig/evidence.go
+++ b/pkg/afconfig/evidence.go
@@ -122,13 +122,14 @@
 }
 
 // Fresh reports whether the VM may rely on its configuration at the moment now.
-func (v View) Fresh(now time.Time) bool { return v.probed(now) || v.witnessed(now) }
+func (v View) Fresh(now time.Time) bool { return v.probed(now) || v.Witnessed(now) }
 
 func (v View) probed(now time.Time) bool {
 	return !v.probe.covered.Sent.IsZero() && now.Sub(v.probe.covered.Sent) <= EvidenceAge
 }
 
-func (v View) witnessed(now time.Time) bool {
+// Witnessed reports whether the evidence of the witnesses alone makes the VM fresh at the moment now.
+func (v View) Witnessed(now time.Time) bool {
 	n := 0
 	for _, name := range v.witnesses.VMs {
 		if name == v.Self {
