--- a/pkg/afplacement/account.go
+++ b/pkg/afplacement/account.go
@@ -25,7 +25,10 @@
 	}
 	var effects []Effect
 	for _, o := range r.Orders {
-		if _, sent := v.flights[o.ID]; sent || o.State != Recorded || !r.own(o) || o.Fence < v.floor {
+		if _, sent := v.flights[o.ID]; sent || o.State != Recorded || !r.own(o) {
+			continue
+		}
+		if o.Fence < v.floor && !v.variant.sendFloored {
 			continue
 		}
 		if v.pending != nil && !v.variant.sendUncommitted {
@@ -76,7 +79,7 @@
 		return false
 	}
 	ep := v.cfg.Endpoints[o.Endpoint]
-	return !ep.Fenced || v.acks[o.Endpoint] <= o.Fence
+	return !ep.Fenced || v.acks[o.Endpoint] <= o.Fence && !v.variant.ignoreAck
 }
 
 // live reports whether the order can still be carried out.
@@ -95,6 +98,9 @@
 		return "", 0, false
 	}
 	stale := rep.asked.Before(v.tenure) || !rep.asked.After(v.settled[p])
+	if barrier := v.barrier[p.endpoint]; !rep.asked.After(barrier) && !v.variant.noBarrier {
+		stale = stale || !barrier.IsZero()
+	}
 	if stale && !v.variant.believeOldReport {
 		return "", 0, false
 	}
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -43,10 +43,11 @@
 	unsure  bool      // unsure means that the record must be read back before another commit.
 	resign  bool
 
-	flights  map[int64]flight    // flights are the own orders that were sent.
-	reports  map[string]report   // reports are the endpoints' last reports.
-	acks     map[string]int64    // acks are the highest fences that endpoints accepted.
-	settled  map[place]time.Time // settled is when the last order for a place was answered.
+	flights  map[int64]flight     // flights are the own orders that were sent.
+	reports  map[string]report    // reports are the endpoints' last reports.
+	acks     map[string]int64     // acks are the highest fences that endpoints accepted.
+	settled  map[place]time.Time  // settled is when the last order for a place was answered.
+	barrier  map[string]time.Time // barrier is the time before which an endpoint\'s reports are void.
 	released map[arbutusfork.Incarnation]release
 	gone     map[arbutusfork.Incarnation]bool
 	asked    map[arbutusfork.Incarnation]time.Time
@@ -103,6 +104,11 @@
 	ignoreReplicas   bool
 	earlyTakeover    bool
 	believeOldReport bool
+	noBarrier        bool
+	sendFloored      bool
+	hideDoubt        bool
+	assumeCommitted  bool
+	ignoreAck        bool
 }
 
 // NewView returns the view of a VM that knows nothing about the shard yet.
@@ -134,7 +140,13 @@
 	case Committed:
 		v = v.committed(e)
 	case Failed:
+		if p := v.pending; p != nil && v.variant.assumeCommitted {
+			v.record = *p
+		}
 		v.pending, v.unsure, v.failed = nil, true, now
+		if v.variant.assumeCommitted {
+			return v, nil
+		}
 		return v, []Effect{Fetch{}}
 	case Observed:
 		v = v.observed(e)
@@ -146,8 +158,10 @@
 		v = v.arrived(e, now)
 	case Released:
 		v.released = with(v.released, e.Sender, release{fence: e.Fence, doubt: e.Doubt})
+		v = v.bar(e.Sender, now)
 	case Gone:
 		v.gone = with(v.gone, e.Sender, true)
+		v = v.bar(e.Sender, now)
 	case Fenced:
 		v.floor = max(v.floor, e.Fence)
 	case Resign:
@@ -302,15 +316,30 @@
 	}
 	if e.Reply == Accepted && o.Fence > v.acks[o.Endpoint] {
 		v.acks = with(v.acks, o.Endpoint, o.Fence)
+		v.barrier = with(v.barrier, o.Endpoint, now)
 	}
 	v.flights = with(v.flights, e.Order, flight{reply: e.Reply, answered: true, at: now})
 	v.settled = with(v.settled, place{o.Endpoint, o.Model}, now)
 	return v
 }
 
+// bar makes earlier reports of the endpoints of a sender's orders void: an order that is over now may have arrived
+// after the report was made.
+func (v View) bar(sender arbutusfork.Incarnation, now time.Time) View {
+	for _, o := range v.record.Orders {
+		if o.Sender == sender {
+			v.barrier = with(v.barrier, o.Endpoint, now)
+		}
+	}
+	return v
+}
+
 // Doubt answers an AskRelease: it returns the sent orders of which this VM does not know the fate. The caller must
 // have applied Fenced first, so that nothing below the fence is sent any more.
 func (v View) Doubt() (doubt []int64) {
+	if v.variant.hideDoubt {
+		return nil
+	}
 	for id, f := range v.flights {
 		if !f.answered || f.reply == Lost {
 			doubt = append(doubt, id)
