--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -33,8 +33,10 @@
 	afretry.Attempt
 	err error
 	// sunk tells that err came from the sink, so that the caller and not the endpoint is at fault.
-	sunk      bool
+	sunk bool
+	// leaving and missing tell why the endpoint refused: it takes no new work, or it does not have the model.
 	leaving   bool
+	missing   bool
 	relayed   bool
 	resumable bool
 	events    int
@@ -117,7 +119,11 @@
 	}
 	w := s.watch(l, c, t, cancel)
 	defer w.stop()
-	resp, err := s.pools.get(l.Replica.Address).RoundTrip(req)
+	transport := s.pools.once()
+	if c.Idempotent {
+		transport = s.pools.get(l.Replica.Address)
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		a.Handed = t.handed()
 		a.err = cause(ctx, err)
@@ -128,6 +134,7 @@
 	a.Status = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
 	a.leaving = isLeaving(resp.StatusCode, resp.Header)
+	a.missing = a.NotRun && !a.leaving && resp.StatusCode == http.StatusServiceUnavailable && l.request.Model != ""
 	if afretry.Classify(a.Attempt) == arbutusfork.OutcomeNotRun {
 		a.err = errors.Errorf("refused with status %d", resp.StatusCode)
 		return a
--- a/internal/afdispatch/choice.go
+++ b/internal/afdispatch/choice.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Service) open(class string, now time.Time) bool {
-	for _, r := range s.replicas(class) {
+	for _, r := range s.present(class) {
 		if s.usable(r, now) {
 			return true
 		}
@@ -79,7 +79,7 @@
 // candidates keep VMs whose reports lag from all choosing the same endpoint.
 func (s *Service) choose(r Request, now time.Time) choice {
 	var free []afplacement.Replica
-	for _, c := range s.replicas(r.class()) {
+	for _, c := range s.present(r.class()) {
 		if s.usable(c, now) {
 			free = append(free, c)
 		}
--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -62,8 +62,21 @@
 
 // pools holds one transport per address, so that the idle connections of one endpoint can be dropped.
 type pools struct {
-	mu sync.Mutex
-	m  map[string]*http.Transport
+	mu    sync.Mutex
+	m     map[string]*http.Transport
+	fresh *http.Transport
+}
+
+// once returns the transport for calls that are not idempotent. It opens a connection for each call, which takes
+// about a millisecond: on a connection that went silent while idle, the outcome would be unknown.
+func (p *pools) once() *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fresh == nil {
+		p.fresh = newTransport()
+		p.fresh.DisableKeepAlives = true
+	}
+	return p.fresh
 }
 
 func (p *pools) get(address string) *http.Transport {
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -24,6 +24,10 @@
 // resumeWait bounds the search for an engine that resumes a broken stream.
 const resumeWait = 5 * time.Second
 
+// freeAttempts is the number of attempts that are outside the retry budgets if all of them did not run. They put
+// no load on an endpoint, so that the requests of a dead or leaving endpoint all move to others.
+const freeAttempts = 5
+
 // Call is a request as it is sent to an endpoint.
 type Call struct {
 	// ID is sent as the request id.
@@ -95,8 +99,10 @@
 		}
 		last = a.refusal().WithOutcome(worst)
 		s.note(r, lease, a, outcome)
-		again := a.isRetryable() && (afretry.May(outcome, c.Idempotent, relayed) || (a.resumable && c.Idempotent))
-		if !again || ctx.Err() != nil || !s.budget.spend(r, s.Timer.Now()) || !s.pause(ctx, a, n) {
+		again := ctx.Err() == nil && a.isRetryable() && (afretry.May(outcome, c.Idempotent, relayed) || (a.resumable && c.Idempotent))
+		free := worst == arbutusfork.OutcomeNotRun && a.Status != http.StatusTooManyRequests && n < freeAttempts
+		again = again && (free || s.budget.spend(r, s.Timer.Now()))
+		if !again || !s.pause(ctx, a, n) {
 			return Result{Outcome: worst, Refusal: last, Relayed: relayed}
 		}
 		if relayed {
@@ -112,6 +118,8 @@
 	switch {
 	case a.leaving:
 		s.send(event{kind: eventLeaving, endpoint: l.Replica.Endpoint})
+	case a.missing:
+		s.send(event{kind: eventMissing, lease: l})
 	case a.isEndpointFault():
 		s.send(event{kind: eventFailed, endpoint: l.Replica.Endpoint})
 	}
@@ -121,10 +129,10 @@
 		slog.Bool("relayed", a.relayed), slog.Bool("leaving", a.leaving), slog.Any("cause", a.err))
 }
 
-// pause waits before the next attempt. It reports false if ctx ended. A refusal by a leaving endpoint needs no
-// delay, since another endpoint is used.
+// pause waits before the next attempt. It reports false if ctx ended. A refusal by an endpoint that is
+// leaving or does not have the model needs no delay, since another endpoint is used.
 func (s *Service) pause(ctx context.Context, a attempt, n int) bool {
-	if a.leaving {
+	if a.leaving || a.missing {
 		return true
 	}
 	due := make(chan struct{})
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -136,9 +136,10 @@
 }
 
 // Wake looks again at the waiting requests after a change of the routing table.
-func (s *Service) Wake(...string) {
+// An endpoint that did not have one of the models is asked again.
+func (s *Service) Wake(models ...string) {
 	s.init()
-	s.ring.Push(event{kind: eventTick})
+	s.ring.Push(event{kind: eventWake, models: models})
 }
 
 // Acquire waits in the fair queue until an endpoint has a free slot for the request, its deadline comes or ctx
@@ -197,7 +198,28 @@
 	s.ring.Wait(ctx, e)
 }
 
-// replicas returns the endpoints that may serve the class.
+// present returns the endpoints that may serve the class without those that said that they cannot. It is called
+// by the owner goroutine.
+func (s *Service) present(class string) []afplacement.Replica {
+	all := s.replicas(class)
+	if len(s.state.missing) == 0 {
+		return all
+	}
+	now := s.Timer.Now()
+	var out []afplacement.Replica
+	for _, r := range all {
+		key := replica{r.Endpoint, class}
+		until, missing := s.state.missing[key]
+		if missing && until.After(now) {
+			continue
+		}
+		delete(s.state.missing, key)
+		out = append(out, r)
+	}
+	return out
+}
+
+// replicas returns the endpoints that may serve the class according to the table or the configuration.
 func (s *Service) replicas(class string) []afplacement.Replica {
 	if len(class) > 0 && class[:1] == plainPrefix {
 		if s.Endpoints == nil {
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"arbutusfork.example/arbutusfork"
@@ -19,6 +20,8 @@
 	eventRelease
 	eventFailed
 	eventLeaving
+	eventMissing
+	eventWake
 	eventWell
 )
 
@@ -29,6 +32,7 @@
 	lease    *Lease
 	actual   int64
 	endpoint string
+	models   []string
 }
 
 type grant struct {
@@ -54,8 +58,16 @@
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
 	dirty    map[string]bool
+	// missing is until when a replica is not used because its endpoint said that it does not have the model.
+	missing map[replica]time.Time
 }
 
+// replica names a model at an endpoint.
+type replica struct{ endpoint, model string }
+
+// missingTime is how long a replica that the endpoint does not have is left out, unless the table changes.
+const missingTime = time.Second
+
 // endpoint is what this VM knows about an endpoint beyond the routing table.
 type endpoint struct {
 	running  int
@@ -76,6 +88,7 @@
 		endpoints: make(map[string]*endpoint),
 		reported:  make(map[string]int),
 		dirty:     make(map[string]bool),
+		missing:   make(map[replica]time.Time),
 	}
 }
 
@@ -105,6 +118,14 @@
 		s.state.endpoint(e.endpoint).failures = 0
 	case eventLeaving:
 		s.state.endpoint(e.endpoint).left = now
+	case eventMissing:
+		s.state.missing[replica{e.lease.Replica.Endpoint, e.lease.request.Model}] = now.Add(missingTime)
+	case eventWake:
+		for r := range s.state.missing {
+			if slices.Contains(e.models, r.model) {
+				delete(s.state.missing, r)
+			}
+		}
 	case eventTick:
 	}
 }
@@ -127,7 +148,7 @@
 
 // estimate returns the expected wait of the entry, if anything is known about it.
 func (s *Service) estimate(e afqueue.Entry) (time.Duration, bool) {
-	if len(s.replicas(e.Class)) > 0 {
+	if len(s.present(e.Class)) > 0 {
 		return s.state.queue.Estimate(e, 0), true
 	}
 	if s.Ready == nil {
@@ -208,7 +229,7 @@
 			continue
 		}
 		waiting := s.state.queue.Waiting(class)
-		if waiting == s.state.reported[class] || (waiting > 0 && len(s.Replicas(class)) > 0) {
+		if waiting == s.state.reported[class] || (waiting > 0 && len(s.present(class)) > 0) {
 			continue
 		}
 		if waiting == 0 {
--- a/internal/afentry/fake_test.go
+++ b/internal/afentry/fake_test.go
@@ -181,3 +181,5 @@
 	}
 	return string(b)
 }
+
+func faultCut(tokens int) afstandin.EndpointFaults { return afstandin.EndpointFaults{Cut: tokens} }
--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -1,7 +1,9 @@
 package afentry
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +62,10 @@
 	drained chan struct{}
 }
 
+// opened counts the links. The pollers learn of a connection through the kernel, which the Go memory model knows
+// nothing of; they load the counter before they use a link, which orders that after the making of the link.
+var opened atomic.Uint64
+
 // open makes a link of a new connection.
 func (s *Server) open(c *nbio.Conn) {
 	p, ok := c.Session().(*nbhttp.Parser)
@@ -78,11 +84,13 @@
 	s.links[l] = struct{}{}
 	s.mu.Unlock()
 	s.metrics.conns.Inc()
+	opened.Add(1)
 	c.SetSession(l)
 }
 
 // Parse takes data that the caller sent.
 func (l *link) Parse(data []byte) error {
+	opened.Load()
 	if l.guard.refusal != nil {
 		return nil // The connection lingers; what still comes is not looked at.
 	}
@@ -118,7 +126,7 @@
 
 // CloseAndClean is called by the engine when the connection is closed.
 func (l *link) CloseAndClean(err error) {
-	l.Parser.CloseAndClean(err)
+	opened.Load()
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -128,6 +136,7 @@
 	l.jobs = nil
 	cancel := l.cancel
 	l.mu.Unlock()
+	l.Parser.CloseAndClean(err)
 	close(l.gone)
 	if cancel != nil {
 		cancel(&Error{Op: "serve", Kind: HungUp, Err: err})
@@ -206,6 +215,7 @@
 
 // written notes bytes that the operating system took. It is called with the connection's lock held.
 func (l *link) written(n int) {
+	opened.Load()
 	l.moved.Store(l.server.Timer.Now().UnixNano())
 	if l.unsent.Add(int64(-n)) <= maxUnsent/2 {
 		select {
@@ -260,10 +270,7 @@
 // sweep carries out the timeouts of all connections and ends keyed requests on a stale configuration.
 func (s *Server) sweep(now time.Time) {
 	s.mu.Lock()
-	links := make([]*link, 0, len(s.links))
-	for l := range s.links {
-		links = append(links, l)
-	}
+	links := slices.Collect(maps.Keys(s.links))
 	s.mu.Unlock()
 	for _, l := range links {
 		l.sweep(now)
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,10 +142,22 @@
 	s.Log.Info("serving callers", "address", s.Addr(), "connections", s.MaxConns)
 	<-ctx.Done()
 	sweep.Stop()
+	s.hangUp()
 	e.Stop()
 	return nil
 }
 
+// hangUp ends what still runs, since a stopped engine no longer tells that its connections are closed.
+func (s *Server) hangUp() {
+	s.mu.Lock()
+	links := slices.Collect(maps.Keys(s.links))
+	s.mu.Unlock()
+	for _, l := range links {
+		l.CloseAndClean(net.ErrClosed)
+		_ = l.conn.Close()
+	}
+}
+
 // Drain serves out: requests on connections that are open are still served, each answer closes its connection,
 // and requests on new connections are refused as not run. It returns when nothing runs and no connection is
 // open, or when ctx ends. The balancer must have stopped sending before.
--- a/internal/afstandin/engine.go
+++ b/internal/afstandin/engine.go
@@ -32,6 +32,8 @@
 	Next  time.Duration
 	// Resume makes the engine offer to resume streams.
 	Resume bool
+	// Ended is called when a request ends. Cancelled tells that its caller hung up. It may be nil.
+	Ended func(cancelled bool)
 
 	faults faultSet
 	once   sync.Once
@@ -151,12 +153,13 @@
 		ok = false
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.waiting--
 	if ok {
 		e.running++
-	} else {
-		e.counts.Cancelled++
+	}
+	e.mu.Unlock()
+	if !ok {
+		e.ended(true)
 	}
 	return ok
 }
@@ -164,10 +167,19 @@
 func (e *Engine) leave(r *http.Request) {
 	<-e.slots
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.running--
-	if r.Context().Err() != nil {
+	e.mu.Unlock()
+	e.ended(r.Context().Err() != nil)
+}
+
+func (e *Engine) ended(cancelled bool) {
+	if cancelled {
+		e.mu.Lock()
 		e.counts.Cancelled++
+		e.mu.Unlock()
+	}
+	if e.Ended != nil {
+		e.Ended(cancelled)
 	}
 }
 
--- a/internal/afstandin/fault.go
+++ b/internal/afstandin/fault.go
@@ -123,7 +123,7 @@
 // wait reports false if the caller hung up first.
 func wait(r *http.Request, d time.Duration) bool {
 	if d <= 0 {
-		return true
+		return r.Context().Err() == nil
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/afstandin/inference.go
+++ b/internal/afstandin/inference.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -88,8 +90,8 @@
 		return
 	}
 	body, _ := json.Marshal(map[string]any{
-		"id": req.id(r), "object": req.object(false), "created": answerTime, "model": req.Model,
-		"choices": []any{req.choice(text, false)}, "usage": req.usage(n),
+		"id": req.id(r), "object": strings.TrimSuffix(req.object(), ".chunk"), "created": answerTime, "model": req.Model,
+		"choices": []any{req.choice(text)}, "usage": req.usage(n),
 	})
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -114,6 +116,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := func() { _ = http.NewResponseController(w).Flush() }
 	n := req.tokens()
+	model, _ := json.Marshal(req.Model)
+	head := fmt.Sprintf(`data: {"id":"%s","object":"%s","created":%d,"model":%s,"choices":[`, req.id(r), req.object(), answerTime, model)
+	open, end := `{"index":0,"delta":{"content":"`, "\"}}]}\n\n"
+	if req.kind == kindText {
+		open, end = `{"index":0,"text":"`, "\"}]}\n\n"
+	}
 	sent := 0
 	for i := range n {
 		if i < start {
@@ -127,29 +135,17 @@
 			return
 		}
 		sent++
-		e.chunk(w, req, r, []any{req.choice(token(i), true)}, nil)
+		_, _ = io.WriteString(w, head+open+token(i)+end)
 		flush()
 	}
 	if req.Options != nil && req.Options.Usage && start <= n {
-		e.chunk(w, req, r, []any{}, req.usage(n))
+		u, _ := json.Marshal(req.usage(n))
+		_, _ = fmt.Fprintf(w, "%s],\"usage\":%s}\n\n", head, u)
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 	flush()
 }
 
-func (e *Engine) chunk(w http.ResponseWriter, req inferenceRequest, r *http.Request, choices []any, u *usage) {
-	v := struct {
-		ID      string `json:"id"`
-		Object  string `json:"object"`
-		Created int64  `json:"created"`
-		Model   string `json:"model"`
-		Choices []any  `json:"choices"`
-		Usage   *usage `json:"usage,omitempty"`
-	}{req.id(r), req.object(true), answerTime, req.Model, choices, u}
-	b, _ := json.Marshal(v)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
-}
-
 func (r inferenceRequest) id(h *http.Request) string {
 	if r.kind == kindChat {
 		return "chatcmpl-" + h.Header.Get("X-Request-Id")
@@ -157,22 +153,16 @@
 	return "cmpl-" + h.Header.Get("X-Request-Id")
 }
 
-func (r inferenceRequest) object(stream bool) string {
-	switch {
-	case r.kind == kindText:
+func (r inferenceRequest) object() string {
+	if r.kind == kindText {
 		return "text_completion"
-	case stream:
-		return "chat.completion.chunk"
 	}
-	return "chat.completion"
+	return "chat.completion.chunk"
 }
 
-func (r inferenceRequest) choice(text string, stream bool) any {
-	switch {
-	case r.kind == kindText:
+func (r inferenceRequest) choice(text string) any {
+	if r.kind == kindText {
 		return map[string]any{"index": 0, "text": text}
-	case stream:
-		return map[string]any{"index": 0, "delta": map[string]string{"content": text}}
 	}
 	return map[string]any{
 		"index": 0, "finish_reason": "length",
