example: let runs choose their loopback addresses

The example used fixed addresses, so two runs on one machine disturbed each other.

Separate network namespaces were ruled out: processes of the example are plain and need no isolation tools.

--- a/cmd/arbutusfork-demo/main.go
+++ b/cmd/arbutusfork-demo/main.go
@@ -22,9 +22,10 @@
 	app.HelpFlag.Short('h')
 	names := slices.Sorted(maps.Keys(afdemo.Deployments))
 	name := app.Flag("deployment", "The example that runs.").Default("fuqaa").Enum(names...)
+	net := app.Flag("net", "Second part of the example's addresses 127.NET.x.y.").Default("0").Envar("NET").Int()
 	token := app.Flag("token", "Operator token.").Envar("ARBUTUSFORK_TOKEN").Required().String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	demo := afdemo.Demo{Token: *token, Out: os.Stdout, HTTP: &http.Client{}}.WithDeployment(afdemo.Deployments[*name])
+	demo := afdemo.Demo{Token: *token, Out: os.Stdout, HTTP: &http.Client{}}.WithDeployment(afdemo.Deployments[*name], *net)
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
 	if err := demo.Run(ctx); err != nil {
--- a/internal/afdemo/deployment.go
+++ b/internal/afdemo/deployment.go
@@ -3,18 +3,21 @@
 import "fmt"
 
 const (
+	vmNet         = 1
 	vmCount       = 6
 	callersPort   = 8080
 	operatorsPort = 8081
 	enginePort    = 9100
 	plainPort     = 9200
+	platformPort  = 9000
+	weightsPort   = 9001
 )
 
 // Deployment names what the demo uses of one example configuration.
 type Deployment struct {
 	Engines, Plain int
-	// EngineNet and PlainNet are the first three parts of the stand-ins' addresses.
-	EngineNet, PlainNet string
+	// EngineNet and PlainNet are the third parts of the stand-ins' addresses, which follow the run's net.
+	EngineNet, PlainNet int
 	Cold, Adapter       string
 	Once                string
 	Customers           []string
@@ -24,25 +27,42 @@
 // Deployments are the examples by name.
 var Deployments = map[string]Deployment{
 	"fuqaa": {
-		Engines: 9, Plain: 3, EngineNet: "127.0.2", PlainNet: "127.0.3",
+		Engines: 9, Plain: 3, EngineNet: 2, PlainNet: 3,
 		Cold: "order-fr-3b", Adapter: "order-ar-8b:nile-grocers", Once: "/app/payments",
 		Customers: []string{"nile-grocers", "delta-kitchens", "giza-pharmacies", "zamalek-cafes", "maadi-hardware"},
 		Small:     "maadi-hardware",
 	},
 }
 
-// WithDeployment returns a copy of the demo that runs against the example.
-func (d Demo) WithDeployment(e Deployment) Demo {
-	for vm := range vmCount {
-		d.Callers = append(d.Callers, fmt.Sprintf("http://127.0.1.%d:%d", vm+1, callersPort))
-		d.Operators = append(d.Operators, fmt.Sprintf("http://127.0.1.%d:%d", vm+1, operatorsPort))
-	}
-	for i := range e.Engines {
-		d.Engines = append(d.Engines, fmt.Sprintf("http://%s.%d:%d", e.EngineNet, i+1, enginePort))
+// Addresses holds the base URLs of a running example, in order of number.
+type Addresses struct {
+	Callers, Operators, Engines, Plain []string
+	Platform, Weights                  string
+}
+
+// Addresses returns where the example runs on the loopback addresses 127.net.x.y.
+func (e Deployment) Addresses(net int) Addresses {
+	list := func(third, n, port int) []string {
+		var out []string
+		for i := range n {
+			out = append(out, fmt.Sprintf("http://127.%d.%d.%d:%d", net, third, i+1, port))
+		}
+		return out
 	}
-	for i := range e.Plain {
-		d.Plain = append(d.Plain, fmt.Sprintf("http://%s.%d:%d", e.PlainNet, i+1, plainPort))
+	return Addresses{
+		Callers:   list(vmNet, vmCount, callersPort),
+		Operators: list(vmNet, vmCount, operatorsPort),
+		Engines:   list(e.EngineNet, e.Engines, enginePort),
+		Plain:     list(e.PlainNet, e.Plain, plainPort),
+		Platform:  list(0, 1, platformPort)[0],
+		Weights:   list(0, 1, weightsPort)[0],
 	}
+}
+
+// WithDeployment returns a copy of the demo that runs against the example on 127.net.x.y.
+func (d Demo) WithDeployment(e Deployment, net int) Demo {
+	a := e.Addresses(net)
+	d.Callers, d.Operators, d.Engines, d.Plain = a.Callers, a.Operators, a.Engines, a.Plain
 	d.Cold, d.Adapter, d.Once = e.Cold, e.Adapter, e.Once
 	d.Customers, d.Small = e.Customers, e.Small
 	return d
