recover: drive the example through failures and check the conditions

Recovery targets were stated and not measured with real processes.

arbutusfork-recover sends a steady load of short and streamed requests and payments as the platform's balancer would, records what callers see, and checks C1 to C8 and C10 against the stand-ins' counts and the committed record. The limit is checked over every interval between a sending and an answer, since a total would hide a bucket that restarts full. A driver that starts the daemons itself was ruled out, because a process of the project starts no other process; scripts/recover.sh kills, freezes and replaces processes by the ids it started. Engine stand-ins now count the requests that come while they leave.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure bench demo demo-umurongo up
+.PHONY: build test generate model measure bench demo demo-umurongo up recover
 
 build:
 	@mkdir -p $(BIN)
@@ -30,3 +30,6 @@
 
 up: build
 	scripts/example.sh up fuqaa
+
+recover: build
+	scripts/recover.sh
--- /dev/null
+++ b/internal/afrecover/fleet.go
@@ -0,0 +1,125 @@
+// Package afrecover drives a running example under failures and checks the conditions of the design page.
+package afrecover
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"arbutusfork.example/arbutusfork/internal/afdemo"
+)
+
+// Fleet is a running example deployment.
+type Fleet struct {
+	afdemo.Addresses
+	// Token is the operator token.
+	Token string
+	// HTTP sends control requests. Callers' requests have their own connections.
+	HTTP *http.Client
+}
+
+// controlTimeout bounds one control request. A frozen VM answers none.
+const controlTimeout = 5 * time.Second
+
+// get decodes the answer of a GET request into v.
+func (f *Fleet) get(ctx context.Context, target string, v any) error {
+	return f.call(ctx, http.MethodGet, target, nil, v)
+}
+
+// call sends a control request and decodes the answer into v unless it is nil.
+func (f *Fleet) call(ctx context.Context, method, target string, message, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body io.Reader
+	if message != nil {
+		b, err := json.Marshal(message)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+f.Token)
+	res, err := f.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s answered status %d: %s", target, res.StatusCode, answer)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(answer, v)
+}
+
+type vmStatus struct {
+	Shards []struct {
+		Name  string `json:"name"`
+		Owned bool   `json:"owned"`
+	} `json:"shards"`
+	Limits []struct {
+		Customer string `json:"customer"`
+		Base     int64  `json:"base"`
+	} `json:"limits"`
+}
+
+// Owner returns the number, from 1, of the VM that owns the shard.
+func (f *Fleet) Owner(ctx context.Context, shard string) (int, error) {
+	for i, operator := range f.Operators {
+		var s vmStatus
+		if f.get(ctx, operator+"/v1/status", &s) != nil {
+			continue // A VM that is down owns nothing.
+		}
+		for _, sh := range s.Shards {
+			if sh.Name == shard && sh.Owned {
+				return i + 1, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("no VM owns the shard %s", shard)
+}
+
+// Holder returns the number, from 1, of the VM with the largest base share of the customer's limit, other than
+// the VM with the number except.
+func (f *Fleet) Holder(ctx context.Context, customer string, except int) (int, error) {
+	best, most := 0, int64(0)
+	for i, operator := range f.Operators {
+		var s vmStatus
+		if i+1 == except || f.get(ctx, operator+"/v1/status", &s) != nil {
+			continue // A VM that is down is not to be chosen.
+		}
+		for _, l := range s.Limits {
+			if l.Customer == customer && l.Base > most {
+				best, most = i+1, l.Base
+			}
+		}
+	}
+	if best == 0 {
+		return 0, fmt.Errorf("no VM holds a share of %s", customer)
+	}
+	return best, nil
+}
+
+// issue returns the secret of a new key.
+func (f *Fleet) issue(ctx context.Context, operator, name, customer string) (string, error) {
+	var a struct {
+		Secret string `json:"secret"`
+	}
+	message := map[string]string{"name": name, "customer": customer}
+	err := f.call(ctx, http.MethodPost, operator+"/v1/keys", message, &a)
+	return a.Secret, err
+}
--- /dev/null
+++ b/internal/afrecover/probe.go
@@ -0,0 +1,263 @@
+package afrecover
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	orderPoll = 25 * time.Millisecond
+	// coldTokens keeps the answer of a cold start short against the load.
+	coldTokens = 16
+	// withdrawTokens make a stream of about ten seconds.
+	withdrawTokens = 5000
+	withdrawAfter  = time.Second
+	withdrawBound  = 5 * time.Second
+	leaveBound     = 3 * time.Second
+	leaveWatch     = 4 * time.Second
+	probeCustomer  = "nile-grocers"
+)
+
+// Cold sends one request for a model that is not loaded to the first ready VM other than the one with the number
+// except, and tells when the load was ordered and when the first token came. The times count from the start.
+func (f *Fleet) Cold(ctx context.Context, model string, except int, deadline time.Duration) (string, error) {
+	start := time.Now()
+	vm, err := f.ready(ctx, except)
+	if err != nil {
+		return "", err
+	}
+	key, err := f.probeKey(ctx, vm)
+	if err != nil {
+		return "", err
+	}
+	before, err := f.counts(ctx)
+	if err != nil {
+		return "", err
+	}
+	ordered := make(chan time.Duration, 1)
+	poll, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() { ordered <- f.awaitOrder(poll, model, start) }()
+	q := request{customer: probeCustomer, key: key, model: model, tokens: coldTokens, stream: true, deadline: deadline}
+	s := q.send(ctx, &http.Client{}, f.Callers[vm], vm)
+	stop()
+	after, err := f.counts(ctx)
+	if err != nil {
+		return "", err
+	}
+	loads := after.loads[model] - before.loads[model]
+	text := fmt.Sprintf("asked=%s ordered=%s first-token=%s loads=%d %s", s.Sent.Sub(start).Round(time.Millisecond),
+		(<-ordered).Round(time.Millisecond), s.First.Sub(start).Round(time.Millisecond), loads, s.Result)
+	switch {
+	case s.Result != Answered:
+		return text, fmt.Errorf("%s", describe(s))
+	case loads > 1:
+		return text, fmt.Errorf("%d loads of %s for one request", loads, model)
+	}
+	return text, nil
+}
+
+// awaitOrder returns when an engine held the model, from the start on, or zero if none did.
+func (f *Fleet) awaitOrder(ctx context.Context, model string, start time.Time) time.Duration {
+	tick := time.NewTicker(orderPoll)
+	defer tick.Stop()
+	for {
+		if c, err := f.counts(ctx); err == nil && c.loads[model] > 0 {
+			return time.Since(start)
+		}
+		select {
+		case <-ctx.Done():
+			return 0
+		case <-tick.C:
+		}
+	}
+}
+
+// ready returns the index of the first ready VM other than the one with the number except.
+func (f *Fleet) ready(ctx context.Context, except int) (int, error) {
+	for vm, operator := range f.Operators {
+		if vm+1 == except {
+			continue
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, operator+"/readyz", nil)
+		if err != nil {
+			return 0, err
+		}
+		res, err := f.HTTP.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return vm, nil
+		}
+	}
+	return 0, fmt.Errorf("no VM is ready")
+}
+
+// probeKey issues a key and waits until the VM accepts it.
+func (f *Fleet) probeKey(ctx context.Context, vm int) (string, error) {
+	name := fmt.Sprintf("probe-%x", time.Now().UnixNano())
+	key, err := f.issue(ctx, f.Operators[vm], name, probeCustomer)
+	if err != nil {
+		return "", err
+	}
+	for f.rejects(ctx, http.DefaultClient, f.Callers[vm], key) {
+		if err := pause(ctx, orderPoll); err != nil {
+			return "", err
+		}
+	}
+	return key, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Withdraw opens a long stream at each VM, withdraws their key and tells when the last stream ended.
+func (f *Fleet) Withdraw(ctx context.Context) (string, error) {
+	name := fmt.Sprintf("withdraw-%x", time.Now().UnixNano())
+	key, err := f.issue(ctx, f.Operators[0], name, probeCustomer)
+	if err != nil {
+		return "", err
+	}
+	for _, base := range f.Callers {
+		for f.rejects(ctx, http.DefaultClient, base, key) {
+			if err := pause(ctx, orderPoll); err != nil {
+				return "", err
+			}
+		}
+	}
+	ends := make(chan Sample, len(f.Callers))
+	for vm, base := range f.Callers {
+		q := request{customer: probeCustomer, key: key, model: Models[vm%len(Models)], tokens: withdrawTokens, stream: true}
+		go func() { ends <- q.send(ctx, &http.Client{}, base, vm) }()
+	}
+	if err := pause(ctx, withdrawAfter); err != nil {
+		return "", err
+	}
+	start := time.Now()
+	if err := f.call(ctx, http.MethodPost, f.Operators[1]+"/v1/keys/"+name+"/withdraw", struct{}{}, nil); err != nil {
+		return "", err
+	}
+	answered := time.Since(start)
+	slowest := time.Duration(0)
+	for range f.Callers {
+		s := <-ends
+		if s.Result != Ended || s.Code != "key_withdrawn" {
+			return "", fmt.Errorf("%s", describe(s))
+		}
+		slowest = max(slowest, s.End.Sub(start))
+	}
+	for vm, base := range f.Callers {
+		q := request{customer: probeCustomer, key: key, model: Models[0], tokens: 1}
+		if s := q.send(ctx, &http.Client{}, base, vm); s.Status != http.StatusUnauthorized {
+			return "", fmt.Errorf("after the withdrawal: %s", describe(s))
+		}
+	}
+	text := fmt.Sprintf("withdrawal-answered=%s last-of-%d-streams-ended=%s, then refused at every VM",
+		answered.Round(time.Millisecond), len(f.Callers), slowest.Round(time.Millisecond))
+	if slowest > withdrawBound {
+		return text, fmt.Errorf("C4: a stream went on for %s", slowest)
+	}
+	return text, nil
+}
+
+// Leave makes an endpoint that serves the load leave and counts the requests that it still gets. With config the
+// operator says so, otherwise the endpoint itself.
+func (f *Fleet) Leave(ctx context.Context, config bool) (string, error) {
+	engine, err := f.serving(ctx)
+	if err != nil {
+		return "", err
+	}
+	set := func(leaving bool) error { return f.setLeaving(ctx, engine, config, leaving) }
+	if err := set(true); err != nil {
+		return "", err
+	}
+	at, err := f.arrivals(ctx, engine)
+	if err != nil {
+		return "", err
+	}
+	if err := pause(ctx, leaveBound); err != nil {
+		return "", err
+	}
+	bound, err := f.arrivals(ctx, engine)
+	if err != nil {
+		return "", err
+	}
+	if err := pause(ctx, leaveWatch); err != nil {
+		return "", err
+	}
+	last, err := f.arrivals(ctx, engine)
+	if err != nil {
+		return "", err
+	}
+	if err := set(false); err != nil {
+		return "", err
+	}
+	text := fmt.Sprintf("requests-within-%s=%d after=%d", leaveBound, bound-at, last-bound)
+	if last > bound {
+		return text, fmt.Errorf("C9: %d requests reached the leaving endpoint after %s", last-bound, leaveBound)
+	}
+	return text, nil
+}
+
+// serving returns the index of the engine with the most running requests of the load.
+func (f *Fleet) serving(ctx context.Context) (int, error) {
+	before, err := f.counts(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if err := pause(ctx, withdrawAfter); err != nil {
+		return 0, err
+	}
+	after, err := f.counts(ctx)
+	if err != nil {
+		return 0, err
+	}
+	best, most := -1, 0
+	for i := range after.requests {
+		if n := after.requests[i] - before.requests[i]; n > most {
+			best, most = i, n
+		}
+	}
+	if best < 0 {
+		return 0, fmt.Errorf("no engine serves requests")
+	}
+	return best, nil
+}
+
+// arrivals returns how many requests have reached the engine, those included that it refused as leaving.
+func (f *Fleet) arrivals(ctx context.Context, engine int) (int, error) {
+	var c struct {
+		Requests int `json:"requests"`
+		Left     int `json:"left"`
+	}
+	err := f.get(ctx, f.Engines[engine]+"/counts", &c)
+	return c.Requests + c.Left, err
+}
+
+func (f *Fleet) setLeaving(ctx context.Context, engine int, config, leaving bool) error {
+	if !config {
+		return f.call(ctx, http.MethodPost, f.Engines[engine]+"/faults", map[string]bool{"leaving": leaving}, nil)
+	}
+	target := fmt.Sprintf("%s/v1/endpoints/%s-%d", f.Operators[0], Service, engine+1)
+	var o struct {
+		Version int64          `json:"version"`
+		Spec    map[string]any `json:"spec"`
+	}
+	if err := f.get(ctx, target, &o); err != nil {
+		return err
+	}
+	o.Spec["leaving"] = leaving
+	return f.call(ctx, http.MethodPut, fmt.Sprintf("%s?version=%d", target, o.Version), o.Spec, nil)
+}
--- a/internal/afstandin/engine.go
+++ b/internal/afstandin/engine.go
@@ -61,6 +61,8 @@
 	Overcommits int64 `json:"overcommits"`
 	// Cancelled is the number of requests whose caller hung up.
 	Cancelled int64 `json:"cancelled"`
+	// Left is the number of requests that came while the engine was leaving.
+	Left int64 `json:"left"`
 	// Keys is the number of requests that carried a caller's key, which must stay zero.
 	Keys int64 `json:"keys"`
 }
@@ -118,6 +120,11 @@
 // inference serves one request of an OpenAI endpoint.
 func (e *Engine) inference(kind inferenceKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if e.faults.get().Leaving {
+			e.mu.Lock()
+			e.counts.Left++
+			e.mu.Unlock()
+		}
 		if !e.faults.apply(w, r) {
 			return
 		}
