afobject: keep a resent write unknown; bound messages between VMs

Write sends a conditional write again when the answer was lost and the object is unchanged. If that attempt could not connect, Write reported Unavailable, although the first attempt may still take effect on a slow platform. It reports Unknown now. TestWriteStaysUnknown fails without the change.

A message above the frame limit closed the whole link between two VMs. It fails with Malformed before it is sent, and a too large answer becomes an error.

Tests: go test -race ./internal/afpeer ./pkg/afobject

--- a/internal/afpeer/link.go
+++ b/internal/afpeer/link.go
@@ -17,6 +17,9 @@
 	// handlerQueue bounds the requests of one link that wait for their handlers.
 	handlerQueue = 256
 
+	// maxBodyBytes bounds a message. The frame around it takes less than the rest.
+	maxBodyBytes = afframe.MaxFrameBytes - 1024
+
 	kindHello = "hello"
 	kindBeat  = "beat"
 	kindError = "error"
@@ -130,7 +133,7 @@
 	}
 	reply := afframe.Frame{Kind: f.Kind, ID: f.ID, Answer: true}
 	if err == nil {
-		reply.Body, err = msgpack.Marshal(out)
+		reply.Body, err = encode(out)
 	}
 	if err != nil {
 		reply.Kind = kindError
@@ -141,6 +144,14 @@
 	}
 }
 
+func encode(message any) ([]byte, error) {
+	b, err := msgpack.Marshal(message)
+	if err == nil && len(b) > maxBodyBytes {
+		return nil, errors.Errorf("message of %d bytes", len(b))
+	}
+	return b, err
+}
+
 func (l *link) write(f afframe.Frame) error {
 	b, err := afframe.Append(nil, f)
 	if err != nil {
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -256,7 +256,7 @@
 // not mean that the message arrives. It fails with Malformed, or with Unreachable if too many messages wait.
 func (s *Service) Send(vm, kind string, message any) error {
 	s.init()
-	body, err := msgpack.Marshal(message)
+	body, err := encode(message)
 	if err != nil {
 		return &Error{Op: "send", VM: vm, Kind: Malformed, Err: err}
 	}
@@ -278,7 +278,7 @@
 // waits for one until ctx ends. It fails with Unreachable, Broken, Refused or Malformed.
 func (s *Service) Call(ctx context.Context, vm, kind string, message, answer any) error {
 	s.init()
-	body, err := msgpack.Marshal(message)
+	body, err := encode(message)
 	if err != nil {
 		return &Error{Op: "call", VM: vm, Kind: Malformed, Err: err}
 	}
--- a/internal/afpeer/service_test.go
+++ b/internal/afpeer/service_test.go
@@ -14,6 +14,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afpeer"
 	"arbutusfork.example/arbutusfork/internal/afstandin"
+	"arbutusfork.example/arbutusfork/pkg/afframe"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
@@ -145,6 +146,9 @@
 		close(f.release)
 		synctest.Wait()
 		f.note(0, "vm1")
+		large := make([]byte, afframe.MaxFrameBytes)
+		require.True(f, afpeer.IsKind(f.services[0].Send("vm1", "note", large), afpeer.Malformed))
+		f.note(0, "vm1") // The link is still there.
 	})
 }
 
--- a/pkg/afobject/client_test.go
+++ b/pkg/afobject/client_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +89,35 @@
 	})
 }
 
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (fn roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return fn(r) }
+
+// TestWriteStaysUnknown guards against "not carried out" for a write whose first attempt may still take effect
+// while the second one finds nobody to talk to.
+func TestWriteStaysUnknown(t *testing.T) {
+	writes := 0
+	c := &afobject.Client{HTTP: &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+		if r.Method == http.MethodGet {
+			w := httptest.NewRecorder()
+			_, err := w.WriteString(`{"metadata":{"name":"a","resourceVersion":"3"},"spec":{}}`)
+			return w.Result(), err
+		}
+		trace := httptrace.ContextClientTrace(r.Context())
+		trace.GetConn("platform")
+		writes++
+		if writes == 1 {
+			trace.GotConn(httptrace.GotConnInfo{})
+		}
+		return nil, io.ErrUnexpectedEOF
+	})}}
+	o := object("a", `{"rate":1}`)
+	o.Version = 3
+	_, err := c.Write(t.Context(), o)
+	require.Greater(t, writes, 1)
+	require.True(t, afobject.IsKind(err, afobject.Unknown), err)
+}
+
 // TestWatch guards against missed, reordered or foreign events, and against a start version that is too old
 // being taken for a complete history.
 func TestWatch(t *testing.T) {
--- a/pkg/afobject/write.go
+++ b/pkg/afobject/write.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"reflect"
+
+	"github.com/go-faster/errors"
 )
 
 // writeAttempts bounds how often Write sends the same conditional write.
@@ -29,6 +31,9 @@
 		if err == nil {
 			return written, nil
 		}
+		if attempt > 0 {
+			err = afterLost(err)
+		}
 		// A conflict after a lost answer may come from the lost write itself.
 		if !IsKind(err, Unknown) && (attempt == 0 || !IsKind(err, Conflict)) {
 			return Object{}, err
@@ -47,14 +52,26 @@
 	return Object{}, err
 }
 
+// afterLost returns the error of a write that was sent again. That it was not carried out this time says nothing
+// about the time before.
+func afterLost(err error) error {
+	if e, ok := errors.Into[*Error](err); ok && e.Kind == Unavailable {
+		return &Error{Op: e.Op, Object: e.Object, Kind: Unknown, Err: e.Err}
+	}
+	return err
+}
+
 // Remove deletes an object that has the version. A lost answer is resolved by reading back, as in Write: the
 // deletion took effect if the object is gone, whoever deleted it.
 func (c *Client) Remove(ctx context.Context, kind, name string, version int64) error {
 	var err error
 	for attempt := range writeAttempts {
 		err = c.Delete(ctx, kind, name, version)
-		if attempt > 0 && IsKind(err, NotFound) {
-			return nil
+		if attempt > 0 {
+			if IsKind(err, NotFound) {
+				return nil
+			}
+			err = afterLost(err)
 		}
 		if !IsKind(err, Unknown) {
 			return err
