--- a/internal/afentry/inference.go
+++ b/internal/afentry/inference.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net/http"
 
 	"github.com/go-faster/errors"
 
@@ -155,8 +156,11 @@
 	return false
 }
 
-// whole counts an answer that is not a stream.
-func (m *meter) whole(body []byte) {
+// whole counts an answer that is not a stream. A request that an engine refused has used nothing.
+func (m *meter) whole(status int, body []byte) {
+	if status >= http.StatusBadRequest && !bytes.Contains(body, usageField) {
+		return
+	}
 	var u usageBody
 	if json.Unmarshal(body, &u) == nil && u.Usage != nil {
 		m.total = u.Usage.Total
--- a/internal/afentry/job.go
+++ b/internal/afentry/job.go
@@ -204,7 +204,7 @@
 			x.w.Header()[k] = v
 		}
 	} else {
-		j.meter.whole(body)
+		j.meter.whole(status, body)
 	}
 	j.server.metrics.first.WithLabelValues(x.route.Name).Observe(j.server.Timer.Now().Sub(x.arrived).Seconds())
 	x.w.Header().Set(requestHeader, x.id)
--- a/internal/afentry/models.go
+++ b/internal/afentry/models.go
@@ -24,12 +24,12 @@
 	if keyed != nil {
 		return keyed
 	}
-	if x.digest == "" && !hasOpenModels(x) {
+	if x.digest == "" && !x.index.open {
 		return arbutusfork.Refuse(arbutusfork.CodeNoKey, "a key is needed")
 	}
 	out := []modelEntry{}
 	for _, m := range x.snapshot.Models() {
-		if _, _, admitted := modelRoute(x.snapshot, m, x.customer.Name); admitted {
+		if _, _, admitted := x.index.modelRoute(m, x.customer.Name); admitted {
 			out = append(out, modelEntry{ID: m.Name, Object: "model", Owner: m.Service})
 		}
 	}
--- a/internal/afentry/request.go
+++ b/internal/afentry/request.go
@@ -6,9 +6,10 @@
 	"net/http"
 	"path"
 	"strconv"
-	"strings"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
+
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 )
@@ -35,6 +36,7 @@
 	arrived  time.Time
 	body     []byte
 	snapshot *afconfig.Snapshot
+	index    *index
 	// digest is the digest of the caller's key. It is empty without a key.
 	digest string
 	// customer is empty on open routes without a key.
@@ -55,15 +57,18 @@
 		x.id = s.NewID()
 	}
 	x.snapshot = s.Snapshot()
+	x.index = s.indexes.get(x.snapshot)
 	p := x.r.URL.Path
 	if p == "" || p[0] != '/' || (path.Clean(p) != p && path.Clean(p)+"/" != p) {
 		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the path is not in its shortest form")
 	}
-	body, err := io.ReadAll(x.r.Body)
-	if err != nil {
-		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the body cannot be read")
+	// The engine has the whole body before it hands over the request.
+	if b, ok := x.r.Body.(*nbhttp.BodyReader); ok {
+		x.body = make([]byte, b.Left())
+		if _, err := io.ReadFull(b, x.body); err != nil {
+			return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the body cannot be read")
+		}
 	}
-	x.body = body
 	return nil
 }
 
@@ -95,33 +100,3 @@
 	x.once = v
 	return nil
 }
-
-// plainRoute returns the route with the longest path that is a prefix of p in whole elements.
-func plainRoute(s *afconfig.Snapshot, p string) (arbutusfork.Route, bool) {
-	var best arbutusfork.Route
-	for _, r := range s.Routes() {
-		prefix := strings.TrimSuffix(r.Path, "/")
-		if prefix == "" || (p != prefix && !strings.HasPrefix(p, prefix+"/")) {
-			continue
-		}
-		if len(prefix) > len(strings.TrimSuffix(best.Path, "/")) {
-			best = r
-		}
-	}
-	return best, best.Path != ""
-}
-
-// modelRoute returns the route that offers the model. It prefers one that the customer may use, and an open one
-// if there is no customer.
-func modelRoute(s *afconfig.Snapshot, m arbutusfork.Model, customer string) (r arbutusfork.Route, offered, admitted bool) {
-	for _, c := range s.Routes() {
-		if c.Path != "" || c.Service != m.Service || !c.Offers(m.Name) {
-			continue
-		}
-		if c.Open || (customer != "" && c.Admits(customer)) {
-			return c, true, true
-		}
-		offered = true
-	}
-	return arbutusfork.Route{}, offered, false
-}
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -79,7 +79,7 @@
 	switch p {
 	case pathChat, pathText, pathEmbeddings:
 	default:
-		r, ok := plainRoute(x.snapshot, p)
+		r, ok := x.index.plainRoute(p)
 		if !ok {
 			return arbutusfork.Refuse(arbutusfork.CodeNoRoute, "no route for this path")
 		}
@@ -90,7 +90,7 @@
 		x.w.Header().Set("Allow", http.MethodPost)
 		return arbutusfork.Refuse(arbutusfork.CodeMethod, "use POST")
 	}
-	if keyed != nil && !hasOpenModels(x) {
+	if keyed != nil && !x.index.open {
 		return keyed
 	}
 	infer, param, refusal := parseInference(p, x.body)
@@ -100,7 +100,7 @@
 	}
 	x.infer = infer
 	m, known := x.snapshot.Model(infer.model)
-	route, offered, admitted := modelRoute(x.snapshot, m, x.customer.Name)
+	route, offered, admitted := x.index.modelRoute(m, x.customer.Name)
 	switch {
 	case known && admitted:
 		x.route, x.service = route, m.Service
@@ -116,15 +116,6 @@
 	return arbutusfork.Refuse(arbutusfork.CodeNoModel, "unknown model")
 }
 
-func hasOpenModels(x *exchange) bool {
-	for _, r := range x.snapshot.Routes() {
-		if r.Open && r.Path == "" {
-			return true
-		}
-	}
-	return false
-}
-
 // run reserves tokens, claims the call if it must run at most once, sends it and relays the answer.
 func (s *Server) run(x *exchange) *arbutusfork.Refusal {
 	ctx, cancel := context.WithCancelCause(context.Background())
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -79,6 +79,7 @@
 
 	once     sync.Once
 	metrics  metrics
+	indexes  indexCache
 	engine   *nbhttp.Engine
 	listener *boundedListener
 
