afquota: lend rate and burst apart, and measure refusals

Four causes: - a VM asked only the holders in its cached record, which may be older than the share set; - rate and burst moved together, so lending rate cut the refundable tokens of running requests; - a lender waited for the term of loans to VMs that are gone; - VMs that are all short traded the same few tokens, and asked for refused renewals ten times a second.

Loans now carry parts of the rate and of the burst. A VM keeps the capacity of its refundable tokens, counts refused requests as demand, and takes back the loans of VMs that the platform says are gone. Rounds are spaced to four per second and customer after a burst of 20. Keeping rate and burst together with larger shares was ruled out: it strands the rate with the VM whose requests run longest.

MeasureLoans and MeasureSplit compare shares with a static equal split.

--- a/internal/afquota/account.go
+++ b/internal/afquota/account.go
@@ -18,11 +18,13 @@
 	rate  int64
 	burst int64
 	// waiting holds the requests that wait for a round of loans, in order of arrival.
-	waiting  []*waiter
-	running  bool                     // running tells that a goroutine carries out rounds.
-	gap      time.Duration            // gap is the pause before the next round.
-	renewing map[uint64]bool          // renewing holds the loans with an open renewal.
-	idle     map[uint64]time.Duration // idle holds when a loan was first seen as surplus.
+	waiting []*waiter
+	running bool                     // running tells that a goroutine carries out rounds.
+	gap     time.Duration            // gap is the pause after the last round.
+	next    time.Duration            // next is the earliest time at which peers are asked again.
+	paid    time.Duration            // paid is the time up to which the rounds so far use up roundPeriod.
+	renewAt map[uint64]time.Duration // renewAt holds when a loan may be renewed again.
+	idle    map[uint64]time.Duration // idle holds when a loan was first seen as surplus.
 
 	// share is the cached share record. Only the holder of the service's duty lock changes it.
 	share    aflimit.Share
@@ -45,9 +47,9 @@
 	}
 	a = &account{
 		name: c.Name, rate: c.Rate, burst: c.Burst,
-		state:    aflimit.NewAccount(limitOf(c), s.now()),
-		share:    aflimit.NewShare(s.Self),
-		renewing: make(map[uint64]bool), idle: make(map[uint64]time.Duration),
+		state:   aflimit.NewAccount(limitOf(c), s.now()),
+		share:   aflimit.NewShare(s.Self),
+		renewAt: make(map[uint64]time.Duration), idle: make(map[uint64]time.Duration),
 	}
 	if s.accounts == nil {
 		s.accounts = make(map[string]*account)
--- a/internal/afquota/error_string.go
+++ b/internal/afquota/error_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[Malformed-0]
 	_ = x[Stale-1]
+	_ = x[Unreachable-2]
 }
 
-const _ErrorKind_name = "malformed messagerecord older than one seen before"
+const _ErrorKind_name = "malformed messagerecord older than one seen beforepeer not reachable"
 
-var _ErrorKind_index = [...]uint8{0, 17, 50}
+var _ErrorKind_index = [...]uint8{0, 17, 50, 68}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/afquota/leave.go
+++ b/internal/afquota/leave.go
@@ -48,11 +48,11 @@
 }
 
 func (s *Service) recall(ctx context.Context, a *account, l aflimit.Lent) {
-	go func() {
+	s.start(func() {
 		if err := s.call(ctx, l.To.VM, KindGiveback, givebackMessage{Customer: a.name, Recall: l.ID}, &ackMessage{}); err != nil {
 			s.Log.Debug("a loan was not recalled; it ends with its term", "customer", a.name, "vm", l.To.VM, "error", err)
 		}
-	}()
+	})
 }
 
 // release writes each record without the parts of this VM that are not on loan. It reports whether none is left.
@@ -88,5 +88,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.state.Advance(now)
-	return !a.share.Doubtful() && a.share.Parts() <= a.state.Lent()
+	return !a.share.Doubtful() && a.share.Parts() <= max(a.state.Lent().Rate, a.state.Lent().Burst)
 }
--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"arbutusfork.example/arbutusfork/pkg/aflimit"
@@ -10,6 +11,8 @@
 const (
 	// renewBefore is the remaining term below which a loan in use is renewed. It leaves time for several attempts.
 	renewBefore = aflimit.Term / 2
+	// renewPeriod is the pause between attempts to renew a loan.
+	renewPeriod = time.Second
 	// idleBefore is how long a loan stays unused before it goes back without a peer asking.
 	idleBefore = time.Second
 )
@@ -28,6 +31,7 @@
 			out = append(out, returnedLoan{to: l.From, message: g})
 		}
 		delete(a.idle, l.ID)
+		delete(a.renewAt, l.ID)
 	}
 	return out
 }
@@ -36,16 +40,16 @@
 func (s *Service) sendBack(a *account, loans []returnedLoan) {
 	for _, l := range loans {
 		s.counts.givenBack.Add(1)
-		go func() {
+		s.start(func() {
 			m := givebackMessage{Customer: a.name, ID: l.message.ID, Tokens: int64(l.message.Tokens), Unused: l.message.Unused}
 			if err := s.call(context.Background(), l.to, KindGiveback, m, &ackMessage{}); err != nil {
 				s.Log.Debug("a loan was not given back; it ends with its term", "customer", a.name, "vm", l.to, "error", err)
 			}
-		}()
+		})
 	}
 }
 
-// keepLoans renews the loans in use and gives back those that have been idle.
+// keepLoans renews the loans in use, gives back those that have been idle, and takes back those of VMs that are gone.
 func (s *Service) keepLoans(context.Context) {
 	for _, a := range s.all() {
 		c, ok := s.Customer(a.name)
@@ -54,26 +58,37 @@
 		if ok {
 			a.apply(c, now)
 		}
+		if !a.state.Lent().IsZero() {
+			a.state.Forget(s.Gone, now)
+		}
 		if len(a.state.Loans()) == 0 {
 			clear(a.idle)
+			clear(a.renewAt)
 			a.mu.Unlock()
 			continue
 		}
 		surplus, needed := a.state.Surplus(now)
 		returned := a.takeBack(a.idleLoans(surplus, needed, now), now)
+		var renewals []renewal
 		for _, l := range needed {
-			if l.Until-now < renewBefore && !a.renewing[l.ID] {
-				a.renewing[l.ID] = true
-				go s.renew(a, l, a.state.AskRenewal(l, now))
+			if l.Until-now < renewBefore && a.renewAt[l.ID] <= now {
+				a.renewAt[l.ID] = now + renewPeriod
+				renewals = append(renewals, renewal{loan: l, message: a.state.AskRenewal(l, now)})
 			}
 		}
 		a.mu.Unlock()
 		s.sendBack(a, returned)
+		for _, r := range renewals {
+			s.start(func() { s.renew(a, r) })
+		}
 	}
 }
 
 // idleLoans returns the surplus loans that have been so for idleBefore. The caller holds mu.
 func (a *account) idleLoans(surplus, needed []aflimit.Loan, now time.Duration) []aflimit.Loan {
+	old := func(_ uint64, t time.Duration) bool { return now-t > aflimit.Term }
+	maps.DeleteFunc(a.idle, old)
+	maps.DeleteFunc(a.renewAt, old)
 	var out []aflimit.Loan
 	for _, l := range needed {
 		delete(a.idle, l.ID)
@@ -89,16 +104,24 @@
 	return out
 }
 
-func (s *Service) renew(a *account, l aflimit.Loan, q aflimit.Borrow) {
+type renewal struct {
+	loan    aflimit.Loan
+	message aflimit.Borrow
+}
+
+// renew asks the lender to extend a loan.
+func (s *Service) renew(a *account, r renewal) {
+	q := r.message
 	var answer grantMessage
-	err := s.call(context.Background(), l.From, KindBorrow, borrowMessage{Customer: a.name, ID: q.ID, Renew: q.Renew, Parts: q.Parts}, &answer)
+	err := s.call(context.Background(), r.loan.From, KindBorrow, newBorrowMessage(a.name, q), &answer)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.renewing, l.ID)
 	if err != nil {
 		a.state.Abandon(q)
 		return
 	}
-	a.state.Credit(aflimit.Grant{ID: q.ID, Parts: answer.Parts}, s.now())
-	s.counts.renewed.Add(1)
+	a.state.Credit(answer.grant(q.ID), s.now())
+	if !answer.grant(q.ID).Parts.IsZero() {
+		s.counts.renewed.Add(1)
+	}
 }
--- /dev/null
+++ b/internal/afquota/measure.go
@@ -0,0 +1,275 @@
+package afquota
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+)
+
+// Scenario is a seeded load of one customer on a fleet.
+type Scenario struct {
+	VMs   int
+	Rate  int64
+	Burst int64
+	// Load is the reserved demand as a multiple of Rate.
+	Load float64
+	// Shift is the time after which the whole demand moves to the next VM. Zero spreads the demand over all VMs.
+	Shift time.Duration
+	// Death is the time between deaths of VMs. Zero means none. The platform's list names a death after Lag, and the VM
+	// comes back after Absence, which is longer.
+	Death    time.Duration
+	Lag      time.Duration
+	Absence  time.Duration
+	Duration time.Duration
+	// Settling is the time after a shift in which refusals are counted apart.
+	Settling time.Duration
+	Seed     uint64
+}
+
+// Refusals is the outcome of a scenario.
+type Refusals struct {
+	Offered int64
+	Refused int64
+	// Ideal is the number that one token bucket for the whole fleet refuses.
+	Ideal int64
+	// WithinRate counts the refused requests that the same bucket admits. Those within Settling of a shift are in
+	// Settling instead.
+	WithinRate int64
+	Settling   int64
+	// Peak is the most tokens that any interval has admitted beyond the rate. The limit holds if it is at most the burst.
+	Peak     int64
+	Messages int64
+	Writes   int64
+	Reads    int64
+}
+
+const (
+	measuredCustomer = "customer"
+	minRequest       = 100
+	maxRequest       = 900
+	minService       = 200 * time.Millisecond
+	maxService       = 4 * time.Second
+)
+
+// limiter is a policy that admits requests at a VM.
+type limiter interface {
+	// reserve returns the function that settles the request, or nil for a refusal.
+	reserve(vm string, tokens int64) func(actual int64)
+	advance(d time.Duration)
+	keep()
+	now() time.Duration
+	kill(vm string)
+	delist(vm string)
+	boot(vm string)
+}
+
+// MeasureLoans runs the scenario with shares and loans.
+func MeasureLoans(sc Scenario) Refusals {
+	f := newFleet(sc.VMs, arbutusfork.Customer{Name: measuredCustomer, Rate: sc.Rate, Burst: sc.Burst})
+	r := measure(sc, loanLimiter{f})
+	r.Messages, r.Writes, r.Reads = f.messages, f.version, f.reads
+	return r
+}
+
+// MeasureSplit runs the scenario with a static equal split of the limit.
+func MeasureSplit(sc Scenario) Refusals {
+	return measure(sc, &splitLimiter{sc: sc, vms: make(map[string]*aflimit.Account)})
+}
+
+type loanLimiter struct{ *fleet }
+
+func (l loanLimiter) now() time.Duration { return l.fleet.now.Sub(time.Unix(0, 0)) }
+
+func (l loanLimiter) boot(vm string) { l.fleet.boot(vm) }
+
+func (l loanLimiter) reserve(vm string, tokens int64) func(int64) {
+	r, refusal := l.vms[vm].Reserve(context.Background(), measuredCustomer, tokens)
+	if refusal != nil {
+		return nil
+	}
+	return r.Settle
+}
+
+type splitLimiter struct {
+	sc   Scenario
+	time time.Duration
+	vms  map[string]*aflimit.Account
+}
+
+func (l *splitLimiter) now() time.Duration      { return l.time }
+func (l *splitLimiter) advance(d time.Duration) { l.time += d }
+func (l *splitLimiter) keep()                   {}
+func (l *splitLimiter) delist(string)           {}
+func (l *splitLimiter) kill(vm string)          { delete(l.vms, vm) }
+
+func (l *splitLimiter) boot(vm string) {
+	a := aflimit.NewAccount(l.sc.limit(), l.time)
+	parts := aflimit.Whole / int64(l.sc.VMs)
+	a.SetBase(parts, parts, l.time)
+	l.vms[vm] = a
+}
+
+func (l *splitLimiter) reserve(vm string, tokens int64) func(int64) {
+	a := l.vms[vm]
+	if a == nil {
+		l.boot(vm)
+		a = l.vms[vm]
+	}
+	h := a.Reserve(tokens, l.time)
+	if h == nil {
+		return nil
+	}
+	return func(actual int64) { a.Settle(h, actual, l.time) }
+}
+
+func (sc Scenario) limit() aflimit.Limit {
+	return aflimit.Limit{Rate: aflimit.Tokens(sc.Rate), Burst: aflimit.Tokens(sc.Burst)}
+}
+
+// run is a scenario in progress.
+type run struct {
+	sc     Scenario
+	rand   *rand.Rand
+	policy limiter
+	ideal  *aflimit.Account // ideal is one bucket for the fleet that sees the same requests.
+	counts []admitted
+	live   []string
+	events events
+	result Refusals
+}
+
+func measure(sc Scenario, policy limiter) Refusals {
+	r := &run{sc: sc, rand: rand.New(rand.NewPCG(sc.Seed, 1)), policy: policy, ideal: aflimit.NewAccount(sc.limit(), 0)}
+	for i := range sc.VMs {
+		r.live = append(r.live, "vm"+strconv.Itoa(i))
+	}
+	r.ideal.SetBase(aflimit.Whole, aflimit.Whole, 0)
+	r.every(loanPeriod, policy.keep)
+	// The first seconds let the VMs take their shares.
+	r.at(2*time.Second, r.arrive)
+	if sc.Death > 0 {
+		r.every(sc.Death, r.die)
+	}
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(timed)
+		if e.at > sc.Duration {
+			break
+		}
+		policy.advance(e.at - policy.now())
+		e.fn()
+	}
+	r.result.Peak = r.peak()
+	return r.result
+}
+
+func (r *run) at(t time.Duration, fn func()) {
+	heap.Push(&r.events, timed{at: t, seq: len(r.events), fn: fn})
+}
+
+func (r *run) every(d time.Duration, fn func()) {
+	var next func()
+	next = func() {
+		fn()
+		r.at(r.policy.now()+d, next)
+	}
+	r.at(d, next)
+}
+
+func (r *run) die() {
+	vm := r.live[0]
+	r.live = r.live[1:]
+	r.policy.kill(vm)
+	r.at(r.policy.now()+r.sc.Lag, func() { r.policy.delist(vm) })
+	r.at(r.policy.now()+r.sc.Absence, func() {
+		r.policy.boot(vm)
+		r.live = append(r.live, vm)
+	})
+}
+
+// target returns the VM that the next request goes to, and whether the demand has just moved there.
+func (r *run) target(now time.Duration) (string, bool) {
+	if r.sc.Shift == 0 {
+		return r.live[r.rand.IntN(len(r.live))], false
+	}
+	return r.live[int(now/r.sc.Shift)%len(r.live)], now%r.sc.Shift < r.sc.Settling
+}
+
+func (r *run) arrive() {
+	now := r.policy.now()
+	mean := float64(minRequest+maxRequest) / 2 / (r.sc.Load * float64(r.sc.Rate))
+	r.at(now+time.Duration(r.rand.ExpFloat64()*mean*float64(time.Second)), r.arrive)
+	tokens := minRequest + r.rand.Int64N(maxRequest-minRequest+1)
+	actual := tokens/5 + r.rand.Int64N(tokens-tokens/5+1)
+	service := minService + time.Duration(r.rand.Int64N(int64(maxService-minService)))
+	vm, moved := r.target(now)
+	r.result.Offered++
+	settle, hold := r.policy.reserve(vm, tokens), r.ideal.Reserve(tokens, now)
+	if hold != nil {
+		r.at(now+service, func() { r.ideal.Settle(hold, actual, r.policy.now()) })
+	} else {
+		r.result.Ideal++
+	}
+	if settle != nil {
+		r.counts = append(r.counts, admitted{at: now, actual: actual})
+		r.at(now+service, func() { settle(actual) })
+		return
+	}
+	r.result.Refused++
+	switch {
+	case hold == nil:
+	case moved:
+		r.result.Settling++
+	default:
+		r.result.WithinRate++
+	}
+}
+
+// admitted is an admitted request with its actual count.
+type admitted struct {
+	at     time.Duration
+	actual int64
+}
+
+// peak compares every pair of instants by a virtual bucket that admissions fill and the rate drains.
+func (r *run) peak() int64 {
+	level, peak, last := 0.0, 0.0, time.Duration(0)
+	for _, x := range r.counts {
+		level = max(0, level-float64(r.sc.Rate)*(x.at-last).Seconds()) + float64(x.actual)
+		last, peak = x.at, max(peak, level)
+	}
+	return int64(peak)
+}
+
+type timed struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+// events is a heap in order of time.
+type events []timed
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at == e[j].at {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at < e[j].at
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(timed)) }
+
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
--- a/internal/afquota/record.go
+++ b/internal/afquota/record.go
@@ -51,6 +51,12 @@
 	target := aflimit.Target(s.Self.VM, set)
 	a.mu.Lock()
 	now := s.now()
+	if s.Gone(s.Self) {
+		// The platform takes this VM for gone, so its share may be reissued.
+		a.state.SetBase(0, 0, now)
+		a.mu.Unlock()
+		return
+	}
 	a.share = a.share.WithGone(s.Gone, now)
 	due, settled := a.due(set, target, now)
 	a.mu.Unlock()
@@ -185,8 +191,8 @@
 		if vm == s.Self.VM {
 			continue
 		}
-		go func() {
+		s.start(func() {
 			_ = s.call(context.Background(), vm, KindGiveback, givebackMessage{Customer: a.name, Record: version}, &ackMessage{})
-		}()
+		})
 	}
 }
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -14,6 +14,10 @@
 	// customer that exceeds its rate to a few per second and VM.
 	minGap = 20 * time.Millisecond
 	maxGap = 320 * time.Millisecond
+	// roundPeriod is the mean time between rounds of a customer at one VM, and roundBurst the number of rounds that
+	// may come closer together. VMs that are all short would trade the same few tokens otherwise.
+	roundPeriod = 250 * time.Millisecond
+	roundBurst  = 20
 	// maxWaiting bounds the requests of one customer that wait for loans.
 	maxWaiting = 4096
 )
@@ -36,11 +40,12 @@
 		return nil, s.refuse(retry)
 	}
 	a.waiting = append(a.waiting, w)
-	if !a.running {
-		a.running = true
-		go s.runRounds(a)
-	}
+	idle := !a.running
+	a.running = true
 	a.mu.Unlock()
+	if idle {
+		s.start(func() { s.runRounds(a) })
+	}
 	select {
 	case <-w.done:
 	case <-ctx.Done():
@@ -69,32 +74,27 @@
 func (s *Service) runRounds(a *account) {
 	for {
 		a.mu.Lock()
-		gap := a.gap
+		wait := a.next - s.now()
 		if len(a.waiting) == 0 {
 			a.running = false
 			a.mu.Unlock()
 			return
 		}
 		a.mu.Unlock()
-		if gap > 0 {
-			s.pause(gap)
+		if wait > 0 {
+			s.pause(wait)
 		}
 		s.round(a)
 	}
 }
 
-func (s *Service) pause(d time.Duration) {
-	c := make(chan struct{})
-	s.Timer.After(d, func(time.Time) { close(c) })
-	<-c
-}
-
 // round serves the requests that wait now. It asks each lender for its part of what is missing, and then all lenders
 // and those who hold their loans for the rest.
 func (s *Service) round(a *account) {
 	a.mu.Lock()
 	batch := slices.Clone(a.waiting)
-	done := a.serve(batch, s.now())
+	now := s.now()
+	done := a.serve(batch, now) || now < a.next
 	a.mu.Unlock()
 	if !done {
 		s.counts.rounds.Add(1)
@@ -104,20 +104,34 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := s.now()
-	if a.serve(batch, now) {
-		a.gap = 0
+	now = s.now()
+	served := a.serve(batch, now)
+	if !done {
+		a.space(served, now)
+	}
+	if served {
 		return
 	}
-	a.gap = min(max(minGap, 2*a.gap), maxGap)
 	for _, w := range batch {
 		if a.drop(w) {
 			w.retry = a.state.Wait(w.tokens, now)
+			a.state.Miss(w.tokens, now)
 			close(w.done)
 		}
 	}
 }
 
+// space sets when the next round may start. The caller holds mu.
+func (a *account) space(served bool, now time.Duration) {
+	if served {
+		a.gap = 0
+	} else {
+		a.gap = min(max(minGap, 2*a.gap), maxGap)
+	}
+	a.paid = max(a.paid, now-roundBurst*roundPeriod) + roundPeriod
+	a.next = max(now+a.gap, a.paid)
+}
+
 // serve reserves for the requests of the batch that fit, in order, and reports whether none is left. The caller
 // holds mu.
 func (a *account) serve(batch []*waiter, now time.Duration) bool {
@@ -148,7 +162,7 @@
 }
 
 // lack returns what the batch is missing. The caller holds mu.
-func (a *account) lack(batch []*waiter, now time.Duration) (aflimit.Amount, int64) {
+func (a *account) lack(batch []*waiter, now time.Duration) (aflimit.Amount, aflimit.Parts) {
 	n := int64(0)
 	for _, w := range batch {
 		if slices.Contains(a.waiting, w) {
@@ -156,7 +170,7 @@
 		}
 	}
 	if n == 0 {
-		return 0, 0
+		return 0, aflimit.Parts{}
 	}
 	return a.state.Lack(n, now)
 }
@@ -178,8 +192,9 @@
 	}
 	if split > 1 {
 		// A quarter more than an equal split covers lenders that cannot give their part.
-		tokens = tokens/aflimit.Amount(split) + tokens/aflimit.Amount(4*split) + 1
-		parts = parts/int64(split) + parts/int64(4*split) + 1
+		n := int64(split)
+		tokens = tokens/aflimit.Amount(n) + tokens/aflimit.Amount(4*n) + 1
+		parts = aflimit.Parts{Rate: parts.Rate/n + parts.Rate/(4*n) + 1, Burst: parts.Burst/n + parts.Burst/(4*n) + 1}
 	}
 	asks := make([]pendingAsk, 0, len(vms))
 	for _, vm := range vms {
@@ -193,10 +208,10 @@
 	}
 	results := make(chan result, len(asks))
 	for _, q := range asks {
-		go func() {
+		s.start(func() {
 			hints, served := s.askOne(a, batch, q)
 			results <- result{hints, served}
-		}()
+		})
 	}
 	var hints []string
 	for range asks {
@@ -216,40 +231,34 @@
 // askOne asks one VM for a loan and reports whether the batch is served.
 func (s *Service) askOne(a *account, batch []*waiter, q pendingAsk) ([]string, bool) {
 	var answer grantMessage
-	m := borrowMessage{Customer: a.name, ID: q.message.ID, Parts: q.message.Parts, Tokens: int64(q.message.Tokens)}
-	err := s.call(context.Background(), q.vm, KindBorrow, m, &answer)
+	err := s.call(context.Background(), q.vm, KindBorrow, newBorrowMessage(a.name, q.message), &answer)
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	now := s.now()
 	if err != nil {
-		s.sendBack(a, []returnedLoan{{to: q.vm, message: a.state.Abandon(q.message)}})
-		return nil, a.serve(batch, now)
+		returned := []returnedLoan{{to: q.vm, message: a.state.Abandon(q.message)}}
+		served := a.serve(batch, now)
+		a.mu.Unlock()
+		s.sendBack(a, returned)
+		return nil, served
 	}
-	if a.state.Credit(aflimit.Grant{ID: q.message.ID, Parts: answer.Parts, Tokens: aflimit.Amount(answer.Tokens)}, now) {
+	defer a.mu.Unlock()
+	if a.state.Credit(answer.grant(q.message.ID), now) {
 		s.counts.taken.Add(1)
 	}
 	return answer.Lent, a.serve(batch, now)
 }
 
-// lenders returns the VMs that are likely to hold base shares.
+// lenders returns the VMs that are likely to hold base shares: those that the membership calls for, and those that the
+// cached record names, which may be older.
 func (s *Service) lenders(a *account) []string {
 	live := s.live()
-	known := a.holders()
-	var out []string
-	for _, vm := range live {
-		if vm != s.Self.VM && slices.Contains(known, vm) {
+	out := aflimit.ShareSet(a.name, live)
+	for _, vm := range a.holders() {
+		if slices.Contains(live, vm) && !slices.Contains(out, vm) {
 			out = append(out, vm)
 		}
 	}
-	if len(out) > 0 {
-		return out
-	}
-	for _, vm := range aflimit.ShareSet(a.name, live) {
-		if vm != s.Self.VM {
-			out = append(out, vm)
-		}
-	}
-	return out
+	return slices.DeleteFunc(out, func(vm string) bool { return vm == s.Self.VM })
 }
 
 // live returns the names of the members that are not leaving.
--- a/internal/afquota/service.go
+++ b/internal/afquota/service.go
@@ -54,6 +54,11 @@
 	// true for a process that may still act.
 	Gone func(i arbutusfork.Incarnation) bool
 
+	// spawn starts concurrent work and sleep waits. Nil means goroutines and the timer service; a measurement runs
+	// everything in order instead.
+	spawn func(func())
+	sleep func(time.Duration)
+
 	once     sync.Once
 	origin   time.Time
 	wake     chan struct{}
@@ -129,6 +134,26 @@
 	}
 }
 
+// start runs fn concurrently. The caller holds no lock.
+func (s *Service) start(fn func()) {
+	if s.spawn != nil {
+		s.spawn(fn)
+		return
+	}
+	go fn()
+}
+
+// pause waits on the timer service.
+func (s *Service) pause(d time.Duration) {
+	if s.sleep != nil {
+		s.sleep(d)
+		return
+	}
+	c := make(chan struct{})
+	s.Timer.After(d, func(time.Time) { close(c) })
+	<-c
+}
+
 // signal leaves a token in a channel of size one, unless one is there already.
 func signal(c chan<- struct{}) {
 	select {
--- /dev/null
+++ b/internal/afquota/service_test.go
@@ -0,0 +1,169 @@
+package afquota
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"github.com/stretchr/testify/require"
+)
+
+var customer = arbutusfork.Customer{Name: "c", Rate: 1000, Burst: 6000}
+
+// step moves the time and carries out the duties.
+func (f *fleet) step(d time.Duration) {
+	f.advance(d)
+	f.keep()
+}
+
+// settled returns a fleet whose VMs have taken their shares.
+func settled(n int) *fleet {
+	f := newFleet(n, customer)
+	f.step(time.Second)
+	return f
+}
+
+// base returns the sum of the base shares that VMs use and the sum of those that the record names.
+func (f *fleet) base(t *testing.T) (used, named int64) {
+	t.Helper()
+	for _, s := range f.vms {
+		used += s.Status()[0].Base
+	}
+	s := f.vms[f.members[0].Name]
+	a := s.account(customer)
+	require.NoError(t, s.load(t.Context(), a))
+	for _, h := range a.share.Record().Holders {
+		named += h.Parts
+	}
+	return used, named
+}
+
+// TestLargeRequestThroughLoans guards against refusing a request that is within the burst but above any VM's share.
+func TestLargeRequestThroughLoans(t *testing.T) {
+	f := settled(6)
+	r, refusal := f.vms["vm0"].Reserve(t.Context(), "c", 6000)
+	require.Nil(t, refusal)
+	_, refusal = f.vms["vm1"].Reserve(t.Context(), "c", 1)
+	require.NotNil(t, refusal, "the burst is used up")
+	require.Equal(t, arbutusfork.CodeLimited, refusal.Code)
+	require.Positive(t, refusal.RetryAfter)
+	r.Settle(1000)
+	_, refusal = f.vms["vm2"].Reserve(t.Context(), "c", 5001)
+	require.NotNil(t, refusal)
+	_, refusal = f.vms["vm2"].Reserve(t.Context(), "c", 6001)
+	require.Equal(t, arbutusfork.CodeTooLarge, refusal.Code)
+	_, refusal = f.vms["vm2"].Reserve(t.Context(), "unknown", 1)
+	require.Equal(t, arbutusfork.CodeNotAllowed, refusal.Code)
+}
+
+// TestWithoutPlatform guards against a VM that starts in an outage and cannot serve, although its peers have tokens.
+func TestWithoutPlatform(t *testing.T) {
+	f := settled(3)
+	s := f.boot("vm9")
+	s.Get = func(context.Context, string, string) (afobject.Object, error) {
+		return afobject.Object{}, &afobject.Error{Kind: afobject.Unavailable}
+	}
+	f.step(time.Second)
+	_, refusal := s.Reserve(t.Context(), "c", 4000)
+	require.Nil(t, refusal)
+	require.Zero(t, s.Status()[0].Base)
+}
+
+// TestLostRecordAnswers guards against shares that are used twice or lost for good when the platform's answers are lost.
+func TestLostRecordAnswers(t *testing.T) {
+	f := newFleet(3, customer)
+	n := 0
+	for _, s := range f.vms {
+		s.Update = func(ctx context.Context, o afobject.Object) (afobject.Object, error) {
+			n++
+			if n%3 == 0 {
+				return afobject.Object{}, &afobject.Error{Kind: afobject.Unknown} // Lost before it took effect.
+			}
+			o, err := f.put(ctx, o)
+			if err == nil && n%3 == 1 {
+				return afobject.Object{}, &afobject.Error{Kind: afobject.Unknown}
+			}
+			return o, err
+		}
+		s.Create = s.Update
+	}
+	for i := range 120 {
+		switch i {
+		case 30:
+			f.kill("vm1")
+			f.delist("vm1")
+		case 60:
+			f.boot("vm3")
+			f.boot("vm4")
+		}
+		f.step(500 * time.Millisecond)
+		used, named := f.base(t)
+		require.LessOrEqual(t, used, aflimit.Whole)
+		require.LessOrEqual(t, named, aflimit.Whole)
+	}
+	used, _ := f.base(t)
+	require.Equal(t, aflimit.Whole, used)
+}
+
+// TestRollingReplacement guards against a planned stop that loses share: parts on loan are recalled and released.
+func TestRollingReplacement(t *testing.T) {
+	f := settled(4)
+	_, refusal := f.vms["vm0"].Reserve(t.Context(), "c", 5000)
+	require.Nil(t, refusal)
+	for _, vm := range []string{"vm1", "vm2", "vm3", "vm0"} {
+		s := f.vms[vm]
+		ctx, cancel := context.WithCancel(t.Context())
+		f.members = slices.DeleteFunc(slices.Clone(f.members), func(x arbutusfork.VM) bool { return x.Name == vm })
+		f.timer.After(10*time.Second, func(time.Time) { cancel() })
+		done := make(chan struct{})
+		go func() {
+			s.Leave(ctx)
+			close(done)
+		}()
+		<-done
+		require.Zero(t, s.Status()[0].Base, vm)
+		f.kill(vm)
+		f.delist(vm)
+		f.boot(vm)
+		for range 10 {
+			f.step(500 * time.Millisecond)
+		}
+		used, named := f.base(t)
+		require.Equal(t, aflimit.Whole, used)
+		require.Equal(t, aflimit.Whole, named)
+	}
+}
+
+// TestConcurrentReservations guards against data races and against admitting more than the burst from many goroutines.
+func TestConcurrentReservations(t *testing.T) {
+	f := settled(4)
+	f.customers["c"] = customer.WithRate(0, customer.Burst)
+	var mu sync.Mutex
+	for _, s := range f.vms {
+		s.spawn = nil
+		call := s.Call
+		s.Call = func(ctx context.Context, vm, kind string, message, answer any) error {
+			mu.Lock() // The fleet counts messages.
+			defer mu.Unlock()
+			return call(ctx, vm, kind, message, answer)
+		}
+	}
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			if _, refusal := f.vms[f.members[i%4].Name].Reserve(t.Context(), "c", 100); refusal == nil {
+				admitted.Add(100)
+			}
+		})
+	}
+	wg.Wait()
+	require.LessOrEqual(t, admitted.Load(), customer.Burst)
+	require.Positive(t, admitted.Load())
+}
--- a/internal/afquota/status.go
+++ b/internal/afquota/status.go
@@ -12,11 +12,12 @@
 	Customer string `json:"customer"`
 	Whole    int64  `json:"whole"`
 	Base     int64  `json:"base"`
-	Lent     int64  `json:"lent"`
-	Held     int64  `json:"held"`
-	Level    int64  `json:"level"`
-	Demand   int64  `json:"demand"`
-	Record   int64  `json:"record"`
+	// Lent and Held are parts of the rate and of the burst.
+	Lent   aflimit.Parts `json:"lent"`
+	Held   aflimit.Parts `json:"held"`
+	Level  int64         `json:"level"`
+	Demand int64         `json:"demand"`
+	Record int64         `json:"record"`
 }
 
 type counts struct {
@@ -56,8 +57,10 @@
 			c <- prometheus.MustNewConstMetric(partsDesc, prometheus.GaugeValue, float64(parts)/float64(x.Whole), x.Customer, kind)
 		}
 		share("base", x.Base)
-		share("lent", x.Lent)
-		share("held", x.Held)
+		share("lent_rate", x.Lent.Rate)
+		share("lent_burst", x.Lent.Burst)
+		share("held_rate", x.Held.Rate)
+		share("held_burst", x.Held.Burst)
 		c <- prometheus.MustNewConstMetric(levelDesc, prometheus.GaugeValue, float64(x.Level), x.Customer)
 	}
 }
--- a/internal/afquota/wire.go
+++ b/internal/afquota/wire.go
@@ -13,18 +13,36 @@
 	Customer string `msgpack:"customer"`
 	ID       uint64 `msgpack:"id"`
 	Renew    uint64 `msgpack:"renew,omitempty"`
-	Parts    int64  `msgpack:"parts"`
+	Rate     int64  `msgpack:"rate"`   // Rate is in parts of the customer's rate.
+	Burst    int64  `msgpack:"burst"`  // Burst is in parts of the customer's burst.
 	Tokens   int64  `msgpack:"tokens"` // Tokens is in units of 1e-9 token.
 }
 
 // grantMessage answers a borrowMessage.
 type grantMessage struct {
-	Parts  int64 `msgpack:"parts"`
+	Rate   int64 `msgpack:"rate"`
+	Burst  int64 `msgpack:"burst"`
 	Tokens int64 `msgpack:"tokens"`
 	// Lent names the VMs that hold the lender's share, so that the borrower can ask them.
 	Lent []string `msgpack:"lent,omitempty"`
 }
 
+func newBorrowMessage(customer string, q aflimit.Borrow) borrowMessage {
+	return borrowMessage{
+		Customer: customer, ID: q.ID, Renew: q.Renew, Rate: q.Parts.Rate, Burst: q.Parts.Burst, Tokens: int64(q.Tokens),
+	}
+}
+
+// borrow returns the request. Values below zero, which no VM sends, count as zero.
+func (m borrowMessage) borrow() aflimit.Borrow {
+	parts := aflimit.Parts{Rate: m.Rate, Burst: m.Burst}
+	return aflimit.Borrow{ID: m.ID, Renew: m.Renew, Parts: parts.Max(aflimit.Parts{}), Tokens: aflimit.Amount(max(0, m.Tokens))}
+}
+
+func (m grantMessage) grant(id uint64) aflimit.Grant {
+	return aflimit.Grant{ID: id, Parts: aflimit.Parts{Rate: m.Rate, Burst: m.Burst}, Tokens: aflimit.Amount(m.Tokens)}
+}
+
 // givebackMessage ends a loan early, asks the borrower to end one, or tells that the share record has changed.
 type givebackMessage struct {
 	Customer string `msgpack:"customer"`
@@ -54,17 +72,17 @@
 	a.mu.Lock()
 	now := s.now()
 	a.apply(c, now)
-	g := a.state.Lend(from, aflimit.Borrow{ID: m.ID, Renew: m.Renew, Parts: m.Parts, Tokens: aflimit.Amount(m.Tokens)}, now)
+	g := a.state.Lend(from, m.borrow(), now)
 	lent := a.state.Lendees()
 	surplus, _ := a.state.Surplus(now)
 	// A peer that is short needs the loans that this VM no longer uses, so they go back to their lenders at once.
 	returned := a.takeBack(surplus, now)
 	a.mu.Unlock()
 	s.sendBack(a, returned)
-	if g.Parts > 0 {
+	if !g.Parts.IsZero() {
 		s.counts.given.Add(1)
 	}
-	return grantMessage{Parts: g.Parts, Tokens: int64(g.Tokens), Lent: lent}, nil
+	return grantMessage{Rate: g.Parts.Rate, Burst: g.Parts.Burst, Tokens: int64(g.Tokens), Lent: lent}, nil
 }
 
 // HandleGiveback takes back a loan, ends one that its lender recalls, or notes a changed share record. The body is a
--- a/pkg/aflimit/account.go
+++ b/pkg/aflimit/account.go
@@ -44,7 +44,7 @@
 	a.base = parts
 	a.resize()
 	if fresh > 0 {
-		a.bucket.add(a.limit.Part(min(fresh, parts)).Burst)
+		a.bucket.add(a.limit.Part(Both(min(fresh, parts))).Burst)
 	}
 }
 
@@ -52,10 +52,13 @@
 func (a *Account) Base() int64 { return a.base }
 
 // Lent returns the parts of the base share that are on loan to others.
-func (a *Account) Lent() int64 { return a.lender.Parts() }
+func (a *Account) Lent() Parts { return a.lender.Parts() }
 
 // Held returns the parts that the VM may use now.
-func (a *Account) Held() int64 { return max(0, a.base-a.lender.Parts()) + a.borrower.Parts() }
+func (a *Account) Held() Parts { return a.own().Plus(a.borrower.Parts()) }
+
+// own returns the parts of the base share that are not on loan.
+func (a *Account) own() Parts { return Both(a.base).Minus(a.lender.Parts()) }
 
 // Level returns the tokens that can be reserved now.
 func (a *Account) Level(now time.Duration) Amount {
@@ -107,6 +110,9 @@
 	return h
 }
 
+// Miss counts a refused request as demand, so that a VM that is short keeps its share.
+func (a *Account) Miss(n int64, now time.Duration) { a.demand.add(now, Tokens(n)) }
+
 // Settle replaces a reservation by the actual count of tokens. A second settlement has no effect.
 func (a *Account) Settle(h *Hold, actual int64, now time.Duration) {
 	a.Advance(now)
--- a/pkg/aflimit/amount.go
+++ b/pkg/aflimit/amount.go
@@ -37,11 +37,45 @@
 }
 
 // Part returns the limit of a holder of that many parts, rounded down, so that the parts never exceed the whole.
-func (l Limit) Part(parts int64) Limit {
-	parts = max(0, min(parts, Whole))
-	return Limit{Rate: scale(l.Rate, parts, Whole), Burst: scale(l.Burst, parts, Whole)}
+func (l Limit) Part(p Parts) Limit {
+	p = p.Max(Parts{}).Min(Both(Whole))
+	return Limit{Rate: scale(l.Rate, p.Rate, Whole), Burst: scale(l.Burst, p.Burst, Whole)}
 }
 
+// Parts is a share of a customer's rate and of its burst, each out of Whole. They are lent apart, since a VM that holds
+// refundable tokens needs capacity long after its demand for rate has gone.
+type Parts struct {
+	Rate  int64 `json:"rate"`
+	Burst int64 `json:"burst"`
+}
+
+// Plus returns the sum.
+func (p Parts) Plus(q Parts) Parts { return Parts{Rate: p.Rate + q.Rate, Burst: p.Burst + q.Burst} }
+
+// Minus returns the difference, at least zero.
+func (p Parts) Minus(q Parts) Parts {
+	return Parts{Rate: max(0, p.Rate-q.Rate), Burst: max(0, p.Burst-q.Burst)}
+}
+
+// Min returns the lesser of each.
+func (p Parts) Min(q Parts) Parts {
+	return Parts{Rate: min(p.Rate, q.Rate), Burst: min(p.Burst, q.Burst)}
+}
+
+// Max returns the greater of each.
+func (p Parts) Max(q Parts) Parts {
+	return Parts{Rate: max(p.Rate, q.Rate), Burst: max(p.Burst, q.Burst)}
+}
+
+// Covers reports whether p is at least q in both.
+func (p Parts) Covers(q Parts) bool { return p.Rate >= q.Rate && p.Burst >= q.Burst }
+
+// IsZero reports whether there are no parts.
+func (p Parts) IsZero() bool { return p == Parts{} }
+
+// Both returns the same number of parts of rate and burst.
+func Both(n int64) Parts { return Parts{Rate: n, Burst: n} }
+
 // PartsForBurst returns the least number of parts whose capacity covers the amount, at most Whole.
 func (l Limit) PartsForBurst(a Amount) int64 { return partsFor(a, l.Burst) }
 
--- a/pkg/aflimit/amount_test.go
+++ b/pkg/aflimit/amount_test.go
@@ -34,14 +34,14 @@
 		for range 380 {
 			parts := rapid.Int64Range(0, left/8).Draw(t, "parts")
 			left -= parts
-			x := l.Part(parts)
+			x := l.Part(Both(parts))
 			sum.Rate, sum.Burst = sum.Rate+x.Rate, sum.Burst+x.Burst
 		}
-		x := l.Part(left)
+		x := l.Part(Both(left))
 		require.LessOrEqual(t, sum.Rate+x.Rate, l.Rate)
 		require.LessOrEqual(t, sum.Burst+x.Burst, l.Burst)
 		need := Amount(rapid.Int64Range(1, int64(l.Burst)).Draw(t, "need"))
-		require.GreaterOrEqual(t, l.Part(l.PartsForBurst(need)).Burst, need)
+		require.GreaterOrEqual(t, l.Part(Parts{Burst: l.PartsForBurst(need)}).Burst, need)
 	})
 }
 
--- a/pkg/aflimit/borrow.go
+++ b/pkg/aflimit/borrow.go
@@ -4,15 +4,15 @@
 
 // Lack returns what the VM has to borrow for a request of n tokens: the missing tokens, and the missing parts for
 // its recent demand.
-func (a *Account) Lack(n int64, now time.Duration) (tokens Amount, parts int64) {
+func (a *Account) Lack(n int64, now time.Duration) (tokens Amount, parts Parts) {
 	tokens = max(0, Tokens(n)-a.Level(now))
 	rate := a.demand.rate(now)
-	parts = max(0, a.limit.PartsForRate(rate+rate/4)-a.Held())
-	return tokens, max(parts, a.limit.PartsForBurst(tokens))
+	need := Parts{Rate: a.limit.PartsForRate(rate + rate/4)}
+	return tokens, Parts{Rate: need.Minus(a.Held()).Rate, Burst: a.limit.PartsForBurst(tokens)}
 }
 
 // Ask records a request for a loan from the VM and returns the message.
-func (a *Account) Ask(from string, tokens Amount, parts int64, now time.Duration) Borrow {
+func (a *Account) Ask(from string, tokens Amount, parts Parts, now time.Duration) Borrow {
 	a.last++
 	q := Borrow{ID: a.last, Parts: parts, Tokens: tokens}
 	a.borrower = a.borrower.WithRequest(from, q, now)
@@ -32,7 +32,7 @@
 	a.Advance(now)
 	next, fresh := a.borrower.WithGrant(g, now)
 	if a.without.has(guardOnce) {
-		fresh = g.Parts > 0
+		fresh = !g.Parts.IsZero()
 	}
 	a.borrower = next
 	a.resize()
@@ -57,8 +57,8 @@
 	a.Advance(now)
 	held, keep := a.Held(), a.keepParts(now)
 	for _, l := range a.borrower.loans {
-		if held-l.Parts >= keep {
-			held -= l.Parts
+		if held.Covers(keep.Plus(l.Parts)) {
+			held = held.Minus(l.Parts)
 			surplus = append(surplus, l)
 			continue
 		}
@@ -75,7 +75,7 @@
 		if l.ID != id {
 			continue
 		}
-		tokens := min(scale(a.bucket.level, l.Parts, a.Held()), a.limit.Part(l.Parts).Burst)
+		tokens := min(scale(a.bucket.level, l.Parts.Burst, a.Held().Burst), a.limit.Part(l.Parts).Burst)
 		tokens = a.bucket.take(tokens)
 		a.borrower = a.borrower.Without(id)
 		a.resize()
--- a/pkg/aflimit/lend.go
+++ b/pkg/aflimit/lend.go
@@ -24,13 +24,13 @@
 		// A duplicate request gets the same grant, which the borrower credits once.
 		return Grant{ID: q.ID, Parts: loan.Parts, Tokens: loan.Tokens}
 	}
-	parts, tokens := a.spare(now)
-	tokens = min(tokens, max(0, q.Tokens))
-	parts = min(parts, max(q.Parts, a.limit.PartsForBurst(tokens)))
+	spare, tokens := a.spare(now)
+	tokens = max(0, min(tokens, q.Tokens))
+	parts := spare.Min(q.Parts.Max(Parts{Burst: a.limit.PartsForBurst(tokens)}))
 	// Tokens above the remaining capacity go along, since they would be cut otherwise.
-	tokens = max(tokens, a.bucket.level-a.limit.Part(a.Held()-parts).Burst)
-	tokens = max(0, min(tokens, a.limit.Part(parts).Burst))
-	if parts <= 0 {
+	tokens = max(tokens, a.bucket.level+a.bucket.refundable-a.limit.Part(a.Held().Minus(parts)).Burst)
+	tokens = max(0, min(tokens, a.bucket.level, a.limit.Part(parts).Burst))
+	if parts.IsZero() {
 		return Grant{ID: q.ID}
 	}
 	loan := Lent{To: from, ID: q.ID, Parts: parts, Tokens: tokens, Until: now + Term + a.margin()}
@@ -45,7 +45,7 @@
 // extend renews a loan, unless the lender is short of rate for its own demand.
 func (a *Account) extend(from arbutusfork.Incarnation, q Borrow, now time.Duration) Grant {
 	loan, ok := a.lender.Find(from, q.Renew)
-	if !ok || a.keepParts(now) > a.Held() {
+	if !ok || !a.Held().Covers(a.keepParts(now)) {
 		return Grant{ID: q.ID}
 	}
 	loan.Until = max(loan.Until, now+Term+a.margin())
@@ -61,25 +61,40 @@
 	return Margin
 }
 
-// keepParts returns the parts that the VM's own recent demand needs.
-func (a *Account) keepParts(now time.Duration) int64 {
+// keepDemand returns the VM's own recent demand per second, or zero if it is insignificant.
+func (a *Account) keepDemand(now time.Duration) Amount {
 	rate := a.demand.rate(now)
 	if rate < a.limit.Rate/idleShare {
 		return 0
 	}
-	return a.limit.PartsForRate(rate + rate/4)
+	return rate
+}
+
+// keepParts returns the parts that the VM needs itself: the rate of its recent demand, and the capacity that its
+// refundable tokens and its next requests take.
+func (a *Account) keepParts(now time.Duration) Parts {
+	rate := a.keepDemand(now)
+	tokens := a.bucket.refundable + scale(rate, int64(keepTokens), int64(time.Second))
+	return Parts{Rate: a.limit.PartsForRate(rate + rate/4), Burst: a.limit.PartsForBurst(tokens)}
 }
 
 // spare returns what the VM can lend: parts of its own base share only, never borrowed ones, and tokens beyond its
 // own recent demand.
-func (a *Account) spare(now time.Duration) (parts int64, tokens Amount) {
-	parts = min(a.base-a.lender.Parts(), a.Held()-a.keepParts(now))
-	rate := a.demand.rate(now)
-	if rate < a.limit.Rate/idleShare {
-		rate = 0
+func (a *Account) spare(now time.Duration) (Parts, Amount) {
+	parts := a.own().Min(a.Held().Minus(a.keepParts(now)))
+	tokens := a.bucket.level - scale(a.keepDemand(now), int64(keepTokens), int64(time.Second))
+	return parts, max(0, tokens)
+}
+
+// Forget takes back the loans of borrowers that are gone for sure. Their tokens are lost.
+func (a *Account) Forget(gone func(arbutusfork.Incarnation) bool, now time.Duration) {
+	a.Advance(now)
+	for _, l := range a.lender.loans {
+		if gone(l.To) {
+			a.lender = a.lender.Without(l.To, l.ID)
+		}
 	}
-	tokens = a.bucket.level - scale(rate, int64(keepTokens), int64(time.Second))
-	return max(0, parts), max(0, tokens)
+	a.resize()
 }
 
 // Lendees returns the VMs that hold loans from this VM's base share.
--- a/pkg/aflimit/loan.go
+++ b/pkg/aflimit/loan.go
@@ -22,7 +22,7 @@
 	// Renew is the ID of the loan to extend, or zero for a new loan.
 	Renew uint64
 	// Parts is the share of the customer's limit that the borrower wants.
-	Parts int64
+	Parts Parts
 	// Tokens is what the borrower lacks now.
 	Tokens Amount
 }
@@ -30,7 +30,7 @@
 // Grant is the lender's answer. Zero parts mean a refusal.
 type Grant struct {
 	ID     uint64
-	Parts  int64
+	Parts  Parts
 	Tokens Amount // Tokens is at most the capacity of Parts.
 }
 
@@ -46,7 +46,7 @@
 type Lent struct {
 	To     arbutusfork.Incarnation
 	ID     uint64
-	Parts  int64
+	Parts  Parts
 	Tokens Amount
 	Until  time.Duration
 }
@@ -57,12 +57,12 @@
 }
 
 // Parts returns the parts on loan.
-func (l Lender) Parts() int64 {
-	n := int64(0)
+func (l Lender) Parts() Parts {
+	var p Parts
 	for _, loan := range l.loans {
-		n += loan.Parts
+		p = p.Plus(loan.Parts)
 	}
-	return n
+	return p
 }
 
 // Find returns the loan that the borrower's request led to.
@@ -94,7 +94,7 @@
 type Loan struct {
 	From  string
 	ID    uint64
-	Parts int64
+	Parts Parts
 	Until time.Duration
 }
 
@@ -112,12 +112,12 @@
 }
 
 // Parts returns the parts on loan.
-func (b Borrower) Parts() int64 {
-	n := int64(0)
+func (b Borrower) Parts() Parts {
+	var p Parts
 	for _, loan := range b.loans {
-		n += loan.Parts
+		p = p.Plus(loan.Parts)
 	}
-	return n
+	return p
 }
 
 // WithRequest returns a copy that waits for the answer of the lender.
@@ -143,7 +143,7 @@
 	q := b.open[i]
 	b = b.WithoutRequest(g.ID)
 	until := q.sent + Term
-	if g.Parts <= 0 || until <= now {
+	if g.Parts.IsZero() || until <= now {
 		return b, false
 	}
 	if q.renew == 0 {
--- a/pkg/aflimit/share.go
+++ b/pkg/aflimit/share.go
@@ -124,14 +124,14 @@
 // Plan returns the write that brings the VM to the target, and whether one is needed. Parts on loan are not released.
 // While an earlier write may still take effect, a write without change is needed too, since any write on top of the
 // same version ends the doubt.
-func (s Share) Plan(target, lent int64, now time.Duration) (Write, bool) {
+func (s Share) Plan(target int64, lent Parts, now time.Duration) (Write, bool) {
 	r, mine := s.record, s.record.Parts(s.self)
 	if s.version == 0 {
 		r = NewRecord()
 	}
 	want := target
 	if want < mine {
-		want = min(mine, max(want, lent))
+		want = min(mine, max(want, lent.Rate, lent.Burst))
 	}
 	if want > mine && want-mine > r.Fresh+r.Free() {
 		r = r.Without(func(i arbutusfork.Incarnation) bool { return s.reissuable(i, now) })
--- a/pkg/aflimit/world_test.go
+++ b/pkg/aflimit/world_test.go
@@ -178,7 +178,7 @@
 		tokens := Tokens(rapid.Int64Range(0, w.peakBurst.Floor()).Draw(w.t, "tokens"))
 		vm := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(w.t, "lender")
 		if w.nodes[vm] != n {
-			w.ask(n, w.nodes[vm], a.Ask(vm, tokens, rapid.Int64Range(0, Whole).Draw(w.t, "parts"), now))
+			w.ask(n, w.nodes[vm], a.Ask(vm, tokens, Parts{Rate: w.parts(), Burst: w.parts()}, now))
 		}
 	case "loan": // A loan without a fault, so that runs reach deep states.
 		w.act(n, "ask")
@@ -202,6 +202,8 @@
 				}
 			}
 		}
+	case "forget":
+		a.Forget(func(i arbutusfork.Incarnation) bool { return w.listed[i] }, now)
 	case "read":
 		if !n.writing {
 			n.observe(w.record, w.version, now)
@@ -224,6 +226,8 @@
 	}
 }
 
+func (w *world) parts() int64 { return rapid.Int64Range(0, Whole).Draw(w.t, "parts") }
+
 func (w *world) settle(n *node) {
 	for i := range w.history {
 		x := &w.history[i]
@@ -240,7 +244,7 @@
 func (w *world) step() {
 	actions := []string{
 		"wait", "wait", "deliver", "deliver", "deliver", "deliver", "duplicate", "reach", "reach", "die", "birth", "list",
-		"reserve", "reserve", "settle", "ask", "loan", "loan", "commit", "commit", "renew", "giveback", "abandon", "read", "timeout", "write", "configure",
+		"reserve", "reserve", "settle", "ask", "loan", "loan", "commit", "commit", "renew", "giveback", "abandon", "forget", "read", "timeout", "write", "configure",
 	}
 	action := rapid.SampledFrom(actions).Draw(w.t, "action")
 	pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(w.t, "which") }
