recover: keep payments under way and end the gap with the load

Payments took 5 ms, so that a death never met one: 0 of 124 were retried. The longest gap was counted until the last open request had ended, which showed 0.5 s after each load.

Plain services now answer 400 ms after the payment ran, the load sends 12 payments a second, and the gap ends when the load does. A fault of the plain service that cuts answers was ruled out, since it hides what the VM's death does.

--- a/internal/afrecover/load.go
+++ b/internal/afrecover/load.go
@@ -58,8 +58,9 @@
 		l.repeat(ctx, &wg, p.Streams, func(n int) { l.chat(open, p, n, p.StreamTokens, true) })
 		l.repeat(ctx, &wg, p.Payments, func(n int) { l.pay(open, p, n) })
 	}
-	wg.Wait()
+	<-ctx.Done()
 	end := time.Now()
+	wg.Wait()
 	stop()
 	sides.Wait()
 	return l.report(open, start, end, watch)
--- a/internal/afrecover/profile.go
+++ b/internal/afrecover/profile.go
@@ -40,7 +40,7 @@
 var Profiles = []Profile{
 	{
 		Customer: Other, Limit: Limit{Rate: 4000, Burst: 8000}, Within: true,
-		Short: 5, ShortTokens: 32, Streams: 2, StreamTokens: 500, Payments: 5,
+		Short: 5, ShortTokens: 32, Streams: 2, StreamTokens: 500, Payments: 12,
 	},
 	{Customer: Even, Limit: Limit{Rate: 1000, Burst: 2000}, Within: true, Short: 6, ShortTokens: 40},
 	{Customer: Tight, Limit: Limit{Rate: 200, Burst: 1000}, Short: 12, ShortTokens: 40},
--- a/scripts/recover.sh
+++ b/scripts/recover.sh
@@ -176,6 +176,8 @@
 for model in order-fr-3b order-en-3b; do
 	"${recover[@]}" cold "$model" >"$logs/warm-$model.log" || echo "warm start of $model failed: $(cat "$logs/warm-$model.log")"
 done
+# Slow payments are under way when a VM dies: each of them runs and is answered 400 ms later.
+for i in $(seq "$plain"); do fault "$plain_net.$i:9200" '{"slow":400}'; done
 for scenario in "${scenarios[@]}"; do
 	if ! declare -F "scenario_$scenario" >/dev/null; then
 		echo "unknown scenario $scenario" >&2
