--- a/internal/afrecover/probe.go
+++ b/internal/afrecover/probe.go
@@ -17,7 +17,7 @@
 	withdrawBound  = 5 * time.Second
 	leaveBound     = 3 * time.Second
 	leaveWatch     = 4 * time.Second
-	probeCustomer  = "nile-grocers"
+	probeCustomer  = "nile-party-shops"
 )
 
 // Cold sends one request for a model that is not loaded to the first ready VM other than the one with the number
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -22,7 +22,7 @@
 		;;
 	umurongo)
 		engine_net=127.$NET.4 engines=12 plain_net=127.$NET.5 plain=4 centres=(kigali-a kigali-b kigali-c kigali-d)
-		rate=3.5 cold='' base='' unfenced=" 4 8 12 "
+		rate=3.5 cold=quote-sw-3b base=quote-rw-3b unfenced=" 4 8 12 "
 		;;
 	*)
 		echo "unknown deployment $deployment" >&2
