dispatch: report running and waiting requests to placement

Need: the owner of a shard unloads idle replicas and adds busy ones, but the daemon told it only about requests that wait for a model without a replica, so a model with open streams looked idle and a full replica looked sufficient. Dispatch now reports the running requests by model and every change of the waiting ones. Routing lines name the model under 'model', by which 'explain' finds them.

--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -39,11 +39,12 @@
 	Endpoints func(service string) []afplacement.Replica
 	// Ready returns the estimated time until the model can serve, if there is an estimate.
 	Ready func(model string) (time.Duration, bool)
-	// Demand is called when requests wait for a model that has no replica, and when their number changes. It
-	// must not block.
+	// Demand is called when the number of requests that wait for a model changes. It must not block.
 	Demand func(model string, waiting int, deadline time.Time)
 	// Served is called when a request is given to a replica of the model. It must not block.
 	Served func(model string)
+	// Running is called when the number of this VM's requests that run on a model changes. It must not block.
+	Running func(model string, n int)
 	// Centre is this VM's data centre.
 	Centre string
 	Log    *slog.Logger
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -58,6 +58,8 @@
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
 	dirty    map[string]bool
+	// running is the number of this VM's running requests by model.
+	running map[string]int
 	// missing is until when a replica is not used because its endpoint said that it does not have the model.
 	missing map[replica]time.Time
 }
@@ -87,6 +89,7 @@
 		waiters:   make(map[uint64]*waiter),
 		endpoints: make(map[string]*endpoint),
 		reported:  make(map[string]int),
+		running:   make(map[string]int),
 		dirty:     make(map[string]bool),
 		missing:   make(map[replica]time.Time),
 	}
@@ -171,6 +174,7 @@
 
 func (s *Service) release(l *Lease, actual int64) {
 	s.state.endpoint(l.Replica.Endpoint).running--
+	s.countRunning(l.request.Model, -1)
 	s.state.queue.Settle(l.request.Customer, actual-l.request.Cost)
 }
 
@@ -207,6 +211,7 @@
 	s.state.dirty[e.Class] = true
 	c := s.choose(w.request, now)
 	s.state.endpoint(c.replica.Endpoint).running++
+	s.countRunning(w.request.Model, 1)
 	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
 	w.answered = true
 	if s.Served != nil && w.request.Model != "" {
@@ -214,14 +219,37 @@
 	}
 	s.Log.LogAttrs(context.Background(), slog.LevelInfo, "request routed",
 		slog.String("request", w.request.ID), slog.String("customer", w.request.Customer),
-		slog.String("class", e.Class), slog.String("endpoint", c.replica.Endpoint),
+		resource(w.request), slog.String("endpoint", c.replica.Endpoint),
 		slog.Duration("waited", now.Sub(e.Arrived)), slog.Int64("cost", e.Cost),
 		slog.Float64("score", c.score), slog.Bool("prefix", c.affine),
 		slog.Any("alternatives", c.others))
 	w.reply <- grant{lease: w.lease}
 }
 
-// report tells Demand about models without a replica whose number of waiting requests has changed.
+// resource names what the request needs in the log. Decisions are found again by the model.
+func resource(r Request) slog.Attr {
+	if r.Model != "" {
+		return slog.String("model", r.Model)
+	}
+	return slog.String("service", r.Service)
+}
+
+// countRunning reports how many requests this VM runs on a model, so that its replicas are neither unloaded under
+// them nor too few.
+func (s *Service) countRunning(model string, change int) {
+	if model == "" || s.Running == nil {
+		return
+	}
+	n := s.state.running[model] + change
+	if n == 0 {
+		delete(s.state.running, model)
+	} else {
+		s.state.running[model] = n
+	}
+	s.Running(model, n)
+}
+
+// report tells Demand about models whose number of waiting requests has changed.
 func (s *Service) report() {
 	for class := range s.state.dirty {
 		delete(s.state.dirty, class)
@@ -229,7 +257,7 @@
 			continue
 		}
 		waiting := s.state.queue.Waiting(class)
-		if waiting == s.state.reported[class] || (waiting > 0 && len(s.present(class)) > 0) {
+		if waiting == s.state.reported[class] {
 			continue
 		}
 		if waiting == 0 {
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -89,6 +89,7 @@
 		Ready:     func(model string) (time.Duration, bool) { return s.control.Table().Ready(model) },
 		Demand:    s.control.Demand,
 		Served:    s.control.Served,
+		Running:   s.control.Running,
 		Centre:    s.Settings.Centre,
 		Log:       s.log,
 		Timer:     s.timer,
