--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure bench demo demo-umurongo up recover
+.PHONY: build test generate model measure bench slopes demo demo-umurongo up recover
 
 build:
 	@mkdir -p $(BIN)
@@ -20,7 +20,10 @@
 	$(BIN)/arbutusfork-bench policy
 
 bench: build
-	$(BIN)/arbutusfork-bench latency
+	$(BIN)/arbutusfork-bench entry
+
+slopes: build
+	$(BIN)/arbutusfork-bench slopes
 
 demo: build
 	scripts/example.sh demo fuqaa
--- a/cmd/arbutusfork-bench/main.go
+++ b/cmd/arbutusfork-bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"arbutusfork.example/arbutusfork/internal/afbench"
+	"arbutusfork.example/arbutusfork/internal/afslope"
 )
 
 func main() {
@@ -24,6 +25,7 @@
 	streams := entry.Flag("streams", "Number of open streams.").Default("2000").Int()
 	rounds := entry.Flag("rounds", "Number of rounds that show growth.").Default("5").Int()
 	procs := entry.Flag("procs", "GOMAXPROCS of the process under measurement.").Default("1").Int()
+	slopes := app.Command("slopes", "Measures what control costs while one thing at a time grows.")
 	serve := app.Command("serve", "Runs the process under measurement.").Hidden()
 	e := &afbench.Entry{}
 	serve.Flag("address", "Address for callers.").StringVar(&e.Address)
@@ -37,6 +39,8 @@
 	switch verb {
 	case entry.FullCommand():
 		err = afbench.EntryBench(ctx, plan(*length, *waiting, *streams, *rounds, *procs))
+	case slopes.FullCommand():
+		err = afslope.Run(ctx, os.Stdout, afslope.DefaultConfig())
 	case serve.FullCommand():
 		err = e.Run(ctx)
 	}
--- a/internal/afcontrol/shard.go
+++ b/internal/afcontrol/shard.go
@@ -15,8 +15,10 @@
 	// followNear is the period at which the two preferred owners read a shard that another VM owns. With the
 	// expiry of 7.5 s it keeps a take-over within 10 s of a death.
 	followNear = time.Second
-	// followFar is the period of the other VMs, which bounds the platform's load in a large fleet.
+	// followFar is the period of the other VMs in a fleet of farFleet VMs. It grows with the fleet, so that the
+	// platform's reads do not.
 	followFar = 30 * time.Second
+	farFleet  = 8
 	nearRanks = 2
 	// refresh is the period at which an owner publishes an unchanged part again, with new running counts.
 	refresh = 2 * time.Second
@@ -114,7 +116,7 @@
 
 // follow reads the record when this VM needs to know whether its owner is alive, or must read back.
 func (s *Service) follow(sh *shard, now time.Time) {
-	period := followFar
+	period := followFar * time.Duration(max(1, len(s.Members())/farFleet))
 	switch {
 	case sh.view.Unsure():
 		period = tick
--- a/internal/afslope/customer.go
+++ b/internal/afslope/customer.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"net/http"
 	"runtime"
 	"time"
 
@@ -31,24 +29,19 @@
 }
 
 func measureQuota(ctx context.Context, w io.Writer, n int, cfg Config) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return &Error{Op: "listen", Kind: Failed, Err: err}
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	platform := &afstandin.Platform{}
-	server := &http.Server{Handler: platform.Handler()}
-	go func() { _ = server.Serve(l) }() // Serve always fails once the server is closed.
-	defer func() { _ = server.Close() }()
-
+	platform, err := serve(ctx, new(afstandin.Platform).Handler())
+	if err != nil {
+		return err
+	}
 	customers := make([]arbutusfork.Customer, n)
 	index := make(map[string]arbutusfork.Customer, n)
 	for i := range customers {
 		customers[i] = arbutusfork.Customer{Name: fmt.Sprintf("customer-%d", i), Rate: 1 << 30, Burst: 1 << 31}
 		index[customers[i].Name] = customers[i]
 	}
-	client := &afobject.Client{Base: "http://" + l.Addr().String()}
+	client := &afobject.Client{Base: "http://" + platform}
 	timer := &aftimer.Service{}
 	before := heapBytes()
 	s := &afquota.Service{
--- a/internal/afslope/node.go
+++ b/internal/afslope/node.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -44,20 +42,18 @@
 }
 
 func startFleet(ctx context.Context, n int) (*fleet, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, &Error{Op: "listen", Kind: Failed, Err: err}
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{cancel: cancel}
-	server := &http.Server{Handler: f.platform.Handler()}
-	f.done.Go(func() { _ = server.Serve(l) }) // Serve always fails once the server is closed.
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	platform, err := serve(ctx, f.platform.Handler())
+	if err != nil {
+		cancel()
+		return nil, err
+	}
 	timer := &aftimer.Service{}
 	f.done.Go(func() { timer.Run(ctx) })
 	for i := range n {
 		name, centre := fmt.Sprintf("vm-%d", i), fmt.Sprintf("centre-%d", i%centres)
-		nd := f.newNode(name, centre, "http://"+l.Addr().String(), timer)
+		nd := f.newNode(name, centre, "http://"+platform, timer)
 		f.nodes = append(f.nodes, nd)
 		f.done.Go(func() { _ = nd.peers.Run(ctx) }) // A listener that failed shows as a node without traffic.
 		<-nd.peers.Ready()
