dispatch: bound waiting requests by number and bytes

Dispatch now refuses a request as not run (no_capacity, Retry-After 1 s) when it would exceed either bound. The new test fails without the check and when the bytes of a request that left stay counted.

--- a/internal/afdispatch/acquire_test.go
+++ b/internal/afdispatch/acquire_test.go
@@ -173,3 +173,37 @@
 	failed := choose(0, func(r *rig) { r.state.endpoint("near2").until = r.start.Add(time.Second) })
 	require.Zero(t, failed["near2"])
 }
+
+// TestBounds guards against waiting requests that exhaust the VM's memory, and against bytes that stay counted after
+// their request has left.
+func TestBounds(t *testing.T) {
+	r := newRig(t)
+	r.MaxWaiting, r.MaxBytes = 2, 100
+	r.run()
+	big := func(n int64) Request {
+		q := r.request("cold", "a")
+		q.Bytes = n
+		return q
+	}
+	refused := func(q Request) {
+		res := <-r.acquire(context.Background(), q)
+		require.Equal(t, arbutusfork.CodeNoCapacity, res.refusal.Code)
+		require.Equal(t, arbutusfork.OutcomeNotRun, res.refusal.Outcome)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	first := r.acquire(ctx, big(90))
+	require.Equal(t, 1, (<-r.demand).waiting)
+	refused(big(20))
+	second := r.acquire(context.Background(), big(10))
+	require.Equal(t, 2, (<-r.demand).waiting)
+	refused(big(0))
+	cancel()
+	require.NotNil(t, (<-first).refusal)
+	require.Equal(t, 1, (<-r.demand).waiting)
+	third := r.acquire(context.Background(), big(90))
+	require.Equal(t, 2, (<-r.demand).waiting)
+	r.set(model("cold", "e1", 2))
+	r.Wake("cold")
+	require.NotNil(t, (<-second).lease)
+	require.NotNil(t, (<-third).lease)
+}
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -53,6 +53,9 @@
 	Progress time.Duration
 	// Suspect is the time without an answer after which a reused connection is checked. Zero means 3 s.
 	Suspect time.Duration
+	// MaxWaiting and MaxBytes bound the requests that wait and the bytes that they hold. Zero means no bound.
+	MaxWaiting int
+	MaxBytes   int64
 	// Random returns a number in [0, n). Nil means math/rand.
 	Random func(n int) int
 
@@ -79,6 +82,8 @@
 	Service string
 	// Cost is the expected work in tokens.
 	Cost int64
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
 	// Prefix is a hash of the first bytes of the prompt, or zero.
 	Prefix uint64
 	// Detached tells that the call goes on after ctx ends, once it has been sent.
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -54,6 +54,7 @@
 type state struct {
 	queue     afqueue.Queue
 	waiters   map[uint64]*waiter
+	held      int64 // held is the sum of the waiters' bytes.
 	endpoints map[string]*endpoint
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
@@ -67,6 +68,9 @@
 // replica names a model at an endpoint.
 type replica struct{ endpoint, model string }
 
+// fullRetry is what a caller is told when too many requests wait.
+const fullRetry = time.Second
+
 // missingTime is how long a replica that the endpoint does not have is left out, unless the table changes.
 const missingTime = time.Second
 
@@ -139,16 +143,34 @@
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "the deadline has passed"))
 		return
 	}
+	if s.full(w) {
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeNoCapacity, "too many requests wait at this VM").WithRetryAfter(fullRetry))
+		return
+	}
 	if d, ok := s.estimate(entry); ok && d > entry.Deadline.Sub(now) {
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline,
 			"the model cannot answer within the deadline; expected wait "+d.Round(time.Millisecond).String()).WithRetryAfter(d))
 		return
 	}
 	s.state.waiters[w.id] = w
+	s.state.held += w.request.Bytes
 	s.state.queue.Push(entry)
 	s.state.dirty[entry.Class] = true
 }
 
+// full reports whether the waiting requests leave no room for another one.
+func (s *Service) full(w *waiter) bool {
+	return s.MaxWaiting > 0 && len(s.state.waiters) >= s.MaxWaiting ||
+		s.MaxBytes > 0 && s.state.held+w.request.Bytes > s.MaxBytes
+}
+
+// leave takes a request out of those that wait.
+func (s *Service) leave(w *waiter) {
+	delete(s.state.waiters, w.id)
+	s.state.held -= w.request.Bytes
+	s.state.dirty[w.request.class()] = true
+}
+
 // estimate returns the expected wait of the entry, if anything is known about it.
 func (s *Service) estimate(e afqueue.Entry) (time.Duration, bool) {
 	if len(s.present(e.Class)) > 0 {
@@ -164,8 +186,7 @@
 func (s *Service) cancel(w *waiter) {
 	switch {
 	case s.state.queue.Remove(w.id):
-		delete(s.state.waiters, w.id)
-		s.state.dirty[w.request.class()] = true
+		s.leave(w)
 	case w.lease != nil && w.lease.released.CompareAndSwap(false, true):
 		// The grant and the caller's end crossed. The lease was never used.
 		s.release(w.lease, 0)
@@ -191,8 +212,7 @@
 	now := s.Timer.Now()
 	for _, e := range s.state.queue.Expire(now) {
 		w := s.state.waiters[e.ID]
-		delete(s.state.waiters, e.ID)
-		s.state.dirty[e.Class] = true
+		s.leave(w)
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "no endpoint was free within the deadline").WithRetryAfter(time.Second))
 	}
 	for {
@@ -207,8 +227,7 @@
 
 func (s *Service) grant(e afqueue.Entry, now time.Time) {
 	w := s.state.waiters[e.ID]
-	delete(s.state.waiters, e.ID)
-	s.state.dirty[e.Class] = true
+	s.leave(w)
 	c := s.choose(w.request, now)
 	s.state.endpoint(c.replica.Endpoint).running++
 	s.countRunning(w.request.Model, 1)
--- a/internal/afentry/job.go
+++ b/internal/afentry/job.go
@@ -122,7 +122,7 @@
 	x := j.exchange
 	r := afdispatch.Request{
 		ID: x.id, Customer: x.customer.Name, Route: x.route.Name, Weight: x.customer.FairWeight(),
-		Service: x.service, Cost: max(j.reserved, 1), Arrived: x.arrived, Deadline: x.deadline,
+		Service: x.service, Cost: max(j.reserved, 1), Bytes: int64(len(x.body)), Arrived: x.arrived, Deadline: x.deadline,
 	}
 	if x.infer != nil {
 		r.Model = x.infer.model
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -84,16 +84,18 @@
 	s.peers.Digests = s.control.Digest
 	s.peers.Learn = s.control.HandleDigest
 	s.dispatch = &afdispatch.Service{
-		Replicas:  s.replicas,
-		Endpoints: s.replicas,
-		Ready:     func(model string) (time.Duration, bool) { return s.control.Table().Ready(model) },
-		Demand:    s.control.Demand,
-		Served:    s.control.Served,
-		Running:   s.control.Running,
-		Centre:    s.Settings.Centre,
-		Log:       s.log,
-		Timer:     s.timer,
-		Progress:  s.Settings.Progress,
+		Replicas:   s.replicas,
+		Endpoints:  s.replicas,
+		Ready:      func(model string) (time.Duration, bool) { return s.control.Table().Ready(model) },
+		Demand:     s.control.Demand,
+		Served:     s.control.Served,
+		Running:    s.control.Running,
+		Centre:     s.Settings.Centre,
+		Log:        s.log,
+		Timer:      s.timer,
+		Progress:   s.Settings.Progress,
+		MaxWaiting: s.Settings.Waiting,
+		MaxBytes:   s.Settings.Queue,
 	}
 }
 
