afpeer: find all VMs through one seed; confirm without a heartbeat's wait

VMs that started together during a platform outage knew only their seed, since the platform's list was the only other source. A heartbeat in ten asks for the other VM's peers while there are fewer than 8 live ones. Sending them with the greeting was ruled out: VMs that start together then still find none.

Confirm on a VM that is no watcher waited for the next heartbeat to learn the version. It pulls from a watcher now.

Repeated failures of a watch are logged at debug level.

--- a/internal/afpeer/beat.go
+++ b/internal/afpeer/beat.go
@@ -15,6 +15,8 @@
 	beatPeriod = 500 * time.Millisecond
 	// maxMissed is the number of unanswered heartbeats after which the VM is checked over a new connection.
 	maxMissed = 3
+	// peersEvery is the number of heartbeats of which one asks for the other VM's peers.
+	peersEvery = 10
 )
 
 // hello opens a link and is answered in kind.
@@ -38,6 +40,8 @@
 // says counts from the request.
 type beatRequest struct {
 	Leaving bool `msgpack:"leaving,omitempty"`
+	// Peers asks for the VMs that the other one is connected to.
+	Peers bool `msgpack:"peers,omitempty"`
 }
 
 type beatAnswer struct {
@@ -47,6 +51,14 @@
 	Leaving  bool             `msgpack:"leaving,omitempty"`
 	Evidence []beatEvidence   `msgpack:"evidence,omitempty"`
 	Digests  map[string]int64 `msgpack:"digests,omitempty"`
+	// Peers lets a VM find the others through one seed while the platform is down.
+	Peers []beatPeer `msgpack:"peers,omitempty"`
+}
+
+type beatPeer struct {
+	VM      string `msgpack:"vm"`
+	Address string `msgpack:"address"`
+	Centre  string `msgpack:"centre"`
 }
 
 // beatEvidence is sent as an array, since its field names would be most of a heartbeat.
@@ -89,6 +101,11 @@
 		s.events.Push(func() { s.left(from.VM) })
 	}
 	out := beatAnswer{Leaving: s.leaving.Load()}
+	if in.Peers {
+		for _, vm := range s.shared.Load().connected {
+			out.Peers = append(out.Peers, beatPeer{VM: vm.Name, Address: vm.Address, Centre: vm.Centre})
+		}
+	}
 	if s.Report != nil {
 		now := s.Timer.Now()
 		r := s.Report(now)
@@ -109,15 +126,17 @@
 // sendBeat asks the VM behind a link for its heartbeat.
 func (s *Service) sendBeat(p *peer) {
 	l, sent := p.link, s.Timer.Now()
-	body, _ := msgpack.Marshal(beatRequest{Leaving: s.leaving.Load()}) // A plain struct can always be encoded.
+	in := beatRequest{Leaving: s.leaving.Load(), Peers: p.beats%peersEvery == 0 && s.lonely()}
+	body, _ := msgpack.Marshal(in) // A plain struct can always be encoded.
 	p.missed++
+	p.beats++
 	l.request(kindBeat, body, func(f afframe.Frame, err error) {
 		var a beatAnswer
 		if err != nil || f.Kind != kindBeat || msgpack.Unmarshal(f.Body, &a) != nil {
 			return
 		}
 		s.heard(*l.from.Load(), sent, a)
-		s.events.Push(func() { s.answered(p, l, a.Leaving) })
+		s.events.Push(func() { s.answered(p, l, a) })
 	})
 }
 
--- a/internal/afpeer/peer.go
+++ b/internal/afpeer/peer.go
@@ -17,6 +17,8 @@
 	dialTimeout = time.Second
 	// linkIdle is how long a link to a VM that is no neighbour stays open after its last use.
 	linkIdle = time.Minute
+	// introduced is how long a VM that another one named is tried. If it answers, it may become a neighbour.
+	introduced = 3 * time.Second
 	// seedPeriod is the time between two attempts to reach a seed.
 	seedPeriod = 2 * time.Second
 	// maxBacklog bounds the messages that wait for a link.
@@ -31,7 +33,9 @@
 	// dialling means that a new connection is being opened.
 	dialling bool
 	// missed counts the heartbeats since the last answer.
-	missed                    int
+	missed int
+	// beats counts the heartbeats on the present link.
+	beats                     int
 	alive, suspected, leaving bool
 	wanted                    time.Time // wanted is until when the link is kept although the VM is no neighbour.
 	backlog                   []afframe.Frame
@@ -176,6 +180,7 @@
 		}
 	}
 	p.backlog = nil
+	p.beats = 0
 	s.sendBeat(p)
 }
 
@@ -187,15 +192,16 @@
 }
 
 // answered takes note of an answered heartbeat.
-func (s *Service) answered(p *peer, l *link, leaving bool) {
+func (s *Service) answered(p *peer, l *link, a beatAnswer) {
 	if p.link != l {
 		return
 	}
 	p.missed = 0
-	if p.suspected || !p.alive || p.leaving != leaving {
-		p.alive, p.suspected, p.leaving = true, false, leaving
+	if p.suspected || !p.alive || p.leaving != a.Leaving {
+		p.alive, p.suspected, p.leaving = true, false, a.Leaving
 		s.observe(p)
 	}
+	s.introduce(a.Peers)
 }
 
 // met takes note of a VM that opened a link to this one.
@@ -283,13 +289,7 @@
 // dialSeeds connects to the seeds while there are too few neighbours. With more VMs than one has neighbours,
 // every VM would otherwise keep a link to every seed.
 func (s *Service) dialSeeds(now time.Time) {
-	alive := 0
-	for _, p := range s.peers {
-		if p.alive {
-			alive++
-		}
-	}
-	if alive >= afmember.MaxNeighbours {
+	if !s.lonely() {
 		return
 	}
 	for _, address := range s.Seeds {
@@ -324,6 +324,29 @@
 	}
 }
 
+// lonely reports whether there are fewer live peers than this VM could have as neighbours.
+func (s *Service) lonely() bool {
+	alive := 0
+	for _, p := range s.peers {
+		if p.alive {
+			alive++
+		}
+	}
+	return alive < afmember.MaxNeighbours
+}
+
+// introduce connects to VMs that another VM named.
+func (s *Service) introduce(peers []beatPeer) {
+	for _, h := range peers {
+		if h.VM == s.Self.VM || s.peers[h.VM] != nil || !s.lonely() {
+			continue
+		}
+		p := s.peer(arbutusfork.VM{Name: h.VM, Address: h.Address, Centre: h.Centre})
+		p.wanted = s.Timer.Now().Add(introduced)
+		s.keep(p)
+	}
+}
+
 func (s *Service) knows(address string) bool {
 	if address == s.address {
 		return true
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -90,6 +90,8 @@
 	view  afmember.View
 	links map[string]*link
 	froms map[string]arbutusfork.Incarnation
+	// connected holds up to MaxNeighbours VMs with a link.
+	connected []arbutusfork.VM
 }
 
 type counters struct {
@@ -183,15 +185,19 @@
 func (s *Service) publish() {
 	links := make(map[string]*link, len(s.peers))
 	froms := map[string]arbutusfork.Incarnation{s.Self.VM: s.Self}
+	var connected []arbutusfork.VM
 	for name, p := range s.peers {
 		if p.link != nil {
 			links[name] = p.link
+			if len(connected) < afmember.MaxNeighbours {
+				connected = append(connected, p.vm)
+			}
 		}
 		if !p.from.IsZero() {
 			froms[name] = p.from
 		}
 	}
-	s.shared.Store(&shared{view: s.view, links: links, froms: froms})
+	s.shared.Store(&shared{view: s.view, links: links, froms: froms, connected: connected})
 }
 
 func (s *Service) changed() {
--- a/internal/afpeer/service_test.go
+++ b/internal/afpeer/service_test.go
@@ -47,10 +47,10 @@
 	})
 }
 
-func (f *fleet) start(name string) {
+func (f *fleet) start(name string, seeds ...string) {
 	timer := new(aftimer.Service)
 	s := &afpeer.Service{
-		Self: arbutusfork.Incarnation{VM: name, Start: 1}, Address: name, Timer: timer,
+		Self: arbutusfork.Incarnation{VM: name, Start: 1}, Address: name, Seeds: seeds, Timer: timer,
 		Log: slog.New(slog.DiscardHandler), Transport: f.network.Transport(name),
 	}
 	s.Handle("note", func(from arbutusfork.Incarnation, body []byte) (any, error) {
@@ -119,6 +119,19 @@
 	})
 }
 
+// TestSeed guards against VMs that do not find each other through one seed while the platform is down.
+func TestSeed(t *testing.T) {
+	run(t, 0, func(f *fleet) {
+		for i := range 5 {
+			f.start(fmt.Sprint("vm", i), "vm0")
+		}
+		f.pass(8 * time.Second)
+		for _, s := range f.services {
+			require.Len(f, s.Members(), 5)
+		}
+	})
+}
+
 // TestLeave guards against work for a VM that stops.
 func TestLeave(t *testing.T) {
 	run(t, 3, func(f *fleet) {
@@ -162,6 +175,7 @@
 			}
 			return n
 		}
+		f.pass(5 * time.Second) // Links from before the list was read are closed.
 		before := sent()
 		f.pass(10 * time.Second)
 		// Each VM asks 8 neighbours twice a second and gets as many answers.
--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -60,6 +60,8 @@
 			if s.askWitnesses(ctx, c).Done() {
 				return nil
 			}
+		} else {
+			s.events.Push(s.seek)
 		}
 		pause := make(chan struct{})
 		sub := s.Timer.After(holdPeriod, func(time.Time) { close(pause) })
@@ -74,6 +76,22 @@
 	}
 }
 
+// seek pulls from a watcher, which learns of a change before the heartbeats carry it.
+func (s *Service) seek() {
+	view := s.View()
+	for _, self := range view.Known() {
+		if self.Name != s.Self.VM {
+			continue
+		}
+		for _, vm := range view.Watchers(self.Centre) {
+			if vm.Name != s.Self.VM {
+				s.pull(vm.Name)
+				return
+			}
+		}
+	}
+}
+
 // askWitnesses runs one round of a confirmation. It returns once the round is complete or all have answered.
 func (s *Service) askWitnesses(ctx context.Context, c afconfig.Confirmation) afconfig.Confirmation {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
--- a/internal/afsync/watch.go
+++ b/internal/afsync/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -166,7 +167,11 @@
 		return
 	}
 	s.watch = nil
-	s.log().Info("watch ended", "reached", w.reached, "error", err)
+	level := slog.LevelInfo
+	if s.backoff > 0 {
+		level = slog.LevelDebug // The outage has been reported.
+	}
+	s.log().Log(s.ctx, level, "watch ended", "reached", w.reached, "error", err)
 	s.retry = s.Timer.Now().Add(s.backoff)
 	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
 	s.Timer.After(s.retry.Sub(s.Timer.Now()), func(now time.Time) {
