--- a/pkg/afplacement/account.go
+++ b/pkg/afplacement/account.go
@@ -41,6 +41,11 @@
 			continue
 		}
 		v.flights = with(v.flights, o.ID, flight{at: now})
+		if p := (place{o.Endpoint, o.Model}); o.Verb == Load {
+			if n, ok := v.copies[p]; ok {
+				v.copies = with(v.copies, p, n+1)
+			}
+		}
 		effects = append(effects, Send{Order: o})
 	}
 	return v, effects
--- a/pkg/afplacement/choose.go
+++ b/pkg/afplacement/choose.go
@@ -114,7 +114,8 @@
 		!v.cfg.Endpoints[endpoint].Leaving && !rep.asked.Before(v.tenure)
 }
 
-// occupied reports whether the place has an assignment, an order that may still be carried out, or a reported model.
+// occupied reports whether the place has an assignment or an order that may still be carried out, or is not known to be
+// empty.
 func (v View) occupied(r Record, p place) bool {
 	if _, ok := r.Assignment(p.endpoint, p.model); ok {
 		return true
@@ -125,7 +126,7 @@
 		}
 	}
 	state, _, known := v.presence(p)
-	return known && state != ""
+	return !known || state != ""
 }
 
 // serving reports whether the model is loaded at the place and stays so.
--- a/pkg/afplacement/plan.go
+++ b/pkg/afplacement/plan.go
@@ -1,6 +1,7 @@
 package afplacement
 
 import (
+	"maps"
 	"time"
 
 	"arbutusfork.example/arbutusfork"
@@ -88,8 +89,9 @@
 	p := place{c.Endpoint, model}
 	remote := c.Tier == Remote && !v.cfg.Models[model].IsAdapter()
 	v.starts = with(v.starts, p, start{at: now, bare: c.Bare, ready: c.Ready, remote: remote})
-	v.settled = with(v.settled, p, time.Time{})
+	v.settled = maps.Clone(v.settled)
 	delete(v.settled, p)
+	v.copies = with(v.copies, p, 0)
 	if remote {
 		v.budget, v.filled = v.tokens(now)-1, now
 	}
--- a/pkg/afplacement/reconcile.go
+++ b/pkg/afplacement/reconcile.go
@@ -46,24 +46,25 @@
 	return r
 }
 
-// landed reports whether an own order with a lost answer is known to have arrived: it was the only order that
-// can have had the effect that the endpoint has reported since.
+// landed reports whether an own order with a lost answer is known to have arrived: the endpoint has reported its
+// effect since, and no other order can have had it. For a load that takes a place which was empty before, and no
+// copy of the load.
 func (v View) landed(r Record, o Order) bool {
 	f := v.flights[o.ID]
 	if !r.own(o) || !f.answered || f.reply != Lost {
 		return false
 	}
-	for _, other := range r.Orders {
-		if other.ID != o.ID && other.Endpoint == o.Endpoint && other.Model == o.Model && v.live(r, other) {
-			return false
-		}
+	p := place{o.Endpoint, o.Model}
+	state, _, known := v.presence(p)
+	if o.Verb == Unload {
+		return known && state == ""
 	}
-	state, _, known := v.presence(place{o.Endpoint, o.Model})
-	return known && (state == "") == (o.Verb == Unload)
+	return known && state != "" && v.copies[p] == 1
 }
 
-// orders counts the live orders for the place, and those of them that the owner has not lost sight of.
-func (v View) orders(r Record, p place) (loads, own int) {
+// orders counts the live loads for the place, the own orders that wait or are on their way, and the own loads whose
+// answers were lost.
+func (v View) orders(r Record, p place) (loads, own, lost int) {
 	for _, o := range r.Orders {
 		if o.Endpoint != p.endpoint || o.Model != p.model || !v.live(r, o) {
 			continue
@@ -71,16 +72,20 @@
 		if o.Verb == Load {
 			loads++
 		}
-		if f := v.flights[o.ID]; r.own(o) && (!f.answered || f.reply != Lost) {
+		f := v.flights[o.ID]
+		switch {
+		case r.own(o) && (!f.answered || f.reply != Lost):
 			own++
+		case o.Sender == v.Self && o.Verb == Load:
+			lost++
 		}
 	}
-	return loads, own
+	return loads, own, lost
 }
 
 func (v View) reconcileLoading(r Record, a Assignment) Record {
 	p := place{a.Endpoint, a.Model}
-	loads, own := v.orders(r, p)
+	loads, own, lost := v.orders(r, p)
 	state, _, known := v.presence(p)
 	_, settled := v.settled[p]
 	switch {
@@ -95,7 +100,7 @@
 		return r.WithOrder(Load, a)
 	case loads == 0:
 		return r.WithoutAssignment(a.Endpoint, a.Model)
-	case loads < maxCopies && !v.cfg.Endpoints[a.Endpoint].Fenced:
+	case lost > 0 && lost < maxCopies && !v.cfg.Endpoints[a.Endpoint].Fenced:
 		// The charge stays for the lost copy in any case, so another copy costs nothing.
 		return r.WithOrder(Load, a)
 	}
@@ -109,7 +114,7 @@
 	if !known || state == stateLoaded {
 		return r
 	}
-	if loads, _ := v.orders(r, p); loads == 0 && state == "" {
+	if loads, _, _ := v.orders(r, p); loads == 0 && state == "" {
 		return r.WithoutAssignment(a.Endpoint, a.Model)
 	}
 	a.State = Unloading
@@ -121,7 +126,7 @@
 
 func (v View) reconcileUnloading(r Record, a Assignment) Record {
 	p := place{a.Endpoint, a.Model}
-	loads, own := v.orders(r, p)
+	loads, own, _ := v.orders(r, p)
 	state, _, known := v.presence(p)
 	settled, ever := v.settled[p]
 	switch {
@@ -160,7 +165,7 @@
 			}
 			continue
 		}
-		if _, own := v.orders(r, place{o.Endpoint, o.Model}); own > 0 {
+		if _, own, _ := v.orders(r, place{o.Endpoint, o.Model}); own > 0 {
 			continue
 		}
 		verb := Load
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -50,7 +50,9 @@
 	barrier  map[string]time.Time // barrier is the time before which an endpoint\'s reports are void.
 	released map[arbutusfork.Incarnation]release
 	gone     map[arbutusfork.Incarnation]bool
-	asked    map[arbutusfork.Incarnation]time.Time
+	// copies counts the sent copies of a load that took an empty place under the present fence.
+	copies map[place]int
+	asked  map[arbutusfork.Incarnation]time.Time
 
 	demand  map[string]demand
 	rates   map[string]rate
@@ -98,7 +100,6 @@
 	freeExposed      bool
 	freeUnobserved   bool
 	ignoreUnknown    bool
-	keepFence        bool
 	trustLost        bool
 	ignoreMemory     bool
 	ignoreReplicas   bool
@@ -208,9 +209,6 @@
 		return v, nil
 	}
 	next := v.record.WithOwner(v.Self)
-	if v.variant.keepFence {
-		next.Fence--
-	}
 	next.Term = Term.Milliseconds()
 	return v.propose(next, now)
 }
@@ -245,7 +243,7 @@
 func (v View) forget() View {
 	v.flights = maps.Clone(v.flights)
 	maps.DeleteFunc(v.flights, func(_ int64, f flight) bool { return f.answered && f.reply != Lost })
-	v.asked, v.settled, v.reports, v.starts = nil, nil, nil, nil
+	v.asked, v.settled, v.reports, v.starts, v.copies = nil, nil, nil, nil, nil
 	return v
 }
 
@@ -288,7 +286,7 @@
 		v.reports = with(v.reports, e.Endpoint, old)
 		return v
 	}
-	if e.Asked.Before(old.asked) {
+	if !old.asked.IsZero() && !e.Asked.After(old.asked) {
 		return v
 	}
 	v.reports = with(v.reports, e.Endpoint, report{status: e.Status, asked: e.Asked})
--- a/pkg/afplacement/warm.go
+++ b/pkg/afplacement/warm.go
@@ -18,6 +18,8 @@
 	sheetLead = 5 * time.Minute
 	// minHold is how long a replica stays after its last use in any case. Bursts of one caller pause for less.
 	minHold = 10 * time.Second
+	// learn is how long a new owner keeps what it finds loaded, since it does not know the arrivals before its time.
+	learn = shortWindow
 )
 
 // rate estimates a model's arrival rate with exponential decay over two windows.
@@ -107,5 +109,8 @@
 	if v.busy(a.Model, now) || now.Sub(v.used[a.Model]) < minHold {
 		return true
 	}
+	if _, used := v.used[a.Model]; !used && now.Sub(v.tenure) < learn {
+		return true
+	}
 	return v.saving(a, now) >= v.holding(a)
 }
