dispatch: use an endpoint again when the routing table lists it anew

An endpoint that had answered "leaving" was excluded for 30 s on each VM, even when its owner had asked it meanwhile and placed the model there again. The VMs then saw a replica, so that they reported no demand, and every request for the model waited out its deadline.

A shorter fixed time was ruled out: while the owner is dead the table still lists the endpoint, and each VM would ask it again and again, which breaks the bound of 3 s. The exclusion now ends when the table drops the endpoint and lists it again; the 30 s remain for a table that never changes. The table keeps the set of its endpoints, so that the look costs one lookup for each leaving endpoint.

TestLeavingEndpointReturns does not end without the change.

--- a/internal/afdispatch/choice.go
+++ b/internal/afdispatch/choice.go
@@ -60,10 +60,7 @@
 	if e == nil {
 		return r.Slots > 0
 	}
-	if !e.left.IsZero() && now.Sub(e.left) < leavingTime {
-		return false
-	}
-	return e.running < r.Slots && !e.until.After(now)
+	return e.left.IsZero() && e.running < r.Slots && !e.until.After(now)
 }
 
 func (s *Service) open(class string, now time.Time) bool {
--- a/internal/afdispatch/send_test.go
+++ b/internal/afdispatch/send_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,43 @@
 	require.Equal(t, int64(20), served.Load())
 }
 
+// TestLeavingEndpointReturns guards against requests that wait out their deadline at the only replica of a model
+// because its endpoint was leaving before: the exclusion ends when the routing table lists the endpoint anew.
+func TestLeavingEndpointReturns(t *testing.T) {
+	var leaving atomic.Bool
+	leaving.Store(true)
+	r := newRig(t, at("e1", func(w http.ResponseWriter, _ *http.Request) {
+		if leaving.Load() {
+			w.Header().Set("X-Not-Run", "true")
+			w.Header().Set(LeavingHeader, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}, t))
+	e1 := (*r.table.Load())["m"]
+	asked := make(chan struct{}, 1)
+	r.Listed = func(endpoint string) bool {
+		select {
+		case asked <- struct{}{}: // The exclusion is in force.
+		default:
+		}
+		return slices.ContainsFunc((*r.table.Load())["m"], func(x afplacement.Replica) bool { return x.Endpoint == endpoint })
+	}
+	r.run()
+	out := make(chan Result, 1)
+	go func() { out <- r.Send(context.Background(), r.request("m", "a"), get("/"), (&record{}).sink()) }()
+	<-asked
+	r.Wake("m")
+	r.settle()
+	require.Empty(t, out, "the table that lists the endpoint is older than its refusal")
+	r.set()
+	r.Wake("m")
+	r.settle()
+	leaving.Store(false)
+	r.set(e1...)
+	r.Wake("m")
+	require.Nil(t, (<-out).Refusal)
+}
+
 // TestMissingModel guards against asking an endpoint again and again for a model that it does not have, and
 // against keeping it away from its other models.
 func TestMissingModel(t *testing.T) {
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -37,6 +37,8 @@
 	Replicas func(model string) []afplacement.Replica
 	// Endpoints returns the endpoints of a plain service, with Slots as this VM's credit.
 	Endpoints func(service string) []afplacement.Replica
+	// Listed reports whether the routing table names the endpoint. Nil means that it always does.
+	Listed func(endpoint string) bool
 	// Ready returns the estimated time until the model can serve, if there is an estimate.
 	Ready func(model string) (time.Duration, bool)
 	// Demand is called when requests wait for a model that has no replica, and when their number changes. It
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -58,6 +58,8 @@
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
 	dirty    map[string]bool
+	// leaving holds the names of the endpoints that were seen leaving.
+	leaving map[string]bool
 	// missing is until when a replica is not used because its endpoint said that it does not have the model.
 	missing map[replica]time.Time
 }
@@ -76,10 +78,12 @@
 	until time.Time
 	// left is when the endpoint was last seen leaving.
 	left time.Time
+	// dropped tells that the routing table has not listed the endpoint since then.
+	dropped bool
 }
 
-// leavingTime is how long an endpoint that said that it is leaving gets no new work. By then the routing table
-// no longer lists it, or it has changed its mind.
+// leavingTime is the longest time that an endpoint which said that it is leaving gets no new work. The time ends
+// earlier when the routing table drops the endpoint and lists it again, since its owner has asked it meanwhile.
 const leavingTime = 30 * time.Second
 
 func newState() state {
@@ -88,6 +92,7 @@
 		endpoints: make(map[string]*endpoint),
 		reported:  make(map[string]int),
 		dirty:     make(map[string]bool),
+		leaving:   make(map[string]bool),
 		missing:   make(map[replica]time.Time),
 	}
 }
@@ -117,7 +122,9 @@
 	case eventWell:
 		s.state.endpoint(e.endpoint).failures = 0
 	case eventLeaving:
-		s.state.endpoint(e.endpoint).left = now
+		p := s.state.endpoint(e.endpoint)
+		p.left, p.dropped = now, false
+		s.state.leaving[e.endpoint] = true
 	case eventMissing:
 		s.state.missing[replica{e.lease.Replica.Endpoint, e.lease.request.Model}] = now.Add(missingTime)
 	case eventWake:
@@ -182,9 +189,25 @@
 	w.reply <- grant{refusal: r}
 }
 
+// readmit ends the exclusion of leaving endpoints that the routing table has dropped and lists again.
+func (s *Service) readmit(now time.Time) {
+	for name := range s.state.leaving {
+		e := s.state.endpoint(name)
+		listed := s.Listed == nil || s.Listed(name)
+		switch {
+		case !listed:
+			e.dropped = true
+		case e.dropped || now.Sub(e.left) >= leavingTime:
+			e.left, e.dropped = time.Time{}, false
+			delete(s.state.leaving, name)
+		}
+	}
+}
+
 // match gives free slots to waiting requests, refuses late ones and reports demand.
 func (s *Service) match() {
 	now := s.Timer.Now()
+	s.readmit(now)
 	for _, e := range s.state.queue.Expire(now) {
 		w := s.state.waiters[e.ID]
 		delete(s.state.waiters, e.ID)
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -86,6 +86,7 @@
 	s.dispatch = &afdispatch.Service{
 		Replicas:  s.replicas,
 		Endpoints: s.replicas,
+		Listed:    func(endpoint string) bool { return s.control.Table().Lists(endpoint) },
 		Ready:     func(model string) (time.Duration, bool) { return s.control.Table().Ready(model) },
 		Demand:    s.control.Demand,
 		Served:    s.control.Served,
--- a/pkg/afplacement/table.go
+++ b/pkg/afplacement/table.go
@@ -88,6 +88,7 @@
 	parts     map[string]Part
 	replicas  map[string][]Replica
 	estimates map[string]time.Duration
+	endpoints map[string]bool
 }
 
 // With returns a table with the part, and whether the part was newer than the one that it replaces.
@@ -122,9 +123,11 @@
 func (t *Table) index() {
 	t.replicas = make(map[string][]Replica)
 	t.estimates = make(map[string]time.Duration)
+	t.endpoints = make(map[string]bool)
 	for _, name := range slices.Sorted(maps.Keys(t.parts)) {
 		for _, r := range t.parts[name].Replicas {
 			t.replicas[r.Model] = append(t.replicas[r.Model], r)
+			t.endpoints[r.Endpoint] = true
 		}
 		for _, e := range t.parts[name].Estimates {
 			if d, ok := t.estimates[e.Model]; !ok || e.Ready < d {
@@ -142,6 +145,9 @@
 	return t.replicas[model]
 }
 
+// Lists reports whether a replica or plain service at the endpoint is in the table.
+func (t *Table) Lists(endpoint string) bool { return t != nil && t.endpoints[endpoint] }
+
 // Models returns the names that have replicas, in order.
 func (t *Table) Models() []string {
 	if t == nil {
