recover: show the platform's calls by kind and the take-over

The peak of platform calls after an outage did not tell who made them, and a cold start did not tell when the shard had a new owner.

The platform stand-in counts the last second by method and kind, and the probe of a cold start watches the fencing number. The slow-store scenario expects a refusal in time and sends a second request 1 s later. Reading the daemons' metrics was ruled out, since killed daemons lose theirs.

--- a/cmd/arbutusfork-recover/main.go
+++ b/cmd/arbutusfork-recover/main.go
@@ -78,10 +78,11 @@
 	model := cold.Arg("model", "The model.").Required().String()
 	except := cold.Flag("except", "Number of a VM that is not asked.").Int()
 	deadline := cold.Flag("deadline", "Deadline of the request.").Default("25s").Duration()
+	refused := cold.Flag("refused", "Expect that the deadline cannot be met and that the request is refused.").Bool()
 	verbs[cold.FullCommand()] = func(ctx context.Context, f *afrecover.Fleet) (string, error) {
 		ctx, cancel := context.WithTimeout(ctx, *deadline+10*time.Second)
 		defer cancel()
-		return f.Cold(ctx, *model, *except, *deadline)
+		return f.Cold(ctx, *model, *except, *deadline, *refused)
 	}
 	withdraw := app.Command("withdraw", "Withdraw a key during streams and print when they ended.")
 	verbs[withdraw.FullCommand()] = func(ctx context.Context, f *afrecover.Fleet) (string, error) { return f.Withdraw(ctx) }
--- a/internal/afrecover/probe.go
+++ b/internal/afrecover/probe.go
@@ -9,8 +9,11 @@
 
 const (
 	orderPoll = 25 * time.Millisecond
+	ownerPoll = 100 * time.Millisecond
 	// coldTokens keeps the answer of a cold start short against the load.
 	coldTokens = 16
+	// nextAfter is when another request follows one that cannot be served in time.
+	nextAfter = time.Second
 	// withdrawTokens make a stream of about ten seconds.
 	withdrawTokens = 5000
 	withdrawAfter  = time.Second
@@ -21,8 +24,9 @@
 )
 
 // Cold sends one request for a model that is not loaded to the first ready VM other than the one with the number
-// except, and tells when the load was ordered and when the first token came. The times count from the start.
-func (f *Fleet) Cold(ctx context.Context, model string, except int, deadline time.Duration) (string, error) {
+// except, and tells when the load was ordered and when the first token came. The times count from the start. With
+// refused it expects that the deadline cannot be met and that the request, and another one after it, are refused.
+func (f *Fleet) Cold(ctx context.Context, model string, except int, deadline time.Duration, refused bool) (string, error) {
 	start := time.Now()
 	vm, err := f.ready(ctx, except)
 	if err != nil {
@@ -36,11 +40,19 @@
 	if err != nil {
 		return "", err
 	}
-	ordered := make(chan time.Duration, 1)
+	ordered, taken := make(chan time.Duration, 1), make(chan time.Duration, 1)
 	poll, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() { ordered <- f.awaitOrder(poll, model, start) }()
+	go func() { taken <- f.awaitOwner(poll, start) }()
 	q := request{customer: probeCustomer, key: key, model: model, tokens: coldTokens, stream: true, deadline: deadline}
+	next := make(chan Sample, 1)
+	if refused {
+		go func() {
+			_ = pause(ctx, nextAfter) // A request whose context has ended is not sent.
+			next <- q.send(ctx, &http.Client{}, f.Callers[vm], vm)
+		}()
+	}
 	s := q.send(ctx, &http.Client{}, f.Callers[vm], vm)
 	stop()
 	after, err := f.counts(ctx)
@@ -48,8 +60,18 @@
 		return "", err
 	}
 	loads := after.loads[model] - before.loads[model]
-	text := fmt.Sprintf("asked=%s ordered=%s first-token=%s loads=%d %s", s.Sent.Sub(start).Round(time.Millisecond),
-		(<-ordered).Round(time.Millisecond), s.First.Sub(start).Round(time.Millisecond), loads, s.Result)
+	text := fmt.Sprintf("asked=%s new-owner=%s ordered=%s first-token=%s loads=%d %s", s.Sent.Sub(start).Round(time.Millisecond),
+		(<-taken).Round(time.Millisecond), (<-ordered).Round(time.Millisecond), s.First.Sub(start).Round(time.Millisecond), loads, s.Result)
+	if refused {
+		again := <-next
+		text += fmt.Sprintf(", the next one %s after %s", again.Result, again.First.Sub(again.Sent).Round(time.Millisecond))
+		for _, s := range []Sample{s, again} {
+			if s.Result != Refused || s.Outcome != "not run" || s.First.Sub(s.Sent) > deadline+lateSlack {
+				return text, fmt.Errorf("C3: %s", describe(s))
+			}
+		}
+		return text, nil
+	}
 	switch {
 	case s.Result != Answered:
 		return text, fmt.Errorf("%s", describe(s))
@@ -75,6 +97,28 @@
 	}
 }
 
+// awaitOwner returns when the shard's fencing number rose, from the start on, or zero if it did not.
+func (f *Fleet) awaitOwner(ctx context.Context, start time.Time) time.Duration {
+	first := int64(0)
+	tick := time.NewTicker(ownerPoll)
+	defer tick.Stop()
+	for {
+		r, err := f.record(ctx)
+		switch {
+		case err != nil:
+		case first == 0:
+			first = r.Fence
+		case r.Fence > first:
+			return time.Since(start)
+		}
+		select {
+		case <-ctx.Done():
+			return 0
+		case <-tick.C:
+		}
+	}
+}
+
 // ready returns the index of the first ready VM other than the one with the number except.
 func (f *Fleet) ready(ctx context.Context, except int) (int, error) {
 	for vm, operator := range f.Operators {
--- a/internal/afrecover/report.go
+++ b/internal/afrecover/report.go
@@ -21,6 +21,8 @@
 	Redials    int
 	// Reads and Writes are the highest calls per second at the platform.
 	Reads, Writes int64
+	// Kinds are the calls by kind of the second with the most writes.
+	Kinds map[string]int64
 	// Compared is how often the engines were compared with the record.
 	Compared int
 	// Violations name the broken conditions of the design page.
@@ -30,7 +32,7 @@
 func (l *Load) report(ctx context.Context, start, end time.Time, w *watch) (Report, error) {
 	r := Report{
 		Start: start, End: end, Samples: l.samples, Payments: l.payments, Redials: l.redials,
-		Reads: w.reads, Writes: w.writes, Compared: w.compared,
+		Reads: w.reads, Writes: w.writes, Kinds: w.kinds, Compared: w.compared,
 	}
 	counts, err := l.Fleet.counts(ctx)
 	if err != nil {
@@ -173,6 +175,12 @@
 			say("  %s", describe(s))
 		}
 	}
+	for _, p := range r.Payments {
+		if len(p.Attempts) > 1 || !p.Paid() {
+			say("  payment %s, attempt %d: %s", p.ID, len(p.Attempts), describe(p.Attempts[len(p.Attempts)-1]))
+		}
+	}
+	say("the second with the most platform writes: %v", r.Kinds)
 	for _, v := range r.Violations {
 		say("VIOLATION %s", v)
 	}
--- a/internal/afrecover/watch.go
+++ b/internal/afrecover/watch.go
@@ -15,6 +15,8 @@
 	fleet *Fleet
 
 	reads, writes int64
+	// kinds are the calls by kind of the second with the most writes.
+	kinds map[string]int64
 	// undecided names loads that no record shows, each once.
 	undecided map[string]bool
 	compared  int
@@ -35,8 +37,14 @@
 }
 
 func (w *watch) sample(ctx context.Context) {
-	var c struct{ Reads, Writes int64 }
+	var c struct {
+		Reads, Writes int64
+		Kinds         map[string]int64
+	}
 	if w.fleet.get(ctx, w.fleet.Platform+"/counts", &c) == nil {
+		if c.Writes > w.writes {
+			w.kinds = c.Kinds
+		}
 		w.reads, w.writes = max(w.reads, c.Reads), max(w.writes, c.Writes)
 	}
 	before, ok := w.decided(ctx)
--- a/internal/afstandin/platformfault.go
+++ b/internal/afstandin/platformfault.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	Writes int64 `json:"writes"`
 	// Watches is the number of open watches.
 	Watches int64 `json:"watches"`
+	// Kinds are the reads and writes of the last full second by method and kind.
+	Kinds map[string]int64 `json:"kinds,omitempty"`
 	// Total counts all calls since the start.
 	Total int64 `json:"total"`
 }
@@ -37,6 +40,7 @@
 type counters struct {
 	second        int64
 	reads, writes int64
+	kinds         map[string]int64
 	last          Counts
 	watches       int64
 	total         int64
@@ -122,6 +126,10 @@
 	defer p.mu.Unlock()
 	p.roll()
 	c := &p.counters
+	if kind == countRead || kind == countWrite {
+		object, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, platformPrefix), "/")
+		c.kinds[r.Method+" "+object]++
+	}
 	switch kind {
 	case countRead:
 		c.reads++
@@ -149,9 +157,9 @@
 	}
 	c.last = Counts{}
 	if second == c.second+1 {
-		c.last = Counts{Reads: c.reads, Writes: c.writes}
+		c.last = Counts{Reads: c.reads, Writes: c.writes, Kinds: c.kinds}
 	}
-	c.second, c.reads, c.writes = second, 0, 0
+	c.second, c.reads, c.writes, c.kinds = second, 0, 0, make(map[string]int64)
 }
 
 // Counts returns the calls of the last full second, the open watches and the total.
--- a/scripts/recover.sh
+++ b/scripts/recover.sh
@@ -163,27 +163,31 @@
 scenario_slow() { # The weight store is slow: a request that cannot be served in time is refused.
 	load 16
 	fault "$store" '{"slow":4}'
-	probe "cold start from the store within 10 s" cold order-ar-3b --deadline 10s
+	probe "cold start from the store within 10 s" cold order-ar-3b --deadline 10s --refused
 	fault "$store" '{"slow":0}'
 	finish
 }
 
-cache=()
-for i in $(seq "$engines"); do cache+=("$i:order-fr-3b=memory" "$i:order-en-3b=memory"); done
-for model in "${colds[@]}"; do cache+=("4:$model=disk" "5:$model=disk"); done
-fleet_up "${cache[@]}" || exit 1
-"${recover[@]}" install || exit 1
-for model in order-fr-3b order-en-3b; do
-	"${recover[@]}" cold "$model" >"$logs/warm-$model.log" || echo "warm start of $model failed: $(cat "$logs/warm-$model.log")"
-done
-# Slow payments are under way when a VM dies: each of them runs and is answered 400 ms later.
-for i in $(seq "$plain"); do fault "$plain_net.$i:9200" '{"slow":400}'; done
-for scenario in "${scenarios[@]}"; do
-	if ! declare -F "scenario_$scenario" >/dev/null; then
-		echo "unknown scenario $scenario" >&2
-		exit 2
-	fi
-	"scenario_$scenario"
-done
-echo "finished after $SECONDS s; logs are in $logs"
-exit "$failed"
+main() { # The shell reads a function as a whole, so that a run is not disturbed when the file changes.
+	cache=()
+	for i in $(seq "$engines"); do cache+=("$i:order-fr-3b=memory" "$i:order-en-3b=memory"); done
+	for model in "${colds[@]}"; do cache+=("4:$model=disk" "5:$model=disk"); done
+	fleet_up "${cache[@]}" || exit 1
+	"${recover[@]}" install || exit 1
+	for model in order-fr-3b order-en-3b; do
+		"${recover[@]}" cold "$model" >"$logs/warm-$model.log" || echo "warm start of $model failed: $(cat "$logs/warm-$model.log")"
+	done
+	# Slow payments are under way when a VM dies: each of them runs and is answered 400 ms later.
+	for i in $(seq "$plain"); do fault "$plain_net.$i:9200" '{"slow":400}'; done
+	for scenario in "${scenarios[@]}"; do
+		if ! declare -F "scenario_$scenario" >/dev/null; then
+			echo "unknown scenario $scenario" >&2
+			exit 2
+		fi
+		"scenario_$scenario"
+	done
+	echo "finished after $SECONDS s; logs are in $logs"
+	exit "$failed"
+}
+
+main
