--- a/internal/afslope/endpoint.go
+++ b/internal/afslope/endpoint.go
@@ -31,7 +31,7 @@
 	Memory int64 `json:"memory"`
 }
 
-// runners is a stand-in for all endpoints of one shard behind one listener.
+// runners is a stand-in for all endpoints of one shard.
 type runners struct {
 	polls atomic.Int64
 	bytes atomic.Int64
@@ -69,11 +69,13 @@
 		return err
 	}
 	all := &runners{}
-	address, err := serve(ctx, all)
-	if err != nil {
-		return err
+	addresses := make([]string, n)
+	for i := range addresses {
+		if addresses[i], err = serve(ctx, all); err != nil {
+			return err
+		}
 	}
-	snapshot, err := shardSnapshot(n, address)
+	snapshot, err := shardSnapshot(addresses)
 	if err != nil {
 		return err
 	}
@@ -127,8 +129,8 @@
 	return l.Addr().String(), nil
 }
 
-// shardSnapshot returns a configuration with n endpoints at one address.
-func shardSnapshot(n int, address string) (*afconfig.Snapshot, error) {
+// shardSnapshot returns a configuration with one endpoint at each address.
+func shardSnapshot(addresses []string) (*afconfig.Snapshot, error) {
 	version := int64(0)
 	var objects []afobject.Object
 	add := func(kind, name string, v any) error {
@@ -140,7 +142,7 @@
 	if err := add(afobject.Services, endpointService, arbutusfork.Service{Name: endpointService}); err != nil {
 		return nil, err
 	}
-	for i := range n {
+	for i, address := range addresses {
 		name := fmt.Sprintf("runner-%d", i)
 		e := arbutusfork.Endpoint{Name: name, Service: endpointService, Address: address, Memory: 80000, Slots: 24, Fenced: true}
 		if err := add(afobject.Endpoints, name, e); err != nil {
