afplacement: test that a take-over needs a confirming read

TestExposure let a follower take over by time alone; since a take-over needs a read that confirms the unchanged version, the test now reads first and keeps its assertions. TestSwitches compared the platform stand-in's counts without the calls by kind that the recovery runs added; it now expects them exactly.

--- a/internal/afstandin/platform_test.go
+++ b/internal/afstandin/platform_test.go
@@ -28,7 +28,8 @@
 		require.Equal(t, http.StatusConflict, call(p, "POST", path, `{"metadata":{"name":"a"},"spec":{}}`).Code)
 		require.Equal(t, http.StatusNotFound, call(p, "GET", path+"/b", "").Code)
 		<-time.After(time.Second)
-		require.JSONEq(t, `{"reads":1,"writes":2,"watches":0,"total":3}`, call(p, "GET", "/counts", "").Body.String())
+		require.JSONEq(t, `{"reads":1,"writes":2,"watches":0,"total":3,
+			"kinds":{"GET customers":1,"POST customers":2}}`, call(p, "GET", "/counts", "").Body.String())
 
 		require.Equal(t, http.StatusOK, call(p, "POST", "/faults", `{"lose":true,"slow":500}`).Code)
 		before := time.Now()
--- a/pkg/afplacement/exposure_test.go
+++ b/pkg/afplacement/exposure_test.go
@@ -27,6 +27,7 @@
 	w.vms[0].paused = true
 	w.apply(1, Read{Version: w.version, Record: w.record})
 	w.now = w.now.Add(expiry + time.Second)
+	w.apply(1, Read{Version: w.version, Record: w.record})
 	w.apply(1, Tick{})
 	w.answer(1, w.vms[1], w.write(*w.vms[1].commit))
 	return w
