afsync: log a witness set that could not be changed as such

A change that failed was logged as "witness set changed" with an error beside it, which reads as a change in a list of log lines. It has its own message now.

Tests: go test -race ./internal/afsync

--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -147,8 +147,12 @@
 		err := s.replaceWitnesses(next, version, confirm)
 		s.events.Wait(s.ctx, func() {
 			s.maintaining = false
-			s.log().Info("witness set changed",
-				"epoch", next.Epoch, "witnesses", next.VMs, "before", set.VMs, "error", err)
+			if err != nil {
+				s.log().Warn("witness set not changed",
+					"epoch", set.Epoch, "witnesses", set.VMs, "wanted", next.VMs, "error", err)
+				return
+			}
+			s.log().Info("witness set changed", "epoch", next.Epoch, "witnesses", next.VMs, "before", set.VMs)
 		})
 	}()
 }
