afcontrol: send a VM only the routing entries it has demand for

An owner sent its whole part of the routing table to every VM at each change and each 2 s: 37 KB for 256 replicas, with credits that name every VM. With 380 VMs that is 14 MB for one publication.

Above 8 live VMs the owner now filters the part for each VM: replicas and estimates of the models that the VM reported within 10 s (three summary periods if that is longer), with only its own credit. Slots are shared by the VMs that have demand at the endpoint, so that idle VMs take none. Publications of a shard have one sequence over all VMs. A demand message tells the digest that the VM has; a different one is answered with the part as it is, which repairs a lost message. A VM that has requests for an unknown model says so and is answered at once. VMs drop entries without demand, so that none goes stale. Filtered parts leave the heartbeat digests and are not served to peers. A new owner names itself once to all VMs; a VM whose owner is not live asks the most preferred one, which follows the record and names the owner.

Summaries come each 10 ms times the number of VMs, at least each second, and demand stays valid for three periods.

Ruled out: a gossiped table (each VM would hold and relay all of it), and a periodic refresh (its cost is what this change removes). Changes of credits alone are sent at most once a summary period.

--- a/internal/afcontrol/demand.go
+++ b/internal/afcontrol/demand.go
@@ -1,6 +1,7 @@
 package afcontrol
 
 import (
+	"slices"
 	"time"
 
 	"arbutusfork.example/arbutusfork"
@@ -8,7 +9,8 @@
 )
 
 const (
-	// summary is the period at which VMs report demand. New demand without a replica is reported at once.
+	// summary is the period at which VMs report demand in fleets of up to 100 VMs. New demand without a replica is
+	// reported at once.
 	summary = time.Second
 	// demandIdle is how long a model without requests stays in the summaries.
 	demandIdle = 5 * time.Second
@@ -24,6 +26,11 @@
 // demandMessage is the body of a demand message.
 type demandMessage struct {
 	Rows []demandRow `msgpack:"rows"`
+	// Shard is the shard of the rows. In a large fleet, Have is the digest of the publication that the VM has of it,
+	// and Lacks means that requests wait for a model of which it knows nothing.
+	Shard string `msgpack:"shard,omitempty"`
+	Have  int64  `msgpack:"have,omitempty"`
+	Lacks bool   `msgpack:"lacks,omitempty"`
 }
 
 type demandRow struct {
@@ -99,9 +106,20 @@
 	s.report(rows)
 }
 
+// again reports demand for models without a replica that an earlier owner may have been told of.
+func (s *Service) again() {
+	s.mu.Lock()
+	for _, d := range s.local {
+		d.dirty = true
+	}
+	s.mu.Unlock()
+	s.hurry()
+}
+
 // flush reports the demand summary.
 func (s *Service) flush(now time.Time) {
-	if now.Sub(s.flushed) < summary {
+	n := s.live()
+	if now.Sub(s.flushed) < period(n) {
 		return
 	}
 	s.flushed = now
@@ -117,6 +135,9 @@
 		}
 	}
 	s.mu.Unlock()
+	if n > wholeFleet {
+		s.prune()
+	}
 	s.report(rows)
 }
 
@@ -147,39 +168,63 @@
 		if sh == nil {
 			continue
 		}
-		owner := s.owner(sh)
+		m := demandMessage{Rows: list}
+		if s.large() {
+			m.Shard, m.Have, m.Lacks = name, s.Table().Current(name), s.lacks(list)
+		}
+		owner := s.recipient(sh)
 		if owner == "" || owner == s.Self.VM {
-			s.take(s.Self.VM, list)
+			s.take(s.Self.VM, m)
 			continue
 		}
-		if err := s.Send(owner, KindDemand, demandMessage{Rows: list}); err != nil {
+		if err := s.Send(owner, KindDemand, m); err != nil {
 			s.Log.Debug("demand not sent", "vm", owner, "shard", name, "error", err)
 		}
 	}
 }
 
+// recipient returns the VM to report demand to: the owner, or, while it is not live in a large fleet, the most
+// preferred one, which follows the record closely and names the owner.
+func (s *Service) recipient(sh *shard) string {
+	owner := s.owner(sh)
+	if owner == s.Self.VM || !s.large() {
+		return owner
+	}
+	members := s.Members()
+	if slices.ContainsFunc(members, func(vm arbutusfork.VM) bool { return vm.Name == owner }) {
+		return owner
+	}
+	return afplacement.Preferred(sh.name, members)
+}
+
 // owner returns the VM that is believed to own the shard.
 func (s *Service) owner(sh *shard) string {
 	if sh.view.Owner(s.Timer.Now()) {
 		return s.Self.VM
 	}
-	r, _ := sh.view.Record()
-	if p, ok := s.Table().Part(sh.name); ok && p.Epoch >= r.Fence {
-		return p.Owner.VM
-	}
-	return r.Owner.VM
+	_, owner := s.latest(sh)
+	return owner.VM
 }
 
 // take applies demand that a VM reported.
-func (s *Service) take(vm string, rows []demandRow) {
-	for _, row := range rows {
+func (s *Service) take(vm string, m demandMessage) {
+	now := s.Timer.Now()
+	sent := s.sent(m.Shard, vm)
+	touched := make(map[*shard]bool)
+	for _, row := range m.Rows {
 		sh := s.shards[s.home(row.Model)]
 		if sh == nil {
 			continue
 		}
+		touched[sh] = true
+		sh.audience.note(vm, row.Model, now)
 		if row.Served > 0 {
-			s.step(sh, afplacement.Arrived{Model: row.Model, Count: row.Served})
+			s.apply(sh, afplacement.Arrived{Model: row.Model, Count: row.Served}, now)
 		}
-		s.step(sh, afplacement.Wanted{Model: row.Model, VM: vm, Waiting: row.Waiting, Running: row.Running})
+		s.apply(sh, afplacement.Wanted{Model: row.Model, VM: vm, Waiting: row.Waiting, Running: row.Running}, now)
+	}
+	for sh := range touched {
+		s.publish(sh, now)
 	}
+	s.heed(vm, m, sent, now)
 }
--- a/internal/afcontrol/fake_test.go
+++ b/internal/afcontrol/fake_test.go
@@ -135,6 +135,11 @@
 	gone     map[arbutusfork.Incarnation]bool
 	// frozen VMs do not see time pass and cannot be reached.
 	frozen map[string]bool
+	// lose reports whether a message is lost on its way. Nil means that none is.
+	lose func(vm, kind string) bool
+
+	mu   sync.Mutex
+	sent map[string]int // sent counts the messages by kind.
 }
 
 func newFleet(t *testing.T, snapshot *afconfig.Snapshot, names ...string) *fleet {
@@ -142,7 +147,7 @@
 		t: t, now: time.Date(2026, 1, 1, 9, 0, 0, 0, time.UTC), snapshot: snapshot,
 		platform: &platform{objects: make(map[string]afobject.Object)},
 		vms:      make(map[string]*Service), timers: make(map[string]*aftimer.Service),
-		gone: make(map[arbutusfork.Incarnation]bool), frozen: make(map[string]bool),
+		gone: make(map[arbutusfork.Incarnation]bool), frozen: make(map[string]bool), sent: make(map[string]int),
 	}
 	for _, name := range names {
 		timer := &aftimer.Service{}
@@ -188,11 +193,19 @@
 	if f.frozen[vm] || f.frozen[from.VM] {
 		return &Error{Op: kind, Kind: Unreachable}
 	}
+	f.mu.Lock()
+	f.sent[kind]++
+	lost := f.lose != nil && f.lose(vm, kind)
+	f.mu.Unlock()
+	if lost {
+		return nil
+	}
 	s := f.vms[vm]
 	b, err := msgpack.Marshal(message)
 	require.NoError(f.t, err)
 	handler := map[string]func(arbutusfork.Incarnation, []byte) (any, error){
-		KindDemand: s.HandleDemand, KindTable: s.HandleTable, KindFetch: s.HandlePull, KindRelease: s.HandleRelease,
+		KindDemand: s.HandleDemand, KindTable: s.HandleTable, KindOwner: s.HandleOwner,
+		KindFetch: s.HandlePull, KindRelease: s.HandleRelease,
 	}[kind]
 	out, err := handler(from, b)
 	if err != nil || answer == nil {
--- a/internal/afcontrol/message.go
+++ b/internal/afcontrol/message.go
@@ -15,6 +15,7 @@
 	KindTable   = "table"
 	KindFetch   = "fetch"
 	KindRelease = "release"
+	KindOwner   = "owner"
 )
 
 // pullMessage asks for a shard's part of the routing table.
@@ -22,6 +23,13 @@
 	Shard string `msgpack:"shard"`
 }
 
+// ownerMessage names the owner of a shard.
+type ownerMessage struct {
+	Shard string                  `msgpack:"shard"`
+	Owner arbutusfork.Incarnation `msgpack:"owner"`
+	Epoch int64                   `msgpack:"epoch"`
+}
+
 // releaseMessage asks the sender to send nothing below the fence any more.
 type releaseMessage struct {
 	Shard  string                  `msgpack:"shard"`
@@ -42,7 +50,23 @@
 	if err := msgpack.Unmarshal(body, &m); err != nil {
 		return nil, &Error{Op: "demand", Kind: Malformed, Err: err}
 	}
-	s.ring.Push(func() { s.take(from.VM, m.Rows) })
+	s.ring.Push(func() { s.take(from.VM, m) })
+	return nil, nil
+}
+
+// HandleOwner takes the name of a shard's owner.
+func (s *Service) HandleOwner(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	s.init()
+	var m ownerMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "owner", Kind: Malformed, Err: err}
+	}
+	s.ring.Push(func() {
+		if sh := s.shards[m.Shard]; sh != nil && m.Epoch > sh.told.Epoch {
+			sh.told = m
+			s.again()
+		}
+	})
 	return nil, nil
 }
 
@@ -63,7 +87,7 @@
 		return nil, &Error{Op: "pull", Kind: Malformed, Err: err}
 	}
 	p, ok := s.Table().Part(m.Shard)
-	if !ok {
+	if !ok || p.VM != "" {
 		return nil, &Error{Op: "pull " + m.Shard, Kind: Unknown}
 	}
 	return p, nil
@@ -96,12 +120,16 @@
 	return answer, nil
 }
 
-// HandleDigest pulls the parts of the routing table of which the peer has a newer publication.
+// HandleDigest pulls the parts of the routing table of which the peer has a newer publication. In a large fleet each
+// VM gets what it needs from the owners.
 func (s *Service) HandleDigest(from arbutusfork.Incarnation, digest map[string]int64) {
 	s.init()
-	own := s.Digest()
+	if s.large() {
+		return
+	}
+	table := s.Table()
 	for name, d := range digest {
-		if d > own[name] {
+		if p, ok := table.Part(name); !ok || d > p.Digest() {
 			s.ring.Push(func() { s.pull(from.VM, name, d) })
 		}
 	}
--- a/internal/afcontrol/service.go
+++ b/internal/afcontrol/service.go
@@ -102,8 +102,14 @@
 	return &afplacement.Table{}
 }
 
-// Digest returns the digest of the routing table for heartbeats.
-func (s *Service) Digest() map[string]int64 { return s.Table().Digest() }
+// Digest returns the digest of the routing table for heartbeats. It is empty in a large fleet, in which VMs do not
+// pull parts from each other.
+func (s *Service) Digest() map[string]int64 {
+	if s.large() {
+		return nil
+	}
+	return s.Table().Digest()
+}
 
 // spawn runs fn beside the loop and gives what it returns to the loop.
 func (s *Service) spawn(fn func(ctx context.Context) func()) {
@@ -141,7 +147,10 @@
 	now := s.Timer.Now()
 	s.configure(now)
 	members := s.Members()
+	life := lifePeriods * period(len(members))
 	for _, sh := range s.shards {
+		sh.view.Life = life
+		sh.audience.expire(now, max(life, interestLife))
 		sh.view.Rank = afplacement.Rank(sh.name, s.Self.VM, members)
 		s.follow(sh, now)
 		s.poll(sh, now)
--- a/internal/afcontrol/shard.go
+++ b/internal/afcontrol/shard.go
@@ -37,11 +37,30 @@
 	published time.Time
 	fence     int64
 	sequence  int64
+	// audience are the VMs that get filtered parts in a large fleet, announced the fence that they were told.
+	audience  audience
+	announced int64
+	// told is the owner that another VM named.
+	told ownerMessage
 }
 
-// step applies an event to the shard and carries out the effects.
+// next returns the number of the next publication under the fence.
+func (sh *shard) next(fence int64) int64 {
+	if fence != sh.fence {
+		sh.fence, sh.sequence = fence, 0
+	}
+	sh.sequence++
+	return sh.sequence
+}
+
+// step applies an event to the shard, carries out the effects and publishes.
 func (s *Service) step(sh *shard, e afplacement.Event) {
 	now := s.Timer.Now()
+	s.apply(sh, e, now)
+	s.publish(sh, now)
+}
+
+func (s *Service) apply(sh *shard, e afplacement.Event, now time.Time) {
 	view, effects := sh.view.Step(e, now)
 	sh.view = view
 	for _, effect := range effects {
@@ -58,7 +77,6 @@
 			s.logDecision(sh, effect)
 		}
 	}
-	s.publish(sh, now)
 }
 
 // commit writes the record. Any error leads to a read, since the write may have taken effect.
@@ -149,6 +167,12 @@
 		return
 	}
 	members := s.Members()
+	if s.large() {
+		sh.part = afplacement.Part{}
+		s.filter(sh, members, now)
+		return
+	}
+	sh.audience = audience{}
 	vms := make([]string, 0, len(members)+1)
 	vms = append(vms, s.Self.VM)
 	for _, vm := range members {
@@ -160,11 +184,7 @@
 	if p.Same(sh.part) && now.Sub(sh.published) < refresh {
 		return
 	}
-	if p.Epoch != sh.fence {
-		sh.fence, sh.sequence = p.Epoch, 0
-	}
-	sh.sequence++
-	p.Sequence = sh.sequence
+	p.Sequence = sh.next(p.Epoch)
 	sh.part, sh.published = p, now
 	s.adopt(p)
 	for _, vm := range vms[1:] {
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -79,6 +79,7 @@
 	}
 	s.peers.Handle(afcontrol.KindDemand, s.control.HandleDemand)
 	s.peers.Handle(afcontrol.KindTable, s.handleTable)
+	s.peers.Handle(afcontrol.KindOwner, s.control.HandleOwner)
 	s.peers.Handle(afcontrol.KindFetch, s.control.HandlePull)
 	s.peers.Handle(afcontrol.KindRelease, s.control.HandleRelease)
 	s.peers.Digests = s.control.Digest
--- a/pkg/afplacement/demand.go
+++ b/pkg/afplacement/demand.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// demandLife is how long a VM's count stays valid without a new one. VMs send a summary each second.
+	// demandLife is how long a VM's count stays valid without a new one, unless View.Life is longer. Up to 100 VMs
+	// send a summary each second.
 	demandLife = 3 * time.Second
 	// peakDecay is the time constant with which the need for several replicas fades.
 	peakDecay = 60 * time.Second
@@ -29,12 +30,13 @@
 type wants struct {
 	waiting, running int
 	at               time.Time
+	life             time.Duration
 }
 
 // totals returns the requests that wait and run on all VMs.
 func (d demand) totals(now time.Time) (waiting, running int) {
 	for _, w := range d.vms {
-		if now.Sub(w.at) < demandLife {
+		if now.Sub(w.at) < w.life {
 			waiting += w.waiting
 			running += w.running
 		}
@@ -42,6 +44,9 @@
 	return waiting, running
 }
 
+// life returns how long a VM's count stays valid without a new one.
+func (v View) life() time.Duration { return max(v.Life, demandLife) }
+
 // level returns the decayed peak concurrency.
 func (d demand) level(now time.Time) float64 {
 	return d.peak * math.Exp(-now.Sub(d.peaked).Seconds()/peakDecay.Seconds())
@@ -52,11 +57,11 @@
 	before, _ := d.totals(now)
 	vms := make(map[string]wants, len(d.vms)+1)
 	for vm, w := range d.vms {
-		if now.Sub(w.at) < demandLife {
+		if now.Sub(w.at) < w.life {
 			vms[vm] = w
 		}
 	}
-	vms[e.VM] = wants{waiting: e.Waiting, running: e.Running, at: now}
+	vms[e.VM] = wants{waiting: e.Waiting, running: e.Running, at: now, life: v.life()}
 	d.vms = vms
 	waiting, running := d.totals(now)
 	if before == 0 || d.since.IsZero() {
--- a/pkg/afplacement/plan.go
+++ b/pkg/afplacement/plan.go
@@ -154,7 +154,7 @@
 		reason := ""
 		rep := v.reports[a.Endpoint]
 		switch {
-		case rep.asked.IsZero() || rep.misses >= maxMisses || now.Sub(v.tenure) < demandLife:
+		case rep.asked.IsZero() || rep.misses >= maxMisses || now.Sub(v.tenure) < v.life():
 			// Without a report, or before VMs had the time to report demand, nothing is given up.
 		case rep.status.Leaving || v.cfg.Endpoints[a.Endpoint].Leaving:
 			if rep.status.Running == 0 && rep.status.Waiting == 0 {
--- a/pkg/afplacement/publish.go
+++ b/pkg/afplacement/publish.go
@@ -13,14 +13,19 @@
 
 // Part returns the shard's routing table as of now, without a sequence. VMs are the VMs that share the slots.
 func (v View) Part(shard string, vms []string, now time.Time) Part {
+	return v.part(shard, func(string) []string { return vms }, now)
+}
+
+// part returns the routing table with the slots of each endpoint shared by the VMs that the function names.
+func (v View) part(shard string, sharers func(endpoint string) []string, now time.Time) Part {
 	p := Part{Shard: shard, Service: v.cfg.Service.Name, Owner: v.record.Owner, Epoch: v.record.Fence}
 	if v.cfg.Service.Kind == arbutusfork.ServicePlain {
-		p.Replicas = v.plain(vms, now)
+		p.Replicas = v.plain(sharers, now)
 		return p
 	}
 	shares := make(map[string]map[string]int)
 	for _, name := range slices.Sorted(maps.Keys(v.cfg.Endpoints)) {
-		shares[name] = Credits(v.cfg.Endpoints[name].Slots, vms, v.endpointDemand(name, now))
+		shares[name] = Credits(v.cfg.Endpoints[name].Slots, sharers(name), v.endpointDemand(name, now))
 	}
 	for _, a := range v.record.Assignments {
 		ep, ok := v.cfg.Endpoints[a.Endpoint]
@@ -51,11 +56,11 @@
 	return rep.misses < maxMisses && !rep.status.Leaving && !v.cfg.Endpoints[endpoint].Leaving
 }
 
-func (v View) plain(vms []string, now time.Time) []Replica {
+func (v View) plain(sharers func(endpoint string) []string, now time.Time) []Replica {
 	var out []Replica
 	need := make(map[string]int)
 	for vm, w := range v.demand[v.cfg.Service.Name].vms {
-		if now.Sub(w.at) < demandLife {
+		if now.Sub(w.at) < w.life {
 			need[vm] = w.waiting + w.running
 		}
 	}
@@ -63,7 +68,7 @@
 		if ep := v.cfg.Endpoints[name]; v.routable(name) {
 			out = append(out, Replica{
 				Model: v.cfg.Service.Name, Endpoint: name, Address: ep.Address, Centre: ep.Centre, Slots: ep.Slots,
-				Running: v.reports[name].status.Running, Credits: Credits(ep.Slots, vms, need),
+				Running: v.reports[name].status.Running, Credits: Credits(ep.Slots, sharers(name), need),
 			})
 		}
 	}
@@ -78,7 +83,7 @@
 			continue
 		}
 		for vm, w := range v.demand[a.Model].vms {
-			if now.Sub(w.at) < demandLife {
+			if now.Sub(w.at) < w.life {
 				out[vm] += w.waiting + w.running
 			}
 		}
--- a/pkg/afplacement/rank.go
+++ b/pkg/afplacement/rank.go
@@ -58,3 +58,14 @@
 	}
 	return int(b)
 }
+
+// Preferred returns the live VM of rank 0 for the shard, or an empty name if there is none.
+func Preferred(shard string, vms []arbutusfork.VM) string {
+	best, high := "", uint64(0)
+	for _, w := range vms {
+		if h := weight(shard, w.Name); w.State == arbutusfork.VMLive && (best == "" || h > high || h == high && w.Name < best) {
+			best, high = w.Name, h
+		}
+	}
+	return best
+}
--- a/pkg/afplacement/table.go
+++ b/pkg/afplacement/table.go
@@ -55,6 +55,10 @@
 	Sequence  int64      `msgpack:"sequence"`
 	Replicas  []Replica  `msgpack:"replicas"`
 	Estimates []Estimate `msgpack:"estimates,omitempty"`
+	// VM is the VM for which the part was filtered. A filtered part is never passed on. Empty means the whole part.
+	VM string `msgpack:"vm,omitempty"`
+
+	cut bool // cut tells that an endpoint was taken out of the part here.
 }
 
 // digestShift leaves room for 2^32 publications of one owner, which is 13 years at ten a second.
@@ -65,12 +69,9 @@
 
 // Same reports whether the part says the same as the other one, apart from its sequence and running counts.
 func (p Part) Same(q Part) bool {
-	same := func(a, b Replica) bool {
-		return a.Model == b.Model && a.Endpoint == b.Endpoint && a.Address == b.Address && a.Centre == b.Centre &&
-			a.Slots == b.Slots && maps.Equal(a.Credits, b.Credits)
-	}
-	return p.Epoch == q.Epoch && p.Owner == q.Owner && slices.EqualFunc(p.Replicas, q.Replicas, same) &&
-		slices.EqualFunc(p.Estimates, q.Estimates, func(a, b Estimate) bool { return a.Model == b.Model })
+	return p.Alike(q) && slices.EqualFunc(p.Replicas, q.Replicas, func(a, b Replica) bool {
+		return maps.Equal(a.Credits, b.Credits)
+	})
 }
 
 // Encode returns the msgpack form of the part.
@@ -113,7 +114,9 @@
 	}
 	next := &Table{parts: maps.Clone(t.parts)}
 	for name, p := range next.parts {
+		n := len(p.Replicas)
 		p.Replicas = slices.DeleteFunc(slices.Clone(p.Replicas), func(r Replica) bool { return r.Endpoint == endpoint })
+		p.cut = p.cut || len(p.Replicas) < n
 		next.parts[name] = p
 	}
 	next.index()
@@ -174,12 +177,15 @@
 	return p, ok
 }
 
-// Digest returns the digest of each shard's part, by which VMs find out that they missed a publication.
+// Digest returns the digest of each shard's whole part, by which VMs find out that they missed a publication. Filtered
+// parts are of no use to others.
 func (t *Table) Digest() map[string]int64 {
 	out := make(map[string]int64)
 	if t != nil {
 		for name, p := range t.parts {
-			out[name] = p.Digest()
+			if p.VM == "" {
+				out[name] = p.Digest()
+			}
 		}
 	}
 	return out
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -25,6 +25,8 @@
 	Self arbutusfork.Incarnation
 	// Rank is this VM's place in the shard's order of preferred owners. Higher ranks take over later.
 	Rank int
+	// Life is how long a VM's report of demand stays valid. It grows with the period of the reports; at least 3 s hold.
+	Life time.Duration
 
 	cfg     Config
 	record  Record // record is the last one known to have committed.
