afsync: let watchers read the list of VMs for a large fleet

Every VM read the platform's list of VMs each 5 s: with 380 VMs that is 76 reads a second of about 40 KB, and reads that grow with the fleet.

Beyond 8 known VMs only the watchers (2 a data centre) read it. Heartbeats carry a digest of the list and its age. A neighbour with the same content dates its own list later; other content that was asked for later is pulled ("vms" message). The moment that Listed returns is the watcher's asking time, converted at each hop from the age (rounded up) and the moment when the reader sent its question, so it is at or before the true one, which the rule for VMs that are gone rests on. A VM whose list is older than 15 s, since no watcher is in reach, asks the platform by itself, with a pause that grows with the fleet, so that an outage does not bring all VMs to the platform. A VM that starts knows only itself and reads once.

Ruled out: the collection version as the list's version, since each write to the platform raises it, and a list that a VM passes on with its own reading time, which would understate the age.

The control tests also cover a lost change of credits (TestLostChange).

--- a/internal/afcontrol/fake_test.go
+++ b/internal/afcontrol/fake_test.go
@@ -190,7 +190,7 @@
 }
 
 func (f *fleet) deliver(from arbutusfork.Incarnation, vm, kind string, message, answer any) error {
-	if f.frozen[vm] || f.frozen[from.VM] {
+	if f.frozen[vm] || f.frozen[from.VM] || vm == from.VM {
 		return &Error{Op: kind, Kind: Unreachable}
 	}
 	f.mu.Lock()
--- a/internal/afcontrol/filter_test.go
+++ b/internal/afcontrol/filter_test.go
@@ -127,6 +127,25 @@
 	n := f.count(KindTable)
 	f.advance(10 * time.Second)
 	require.Equal(t, n, f.count(KindTable))
+}
+
+// TestLostChange guards against a VM that keeps an outdated entry, which it does not report as missing, after a
+// publication was lost or after it took an endpoint out by itself.
+func TestLostChange(t *testing.T) {
+	f, _, one, two := crowd(t)
+	f.demand(one, "a")
+	f.advance(2 * time.Second)
+	f.vms[one].Demand("a", 0, f.now)
+	f.vms[one].Running("a", 1)
+	f.advance(2 * time.Second)
+	require.Equal(t, slots, f.vms[one].Table().Replicas("a")[0].Credit(one))
+	f.losing(one, KindTable)
+	f.vms[two].Running("a", 1)
+	f.advance(3 * time.Second)
+	require.Equal(t, slots, f.vms[one].Table().Replicas("a")[0].Credit(one))
+	f.arriving()
+	f.advance(summary + tick)
+	require.Equal(t, slots/2, f.vms[one].Table().Replicas("a")[0].Credit(one))
 	f.vms[one].Drop("r1")
 	require.Empty(t, f.vms[one].Table().Models())
 	f.advance(summary + tick)
--- a/internal/afpeer/beat.go
+++ b/internal/afpeer/beat.go
@@ -51,6 +51,10 @@
 	Leaving  bool             `msgpack:"leaving,omitempty"`
 	Evidence []beatEvidence   `msgpack:"evidence,omitempty"`
 	Digests  map[string]int64 `msgpack:"digests,omitempty"`
+	// List is the digest of the platform's list of VMs, and Age the time since it was asked for when the answer was
+	// sent, in milliseconds rounded up.
+	List int64 `msgpack:"list,omitempty"`
+	Age  int64 `msgpack:"age,omitempty"`
 	// Peers lets a VM find the others through one seed while the platform is down.
 	Peers []beatPeer `msgpack:"peers,omitempty"`
 }
@@ -110,6 +114,9 @@
 		now := s.Timer.Now()
 		r := s.Report(now)
 		out.Version, out.Epoch, out.Vouching = r.Version, r.Epoch, r.Vouching
+		if r.List != 0 {
+			out.List, out.Age = r.List, now.Sub(r.Listed).Milliseconds()+1
+		}
 		for _, e := range r.Evidence {
 			out.Evidence = append(out.Evidence, beatEvidence{
 				Witness: e.Witness, Start: e.Start, Version: e.Version, Epoch: e.Epoch,
@@ -144,6 +151,9 @@
 func (s *Service) heard(from arbutusfork.Incarnation, sent time.Time, a beatAnswer) {
 	if s.Heard != nil {
 		r := Report{Version: a.Version, Epoch: a.Epoch, Vouching: a.Vouching}
+		if a.List != 0 {
+			r.List, r.Listed = a.List, sent.Add(-time.Duration(a.Age)*time.Millisecond)
+		}
 		for _, e := range a.Evidence {
 			r.Evidence = append(r.Evidence, afconfig.Evidence{
 				Witness: e.Witness, Start: e.Start, Version: e.Version, Epoch: e.Epoch,
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -34,6 +34,10 @@
 	Vouching bool
 	// Evidence is what the VM knows about the witnesses, with Sent on its own clock.
 	Evidence []afconfig.Evidence
+	// List is the digest of the platform's list of VMs that the VM holds, and Listed when the platform was asked for
+	// it, on the own clock. Zero means none.
+	List   int64
+	Listed time.Time
 }
 
 // Handler takes a message from another VM and returns the answer, which is sent only to a Call. It runs on the
--- a/internal/afstandin/network.go
+++ b/internal/afstandin/network.go
@@ -136,6 +136,10 @@
 		l.network.mu.Lock()
 		delete(l.network.listeners, l.address)
 		l.network.mu.Unlock()
+		// Connections that nobody accepted are broken, as the kernel does.
+		for len(l.backlog) > 0 {
+			_ = (<-l.backlog).Close() // An in-memory connection has nothing to report.
+		}
 	})
 	return nil
 }
--- /dev/null
+++ b/internal/afsync/age_test.go
@@ -0,0 +1,74 @@
+package afsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// lone returns a service that knows n VMs and whose events are run by hand.
+func lone(n int, now time.Time) *Service {
+	s := &Service{Self: arbutusfork.Incarnation{VM: "vm0", Start: 1}, Timer: new(aftimer.Service), SetVMs: func([]arbutusfork.VM) {}}
+	s.Timer.Advance(now)
+	vms := make([]arbutusfork.VM, n)
+	for i := range vms {
+		vms[i].Name = string(rune('a' + i))
+	}
+	view := afmember.New(arbutusfork.VM{Name: "vm0"}).WithList(vms)
+	s.View = func() afmember.View { return view }
+	s.ctx = context.Background()
+	s.init()
+	return s
+}
+
+// TestPulledListAge guards against an age that leaves out the way of the answer, and against an older list that
+// replaces a later one.
+func TestPulledListAge(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	peer, s := lone(12, start.Add(time.Hour)), lone(12, start)
+	peer.takeList([]arbutusfork.VM{{Name: "vm1"}}, peer.Timer.Now())
+	peer.Timer.Advance(peer.Timer.Now().Add(4*time.Second + 300*time.Microsecond))
+	arrived := start.Add(700 * time.Millisecond)
+	s.Call = func(_ context.Context, _, _ string, _, answer any) error {
+		out, err := peer.serveVMs(s.Self, nil)
+		require.NoError(t, err)
+		b, err := msgpack.Marshal(out)
+		require.NoError(t, err)
+		s.Timer.Advance(arrived) // The answer takes long.
+		return msgpack.Unmarshal(b, answer)
+	}
+	s.pullVMs("peer")
+	ctx, cancel := context.WithCancel(context.Background())
+	s.events.Drain(ctx, func(fn func()) { fn(); cancel() })
+	view, asked := s.Listed()
+	vm, ok := view.Listed("vm1")
+	require.True(t, ok)
+	require.Equal(t, arbutusfork.VMLive, vm.State)
+	truth := start.Add(-4*time.Second - 300*time.Microsecond) // The peer answered at the moment of the question or later.
+	require.False(t, asked.After(truth))
+	s.takeList(nil, asked.Add(-time.Second))
+	view, _ = s.Listed()
+	vm, _ = view.Listed("vm1")
+	require.Equal(t, arbutusfork.VMLive, vm.State)
+}
+
+// TestSmallFleetReadsItsList guards against a change for small fleets, in which each VM reads the list by itself.
+func TestSmallFleetReadsItsList(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := lone(7, now)
+	s.takeList([]arbutusfork.VM{{Name: "vm1"}}, now)
+	require.Zero(t, s.Report(now).List)
+	s.compareList("vm1", 1, now.Add(time.Second))
+	require.False(t, s.listPulling)
+	large := lone(8, now)
+	large.takeList([]arbutusfork.VM{{Name: "vm1"}}, now)
+	require.Equal(t, afpeer.Report{List: large.listed.Load().digest, Listed: now}, large.Report(now))
+}
--- a/internal/afsync/error.go
+++ b/internal/afsync/error.go
@@ -13,6 +13,8 @@
 	Unconfirmed ErrorKind = iota // confirmation outstanding
 	// Malformed means that a message of another VM could not be decoded.
 	Malformed // malformed message
+	// Unlisted means that this VM holds no list of VMs.
+	Unlisted // no list of VMs
 )
 
 // Error tells which operation failed and why.
--- a/internal/afsync/error_string.go
+++ b/internal/afsync/error_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[Unconfirmed-0]
 	_ = x[Malformed-1]
+	_ = x[Unlisted-2]
 }
 
-const _ErrorKind_name = "confirmation outstandingmalformed message"
+const _ErrorKind_name = "confirmation outstandingmalformed messageno list of VMs"
 
-var _ErrorKind_index = [...]uint8{0, 24, 41}
+var _ErrorKind_index = [...]uint8{0, 24, 41, 55}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -20,8 +20,6 @@
 const (
 	eventQueue  = 1024
 	probePeriod = time.Second
-	// listPeriod is the interval at which each VM reads the platform's list of VMs.
-	listPeriod = 5 * time.Second
 	// witnessPeriod is the interval at which the responsible VM looks at the witness set.
 	witnessPeriod = 2 * time.Second
 	// standIn is how long a VM whose peer evidence was about to lapse keeps watching the platform by itself.
@@ -67,6 +65,8 @@
 	standUntil  time.Time     // standUntil is until when the VM watches although it is no watcher.
 	pulling     bool
 	listing     bool
+	listAsked   time.Time // listAsked is when the platform's list was last asked for here.
+	listPulling bool
 	maintaining bool
 	fresh       bool             // fresh is what was logged last.
 	vms         []arbutusfork.VM // vms is the platform's list, nil until it has been read.
@@ -78,6 +78,7 @@
 	p.Report, p.Heard = s.Report, s.Heard
 	p.Handle(kindPull, s.servePull)
 	p.Handle(kindHold, s.serveHold)
+	p.Handle(kindVMs, s.serveVMs)
 }
 
 func (s *Service) init() {
@@ -111,22 +112,6 @@
 	return s.evidence.Load().Fresh(now)
 }
 
-// listing is one answer of the platform's list of VMs.
-type listing struct {
-	vms   []arbutusfork.VM
-	asked time.Time
-}
-
-// Listed returns the membership by the last answer of the platform's list, and when that was asked for. The time
-// is zero before the first answer.
-func (s *Service) Listed() (afmember.View, time.Time) {
-	l := s.listed.Load()
-	if l == nil {
-		return s.View(), time.Time{}
-	}
-	return s.View().WithList(l.vms), l.asked
-}
-
 // Subscribe calls fn after each change of the snapshot, one call at a time. fn must not block.
 func (s *Service) Subscribe(fn func(*afconfig.Snapshot)) {
 	s.mu.Lock()
@@ -143,7 +128,7 @@
 		fn     func(now time.Time)
 	}{
 		{probePeriod, s.tick},
-		{listPeriod, func(time.Time) { s.listVMs() }},
+		{listPeriod, s.renewList},
 		{witnessPeriod, func(time.Time) { s.maintain() }},
 	} {
 		sub := s.Timer.Every(duty.period, func(now time.Time) { s.events.Push(func() { duty.fn(now) }) })
@@ -228,6 +213,9 @@
 	v := s.evidence.Load()
 	r := afpeer.Report{Version: v.Version(), Epoch: v.Witnesses().Epoch, Vouching: v.Vouching()}
 	r.Evidence = v.Evidence(now)
+	if l := s.listed.Load(); l != nil && s.sharesList() {
+		r.List, r.Listed = l.digest, l.asked
+	}
 	return r
 }
 
@@ -245,5 +233,6 @@
 		if r.Version > s.Version() {
 			s.pull(from.VM)
 		}
+		s.compareList(from.VM, r.List, r.Listed)
 	})
 }
--- a/internal/afsync/watch.go
+++ b/internal/afsync/watch.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
 
-	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -182,51 +180,3 @@
 		})
 	})
 }
-
-// wireVM is the spec of an object in the platform's list of VMs.
-type wireVM struct {
-	Address    string `json:"address"`
-	Datacentre string `json:"datacentre"`
-	State      string `json:"state"`
-}
-
-const stateLeaving = "leaving"
-
-// listVMs reads the platform's list of VMs.
-func (s *Service) listVMs() {
-	if s.listing {
-		return
-	}
-	s.listing = true
-	asked := s.Timer.Now()
-	go func() {
-		objects, _, err := s.Client.List(s.ctx, afobject.VMs)
-		s.events.Wait(s.ctx, func() {
-			s.listing = false
-			if err != nil {
-				s.log().Debug("list of VMs not read", "error", err)
-				return
-			}
-			s.takeVMs(objects)
-			s.listed.Store(&listing{vms: s.vms, asked: asked})
-		})
-	}()
-}
-
-func (s *Service) takeVMs(objects []afobject.Object) {
-	vms := make([]arbutusfork.VM, 0, len(objects))
-	for _, o := range objects {
-		var w wireVM
-		if err := json.Unmarshal(o.Spec, &w); err != nil {
-			s.log().Warn("malformed entry in the list of VMs", "vm", o.Name, "error", err)
-			continue
-		}
-		vm := arbutusfork.VM{Name: o.Name, Address: w.Address, Centre: w.Datacentre}
-		if w.State == stateLeaving {
-			vm.State = arbutusfork.VMLeaving
-		}
-		vms = append(vms, vm)
-	}
-	s.vms = vms
-	s.SetVMs(vms)
-}
