entry: split JSON bodies without copying the values

Each request decoded its body into a map, which copies every value, and encoded the map again, which copies and checks the values a second time. Long prompts pay for both.

splitObject checks the text once with encoding/json and returns the members as parts of it. The body for the engine is written from them in the order of the caller. Editing the body in place was ruled out, since a key that occurs twice would reach the engine twice.

The time of the last progress towards a caller is now set before its bytes are counted.

--- a/internal/afentry/inference.go
+++ b/internal/afentry/inference.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -18,7 +19,7 @@
 // inference is a request of an OpenAI endpoint.
 type inference struct {
 	path   string
-	fields map[string]json.RawMessage
+	fields fields
 	model  string
 	stream bool
 	// usage tells that the caller asked for the usage of a stream.
@@ -31,13 +32,11 @@
 
 // parseInference reads the body of a request. The param is the field at fault.
 func parseInference(path string, body []byte) (i *inference, param string, refusal *arbutusfork.Refusal) {
+	var err error
 	i = &inference{path: path, choices: 1}
-	if err := json.Unmarshal(body, &i.fields); err != nil {
+	if i.fields, err = splitObject(body); err != nil {
 		return nil, "", badJSON(err)
 	}
-	if i.fields == nil {
-		return nil, "", arbutusfork.Refuse(arbutusfork.CodeBadRequest, "the body is not a JSON object")
-	}
 	var options struct {
 		Usage bool `json:"include_usage"`
 	}
@@ -54,7 +53,7 @@
 		{"n", &i.choices},
 		{"best_of", &best},
 	} {
-		if raw, ok := i.fields[f.name]; ok {
+		if raw := i.fields.get(f.name); raw != nil {
 			if err := json.Unmarshal(raw, f.v); err != nil {
 				return nil, f.name, arbutusfork.Refuse(arbutusfork.CodeBadRequest, f.name+" has the wrong type")
 			}
@@ -72,7 +71,7 @@
 		return nil, "n", arbutusfork.Refuse(arbutusfork.CodeBadRequest, "n is out of range")
 	}
 	field := map[string]string{pathChat: "messages", pathText: "prompt", pathEmbeddings: "input"}[path]
-	i.prompt = i.fields[field]
+	i.prompt = i.fields.get(field)
 	if len(i.prompt) == 0 {
 		return nil, field, arbutusfork.Refuse(arbutusfork.CodeBadRequest, field+" is missing")
 	}
@@ -81,12 +80,12 @@
 
 // badJSON names the position of a syntax error.
 func badJSON(err error) *arbutusfork.Refusal {
+	if errors.Is(err, errNotObject) {
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, err.Error())
+	}
 	if e, ok := errors.Into[*json.SyntaxError](err); ok {
 		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, fmt.Sprintf("invalid JSON at byte %d: %s", e.Offset, e.Error()))
 	}
-	if e, ok := errors.Into[*json.UnmarshalTypeError](err); ok {
-		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, fmt.Sprintf("invalid JSON at byte %d: unexpected %s", e.Offset, e.Value))
-	}
 	return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "invalid JSON")
 }
 
@@ -98,7 +97,7 @@
 	}
 	if i.max == 0 {
 		i.max = route.MaxTokens()
-		i.fields["max_tokens"] = fmt.Appendf(nil, "%d", i.max)
+		i.fields.set("max_tokens", strconv.AppendInt(nil, i.max, 10))
 	}
 	return prompt, i.max * i.choices
 }
@@ -107,18 +106,14 @@
 // same values that were checked here even if a field came twice. Streams always ask for the usage.
 func (i *inference) body() []byte {
 	if i.stream {
-		options := make(map[string]json.RawMessage)
-		if raw, ok := i.fields["stream_options"]; ok {
-			_ = json.Unmarshal(raw, &options) // The type was checked before.
+		var options fields
+		if raw := i.fields.get("stream_options"); raw != nil {
+			options, _ = splitObject(raw) // The type was checked before; null becomes an empty object.
 		}
-		if options == nil {
-			options = make(map[string]json.RawMessage)
-		}
-		options["include_usage"] = json.RawMessage("true")
-		i.fields["stream_options"], _ = json.Marshal(options)
+		options.set("include_usage", []byte("true"))
+		i.fields.set("stream_options", options.encode())
 	}
-	b, _ := json.Marshal(i.fields) // The values are valid JSON.
-	return b
+	return i.fields.encode()
 }
 
 // meter counts the tokens of an answer.
@@ -161,9 +156,12 @@
 	if status >= http.StatusBadRequest && !bytes.Contains(body, usageField) {
 		return
 	}
-	var u usageBody
-	if json.Unmarshal(body, &u) == nil && u.Usage != nil {
-		m.total = u.Usage.Total
+	var u struct {
+		Total int64 `json:"total_tokens"`
+	}
+	f, err := splitObject(body)
+	if raw := f.get("usage"); err == nil && raw != nil && json.Unmarshal(raw, &u) == nil && u.Total > 0 {
+		m.total = u.Total
 		return
 	}
 	m.relayed += int64(len(body))
--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -287,9 +287,11 @@
 // Write counts the bytes that wait for the caller.
 func (c *linkConn) Write(b []byte) (int, error) {
 	l := c.link
-	if l.unsent.Add(int64(len(b))) == int64(len(b)) {
+	// The time is set first, so that the sweep never sees new bytes with the time of old ones.
+	if l.unsent.Load() <= 0 {
 		l.moved.Store(l.server.Timer.Now().UnixNano())
 	}
+	l.unsent.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
 
