entry, dispatch: bound claims by the deadline, survive panics

A review of the request path found cases that the tests did not cover.

- Reserve and Claim get a context that ends at the caller's deadline; a claim could wait beyond it.
- A panic in one request ended the process.
It now closes that connection, and its slot is returned.
- HTTP/1.0 callers of a stream got an answer with the length of its first part, because the engine adds a length where it cannot use chunks.
They are refused, and whole answers still reach them.
- Each request made two timer subscriptions and three events to the owner goroutine.
One subscription and two events remain.

--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -115,17 +115,20 @@
 // budgets holds the retry budgets by customer and by route.
 type budgets struct {
 	mu sync.Mutex
-	m  map[string]*afretry.Budget
+	m  map[budgetKey]*afretry.Budget
 }
 
-func (b *budgets) of(name string) *afretry.Budget {
+// budgetKey names a customer or a route; the other is empty.
+type budgetKey struct{ customer, route string }
+
+func (b *budgets) of(k budgetKey) *afretry.Budget {
 	if b.m == nil {
-		b.m = make(map[string]*afretry.Budget)
+		b.m = make(map[budgetKey]*afretry.Budget)
 	}
-	x := b.m[name]
+	x := b.m[k]
 	if x == nil {
 		x = &afretry.Budget{}
-		b.m[name] = x
+		b.m[k] = x
 	}
 	return x
 }
@@ -133,14 +136,14 @@
 func (b *budgets) earn(r Request, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of("customer/" + r.Customer).Earn(now)
-	b.of("route/" + r.Route).Earn(now)
+	b.of(budgetKey{customer: r.Customer}).Earn(now)
+	b.of(budgetKey{route: r.Route}).Earn(now)
 }
 
 // spend takes a retry from both budgets, or from neither.
 func (b *budgets) spend(r Request, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c, t := b.of("customer/"+r.Customer), b.of("route/"+r.Route)
+	c, t := b.of(budgetKey{customer: r.Customer}), b.of(budgetKey{route: r.Route})
 	return c.Has(now) && t.Has(now) && c.Spend(now) && t.Spend(now)
 }
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -85,12 +85,13 @@
 			}
 			return Result{Outcome: worst, Refusal: refusal.WithOutcome(worst), Relayed: relayed}
 		}
-		a := s.attempt(ctx, lease, c, k)
-		lease.Release(k.Used())
+		a := s.try(ctx, lease, c, k)
 		outcome := afretry.Classify(a.Attempt)
 		relayed = relayed || a.relayed
 		if outcome == arbutusfork.OutcomeAnswered && a.err == nil {
-			s.send(event{kind: eventWell, endpoint: lease.Replica.Endpoint})
+			if lease.failing {
+				s.send(event{kind: eventWell, endpoint: lease.Replica.Endpoint})
+			}
 			return Result{Outcome: outcome, Relayed: relayed}
 		}
 		worst = max(worst, outcome)
@@ -113,6 +114,12 @@
 	}
 }
 
+// try sends the call once and returns the slot, also if a function of the sink panics.
+func (s *Service) try(ctx context.Context, l *Lease, c Call, k Sink) attempt {
+	defer func() { l.Release(k.Used()) }()
+	return s.attempt(ctx, l, c, k)
+}
+
 // note tells the owner goroutine and the log about a failed attempt.
 func (s *Service) note(r Request, l *Lease, a attempt, outcome arbutusfork.Outcome) {
 	switch {
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -105,6 +105,8 @@
 	service  *Service
 	request  Request
 	released atomic.Bool
+	// failing tells that the endpoint had failed before the lease was granted.
+	failing bool
 }
 
 // Release returns the slot. Actual is the number of tokens that the request used.
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -206,8 +206,9 @@
 	delete(s.state.waiters, e.ID)
 	s.state.dirty[e.Class] = true
 	c := s.choose(w.request, now)
-	s.state.endpoint(c.replica.Endpoint).running++
-	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
+	p := s.state.endpoint(c.replica.Endpoint)
+	p.running++
+	w.lease = &Lease{Replica: c.replica, service: s, request: w.request, failing: p.failures > 0}
 	w.answered = true
 	if s.Served != nil && w.request.Model != "" {
 		s.Served(w.request.Model)
--- a/internal/afdispatch/watch.go
+++ b/internal/afdispatch/watch.go
@@ -53,20 +53,30 @@
 	if w.stopped {
 		return
 	}
+	// The next look is never later than after Progress, so that a stream that begins meanwhile is looked after
+	// without a new subscription, which would cost each request another pass through the timer's heap.
 	next := w.progress.Add(w.service.Progress)
+	if !next.After(now) {
+		next = now.Add(w.service.Progress)
+	}
+	if !w.first && !w.checked {
+		next = earlier(next, w.progress.Add(w.service.Suspect))
+	}
 	if !w.first {
-		next = w.deadline
-		if suspect := w.progress.Add(w.service.Suspect); !w.checked && suspect.Before(next) {
-			next = suspect
-		} else if limit := w.progress.Add(w.service.Progress); w.checked && w.call.Idempotent && limit.After(now) && limit.Before(next) {
-			next = limit
-		}
+		next = earlier(next, w.deadline)
 	}
 	w.round++
 	round := w.round
 	w.sub = w.service.Timer.After(max(next.Sub(now), 0), func(now time.Time) { w.look(round, now) })
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // look decides whether the attempt goes on.
 func (w *watch) look(round int, now time.Time) {
 	w.mu.Lock()
@@ -122,13 +132,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress = w.service.Timer.Now()
-	if !w.first {
-		w.first = true
-		if w.sub != nil {
-			w.sub.Stop()
-		}
-		w.arm(w.progress)
-	}
+	w.first = true
 }
 
 // hold tells whether the caller is being waited for.
--- a/internal/afentry/error.go
+++ b/internal/afentry/error.go
@@ -7,7 +7,7 @@
 
 // The kinds of errors.
 const (
-	Unusable  ErrorKind = iota // address unusable
+	Unusable  ErrorKind = iota // not usable
 	HungUp                     // caller hung up
 	Withdrawn                  // key withdrawn
 	Stale                      // configuration stale
--- a/internal/afentry/error_string.go
+++ b/internal/afentry/error_string.go
@@ -14,9 +14,9 @@
 	_ = x[Stale-3]
 }
 
-const _ErrorKind_name = "address unusablecaller hung upkey withdrawnconfiguration stale"
+const _ErrorKind_name = "not usablecaller hung upkey withdrawnconfiguration stale"
 
-var _ErrorKind_index = [...]uint8{0, 16, 30, 43, 62}
+var _ErrorKind_index = [...]uint8{0, 10, 24, 37, 56}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -185,11 +186,23 @@
 // work runs requests until none is left.
 func (l *link) work(f func()) {
 	for f != nil {
-		f()
+		l.guarded(f)
 		f = l.next()
 	}
 }
 
+// guarded keeps a panic of one request from ending the process. The connection is closed without the end of the
+// answer.
+func (l *link) guarded(f func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.server.Log.Error("request panicked", "cause", v, "stack", string(debug.Stack()))
+			l.closeAfter()
+		}
+	}()
+	f()
+}
+
 func (l *link) next() func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/afentry/raw_test.go
+++ b/internal/afentry/raw_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afclaim"
 )
 
 // raw sends bytes on a new connection and returns everything until the server closes it.
@@ -105,6 +108,29 @@
 	require.Empty(t, r.raw(""), "an idle connection is closed without an answer")
 }
 
+// TestOldProtocol guards callers of HTTP/1.0, who cannot read streams: whole answers reach them with their length.
+func TestOldProtocol(t *testing.T) {
+	r := newRig(t, nil)
+	send := func(stream bool) string {
+		body := fmt.Sprintf(`{"model":"small","prompt":"x","max_tokens":2,"stream":%t}`, stream)
+		return r.raw(fmt.Sprintf("POST %s HTTP/1.0\r\n%s\r\nContent-Length: %d\r\n\r\n%s", pathText, auth, len(body), body))
+	}
+	require.Contains(t, send(true), "streams need HTTP/1.1")
+	a := send(false)
+	require.Contains(t, a, "Content-Length: ")
+	require.Contains(t, a, `"text":"t0 t1 "`)
+}
+
+// TestPanic guards the process and the other connections against a panic in one request.
+func TestPanic(t *testing.T) {
+	r := newRig(t, func(r *rig) {
+		r.Claim = func(context.Context, afclaim.Call) (afclaim.Result, *arbutusfork.Refusal) { panic("claim") }
+	})
+	require.Empty(t, r.raw("POST /pay HTTP/1.1\r\nHost: x\r\n"+auth+"\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\n{}"))
+	require.Contains(t, readAll(r.request("GET", "/stock/nut", "")), "stock")
+	require.Empty(t, r.snapshotActive())
+}
+
 // TestContinue guards callers that wait for 100 Continue before they send the body.
 func TestContinue(t *testing.T) {
 	r := newRig(t, nil)
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -70,6 +70,10 @@
 	if refusal := x.idempotency(); refusal != nil {
 		return refusal
 	}
+	if x.infer != nil && x.infer.stream && !x.r.ProtoAtLeast(1, 1) {
+		x.param = "stream"
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "streams need HTTP/1.1")
+	}
 	return s.run(x)
 }
 
@@ -130,10 +134,13 @@
 	s.enter(a)
 	defer s.leave(a)
 	j := &job{server: s, exchange: x, settle: func(int64) {}}
-	if refusal := j.reserve(ctx); refusal != nil {
+	// Reservation and claim must end before the deadline. The endpoint's answer may last longer.
+	early, stop := context.WithDeadline(ctx, x.deadline)
+	defer stop()
+	if refusal := j.reserve(early); refusal != nil {
 		return refusal
 	}
-	granted, refusal := j.claim(ctx)
+	granted, refusal := j.claim(early)
 	if !granted {
 		j.settle(0)
 		return refusal
--- a/internal/afentry/stream.go
+++ b/internal/afentry/stream.go
@@ -17,6 +17,10 @@
 // start writes the header of the answer.
 func (t *stream) start(status int, h http.Header) error {
 	x := t.job.exchange
+	if !x.r.ProtoAtLeast(1, 1) {
+		// The engine would give the answer the length of its first part.
+		return &Error{Op: "stream", Kind: Unusable}
+	}
 	t.begun = true
 	out := x.w.Header()
 	if x.infer == nil {
