--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -252,9 +252,10 @@
 	w := s.state.waiters[e.ID]
 	s.leave(w)
 	c := s.choose(w.request, now)
-	s.state.endpoint(c.replica.Endpoint).running++
+	p := s.state.endpoint(c.replica.Endpoint)
+	p.running++
 	s.countRunning(w.request.Model, 1)
-	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
+	w.lease = &Lease{Replica: c.replica, service: s, request: w.request, failing: p.failures > 0}
 	w.answered = true
 	if s.Served != nil && w.request.Model != "" {
 		s.Served(w.request.Model)
--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -185,11 +186,23 @@
 // work runs requests until none is left.
 func (l *link) work(f func()) {
 	for f != nil {
-		f()
+		l.guarded(f)
 		f = l.next()
 	}
 }
 
+// guarded keeps a panic of one request from ending the process. The connection is closed without the end of the
+// answer.
+func (l *link) guarded(f func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.server.Log.Error("request panicked", "cause", v, "stack", string(debug.Stack()))
+			l.closeAfter()
+		}
+	}()
+	f()
+}
+
 func (l *link) next() func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -287,9 +300,11 @@
 // Write counts the bytes that wait for the caller.
 func (c *linkConn) Write(b []byte) (int, error) {
 	l := c.link
-	if l.unsent.Add(int64(len(b))) == int64(len(b)) {
+	// The time is set first, so that the sweep never sees new bytes with the time of old ones.
+	if l.unsent.Load() <= 0 {
 		l.moved.Store(l.server.Timer.Now().UnixNano())
 	}
+	l.unsent.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
 
