bench: let a script start the processes under measurement

A process of this project starts no other process, and the bench started its two servers by itself. scripts/bench.sh now starts them and the measuring process gets their addresses. The measurement is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(BIN)/arbutusfork-bench policy
 
 bench: build
-	$(BIN)/arbutusfork-bench entry
+	scripts/bench.sh
 
 slopes: build
 	$(BIN)/arbutusfork-bench slopes
--- a/cmd/arbutusfork-bench/main.go
+++ b/cmd/arbutusfork-bench/main.go
@@ -5,10 +5,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"os/signal"
-	"strconv"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -19,26 +16,27 @@
 func main() {
 	app := kingpin.New("arbutusfork-bench", "Measures speed and memory of the daemon's parts.")
 	app.HelpFlag.Short('h')
-	entry := app.Command("entry", "Measures the callers' interface.")
-	length := entry.Flag("length", "Time of each measurement of speed.").Default("5s").Duration()
-	waiting := entry.Flag("waiting", "Number of waiting requests.").Default("10000").Int()
-	streams := entry.Flag("streams", "Number of open streams.").Default("2000").Int()
-	rounds := entry.Flag("rounds", "Number of rounds that show growth.").Default("5").Int()
-	procs := entry.Flag("procs", "GOMAXPROCS of the process under measurement.").Default("1").Int()
+	plan := afbench.Plan{Out: os.Stdout}
+	entry := app.Command("entry", "Measures the callers' interface of two running serve processes.")
+	entry.Flag("length", "Time of each measurement of speed.").Default("5s").DurationVar(&plan.Length)
+	entry.Flag("waiting", "Number of waiting requests.").Default("10000").IntVar(&plan.Waiting)
+	entry.Flag("streams", "Number of open streams.").Default("2000").IntVar(&plan.Streams)
+	entry.Flag("rounds", "Number of rounds that show growth.").Default("5").IntVar(&plan.Rounds)
+	entry.Flag("procs", "GOMAXPROCS of the processes under measurement.").Default("1").IntVar(&plan.Procs)
+	processFlags(entry, "speed", &plan.Speed)
+	processFlags(entry, "memory", &plan.Memory)
 	slopes := app.Command("slopes", "Measures what control costs while one thing at a time grows.")
-	serve := app.Command("serve", "Runs the process under measurement.").Hidden()
+	serve := app.Command("serve", "Runs a process under measurement.")
 	e := &afbench.Entry{}
-	serve.Flag("address", "Address for callers.").StringVar(&e.Address)
-	serve.Flag("stats", "Address for the measuring process.").StringVar(&e.Stats)
-	serve.Flag("engine", "Address of the engine.").StringVar(&e.Engine)
-	serve.Flag("procs", "GOMAXPROCS.").IntVar(&e.Procs)
+	processFlags(serve, "", e)
+	serve.Flag("procs", "GOMAXPROCS.").Default("1").IntVar(&e.Procs)
 	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	var err error
 	switch verb {
 	case entry.FullCommand():
-		err = afbench.EntryBench(ctx, plan(*length, *waiting, *streams, *rounds, *procs))
+		err = afbench.EntryBench(ctx, plan)
 	case slopes.FullCommand():
 		err = afslope.Run(ctx, os.Stdout, afslope.DefaultConfig())
 	case serve.FullCommand():
@@ -51,13 +49,12 @@
 	}
 }
 
-func plan(length time.Duration, waiting, streams, rounds, procs int) afbench.Plan {
-	return afbench.Plan{
-		Length: length, Waiting: waiting, Streams: streams, Rounds: rounds, Procs: procs, Out: os.Stdout,
-		Command: func(ctx context.Context, e afbench.Entry) *exec.Cmd {
-			c := exec.CommandContext(ctx, os.Args[0], "serve", "--address", e.Address, "--stats", e.Stats, "--engine", e.Engine, "--procs", strconv.Itoa(e.Procs))
-			c.Stderr = os.Stderr
-			return c
-		},
+// processFlags defines the addresses of a process under measurement and of its engine.
+func processFlags(cmd *kingpin.CmdClause, prefix string, e *afbench.Entry) {
+	if prefix != "" {
+		prefix += "-"
 	}
+	cmd.Flag(prefix+"address", "Address for callers.").Required().StringVar(&e.Address)
+	cmd.Flag(prefix+"stats", "Address for the measuring process.").Required().StringVar(&e.Stats)
+	cmd.Flag(prefix+"engine", "Address of the engine.").Required().StringVar(&e.Engine)
 }
--- a/internal/afbench/measure.go
+++ b/internal/afbench/measure.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os/exec"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,8 +17,10 @@
 
 // Plan says how much EntryBench measures.
 type Plan struct {
-	// Command starts the process under measurement, with the arguments Entry's fields are set from.
-	Command func(ctx context.Context, e Entry) *exec.Cmd
+	// Speed and Memory are the running processes under measurement. The engines run in this process, at the addresses
+	// that the two were started with.
+	Speed  Entry
+	Memory Entry
 	// Length is the time of each measurement of speed.
 	Length time.Duration
 	// Waiting and Streams are the numbers of waiting requests and open streams.
@@ -37,25 +38,30 @@
 func EntryBench(ctx context.Context, p Plan) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	engine := &afstandin.Engine{Address: p.Speed.Engine, Slots: benchConns}
+	// The streams of the memory measurement stay open after their first token.
+	still := &afstandin.Engine{Address: p.Memory.Engine, Slots: benchConns, Next: time.Hour}
+	failed := make(chan error, 2)
+	for _, e := range []*afstandin.Engine{engine, still} {
+		e.Load(warmModel)
+		go func() { failed <- e.Run(ctx) }()
+	}
+	if err := p.measure(ctx); err != nil {
 		return err
 	}
-	engine := &afstandin.Engine{Listener: l, Slots: benchConns}
-	engine.Load(warmModel)
-	go func() { _ = engine.Run(ctx) }()
-	idle, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	select {
+	case err := <-failed:
 		return err
+	default:
+		return nil
 	}
-	// The streams of the memory measurement stay open after their first token.
-	still := &afstandin.Engine{Listener: idle, Slots: benchConns, Next: time.Hour}
-	still.Load(warmModel)
-	go func() { _ = still.Run(ctx) }()
-	if err := p.speed(ctx, l.Addr().String()); err != nil {
+}
+
+func (p Plan) measure(ctx context.Context) error {
+	if err := p.speed(ctx); err != nil {
 		return errors.Wrap(err, "speed")
 	}
-	if err := p.memory(ctx, idle.Addr().String()); err != nil {
+	if err := p.memory(ctx); err != nil {
 		return errors.Wrap(err, "memory")
 	}
 	return nil
@@ -64,23 +70,11 @@
 // process is a running process under measurement.
 type process struct {
 	Entry
-	cmd *exec.Cmd
 }
 
-func (p Plan) start(ctx context.Context, engine string) (*process, error) {
-	e := Entry{Engine: engine, Procs: p.Procs}
-	for _, address := range []*string{&e.Address, &e.Stats} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		*address = l.Addr().String()
-		_ = l.Close()
-	}
-	x := &process{Entry: e, cmd: p.Command(ctx, e)}
-	if err := x.cmd.Start(); err != nil {
-		return nil, err
-	}
+// await returns the process once it answers.
+func await(e Entry) (*process, error) {
+	x := &process{Entry: e}
 	for range 100 {
 		if _, err := x.stats(); err == nil {
 			if c, err := net.Dial("tcp", e.Address); err == nil {
@@ -89,13 +83,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	x.stop()
-	return nil, errors.New("the process under measurement does not answer")
-}
-
-func (x *process) stop() {
-	_ = x.cmd.Process.Kill()
-	_ = x.cmd.Wait()
+	return nil, errors.New("the process under measurement does not answer at " + e.Stats)
 }
 
 func (x *process) stats() (EntryStats, error) {
@@ -109,12 +97,11 @@
 }
 
 // speed prints requests per second, the processor time of each, and the added time without load and at half load.
-func (p Plan) speed(ctx context.Context, engine string) error {
-	x, err := p.start(ctx, engine)
+func (p Plan) speed(ctx context.Context) error {
+	x, err := await(p.Speed)
 	if err != nil {
 		return err
 	}
-	defer x.stop()
 	const conns, unloaded, streamTokens = 64, 100, 16
 	for _, kind := range []struct {
 		name string
@@ -123,7 +110,7 @@
 		{"short", chatBody(warmModel, 1, false)},
 		{"stream", chatBody(warmModel, streamTokens, true)},
 	} {
-		direct, through := newClient(engine, kind.body), newClient(x.Address, kind.body)
+		direct, through := newClient(x.Engine, kind.body), newClient(x.Address, kind.body)
 		before, err := x.stats()
 		if err != nil {
 			return err
@@ -171,12 +158,11 @@
 }
 
 // memory prints the memory of waiting requests and open streams, and what is left after each round.
-func (p Plan) memory(ctx context.Context, engine string) error {
-	x, err := p.start(ctx, engine)
+func (p Plan) memory(context.Context) error {
+	x, err := await(p.Memory)
 	if err != nil {
 		return err
 	}
-	defer x.stop()
 	base, err := x.stats()
 	if err != nil {
 		return err
