mutants: show that each guard's test fails without the guard

Need: for every condition a proof that was seen to fail. The order protocol, the limits, the claims and the freshness rule remove their guards in their own tests; expiry, key checks, truncation, 'not run', leaving endpoints, draining and older configuration had no such demonstration. scripts/mutants.sh removes one guard at a time through a build overlay and expects the named test to fail. Found on the way: TestDrain did not notice a drain that ended at once; it now also asserts that nothing runs when Drain returns.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure bench slopes demo demo-umurongo up recover
+.PHONY: build test generate model measure bench slopes demo demo-umurongo up recover mutants
 
 build:
 	@mkdir -p $(BIN)
@@ -36,3 +36,6 @@
 
 recover: build
 	scripts/recover.sh
+
+mutants:
+	scripts/mutants.sh
--- a/internal/afentry/failure_test.go
+++ b/internal/afentry/failure_test.go
@@ -235,7 +235,7 @@
 	resp, err := ask()
 	require.NoError(t, err)
 	_ = readAll(resp)
-	drained := make(chan struct{})
+	drained := make(chan int)
 	r.draining.Store(true)
 	resp, err = ask()
 	require.NoError(t, err)
@@ -245,7 +245,10 @@
 	text := readAll(resp)
 	require.Contains(t, text, `"code":"shutting_down"`)
 	require.Contains(t, text, `"outcome":"not run"`)
-	go func() { r.Drain(context.Background()); close(drained) }()
+	go func() {
+		r.Drain(context.Background())
+		drained <- r.running()
+	}()
 	require.True(t, strings.HasSuffix(readAll(open), "data: [DONE]\n\n"))
-	<-drained
+	require.Zero(t, <-drained, "the drain ended before its requests")
 }
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# Shows that the proof of each condition fails when its guard is removed from the code that serves.
+#
+# Each mutant replaces one piece of one file through a build overlay, so that the tree stays as it is, and then runs the
+# named test, which must fail. Conditions whose tests remove the guard themselves are listed in docs/proofs.md.
+# Usage: scripts/mutants.sh [NAME...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+wanted=" $* "
+survivors=0
+
+mutant() { # mutant NAME FILE FROM TO PACKAGE TEST: FROM is literal text that must occur in FILE.
+	local name=$1 file=$2 package=$5 test=$6
+	if [ "$wanted" != "  " ] && [ "${wanted#* "$name" }" = "$wanted" ]; then
+		return
+	fi
+	if ! FROM=$3 TO=$4 perl -0pe 'BEGIN { $f = $ENV{FROM}; $t = $ENV{TO} } $n += s/\Q$f\E/$t/; END { exit($n ? 0 : 3) }' \
+		"$file" >"$work/$name.go"; then
+		echo "mutant $name: $file does not contain its guard; adapt the mutant"
+		survivors=$((survivors + 1))
+		return
+	fi
+	printf '{"Replace":{"%s":"%s"}}' "$PWD/$file" "$work/$name.go" >"$work/$name.json"
+	if ! go vet -overlay "$work/$name.json" "$package" >"$work/$name.log" 2>&1; then
+		echo "mutant $name does not build:"
+		cat "$work/$name.log"
+		survivors=$((survivors + 1))
+		return
+	fi
+	if go test -overlay "$work/$name.json" -timeout 60s -run "^$test\$" "$package" >"$work/$name.log" 2>&1; then
+		echo "mutant $name: SURVIVES $test"
+		survivors=$((survivors + 1))
+		return
+	fi
+	echo "mutant $name: caught by $test"
+}
+
+mutant c3-expiry pkg/afqueue/queue.go \
+	'for len(q.late) > 0 && !q.late[0].Deadline.After(now) {' 'for len(q.late) > 0 && q.late[0].Deadline.IsZero() {' \
+	./internal/afdispatch TestDeadline
+mutant c4-fresh internal/afentry/key.go \
+	'if !s.Fresh() {' 'if s.Fresh == nil {' \
+	./internal/afentry TestSession
+mutant c4-stream internal/afentry/key.go \
+	'if !ok || k.Withdrawn {' 'if !ok {' \
+	./internal/afentry TestWithdrawnKey
+mutant c4-key internal/afentry/serve.go \
+	'"Authorization": true, timeoutHeader' 'timeoutHeader' \
+	./internal/afentry TestSession
+mutant c6-truncated internal/afdispatch/event.go \
+	'err = io.ErrUnexpectedEOF' 'err = io.EOF' \
+	./internal/afdispatch TestEvents
+mutant c6-broken internal/afentry/stream.go \
+	'if refusal == nil {' 'if refusal != nil || t.begun {' \
+	./internal/afentry TestBrokenStream
+mutant c7-handed pkg/afretry/attempt.go \
+	'case a.Status == 0 && !a.Handed:' 'case a.Status == 0:' \
+	./pkg/afretry TestNeverTwice
+mutant c7-broken pkg/afretry/attempt.go \
+	'return idempotent && !relayed' 'return !relayed' \
+	./internal/afdispatch TestNeverSentTwice
+mutant c9-leaving internal/afdispatch/choice.go \
+	'return e.left.IsZero() && e.running' 'return e.running' \
+	./internal/afdispatch TestLeavingEndpoint
+mutant c10-drain internal/afentry/server.go \
+	'if s.running() == 0 {' 'if s.running() >= 0 {' \
+	./internal/afentry TestDrain
+mutant c11-older pkg/afconfig/delta.go \
+	'o.Version > 0 && o.Version <= old.Version' 'o.Version < 0' \
+	./pkg/afconfig TestMergeConverges
+
+if [ "$survivors" -gt 0 ]; then
+	echo "$survivors mutants were not caught"
+	exit 1
+fi
