afconfig: test that a late change does not revert the configuration

The mutant without the version check survived TestMergeConverges, which compares whole deltas. 'scripts/mutants.sh c11-older' now catches the mutant.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,7 +70,7 @@
 	./internal/afentry TestDrain
 mutant c11-older pkg/afconfig/delta.go \
 	'o.Version > 0 && o.Version <= old.Version' 'o.Version < 0' \
-	./pkg/afconfig TestMergeConverges
+	./pkg/afconfig TestLateChange
 
 if [ "$survivors" -gt 0 ]; then
 	echo "$survivors mutants were not caught"
