afquota: move tokens with capacity and ask fewer lenders

A trace of a shift of the whole demand showed where tokens were lost. A borrower that gave back capacity while running requests filled it lost their refunds; a lender that counted itself short let pure capacity loans expire.

A loan goes back with the tokens that do not fit without it, renewals are refused only for the kind of share that the lender lacks, the first step of a round asks as many lenders as it needs, starting with one that had enough before, and a round fetches tokens for half a second ahead. Demand for borrowing is averaged over one second. The measurement tries a request again after the pause between rounds, as the service does, and loses messages and platform answers on demand. Ruled out by the same runs: lending nothing for a while after a refusal, moving capacity with the rate, keeping rate by the slower estimate.

--- a/internal/afquota/fleet.go
+++ b/internal/afquota/fleet.go
@@ -25,8 +25,10 @@
 	objects   map[string]afobject.Object
 	version   int64
 	starts    int64
+	waited    time.Duration // waited is how long the last call wanted to pause.
 	messages  int64
 	reads     int64
+	lost      func() bool // lost draws whether the next message, answer or platform answer is lost. Nil means never.
 }
 
 func newFleet(n int, customers ...arbutusfork.Customer) *fleet {
@@ -60,7 +62,7 @@
 		Get:     f.get, Create: f.put, Update: f.put,
 		Gone:  func(i arbutusfork.Incarnation) bool { return f.gone[i] },
 		spawn: func(fn func()) { fn() },
-		sleep: func(time.Duration) {},
+		sleep: func(d time.Duration) { f.waited = d },
 	}
 	s.Call = func(_ context.Context, to, kind string, message, answer any) error {
 		return f.call(s.Self, to, kind, message, answer)
@@ -99,10 +101,11 @@
 
 func (f *fleet) call(from arbutusfork.Incarnation, to, kind string, message, answer any) error {
 	peer := f.vms[to]
-	if peer == nil {
-		return &Error{Op: "call " + to, Kind: Unreachable}
-	}
 	f.messages++
+	unreachable := &Error{Op: "call " + to, Kind: Unreachable}
+	if peer == nil || f.loses() {
+		return unreachable
+	}
 	body, err := msgpack.Marshal(message)
 	if err != nil {
 		return err
@@ -115,6 +118,9 @@
 	if err != nil {
 		return err
 	}
+	if f.loses() {
+		return unreachable
+	}
 	if body, err = msgpack.Marshal(out); err != nil {
 		return err
 	}
@@ -137,6 +143,14 @@
 	}
 	f.version++
 	o.Version = f.version
+	if f.loses() {
+		return afobject.Object{}, &afobject.Error{Op: "put", Object: o.Name, Kind: afobject.Unknown}
+	}
 	f.objects[key] = o
+	if f.loses() {
+		return afobject.Object{}, &afobject.Error{Op: "put", Object: o.Name, Kind: afobject.Unknown}
+	}
 	return o, nil
 }
+
+func (f *fleet) loses() bool { return f.lost != nil && f.lost() }
--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// idleLoans returns the surplus loans that have been so for idleBefore. The caller holds mu.
+// idleLoans returns the surplus loans that have been so for idleBefore, or for one period when the rate on loan runs
+// over. The caller holds mu.
 func (a *account) idleLoans(surplus, needed []aflimit.Loan, now time.Duration) []aflimit.Loan {
 	old := func(_ uint64, t time.Duration) bool { return now-t > aflimit.Term }
 	maps.DeleteFunc(a.idle, old)
@@ -97,7 +98,7 @@
 		since, ok := a.idle[l.ID]
 		if !ok {
 			a.idle[l.ID] = now
-		} else if now-since >= idleBefore {
+		} else if now-since >= idleBefore || a.state.Full() {
 			out = append(out, l)
 		}
 	}
--- a/internal/afquota/measure.go
+++ b/internal/afquota/measure.go
@@ -26,6 +26,10 @@
 	Lag      time.Duration
 	Absence  time.Duration
 	Duration time.Duration
+	// Loss is the percentage of messages, of their answers, of platform writes and of their answers that are lost.
+	Loss int
+	// Exact makes each request use all of its reservation.
+	Exact bool
 	// Settling is the time after a shift in which refusals are counted apart.
 	Settling time.Duration
 	Seed     uint64
@@ -58,8 +62,9 @@
 
 // limiter is a policy that admits requests at a VM.
 type limiter interface {
-	// reserve returns the function that settles the request, or nil for a refusal.
-	reserve(vm string, tokens int64) func(actual int64)
+	// reserve returns the function that settles the request, or nil for a refusal. A refused request that would have
+	// waited for the next round of loans is to be tried again after the time returned.
+	reserve(vm string, tokens int64) (func(actual int64), time.Duration)
 	advance(d time.Duration)
 	keep()
 	now() time.Duration
@@ -71,6 +76,9 @@
 // MeasureLoans runs the scenario with shares and loans.
 func MeasureLoans(sc Scenario) Refusals {
 	f := newFleet(sc.VMs, arbutusfork.Customer{Name: measuredCustomer, Rate: sc.Rate, Burst: sc.Burst})
+	if random := rand.New(rand.NewPCG(sc.Seed, 2)); sc.Loss > 0 {
+		f.lost = func() bool { return random.IntN(100) < sc.Loss }
+	}
 	r := measure(sc, loanLimiter{f})
 	r.Messages, r.Writes, r.Reads = f.messages, f.version, f.reads
 	return r
@@ -87,12 +95,17 @@
 
 func (l loanLimiter) boot(vm string) { l.fleet.boot(vm) }
 
-func (l loanLimiter) reserve(vm string, tokens int64) func(int64) {
-	r, refusal := l.vms[vm].Reserve(context.Background(), measuredCustomer, tokens)
+func (l loanLimiter) reserve(vm string, tokens int64) (func(int64), time.Duration) {
+	s := l.vms[vm]
+	if s == nil {
+		return nil, 0
+	}
+	l.waited = 0
+	r, refusal := s.Reserve(context.Background(), measuredCustomer, tokens)
 	if refusal != nil {
-		return nil
+		return nil, l.waited
 	}
-	return r.Settle
+	return r.Settle, 0
 }
 
 type splitLimiter struct {
@@ -114,7 +127,7 @@
 	l.vms[vm] = a
 }
 
-func (l *splitLimiter) reserve(vm string, tokens int64) func(int64) {
+func (l *splitLimiter) reserve(vm string, tokens int64) (func(int64), time.Duration) {
 	a := l.vms[vm]
 	if a == nil {
 		l.boot(vm)
@@ -122,9 +135,9 @@
 	}
 	h := a.Reserve(tokens, l.time)
 	if h == nil {
-		return nil
+		return nil, 0
 	}
-	return func(actual int64) { a.Settle(h, actual, l.time) }
+	return func(actual int64) { a.Settle(h, actual, l.time) }, 0
 }
 
 func (sc Scenario) limit() aflimit.Limit {
@@ -205,27 +218,44 @@
 	r.at(now+time.Duration(r.rand.ExpFloat64()*mean*float64(time.Second)), r.arrive)
 	tokens := minRequest + r.rand.Int64N(maxRequest-minRequest+1)
 	actual := tokens/5 + r.rand.Int64N(tokens-tokens/5+1)
+	if r.sc.Exact {
+		actual = tokens
+	}
 	service := minService + time.Duration(r.rand.Int64N(int64(maxService-minService)))
 	vm, moved := r.target(now)
 	r.result.Offered++
-	settle, hold := r.policy.reserve(vm, tokens), r.ideal.Reserve(tokens, now)
+	hold := r.ideal.Reserve(tokens, now)
 	if hold != nil {
 		r.at(now+service, func() { r.ideal.Settle(hold, actual, r.policy.now()) })
 	} else {
 		r.result.Ideal++
 	}
-	if settle != nil {
-		r.counts = append(r.counts, admitted{at: now, actual: actual})
-		r.at(now+service, func() { settle(actual) })
-		return
+	refuse := func() {
+		r.result.Refused++
+		switch {
+		case hold == nil:
+		case moved:
+			r.result.Settling++
+		default:
+			r.result.WithinRate++
+		}
+	}
+	try := func() time.Duration {
+		settle, again := r.policy.reserve(vm, tokens)
+		if settle != nil {
+			r.counts = append(r.counts, admitted{at: r.policy.now(), actual: actual})
+			r.at(r.policy.now()+service, func() { settle(actual) })
+		} else if again == 0 {
+			refuse()
+		}
+		return again
 	}
-	r.result.Refused++
-	switch {
-	case hold == nil:
-	case moved:
-		r.result.Settling++
-	default:
-		r.result.WithinRate++
+	if again := try(); again > 0 {
+		r.at(now+again, func() {
+			if try() > 0 {
+				refuse()
+			}
+		})
 	}
 }
 
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -7,6 +7,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/aflimit"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -88,8 +89,8 @@
 	}
 }
 
-// round serves the requests that wait now. It asks each lender for its part of what is missing, and then all lenders
-// and those who hold their loans for the rest.
+// round serves the requests that wait now. It asks the likely lenders, each for its part of what is missing, and then
+// all lenders and those who hold their loans for the rest.
 func (s *Service) round(a *account) {
 	a.mu.Lock()
 	batch := slices.Clone(a.waiting)
@@ -99,7 +100,8 @@
 	if !done {
 		s.counts.rounds.Add(1)
 		lenders := s.lenders(a)
-		hints := s.ask(a, batch, lenders, len(lenders))
+		first := s.likely(a, lenders, batch, now)
+		hints := s.ask(a, batch, first, len(first))
 		s.ask(a, batch, append(lenders, hints...), 1)
 	}
 	a.mu.Lock()
@@ -121,6 +123,24 @@
 	}
 }
 
+// likely returns the lenders that together should have what the batch is missing, if each gives up to a quarter of its
+// burst. The first is one that had enough the last time, or differs between VMs.
+func (s *Service) likely(a *account, lenders []string, batch []*waiter, now time.Duration) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	tokens, parts := a.lack(batch, now)
+	quarter := max(1, aflimit.Whole/int64(4*(len(lenders)+1)))
+	n := 1 + max(a.state.Limit().PartsForBurst(tokens), parts.Rate)/quarter
+	if n >= int64(len(lenders)) {
+		return lenders
+	}
+	start := slices.Index(lenders, a.lender)
+	if start < 0 {
+		start = int(xxhash.Sum64String(s.Self.VM+a.name) % uint64(len(lenders)))
+	}
+	return append(slices.Clone(lenders[start:]), lenders[:start]...)[:n]
+}
+
 // space sets when the next round may start. The caller holds mu.
 func (a *account) space(served bool, now time.Duration) {
 	if served {
@@ -245,6 +265,9 @@
 	if a.state.Credit(answer.grant(q.message.ID), now) {
 		s.counts.taken.Add(1)
 	}
+	if answer.Tokens >= int64(q.message.Tokens) {
+		a.lender = q.vm
+	}
 	return answer.Lent, a.serve(batch, now)
 }
 
--- a/pkg/aflimit/account.go
+++ b/pkg/aflimit/account.go
@@ -15,7 +15,7 @@
 	bucket   Bucket
 	lender   Lender
 	borrower Borrower
-	demand   meter
+	demand   demand
 	next     time.Duration // next is the earliest end of a loan, valid if loans exist.
 	loans    bool
 	last     uint64 // last is the latest request ID.
@@ -66,8 +66,14 @@
 	return a.bucket.level
 }
 
+// Full reports whether the bucket cannot hold what accrues.
+func (a *Account) Full() bool { return a.bucket.level >= a.bucket.limit.Burst }
+
 // Demand returns the recent demand per second.
-func (a *Account) Demand(now time.Duration) Amount { return a.demand.rate(now) }
+func (a *Account) Demand(now time.Duration) Amount {
+	_, slow := a.demand.rates(now)
+	return slow
+}
 
 // Advance brings the account to now: refills, and ends loans each at its own instant.
 func (a *Account) Advance(now time.Duration) {
--- a/pkg/aflimit/borrow.go
+++ b/pkg/aflimit/borrow.go
@@ -2,13 +2,18 @@
 
 import "time"
 
-// Lack returns what the VM has to borrow for a request of n tokens: the missing tokens, and the missing parts for
-// its recent demand.
+// aheadTime is how long the tokens that a VM borrows beyond its need would serve its recent demand.
+const aheadTime = 500 * time.Millisecond
+
+// Lack returns what the VM has to borrow for a request of n tokens: the missing tokens and some for the
+// requests to come, and the missing parts for its recent demand.
 func (a *Account) Lack(n int64, now time.Duration) (tokens Amount, parts Parts) {
-	tokens = max(0, Tokens(n)-a.Level(now))
-	rate := a.demand.rate(now)
+	_, rate := a.demand.rates(now)
+	if tokens = max(0, Tokens(n)-a.Level(now)); tokens > 0 {
+		tokens = min(tokens+scale(rate, int64(aheadTime), int64(time.Second)), a.limit.Burst)
+	}
 	need := Parts{Rate: a.limit.PartsForRate(rate + rate/4)}
-	return tokens, Parts{Rate: need.Minus(a.Held()).Rate, Burst: a.limit.PartsForBurst(tokens)}
+	return tokens, need.Minus(a.Held()).Max(Parts{Burst: a.limit.PartsForBurst(tokens)})
 }
 
 // Ask records a request for a loan from the VM and returns the message.
@@ -67,7 +72,7 @@
 	return surplus, needed
 }
 
-// GiveBack ends a loan before its term, with the part of the level that belongs to it. The borrower debits itself
+// GiveBack ends a loan before its term, with the part of the level that belongs to it or does not fit without it. The borrower debits itself
 // before the message exists.
 func (a *Account) GiveBack(id uint64, now time.Duration) (Giveback, bool) {
 	a.Advance(now)
@@ -75,8 +80,8 @@
 		if l.ID != id {
 			continue
 		}
-		tokens := min(scale(a.bucket.level, l.Parts.Burst, a.Held().Burst), a.limit.Part(l.Parts).Burst)
-		tokens = a.bucket.take(tokens)
+		tokens := scale(a.bucket.level, l.Parts.Burst, a.Held().Burst)
+		tokens = a.bucket.take(min(max(tokens, a.excess(l.Parts)), a.limit.Part(l.Parts).Burst))
 		a.borrower = a.borrower.Without(id)
 		a.resize()
 		return Giveback{ID: id, Tokens: tokens}, true
--- a/pkg/aflimit/lend.go
+++ b/pkg/aflimit/lend.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// keepTokens is how much of its recent demand a lender keeps as tokens.
-	keepTokens = 250 * time.Millisecond
+	// keepTime is how long the tokens that a lender keeps would serve its recent demand.
+	keepTime = 250 * time.Millisecond
 	// idleShare is the part of the customer's rate below which a lender's own demand does not hold anything back.
 	idleShare = 20
 )
@@ -28,8 +28,7 @@
 	tokens = max(0, min(tokens, q.Tokens))
 	parts := spare.Min(q.Parts.Max(Parts{Burst: a.limit.PartsForBurst(tokens)}))
 	// Tokens above the remaining capacity go along, since they would be cut otherwise.
-	tokens = max(tokens, a.bucket.level+a.bucket.refundable-a.limit.Part(a.Held().Minus(parts)).Burst)
-	tokens = max(0, min(tokens, a.bucket.level, a.limit.Part(parts).Burst))
+	tokens = max(0, min(max(tokens, a.excess(parts)), a.bucket.level, a.limit.Part(parts).Burst))
 	if parts.IsZero() {
 		return Grant{ID: q.ID}
 	}
@@ -42,10 +41,16 @@
 	return Grant{ID: q.ID, Parts: parts, Tokens: tokens}
 }
 
+// excess returns the tokens that do not fit without the parts.
+func (a *Account) excess(parts Parts) Amount {
+	return a.bucket.level + a.bucket.refundable - a.limit.Part(a.Held().Minus(parts)).Burst
+}
+
 // extend renews a loan, unless the lender is short of rate for its own demand.
 func (a *Account) extend(from arbutusfork.Incarnation, q Borrow, now time.Duration) Grant {
 	loan, ok := a.lender.Find(from, q.Renew)
-	if !ok || !a.Held().Covers(a.keepParts(now)) {
+	lack := a.keepParts(now).Minus(a.Held())
+	if !ok || lack.Rate > 0 && loan.Parts.Rate > 0 || lack.Burst > 0 && loan.Parts.Burst > 0 {
 		return Grant{ID: q.ID}
 	}
 	loan.Until = max(loan.Until, now+Term+a.margin())
@@ -61,29 +66,33 @@
 	return Margin
 }
 
-// keepDemand returns the VM's own recent demand per second, or zero if it is insignificant.
-func (a *Account) keepDemand(now time.Duration) Amount {
-	rate := a.demand.rate(now)
-	if rate < a.limit.Rate/idleShare {
+// keepTokens returns the tokens that the VM's own recent demand needs.
+func (a *Account) keepTokens(now time.Duration) Amount {
+	fast, _ := a.demand.rates(now)
+	if fast < a.limit.Rate/idleShare {
 		return 0
 	}
-	return rate
+	return scale(fast, int64(keepTime), int64(time.Second))
 }
 
 // keepParts returns the parts that the VM needs itself: the rate of its recent demand, and the capacity that its
 // refundable tokens and its next requests take.
 func (a *Account) keepParts(now time.Duration) Parts {
-	rate := a.keepDemand(now)
-	tokens := a.bucket.refundable + scale(rate, int64(keepTokens), int64(time.Second))
-	return Parts{Rate: a.limit.PartsForRate(rate + rate/4), Burst: a.limit.PartsForBurst(tokens)}
+	rate, _ := a.demand.rates(now)
+	if rate < a.limit.Rate/idleShare {
+		rate = 0
+	}
+	return Parts{
+		Rate:  a.limit.PartsForRate(rate + rate/4),
+		Burst: a.limit.PartsForBurst(a.bucket.refundable + a.keepTokens(now)),
+	}
 }
 
 // spare returns what the VM can lend: parts of its own base share only, never borrowed ones, and tokens beyond its
 // own recent demand.
 func (a *Account) spare(now time.Duration) (Parts, Amount) {
 	parts := a.own().Min(a.Held().Minus(a.keepParts(now)))
-	tokens := a.bucket.level - scale(a.keepDemand(now), int64(keepTokens), int64(time.Second))
-	return parts, max(0, tokens)
+	return parts, max(0, a.bucket.level-a.keepTokens(now))
 }
 
 // Forget takes back the loans of borrowers that are gone for sure. Their tokens are lost.
