--- /dev/null
+++ b/cmd/arbutusfork-bench/main.go
@@ -0,0 +1,60 @@
+// Command arbutusfork-bench measures speed and memory of the daemon's parts on this machine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"arbutusfork.example/arbutusfork/internal/afbench"
+	"arbutusfork.example/arbutusfork/internal/afslope"
+)
+
+func main() {
+	app := kingpin.New("arbutusfork-bench", "Measures speed and memory of the daemon's parts.")
+	app.HelpFlag.Short('h')
+	plan := afbench.Plan{Out: os.Stdout}
+	entry := app.Command("entry", "Measures the callers' interface of two running serve processes.")
+	entry.Flag("length", "Time of each measurement of speed.").Default("5s").DurationVar(&plan.Length)
+	entry.Flag("waiting", "Number of waiting requests.").Default("10000").IntVar(&plan.Waiting)
+	entry.Flag("streams", "Number of open streams.").Default("2000").IntVar(&plan.Streams)
+	entry.Flag("rounds", "Number of rounds that show growth.").Default("5").IntVar(&plan.Rounds)
+	entry.Flag("procs", "GOMAXPROCS of the processes under measurement.").Default("1").IntVar(&plan.Procs)
+	processFlags(entry, "speed", &plan.Speed)
+	processFlags(entry, "memory", &plan.Memory)
+	slopes := app.Command("slopes", "Measures what control costs while one thing at a time grows.")
+	serve := app.Command("serve", "Runs a process under measurement.")
+	e := &afbench.Entry{}
+	processFlags(serve, "", e)
+	serve.Flag("procs", "GOMAXPROCS.").Default("1").IntVar(&e.Procs)
+	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var err error
+	switch verb {
+	case entry.FullCommand():
+		err = afbench.EntryBench(ctx, plan)
+	case slopes.FullCommand():
+		err = afslope.Run(ctx, os.Stdout, afslope.DefaultConfig())
+	case serve.FullCommand():
+		err = e.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// processFlags defines the addresses of a process under measurement and of its engine.
+func processFlags(cmd *kingpin.CmdClause, prefix string, e *afbench.Entry) {
+	if prefix != "" {
+		prefix += "-"
+	}
+	cmd.Flag(prefix+"address", "Address for callers.").Required().StringVar(&e.Address)
+	cmd.Flag(prefix+"stats", "Address for the measuring process.").Required().StringVar(&e.Stats)
+	cmd.Flag(prefix+"engine", "Address of the engine.").Required().StringVar(&e.Engine)
+}
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -41,11 +41,12 @@
 	Listed func(endpoint string) bool
 	// Ready returns the estimated time until the model can serve, if there is an estimate.
 	Ready func(model string) (time.Duration, bool)
-	// Demand is called when requests wait for a model that has no replica, and when their number changes. It
-	// must not block.
+	// Demand is called when the number of requests that wait for a model changes. It must not block.
 	Demand func(model string, waiting int, deadline time.Time)
 	// Served is called when a request is given to a replica of the model. It must not block.
 	Served func(model string)
+	// Running is called when the number of this VM's requests that run on a model changes. It must not block.
+	Running func(model string, n int)
 	// Centre is this VM's data centre.
 	Centre string
 	Log    *slog.Logger
@@ -54,6 +55,9 @@
 	Progress time.Duration
 	// Suspect is the time without an answer after which a reused connection is checked. Zero means 3 s.
 	Suspect time.Duration
+	// MaxWaiting and MaxBytes bound the requests that wait and the bytes that they hold. Zero means no bound.
+	MaxWaiting int
+	MaxBytes   int64
 	// Random returns a number in [0, n). Nil means math/rand.
 	Random func(n int) int
 
@@ -80,6 +84,8 @@
 	Service string
 	// Cost is the expected work in tokens.
 	Cost int64
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
 	// Prefix is a hash of the first bytes of the prompt, or zero.
 	Prefix uint64
 	// Detached tells that the call goes on after ctx ends, once it has been sent.
@@ -107,6 +113,8 @@
 	service  *Service
 	request  Request
 	released atomic.Bool
+	// failing tells that the endpoint had failed before the lease was granted.
+	failing bool
 }
 
 // Release returns the slot. Actual is the number of tokens that the request used.
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -54,10 +54,13 @@
 type state struct {
 	queue     afqueue.Queue
 	waiters   map[uint64]*waiter
+	held      int64 // held is the sum of the waiters' bytes.
 	endpoints map[string]*endpoint
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
 	dirty    map[string]bool
+	// running is the number of this VM's running requests by model.
+	running map[string]int
 	// leaving holds the names of the endpoints that were seen leaving.
 	leaving map[string]bool
 	// missing is until when a replica is not used because its endpoint said that it does not have the model.
@@ -67,6 +70,9 @@
 // replica names a model at an endpoint.
 type replica struct{ endpoint, model string }
 
+// fullRetry is what a caller is told when too many requests wait.
+const fullRetry = time.Second
+
 // missingTime is how long a replica that the endpoint does not have is left out, unless the table changes.
 const missingTime = time.Second
 
@@ -91,6 +97,7 @@
 		waiters:   make(map[uint64]*waiter),
 		endpoints: make(map[string]*endpoint),
 		reported:  make(map[string]int),
+		running:   make(map[string]int),
 		dirty:     make(map[string]bool),
 		leaving:   make(map[string]bool),
 		missing:   make(map[replica]time.Time),
@@ -143,16 +150,34 @@
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "the deadline has passed"))
 		return
 	}
+	if s.full(w) {
+		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeNoCapacity, "too many requests wait at this VM").WithRetryAfter(fullRetry))
+		return
+	}
 	if d, ok := s.estimate(entry); ok && d > entry.Deadline.Sub(now) {
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline,
 			"the model cannot answer within the deadline; expected wait "+d.Round(time.Millisecond).String()).WithRetryAfter(d))
 		return
 	}
 	s.state.waiters[w.id] = w
+	s.state.held += w.request.Bytes
 	s.state.queue.Push(entry)
 	s.state.dirty[entry.Class] = true
 }
 
+// full reports whether the waiting requests leave no room for another one.
+func (s *Service) full(w *waiter) bool {
+	return s.MaxWaiting > 0 && len(s.state.waiters) >= s.MaxWaiting ||
+		s.MaxBytes > 0 && s.state.held+w.request.Bytes > s.MaxBytes
+}
+
+// leave takes a request out of those that wait.
+func (s *Service) leave(w *waiter) {
+	delete(s.state.waiters, w.id)
+	s.state.held -= w.request.Bytes
+	s.state.dirty[w.request.class()] = true
+}
+
 // estimate returns the expected wait of the entry, if anything is known about it.
 func (s *Service) estimate(e afqueue.Entry) (time.Duration, bool) {
 	if len(s.present(e.Class)) > 0 {
@@ -168,8 +193,7 @@
 func (s *Service) cancel(w *waiter) {
 	switch {
 	case s.state.queue.Remove(w.id):
-		delete(s.state.waiters, w.id)
-		s.state.dirty[w.request.class()] = true
+		s.leave(w)
 	case w.lease != nil && w.lease.released.CompareAndSwap(false, true):
 		// The grant and the caller's end crossed. The lease was never used.
 		s.release(w.lease, 0)
@@ -178,6 +202,7 @@
 
 func (s *Service) release(l *Lease, actual int64) {
 	s.state.endpoint(l.Replica.Endpoint).running--
+	s.countRunning(l.request.Model, -1)
 	s.state.queue.Settle(l.request.Customer, actual-l.request.Cost)
 }
 
@@ -210,8 +235,7 @@
 	s.readmit(now)
 	for _, e := range s.state.queue.Expire(now) {
 		w := s.state.waiters[e.ID]
-		delete(s.state.waiters, e.ID)
-		s.state.dirty[e.Class] = true
+		s.leave(w)
 		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline, "no endpoint was free within the deadline").WithRetryAfter(time.Second))
 	}
 	for {
@@ -226,25 +250,49 @@
 
 func (s *Service) grant(e afqueue.Entry, now time.Time) {
 	w := s.state.waiters[e.ID]
-	delete(s.state.waiters, e.ID)
-	s.state.dirty[e.Class] = true
+	s.leave(w)
 	c := s.choose(w.request, now)
-	s.state.endpoint(c.replica.Endpoint).running++
-	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
+	p := s.state.endpoint(c.replica.Endpoint)
+	p.running++
+	s.countRunning(w.request.Model, 1)
+	w.lease = &Lease{Replica: c.replica, service: s, request: w.request, failing: p.failures > 0}
 	w.answered = true
 	if s.Served != nil && w.request.Model != "" {
 		s.Served(w.request.Model)
 	}
 	s.Log.LogAttrs(context.Background(), slog.LevelInfo, "request routed",
 		slog.String("request", w.request.ID), slog.String("customer", w.request.Customer),
-		slog.String("class", e.Class), slog.String("endpoint", c.replica.Endpoint),
+		resource(w.request), slog.String("endpoint", c.replica.Endpoint),
 		slog.Duration("waited", now.Sub(e.Arrived)), slog.Int64("cost", e.Cost),
 		slog.Float64("score", c.score), slog.Bool("prefix", c.affine),
 		slog.Any("alternatives", c.others))
 	w.reply <- grant{lease: w.lease}
 }
 
-// report tells Demand about models without a replica whose number of waiting requests has changed.
+// resource names what the request needs in the log. Decisions are found again by the model.
+func resource(r Request) slog.Attr {
+	if r.Model != "" {
+		return slog.String("model", r.Model)
+	}
+	return slog.String("service", r.Service)
+}
+
+// countRunning reports how many requests this VM runs on a model, so that its replicas are neither unloaded under
+// them nor too few.
+func (s *Service) countRunning(model string, change int) {
+	if model == "" || s.Running == nil {
+		return
+	}
+	n := s.state.running[model] + change
+	if n == 0 {
+		delete(s.state.running, model)
+	} else {
+		s.state.running[model] = n
+	}
+	s.Running(model, n)
+}
+
+// report tells Demand about models whose number of waiting requests has changed.
 func (s *Service) report() {
 	for class := range s.state.dirty {
 		delete(s.state.dirty, class)
@@ -252,7 +300,7 @@
 			continue
 		}
 		waiting := s.state.queue.Waiting(class)
-		if waiting == s.state.reported[class] || (waiting > 0 && len(s.present(class)) > 0) {
+		if waiting == s.state.reported[class] {
 			continue
 		}
 		if waiting == 0 {
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -70,6 +70,10 @@
 	if refusal := x.idempotency(); refusal != nil {
 		return refusal
 	}
+	if x.infer != nil && x.infer.stream && !x.r.ProtoAtLeast(1, 1) {
+		x.param = "stream"
+		return arbutusfork.Refuse(arbutusfork.CodeBadRequest, "streams need HTTP/1.1")
+	}
 	return s.run(x)
 }
 
@@ -79,7 +83,7 @@
 	switch p {
 	case pathChat, pathText, pathEmbeddings:
 	default:
-		r, ok := plainRoute(x.snapshot, p)
+		r, ok := x.index.plainRoute(p)
 		if !ok {
 			return arbutusfork.Refuse(arbutusfork.CodeNoRoute, "no route for this path")
 		}
@@ -90,7 +94,7 @@
 		x.w.Header().Set("Allow", http.MethodPost)
 		return arbutusfork.Refuse(arbutusfork.CodeMethod, "use POST")
 	}
-	if keyed != nil && !hasOpenModels(x) {
+	if keyed != nil && !x.index.open {
 		return keyed
 	}
 	infer, param, refusal := parseInference(p, x.body)
@@ -100,7 +104,7 @@
 	}
 	x.infer = infer
 	m, known := x.snapshot.Model(infer.model)
-	route, offered, admitted := modelRoute(x.snapshot, m, x.customer.Name)
+	route, offered, admitted := x.index.modelRoute(m, x.customer.Name)
 	switch {
 	case known && admitted:
 		x.route, x.service = route, m.Service
@@ -116,15 +120,6 @@
 	return arbutusfork.Refuse(arbutusfork.CodeNoModel, "unknown model")
 }
 
-func hasOpenModels(x *exchange) bool {
-	for _, r := range x.snapshot.Routes() {
-		if r.Open && r.Path == "" {
-			return true
-		}
-	}
-	return false
-}
-
 // run reserves tokens, claims the call if it must run at most once, sends it and relays the answer.
 func (s *Server) run(x *exchange) *arbutusfork.Refusal {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -139,10 +134,13 @@
 	s.enter(a)
 	defer s.leave(a)
 	j := &job{server: s, exchange: x, settle: func(int64) {}}
-	if refusal := j.reserve(ctx); refusal != nil {
+	// Reservation and claim must end before the deadline. The endpoint's answer may last longer.
+	early, stop := context.WithDeadline(ctx, x.deadline)
+	defer stop()
+	if refusal := j.reserve(early); refusal != nil {
 		return refusal
 	}
-	granted, refusal := j.claim(ctx)
+	granted, refusal := j.claim(early)
 	if !granted {
 		j.settle(0)
 		return refusal
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -90,6 +90,8 @@
 	view  afmember.View
 	links map[string]*link
 	froms map[string]arbutusfork.Incarnation
+	// connected holds up to MaxNeighbours VMs with a link.
+	connected []arbutusfork.VM
 }
 
 type counters struct {
@@ -186,15 +188,19 @@
 func (s *Service) publish() {
 	links := make(map[string]*link, len(s.peers))
 	froms := map[string]arbutusfork.Incarnation{s.Self.VM: s.Self}
+	var connected []arbutusfork.VM
 	for name, p := range s.peers {
 		if p.link != nil {
 			links[name] = p.link
+			if len(connected) < afmember.MaxNeighbours {
+				connected = append(connected, p.vm)
+			}
 		}
 		if !p.from.IsZero() {
 			froms[name] = p.from
 		}
 	}
-	s.shared.Store(&shared{view: s.view, links: links, froms: froms})
+	s.shared.Store(&shared{view: s.view, links: links, froms: froms, connected: connected})
 }
 
 func (s *Service) changed() {
@@ -259,7 +265,7 @@
 // not mean that the message arrives. It fails with Malformed, or with Unreachable if too many messages wait.
 func (s *Service) Send(vm, kind string, message any) error {
 	s.init()
-	body, err := msgpack.Marshal(message)
+	body, err := encode(message)
 	if err != nil {
 		return &Error{Op: "send", VM: vm, Kind: Malformed, Err: err}
 	}
@@ -281,7 +287,7 @@
 // waits for one until ctx ends. It fails with Unreachable, Broken, Refused or Malformed.
 func (s *Service) Call(ctx context.Context, vm, kind string, message, answer any) error {
 	s.init()
-	body, err := msgpack.Marshal(message)
+	body, err := encode(message)
 	if err != nil {
 		return &Error{Op: "call", VM: vm, Kind: Malformed, Err: err}
 	}
