dispatch: refuse the first waiting requests early too

The estimate of a model was compared with a request's deadline only when the request arrived. The first requests of a cold start arrive before there is an estimate, at every VM, so that those which could not be served waited out their whole deadline before they were told "not run".

Comparing again as time passes was ruled out: an estimate stands still when its publisher is gone, and would refuse requests that the next owner serves in time.

TestEarlyRefusalWhileWaiting does not end without the change.

--- a/internal/afdispatch/acquire_test.go
+++ b/internal/afdispatch/acquire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,34 @@
 	require.NotNil(t, (<-out).lease)
 }
 
+// TestEarlyRefusalWhileWaiting guards against letting the first callers of a cold start wait out their deadline: they
+// come before there is an estimate. An estimate that stands still, because its publisher is gone, refuses nobody later.
+func TestEarlyRefusalWhileWaiting(t *testing.T) {
+	var ready atomic.Int64
+	r := newRig(t)
+	r.Ready = func(string) (time.Duration, bool) { d := time.Duration(ready.Load()); return d, d > 0 }
+	r.run()
+	short, long := r.request("cold", "a"), r.request("cold", "b")
+	short.Deadline = r.start.Add(20 * time.Second)
+	first := r.acquire(context.Background(), short)
+	require.Equal(t, demand{"cold", 1}, <-r.demand)
+	second := r.acquire(context.Background(), long)
+	require.Equal(t, demand{"cold", 2}, <-r.demand)
+	ready.Store(int64(30 * time.Second))
+	r.advance(time.Second)
+	res := <-first
+	require.Equal(t, arbutusfork.CodeDeadline, res.refusal.Code)
+	require.Equal(t, arbutusfork.OutcomeNotRun, res.refusal.Outcome)
+	require.Equal(t, 30*time.Second, res.refusal.RetryAfter)
+	require.Equal(t, demand{"cold", 1}, <-r.demand)
+	r.advance(40 * time.Second)
+	r.settle()
+	require.Empty(t, second)
+	r.set(model("cold", "e1", 1))
+	r.Wake("cold")
+	require.NotNil(t, (<-second).lease)
+}
+
 // TestColdBurst guards the demand of a cold start: it is told at once and whenever the number of waiting requests
 // changes, down to none, and all of them are served when the replica comes, within its credit.
 func TestColdBurst(t *testing.T) {
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -61,6 +61,9 @@
 	dirty    map[string]bool
 	// running is the number of this VM's running requests by model.
 	running map[string]int
+	// estimates are those that the waiting requests were compared with at the time estimated, by model.
+	estimates map[string]time.Duration
+	estimated time.Time
 	// leaving holds the names of the endpoints that were seen leaving.
 	leaving map[string]bool
 	// missing is until when a replica is not used because its endpoint said that it does not have the model.
@@ -155,8 +158,7 @@
 		return
 	}
 	if d, ok := s.estimate(entry); ok && d > entry.Deadline.Sub(now) {
-		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline,
-			"the model cannot answer within the deadline; expected wait "+d.Round(time.Millisecond).String()).WithRetryAfter(d))
+		s.refuse(w, tooLate(d))
 		return
 	}
 	s.state.waiters[w.id] = w
@@ -233,6 +235,7 @@
 func (s *Service) match() {
 	now := s.Timer.Now()
 	s.readmit(now)
+	s.refuseHopeless(now)
 	for _, e := range s.state.queue.Expire(now) {
 		w := s.state.waiters[e.ID]
 		s.leave(w)
