recover: take the cold models from the configuration

The example's models were renamed, so that the cold starts asked for models that no longer exist, and the next scenario met a shard without an owner and stopped.

The names now come from the configuration, and the search for the owner waits while a take-over is due. Naming the models again was ruled out, since the next change would break the scenarios once more.

--- a/internal/afrecover/fleet.go
+++ b/internal/afrecover/fleet.go
@@ -25,6 +25,9 @@
 // controlTimeout bounds one control request. A frozen VM answers none.
 const controlTimeout = 5 * time.Second
 
+// ownerWait is above the time of a take-over.
+const ownerWait = 15 * time.Second
+
 // get decodes the answer of a GET request into v.
 func (f *Fleet) get(ctx context.Context, target string, v any) error {
 	return f.call(ctx, http.MethodGet, target, nil, v)
@@ -77,8 +80,19 @@
 	} `json:"limits"`
 }
 
-// Owner returns the number, from 1, of the VM that owns the shard.
+// Owner returns the number, from 1, of the VM that owns the shard. It waits while a take-over is due.
 func (f *Fleet) Owner(ctx context.Context, shard string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	for {
+		n, err := f.owner(ctx, shard)
+		if err == nil || pause(ctx, ownerPoll) != nil {
+			return n, err
+		}
+	}
+}
+
+func (f *Fleet) owner(ctx context.Context, shard string) (int, error) {
 	for i, operator := range f.Operators {
 		var s vmStatus
 		if f.get(ctx, operator+"/v1/status", &s) != nil {
--- a/scripts/recover.sh
+++ b/scripts/recover.sh
@@ -14,10 +14,10 @@
 recover=(bin/arbutusfork-recover --net "$NET")
 
 # Each cold start takes a model that was not loaded before and is on the disk of two engines.
-colds=(photo-produce-2b photo-bakery-2b photo-pharmacy-2b photo-hardware-2b photo-textile-2b photo-packaging-2b)
+mapfile -t colds < <(grep -o '"photo-[a-z]*-2b"' "$config" | tr -d '"' | sort -u)
 cold_at=0
 next_cold() {
-	model=${colds[$cold_at]}
+	model=${colds[$((cold_at % ${#colds[@]}))]}
 	cold_at=$((cold_at + 1))
 }
 
