--- /dev/null
+++ b/pkg/aflimit/example_test.go
@@ -0,0 +1,32 @@
+package aflimit_test
+
+import (
+	"fmt"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/aflimit"
+)
+
+// Two VMs share a customer's limit evenly. The second one has no demand and lends what the first one lacks.
+func ExampleAccount() {
+	limit := aflimit.Limit{Rate: aflimit.Tokens(100), Burst: aflimit.Tokens(1000)}
+	first, second := aflimit.NewAccount(limit, 0), aflimit.NewAccount(limit, 0)
+	for _, a := range []*aflimit.Account{first, second} {
+		a.SetBase(aflimit.Whole/2, aflimit.Whole/2, 0)
+	}
+	now := time.Second
+	fmt.Println("700 tokens fit locally:", first.Reserve(700, now) != nil)
+
+	tokens, parts := first.Lack(700, now)
+	request := first.Ask("vm-2", tokens, parts, now)
+	grant := second.Lend(arbutusfork.Incarnation{VM: "vm-1", Start: 1}, request, now)
+	fmt.Println("credited:", first.Credit(grant, now))
+	fmt.Println("credited again:", first.Credit(grant, now))
+	fmt.Println("700 tokens fit with the loan:", first.Reserve(700, now) != nil)
+	// Output:
+	// 700 tokens fit locally: false
+	// credited: true
+	// credited again: false
+	// 700 tokens fit with the loan: true
+}
