--- a/cmd/arbutusfork-standin/main.go
+++ b/cmd/arbutusfork-standin/main.go
@@ -38,6 +38,7 @@
 
 func engineVerb(app *kingpin.Application, verbs map[string]runner) {
 	e := &afstandin.Engine{Cache: make(map[string]string)}
+	loaded := &loadedEngine{Engine: e}
 	c := app.Command("engine", "Runs a model engine.")
 	c.Flag("address", "Address to listen on.").Required().StringVar(&e.Address)
 	c.Flag("memory", "Accelerator memory in MB.").Int64Var(&e.Memory)
@@ -46,9 +47,25 @@
 	c.Flag("resume", "Offer to resume streams.").BoolVar(&e.Resume)
 	c.Flag("cache", "Where a checkpoint is kept, as MODEL=memory or MODEL=disk.").StringMapVar(&e.Cache)
 	c.Flag("store", "Address of the weight store.").StringVar(&e.Store)
+	c.Flag("models", "Checkpoints as JSON, in the form of the weight store's flag.").SetValue((*checkpoints)(&e.Models))
+	c.Flag("loaded", "A model that is loaded at the start.").StringsVar(&loaded.names)
 	c.Flag("first", "Time to the first token.").Default("20ms").DurationVar(&e.First)
 	c.Flag("next", "Time between tokens.").Default("5ms").DurationVar(&e.Next)
-	verbs[c.FullCommand()] = e
+	verbs[c.FullCommand()] = loaded
+}
+
+// loadedEngine is an engine with models that are loaded at the start.
+type loadedEngine struct {
+	*afstandin.Engine
+	names []string
+}
+
+// Run loads the models and serves until ctx ends.
+func (e *loadedEngine) Run(ctx context.Context) error {
+	for _, name := range e.names {
+		e.Load(name)
+	}
+	return e.Engine.Run(ctx)
 }
 
 func serviceVerb(app *kingpin.Application, verbs map[string]runner) {
--- a/internal/afdispatch/acquire_test.go
+++ b/internal/afdispatch/acquire_test.go
@@ -73,6 +73,7 @@
 		require.Greater(t, d.waiting, last)
 		last = d.waiting
 	}
+	require.Equal(t, map[string]int{"cold": burst}, r.Waiting())
 	r.set(model("cold", "e1", 3))
 	r.Wake("cold")
 	r.settle()
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -144,6 +144,24 @@
 	s.ring.Push(event{kind: eventWake, models: models})
 }
 
+// Waiting returns the number of requests that wait, by model, for the summary that VMs send each second.
+func (s *Service) Waiting() map[string]int {
+	s.init()
+	counts := make(chan map[string]int, 1)
+	s.send(event{kind: eventCount, counts: counts})
+	select {
+	case m := <-counts:
+		for class := range m {
+			if class[:1] == plainPrefix {
+				delete(m, class)
+			}
+		}
+		return m
+	case <-s.done:
+		return nil
+	}
+}
+
 // Acquire waits in the fair queue until an endpoint has a free slot for the request, its deadline comes or ctx
 // ends. All refusals are not run.
 func (s *Service) Acquire(ctx context.Context, r Request) (*Lease, *arbutusfork.Refusal) {
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -22,6 +22,7 @@
 	eventLeaving
 	eventMissing
 	eventWake
+	eventCount
 	eventWell
 )
 
@@ -33,6 +34,7 @@
 	actual   int64
 	endpoint string
 	models   []string
+	counts   chan map[string]int
 }
 
 type grant struct {
@@ -126,6 +128,8 @@
 				delete(s.state.missing, r)
 			}
 		}
+	case eventCount:
+		e.counts <- s.state.queue.Counts()
 	case eventTick:
 	}
 }
--- a/internal/afstandin/engine_test.go
+++ b/internal/afstandin/engine_test.go
@@ -86,6 +86,24 @@
 	require.Equal(t, int64(2), e.Counts().Loads)
 }
 
+// TestCrossedOrders guards orders for one model that cross: each is carried out, and the last one decides.
+func TestCrossedOrders(t *testing.T) {
+	e := &Engine{Models: map[string]Checkpoint{"a": {Remote: 5}}}
+	at := start(t, func(l net.Listener) runner { e.Listener = l; return e })
+	var wg sync.WaitGroup
+	for range 10 {
+		for _, verb := range []string{"load", "unload"} {
+			wg.Go(func() { _, _ = do(t, "POST", at+"/v2/repository/models/a/"+verb, loadBody(1)) })
+		}
+	}
+	wg.Wait()
+	_, _ = do(t, "POST", at+"/v2/repository/models/a/load", loadBody(1))
+	require.True(t, e.isLoaded("a"))
+	_, _ = do(t, "POST", at+"/v2/repository/models/a/unload", loadBody(1))
+	require.False(t, e.isLoaded("a"))
+	require.Equal(t, 1, e.Counts().Replicas)
+}
+
 // TestFaults guards the faults that other tests switch.
 func TestFaults(t *testing.T) {
 	s := &Service{}
--- a/pkg/afqueue/estimate.go
+++ b/pkg/afqueue/estimate.go
@@ -5,14 +5,12 @@
 // paceShare is the weight of a new sample in the average time between two services, as a divisor.
 const paceShare = 8
 
-// pace is the average time between two services of a class while entries wait.
+// pace is the average time between two services of a class since entries wait without a break.
 type pace struct {
 	last     time.Time
 	interval time.Duration
 }
 
-func (p *pace) restart(now time.Time) { p.last = now }
-
 func (p *pace) served(now time.Time) {
 	sample := now.Sub(p.last)
 	p.last = now
--- a/pkg/afqueue/queue.go
+++ b/pkg/afqueue/queue.go
@@ -88,12 +88,9 @@
 	it := &item{Entry: e, key: e.Arrived.Add(headStart(e))}
 	c := q.classes[e.Class]
 	if c == nil {
-		c = &class{name: e.Class, lines: make(map[string]*line)}
+		c = &class{name: e.Class, lines: make(map[string]*line), pace: pace{last: e.Arrived}}
 		q.classes[e.Class] = c
 	}
-	if c.waiting == 0 {
-		c.pace.restart(e.Arrived)
-	}
 	c.waiting++
 	l := c.lines[e.Customer]
 	if l == nil {
@@ -111,7 +108,7 @@
 	var best *item
 	var account *account
 	for _, c := range q.classes {
-		if c.waiting == 0 || !open(c.name) {
+		if !open(c.name) {
 			continue
 		}
 		for _, l := range c.lines {
@@ -170,6 +167,15 @@
 	return 0
 }
 
+// Counts returns the number of waiting entries of each class that has any.
+func (q *Queue) Counts() map[string]int {
+	out := make(map[string]int)
+	for name, c := range q.classes {
+		out[name] = c.waiting
+	}
+	return out
+}
+
 // Earliest returns the earliest deadline among the entries of the class.
 func (q *Queue) Earliest(name string) (time.Time, bool) {
 	var first time.Time
@@ -231,6 +237,10 @@
 	if len(l.items) == 0 {
 		delete(c.lines, it.Customer)
 	}
+	// Next looks at every class, so the thousands of adapters that nothing waits for must not be kept.
+	if c.waiting == 0 {
+		delete(q.classes, it.Class)
+	}
 }
 
 func headStart(e Entry) time.Duration {
