measure: print the policy, limits and fairness beside baselines

'make measure' now drives the placement policy, the limits with loans beside a static split, and the waiting queue beside one queue for all and first come, first served.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 
 measure: build
 	$(BIN)/arbutusfork-bench policy
+	$(BIN)/arbutusfork-bench limits
+	$(BIN)/arbutusfork-bench fairness
 
 bench: build
 	scripts/bench.sh
--- a/cmd/arbutusfork-bench/main.go
+++ b/cmd/arbutusfork-bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"arbutusfork.example/arbutusfork/internal/afbench"
+	"arbutusfork.example/arbutusfork/internal/afmeasure"
 	"arbutusfork.example/arbutusfork/internal/afslope"
 )
 
@@ -25,6 +26,15 @@
 	entry.Flag("procs", "GOMAXPROCS of the processes under measurement.").Default("1").IntVar(&plan.Procs)
 	processFlags(entry, "speed", &plan.Speed)
 	processFlags(entry, "memory", &plan.Memory)
+	measure := afmeasure.Config{}
+	policy := app.Command("policy", "Measures placement on a seeded day of each deployment beside its baselines.")
+	policy.Flag("seed", "Seed of the day.").Default("1").Uint64Var(&measure.Seed)
+	policy.Flag("only", "Measure one deployment.").StringVar(&measure.Only)
+	policy.Flag("parallel", "Days that are measured at once.").Default("2").IntVar(&measure.Parallel)
+	limits := app.Command("limits", "Measures refusals within rate beside a static split.")
+	limits.Flag("seed", "Seed of the demand.").Default("1").Uint64Var(&measure.Seed)
+	fairness := app.Command("fairness", "Measures the worst-served customer beside other orders of service.")
+	fairness.Flag("seed", "Seed of the demand.").Default("1").Uint64Var(&measure.Seed)
 	slopes := app.Command("slopes", "Measures what control costs while one thing at a time grows.")
 	serve := app.Command("serve", "Runs a process under measurement.")
 	e := &afbench.Entry{}
@@ -37,6 +47,12 @@
 	switch verb {
 	case entry.FullCommand():
 		err = afbench.EntryBench(ctx, plan)
+	case policy.FullCommand():
+		err = afmeasure.Run(os.Stdout, measure)
+	case limits.FullCommand():
+		err = afmeasure.RunLimits(os.Stdout, measure.Seed)
+	case fairness.FullCommand():
+		err = afmeasure.RunFair(os.Stdout, measure.Seed)
 	case slopes.FullCommand():
 		err = afslope.Run(ctx, os.Stdout, afslope.DefaultConfig())
 	case serve.FullCommand():
--- /dev/null
+++ b/internal/afmeasure/error.go
@@ -0,0 +1,20 @@
+package afmeasure
+
+//go:generate stringer -type=ErrorKind -linecomment -output=error_string.go
+
+// ErrorKind classifies an error of this package.
+type ErrorKind int
+
+// The kinds of errors.
+const (
+	Exceeded ErrorKind = iota // limit exceeded
+)
+
+// Error tells which measurement failed and why.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+}
+
+// Error returns the operation and the kind.
+func (e *Error) Error() string { return e.Op + ": " + e.Kind.String() }
