--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -22,6 +22,7 @@
 	eventLeaving
 	eventMissing
 	eventWake
+	eventCount
 	eventWell
 )
 
@@ -33,6 +34,7 @@
 	actual   int64
 	endpoint string
 	models   []string
+	counts   chan map[string]int
 }
 
 type grant struct {
@@ -61,6 +63,9 @@
 	dirty    map[string]bool
 	// running is the number of this VM's running requests by model.
 	running map[string]int
+	// estimates are those that the waiting requests were compared with at the time estimated, by model.
+	estimates map[string]time.Duration
+	estimated time.Time
 	// leaving holds the names of the endpoints that were seen leaving.
 	leaving map[string]bool
 	// missing is until when a replica is not used because its endpoint said that it does not have the model.
@@ -140,6 +145,8 @@
 				delete(s.state.missing, r)
 			}
 		}
+	case eventCount:
+		e.counts <- s.state.queue.Counts()
 	case eventTick:
 	}
 }
@@ -155,8 +162,7 @@
 		return
 	}
 	if d, ok := s.estimate(entry); ok && d > entry.Deadline.Sub(now) {
-		s.refuse(w, arbutusfork.Refuse(arbutusfork.CodeDeadline,
-			"the model cannot answer within the deadline; expected wait "+d.Round(time.Millisecond).String()).WithRetryAfter(d))
+		s.refuse(w, tooLate(d))
 		return
 	}
 	s.state.waiters[w.id] = w
@@ -233,6 +239,7 @@
 func (s *Service) match() {
 	now := s.Timer.Now()
 	s.readmit(now)
+	s.refuseHopeless(now)
 	for _, e := range s.state.queue.Expire(now) {
 		w := s.state.waiters[e.ID]
 		s.leave(w)
@@ -252,9 +259,10 @@
 	w := s.state.waiters[e.ID]
 	s.leave(w)
 	c := s.choose(w.request, now)
-	s.state.endpoint(c.replica.Endpoint).running++
+	p := s.state.endpoint(c.replica.Endpoint)
+	p.running++
 	s.countRunning(w.request.Model, 1)
-	w.lease = &Lease{Replica: c.replica, service: s, request: w.request}
+	w.lease = &Lease{Replica: c.replica, service: s, request: w.request, failing: p.failures > 0}
 	w.answered = true
 	if s.Served != nil && w.request.Model != "" {
 		s.Served(w.request.Model)
