afplacement: let estimates follow the weight store's pace

The estimate of a load from the weight store was the configured time. With the store at a quarter of its speed, requests that cannot meet their deadline were told otherwise, and hedges started too early.

The estimate now follows the last loads and those in progress. A report of an endpoint that left the configuration no longer counts as a replica.

--- a/pkg/afplacement/account.go
+++ b/pkg/afplacement/account.go
@@ -169,8 +169,9 @@
 		}
 	}
 	for endpoint, rep := range v.reports {
+		_, known := v.cfg.Endpoints[endpoint]
 		for _, m := range rep.status.Models {
-			if m.Name == model {
+			if m.Name == model && known {
 				places[endpoint] = true
 			}
 		}
--- a/pkg/afplacement/choose.go
+++ b/pkg/afplacement/choose.go
@@ -216,7 +216,20 @@
 	}
 	wait := v.storeWait(r, remote, now)
 	c.Wait = c.Wait || wait > 0
-	c.Ready += wait
+	c.Ready += wait + time.Duration(float64(c.Bare)*(v.slowdown(r, now)-1))
+}
+
+// slowdown returns by how much loads from the weight store presently take longer than their bare time: as the last
+// ones did, or as long as those in progress have taken already.
+func (v View) slowdown(r Record, now time.Time) float64 {
+	out := max(v.pace, 1)
+	for _, a := range r.Assignments {
+		s, ok := v.starts[place{a.Endpoint, a.Model}]
+		if ok && s.remote && a.State == Loading && s.bare > 0 {
+			out = max(out, float64(now.Sub(s.at))/float64(s.bare))
+		}
+	}
+	return out
 }
 
 // inProgress counts loads on the endpoint, loads from the weight store and adapter loads of the shard.
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -62,6 +62,7 @@
 	starts  map[place]start      // starts are the loads in progress.
 	budget  float64              // budget is the number of loads that the weight store has room for.
 	filled  time.Time            // filled is when budget was last computed.
+	pace    float64              // pace is how many times their bare time the last loads from the weight store took.
 	variant variant
 }
 
@@ -93,6 +94,7 @@
 	bare   time.Duration
 	ready  time.Duration
 	remote bool
+	done   bool
 }
 
 // variant switches off single rules of the protocol, so that tests can show that each of them is needed.
@@ -292,12 +294,32 @@
 		return v
 	}
 	v.reports = with(v.reports, e.Endpoint, report{status: e.Status, asked: e.Asked})
+	v = v.learn(e)
 	if e.Status.Fence > v.acks[e.Endpoint] {
 		v.acks = with(v.acks, e.Endpoint, e.Status.Fence)
 	}
 	return v
 }
 
+// paceWeight is the weight of the last load in the estimate of the weight store's pace.
+const paceWeight = 0.3
+
+// learn takes the duration of loads from the weight store that the report shows as done.
+func (v View) learn(e Observed) View {
+	for _, m := range e.Status.Models {
+		p := place{e.Endpoint, m.Name}
+		s, ok := v.starts[p]
+		if m.State != stateLoaded || !ok || !s.remote || s.done || s.bare <= 0 || !e.Asked.After(s.at) {
+			continue
+		}
+		s.done = true
+		v.starts = with(v.starts, p, s)
+		ratio := float64(e.Asked.Sub(s.at)) / float64(s.bare)
+		v.pace = (1-paceWeight)*max(v.pace, 1) + paceWeight*max(ratio, 1)
+	}
+	return v
+}
+
 func (v View) answered(e Answered, now time.Time) View {
 	o, ok := v.record.order(e.Order)
 	if !ok && e.Reply != Lost || e.Reply == Unsent {
