afplacement: count loads during a take-over, await the fate of long ones

A cold start of 2.5 s while the owner was frozen caused two loads of the model. An order is answered when its load is done, and its answer is waited for 2 s, so that each longer load counts as lost. On fenced endpoints the owner then raised the fence at once and forgot all reports, and the first endpoint that reported again got another load, since the one that was loading had not reported yet and did not count. The same could happen at any take-over during a load.

Ruled out: waiting for the answer as long as the load takes, since a graceful shutdown waits for the answers of its orders. The fence is now raised only when a report after the lost answer does not show the order's effect. Replicas on an endpoint that has not reported under the present fence count for 3 s.

--- a/pkg/afplacement/choose.go
+++ b/pkg/afplacement/choose.go
@@ -26,6 +26,9 @@
 	evictTime = 300 * time.Millisecond
 	// maxMisses is the number of missed reports after which an endpoint gets no new replicas.
 	maxMisses = 3
+	// reportPatience is how long replicas on an endpoint count after a take-over without a report. Owners ask every
+	// endpoint at once and again each second, and give up a question after 2 s.
+	reportPatience = 3 * time.Second
 	// adapterLoads is the number of adapter loads over all endpoints that run at full speed.
 	adapterLoads = 32
 	// hedgeFactor is how many times its estimate a load may take before another replica is tried.
--- a/pkg/afplacement/plan.go
+++ b/pkg/afplacement/plan.go
@@ -131,7 +131,7 @@
 func (v View) coming(r Record, model string, now time.Time) int {
 	n := 0
 	for _, a := range r.Assignments {
-		if a.Model != model || a.State == Unloading || !v.usable(a.Endpoint) {
+		if a.Model != model || a.State == Unloading || !v.usable(a.Endpoint) && !v.awaited(a.Endpoint, now) {
 			continue
 		}
 		if s, ok := v.starts[place{a.Endpoint, model}]; ok && a.State == Loading && now.Sub(s.at) > hedgeFactor*s.ready {
@@ -142,6 +142,13 @@
 	return n
 }
 
+// awaited reports whether the endpoint still has time to report for the first time under the present fence. Its
+// replicas count until then, since another endpoint's report may come first.
+func (v View) awaited(endpoint string, now time.Time) bool {
+	_, ok := v.reports[endpoint]
+	return !ok && !v.cfg.Endpoints[endpoint].Leaving && now.Sub(v.tenure) < reportPatience
+}
+
 // release unloads the replicas that are not worth their memory, those beyond the need, and those on leaving
 // endpoints once nothing runs there.
 func (v View) release(r Record, now time.Time) (Record, []Effect) {
--- a/pkg/afplacement/reconcile.go
+++ b/pkg/afplacement/reconcile.go
@@ -159,7 +159,9 @@
 			r = r.WithAssignment(a)
 		}
 		if r.own(o) {
-			if f := v.flights[o.ID]; f.answered && f.reply == Lost {
+			f := v.flights[o.ID]
+			// Most lost answers are those of long loads. The next report tells whether the order has arrived.
+			if _, _, known := v.presence(place{o.Endpoint, o.Model}); known && f.answered && f.reply == Lost {
 				r.Fence++
 				return r
 			}
