entry: keep stale poll events from closing new connections

The cause is in nbio 1.6.8: its poller fetches many events at a time and looks each connection up by its descriptor later. When another goroutine has closed that descriptor and it was used again, the poller closes the new connection because of the old one's event. The close handler cannot help: nbio calls it in a goroutine of its own, possibly after the descriptor was used again, and shutting descriptors down from other goroutines was ruled out for that reason.

The server now accepts connections itself. Before new ones are handed to the poller, a barrier passes through it twice over a socket pair, after which it holds no event from before. Connections that come at once share a pass.

--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -23,8 +22,6 @@
 	maxPipeline = 16
 	// maxUnsent is how many bytes may wait for a slow caller before the relay pauses.
 	maxUnsent = 64 << 10
-	// engineKeepalive keeps the engine's own read deadline out of the way.
-	engineKeepalive = 365 * 24 * time.Hour
 	// readBuffer is the buffer of one poller, which all its connections share.
 	readBuffer = 64 << 10
 )
@@ -47,6 +44,7 @@
 	running bool
 	closed  bool
 	closing bool // closing makes the link close after the running request.
+	shut    bool // shut tells that no further request runs.
 	jobs    []func()
 	cancel  func(error)
 	// partial is when the first byte of an incomplete request came. It is zero between requests.
@@ -67,26 +65,27 @@
 // nothing of; they load the counter before they use a link, which orders that after the making of the link.
 var opened atomic.Uint64
 
-// open makes a link of a new connection.
-func (s *Server) open(c *nbio.Conn) {
-	p, ok := c.Session().(*nbhttp.Parser)
-	if !ok {
-		return
+// open makes a link of a new connection, which is not yet with the poller.
+func (s *Server) open(e *nbhttp.Engine, conn net.Conn) (*link, error) {
+	c, err := nbio.NBConn(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
 	l := &link{
-		Parser: p, server: s, conn: c, late: s.draining.Load(), idle: s.Timer.Now(),
+		server: s, conn: c, late: s.draining.Load(), idle: s.Timer.Now(),
 		gone: make(chan struct{}), drained: make(chan struct{}, 1),
 	}
-	l.guard = &guard{Processor: p.Processor, link: l}
-	p.Processor = l.guard
-	p.Conn = &linkConn{Conn: c, link: l}
-	p.Execute = l.execute
+	l.guard = &guard{Processor: nbhttp.NewServerProcessor(), link: l}
+	l.Parser = nbhttp.NewParser(&linkConn{Conn: c, link: l}, e, l.guard, false, l.execute)
 	s.mu.Lock()
 	s.links[l] = struct{}{}
 	s.mu.Unlock()
 	s.metrics.conns.Inc()
 	opened.Add(1)
 	c.SetSession(l)
+	c.OnData(e.DataHandler)
+	return l, nil
 }
 
 // Parse takes data that the caller sent.
@@ -125,7 +124,17 @@
 	})
 }
 
-// CloseAndClean is called by the engine when the connection is closed.
+// shutdown closes the connection and lets no further request run on it. What the operating system has is still
+// sent.
+func (l *link) shutdown() {
+	l.mu.Lock()
+	l.shut = true
+	l.jobs = nil
+	l.mu.Unlock()
+	_ = l.conn.Close()
+}
+
+// CloseAndClean is called by the engine after the connection was closed.
 func (l *link) CloseAndClean(err error) {
 	opened.Load()
 	l.mu.Lock()
@@ -169,13 +178,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.closed:
+	case l.closed, l.shut:
 		return false
 	case !l.running:
 		l.running = true
 		go l.work(f)
 	case len(l.jobs) >= maxPipeline:
-		go func() { _ = l.conn.Close() }()
+		go l.shutdown()
 		return false
 	default:
 		l.jobs = append(l.jobs, f)
@@ -211,7 +220,7 @@
 		// The engine drops what it has not sent when a connection is closed.
 		l.mu.Unlock()
 		_ = l.flush(0)
-		_ = l.conn.Close()
+		l.shutdown()
 		l.mu.Lock()
 		l.running = false
 		return nil
@@ -265,10 +274,10 @@
 	switch {
 	case !linger.IsZero():
 		if now.After(linger) {
-			_ = l.conn.Close()
+			l.shutdown()
 		}
 	case stalled:
-		_ = l.conn.CloseWithError(errors.New("the caller does not read"))
+		l.shutdown()
 	case running:
 	case !partial.IsZero():
 		if now.Sub(partial) > s.ReadTimeout {
@@ -276,7 +285,7 @@
 			l.reject(arbutusfork.Refuse(arbutusfork.CodeTimeout, "the request did not arrive in time"))
 		}
 	case now.Sub(idle) > limit:
-		_ = l.conn.Close()
+		l.shutdown()
 	}
 }
 
--- a/internal/afentry/listener.go
+++ b/internal/afentry/listener.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"time"
 
+	"github.com/lesismal/nbio/nbhttp"
+
 	"arbutusfork.example/arbutusfork"
 )
 
@@ -16,6 +18,8 @@
 	acceptPause = 50 * time.Millisecond
 	// refuseTimeout bounds the refusal of a connection beyond the bound.
 	refuseTimeout = 100 * time.Millisecond
+	// acceptBatch bounds the new connections that wait for one pass of the barrier.
+	acceptBatch = 128
 )
 
 // descriptorBound returns the number of callers' connections that the descriptor limit allows. Each request may
@@ -59,6 +63,48 @@
 	}
 }
 
+// accept makes a link of each connection until the listener is closed. nbhttp's own loop spins when accept fails
+// and leaves no room for the barrier.
+func (s *Server) accept(e *nbhttp.Engine, fresh chan<- *link) {
+	defer close(fresh)
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		l, err := s.open(e, c)
+		if err != nil {
+			s.Log.Warn("connection not accepted", "cause", err)
+			continue
+		}
+		fresh <- l
+	}
+}
+
+// register hands new links to the poller, after it has forgotten what had their descriptors before. Links that
+// come at once share one pass of the barrier.
+func (s *Server) register(e *nbhttp.Engine, b *barrier, fresh <-chan *link) {
+	for l := range fresh {
+		batch := []*link{l}
+		for n := len(fresh); n > 0; n-- {
+			if l, ok := <-fresh; ok {
+				batch = append(batch, l)
+			}
+		}
+		err := b.pass()
+		for _, l := range batch {
+			if err == nil {
+				_, err = e.AddConn(l.conn)
+			}
+			if err != nil {
+				s.Log.Warn("connection not accepted", "cause", err)
+				l.CloseAndClean(err)
+				_ = l.conn.Close()
+			}
+		}
+	}
+}
+
 func (s *Server) connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -80,7 +80,6 @@
 	once     sync.Once
 	metrics  metrics
 	indexes  indexCache
-	engine   *nbhttp.Engine
 	listener *boundedListener
 
 	draining atomic.Bool
@@ -116,32 +115,44 @@
 	}
 	routeEngineLog(s.Log)
 	e := nbhttp.NewEngine(nbhttp.Config{
-		Name:            "entry",
-		Addrs:           []string{s.Address},
-		Listen:          func(string, string) (net.Listener, error) { return s.listener, nil },
-		MaxLoad:         s.MaxConns,
-		ReadLimit:       s.MaxBody + 2*maxHead,
-		MaxHTTPBodySize: s.MaxBody,
-		// The links keep their own timeouts. The engine's would close connections while a request runs.
-		KeepaliveTime:     engineKeepalive,
-		ServerExecutor:    func(f func()) { go f() },
+		Name: "entry",
+		// The barrier needs to know which poller a descriptor belongs to. A trial with two pollers showed no
+		// measurable effect on speed.
+		NPoller:           1,
+		ReadLimit:         s.MaxBody + 2*maxHead,
+		MaxHTTPBodySize:   s.MaxBody,
 		Handler:           http.HandlerFunc(s.serve),
 		SupportServerOnly: true,
 		ReadBufferSize:    readBuffer,
 	})
-	e.Engine.OnOpen(func(c *nbio.Conn) { s.open(c) })
+	// Connections are accepted here and not by nbhttp, so its close handler does not apply.
+	e.Engine.OnClose(func(c *nbio.Conn, err error) {
+		if l, ok := c.Session().(*link); ok {
+			l.CloseAndClean(err)
+		}
+	})
 	e.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if l, ok := c.Session().(*link); ok {
 			l.written(n)
 		}
 	})
-	s.engine = e
 	if err := e.Start(); err != nil {
 		return &Error{Op: "start", Kind: Unusable, Err: err}
 	}
 	sweep := s.Timer.Every(sweepPeriod, s.sweep)
 	s.Log.Info("serving callers", "address", s.Addr(), "connections", s.MaxConns)
+	b, err := newBarrier(e)
+	if err != nil {
+		return &Error{Op: "start", Kind: Unusable, Err: err}
+	}
+	var wg sync.WaitGroup
+	fresh := make(chan *link, acceptBatch)
+	wg.Go(func() { s.accept(e, fresh) })
+	wg.Go(func() { s.register(e, b, fresh) })
 	<-ctx.Done()
+	_ = s.listener.Close()
+	wg.Wait()
+	b.close()
 	sweep.Stop()
 	s.hangUp()
 	e.Stop()
