afplacement: search more worlds in the protocol tests

The search now covers 4,000 worlds for a mutant and, so that the real code is searched at least as far, 2,000 instead of 800 in each of its two modes.

--- a/pkg/afplacement/protocol_test.go
+++ b/pkg/afplacement/protocol_test.go
@@ -172,9 +172,9 @@
 // TestProtocolSeeds guards against the same faults in other worlds than those of rapid, also when an owner is
 // paused between the check of its lease and the sending of an order.
 func TestProtocolSeeds(t *testing.T) {
-	fault, run := search(variant{}, false, 800)
+	fault, run := search(variant{}, false, 2000)
 	require.Empty(t, fault, "run %d", run)
-	fault, run = search(variant{sendLapsed: true}, true, 800)
+	fault, run = search(variant{sendLapsed: true}, true, 2000)
 	require.Empty(t, fault, "run %d", run)
 }
 
@@ -198,7 +198,7 @@
 		{name: "replica bound", variant: variant{ignoreReplicas: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			fault, run := search(test.variant, false, 1000)
+			fault, run := search(test.variant, false, 4000)
 			require.NotEmpty(t, fault)
 			t.Logf("run %d: %s", run, fault)
 		})
