dispatch: look for late requests only while requests wait

Dispatch woke every 10 ms to look for late requests although none waited. It now does so only while the queue holds requests.

--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -128,8 +128,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	s.init()
 	defer close(s.done)
-	tick := s.Timer.Every(expiryPeriod, func(time.Time) { s.ring.Push(event{kind: eventTick}) })
-	defer tick.Stop()
+	defer s.watchLate(false)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/afdispatch/state.go
+++ b/internal/afdispatch/state.go
@@ -9,6 +9,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afqueue"
 	"arbutusfork.example/arbutusfork/pkg/afretry"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
 type eventKind int
@@ -61,6 +62,8 @@
 	// reported is the number of waiting requests last told through Demand, by model.
 	reported map[string]int
 	dirty    map[string]bool
+	// tick runs while requests wait.
+	tick *aftimer.Subscription
 	// running is the number of this VM's running requests by model.
 	running map[string]int
 	// estimates are those that the waiting requests were compared with at the time estimated, by model.
@@ -253,6 +256,18 @@
 		s.grant(e, now)
 	}
 	s.report()
+	s.watchLate(s.state.queue.Len() > 0)
+}
+
+// watchLate looks for late entries in each period while there are entries, so that an idle VM is not woken.
+func (s *Service) watchLate(on bool) {
+	switch {
+	case on && s.state.tick == nil:
+		s.state.tick = s.Timer.Every(expiryPeriod, func(time.Time) { s.ring.Push(event{kind: eventTick}) })
+	case !on && s.state.tick != nil:
+		s.state.tick.Stop()
+		s.state.tick = nil
+	}
 }
 
 func (s *Service) grant(e afqueue.Entry, now time.Time) {
