--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -58,14 +58,16 @@
 		if ok {
 			a.apply(c, now)
 		}
+		drains := a.next <= now && a.state.Drains(now)
+		if drains {
+			a.next = now + callTimeout // One fetch at a time.
+		}
 		if !a.state.Lent().IsZero() {
 			a.state.Forget(s.Gone, now)
 		}
 		if len(a.state.Loans()) == 0 {
 			clear(a.idle)
 			clear(a.renewAt)
-			a.mu.Unlock()
-			continue
 		}
 		surplus, needed := a.state.Surplus(now)
 		returned := a.takeBack(a.idleLoans(surplus, needed, now), now)
@@ -78,13 +80,17 @@
 		}
 		a.mu.Unlock()
 		s.sendBack(a, returned)
+		if drains {
+			s.start(func() { s.fetch(a) })
+		}
 		for _, r := range renewals {
 			s.start(func() { s.renew(a, r) })
 		}
 	}
 }
 
-// idleLoans returns the surplus loans that have been so for idleBefore. The caller holds mu.
+// idleLoans returns the surplus loans that have been so for idleBefore, or for one period when the rate on loan runs
+// over. The caller holds mu.
 func (a *account) idleLoans(surplus, needed []aflimit.Loan, now time.Duration) []aflimit.Loan {
 	old := func(_ uint64, t time.Duration) bool { return now-t > aflimit.Term }
 	maps.DeleteFunc(a.idle, old)
@@ -97,7 +103,7 @@
 		since, ok := a.idle[l.ID]
 		if !ok {
 			a.idle[l.ID] = now
-		} else if now-since >= idleBefore {
+		} else if now-since >= idleBefore || a.state.Full() {
 			out = append(out, l)
 		}
 	}
--- a/pkg/afplacement/choose.go
+++ b/pkg/afplacement/choose.go
@@ -99,7 +99,7 @@
 		out = append(out, c)
 	}
 	slices.SortStableFunc(out, func(a, b Candidate) int {
-		if c := cmp.Compare(a.Ready, b.Ready); c != 0 {
+		if c := cmp.Compare(a.Ready, b.Ready); c != 0 && !v.cfg.Rule.Blind {
 			return c
 		}
 		if c := cmp.Compare(len(a.Evict), len(b.Evict)); c != 0 {
@@ -185,7 +185,6 @@
 		}
 		out = append(out, a)
 	}
-	value := func(a Assignment) float64 { return v.saving(a, now) / float64(max(a.Memory, 1)) }
 	slices.SortStableFunc(out, func(a, b Assignment) int {
 		abase, aad := arbutusfork.SplitModel(a.Model)
 		bbase, bad := arbutusfork.SplitModel(b.Model)
@@ -195,7 +194,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(value(a), value(b))
+		return cmp.Compare(v.value(a, now), v.value(b, now))
 	})
 	return out
 }
@@ -220,7 +219,20 @@
 	}
 	wait := v.storeWait(r, remote, now)
 	c.Wait = c.Wait || wait > 0
-	c.Ready += wait
+	c.Ready += wait + time.Duration(float64(c.Bare)*(v.slowdown(r, now)-1))
+}
+
+// slowdown returns by how much loads from the weight store presently take longer than their bare time: as the last
+// ones did, or as long as those in progress have taken already.
+func (v View) slowdown(r Record, now time.Time) float64 {
+	out := max(v.pace, 1)
+	for _, a := range r.Assignments {
+		s, ok := v.starts[place{a.Endpoint, a.Model}]
+		if ok && s.remote && a.State == Loading && s.bare > 0 {
+			out = max(out, float64(now.Sub(s.at))/float64(s.bare))
+		}
+	}
+	return out
 }
 
 // inProgress counts loads on the endpoint, loads from the weight store and adapter loads of the shard.
--- a/pkg/afplacement/plan.go
+++ b/pkg/afplacement/plan.go
@@ -79,6 +79,10 @@
 			v, r = v.load(r, w.model, best, now)
 		}
 	}
+	if now.Sub(v.swept) < sweep {
+		return v, r, effects
+	}
+	v.swept = now
 	r, more := v.release(r, now)
 	return v, r, append(effects, more...)
 }
@@ -161,7 +165,7 @@
 		reason := ""
 		rep := v.reports[a.Endpoint]
 		switch {
-		case rep.asked.IsZero() || rep.misses >= maxMisses || now.Sub(v.tenure) < demandLife:
+		case rep.asked.IsZero() || rep.misses >= maxMisses || now.Sub(v.tenure) < v.life():
 			// Without a report, or before VMs had the time to report demand, nothing is given up.
 		case rep.status.Leaving || v.cfg.Endpoints[a.Endpoint].Leaving:
 			if rep.status.Running == 0 && rep.status.Waiting == 0 {
