--- a/internal/afserve/status.go
+++ b/internal/afserve/status.go
@@ -1,6 +1,8 @@
 package afserve
 
 import (
+	"encoding/json"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -63,19 +65,24 @@
 	}
 }
 
-// explainAnswer joins the recorded decisions with the placement of the model.
-type explainAnswer struct {
-	Decisions any                    `json:"decisions"`
-	Placement *afcontrol.Explanation `json:"placement,omitempty"`
+// placementState is the last entry of an explanation of a model.
+type placementState struct {
+	Msg string `json:"msg"`
+	afcontrol.Explanation
 }
 
+// explainRequest returns the recorded decision lines on a request or a model, and for a model how it stands now.
 func (s *Server) explainRequest(request, model string) (any, bool) {
-	decisions, ok := s.explain.Explain(request, model)
+	found, ok := s.explain.Explain(request, model)
 	if model == "" {
-		return explainAnswer{Decisions: decisions}, ok
+		return found, ok
+	}
+	lines, _ := found.([]json.RawMessage)
+	state, err := json.Marshal(placementState{Msg: "placement now", Explanation: s.control.Explain(model)})
+	if err != nil {
+		return found, ok
 	}
-	placement := s.control.Explain(model)
-	return explainAnswer{Decisions: decisions, Placement: &placement}, true
+	return append(lines, state), true
 }
 
 // collect registers the metrics of the slices.
@@ -94,6 +101,34 @@
 				}
 				return 0
 			}),
+		s.gauge("arbutusfork_requests_waiting", "Requests that wait for a replica.",
+			func() float64 {
+				n := 0
+				for _, waiting := range s.dispatch.Waiting() {
+					n += waiting
+				}
+				return float64(n)
+			}),
+		s.gauge("arbutusfork_shards_owned", "Placement shards that this VM owns.",
+			func() float64 {
+				n := 0
+				for _, shard := range s.control.Status() {
+					if shard.Owned {
+						n++
+					}
+				}
+				return float64(n)
+			}),
+		s.gauge("arbutusfork_senders_exposed", "Earlier owners of this VM's shards whose orders may still arrive.",
+			func() float64 {
+				n := 0
+				for _, shard := range s.control.Status() {
+					if shard.Owned {
+						n += len(shard.Exposed)
+					}
+				}
+				return float64(n)
+			}),
 		s.gauge("arbutusfork_members", "VMs that are believed to be live.",
 			func() float64 { return float64(len(s.peers.Members())) }),
 		s.counter("arbutusfork_platform_reads_total", "Reads of the platform's object API.",
