afslope: measure tables and an owner with models loaded

The endpoint slope ran without models, so the owner's processor time was that of an empty record. It now also runs with 8 models loaded at each endpoint, and a new slope grows the VMs that share one shard (8 to 64, in this process, stand-in platform and endpoints).

With 256 models in use the owner spent 48 % of a core, nearly all in its own decisions: each row of a demand summary was a decision of its own, which looks at all models (profile: 2.8 of 4.2 s in flush). A summary is now one event and one decision, the fewest slots of an endpoint are looked up once a decision, and rows are sent as arrays.

"make slopes" as a whole was not run.

--- a/internal/afcontrol/demand.go
+++ b/internal/afcontrol/demand.go
@@ -33,12 +33,14 @@
 	Lacks bool   `msgpack:"lacks,omitempty"`
 }
 
+// demandRow is sent as an array, since its field names would be most of a summary.
 type demandRow struct {
-	Model   string `msgpack:"model"`
-	Waiting int    `msgpack:"waiting"`
-	Running int    `msgpack:"running"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	Model            string
+	Waiting, Running int
 	// Served counts the arrivals since the last row of this model.
-	Served int `msgpack:"served"`
+	Served int
 }
 
 // Demand sets the number of this VM's requests that wait for the model. The deadline is the earliest of them.
@@ -210,21 +212,22 @@
 func (s *Service) take(vm string, m demandMessage) {
 	now := s.Timer.Now()
 	sent := s.sent(m.Shard, vm)
-	touched := make(map[*shard]bool)
+	reports := make(map[*shard]afplacement.Reported)
 	for _, row := range m.Rows {
 		sh := s.shards[s.home(row.Model)]
 		if sh == nil {
 			continue
 		}
-		touched[sh] = true
 		sh.audience.note(vm, row.Model, now)
+		r := reports[sh]
 		if row.Served > 0 {
-			s.apply(sh, afplacement.Arrived{Model: row.Model, Count: row.Served}, now)
+			r.Arrived = append(r.Arrived, afplacement.Arrived{Model: row.Model, Count: row.Served})
 		}
-		s.apply(sh, afplacement.Wanted{Model: row.Model, VM: vm, Waiting: row.Waiting, Running: row.Running}, now)
+		r.Wanted = append(r.Wanted, afplacement.Wanted{Model: row.Model, VM: vm, Waiting: row.Waiting, Running: row.Running})
+		reports[sh] = r
 	}
-	for sh := range touched {
-		s.publish(sh, now)
+	for sh, r := range reports {
+		s.step(sh, r)
 	}
 	s.heed(vm, m, sent, now)
 }
--- a/internal/afslope/slope.go
+++ b/internal/afslope/slope.go
@@ -12,11 +12,12 @@
 
 // Config selects the sizes and times of a measurement.
 type Config struct {
-	// Nodes, Models, Customers and Endpoints are the sizes that are measured, each in rising order.
+	// Nodes, Models, Customers, Endpoints and VMs are the sizes that are measured, each in rising order.
 	Nodes     []int
 	Models    []int
 	Customers []int
 	Endpoints []int
+	VMs       []int
 	// Warm is the time before a measurement over real time, and Span its length.
 	Warm time.Duration
 	Span time.Duration
@@ -29,6 +30,7 @@
 		Models:    []int{1000, 5000, 20000},
 		Customers: []int{5, 100, 1000},
 		Endpoints: []int{8, 16, 32},
+		VMs:       []int{8, 16, 32, 64},
 		Warm:      8 * time.Second,
 		Span:      5 * time.Second,
 	}
@@ -37,7 +39,7 @@
 // Run measures each slope and prints a table of them.
 func Run(ctx context.Context, w io.Writer, cfg Config) error {
 	for _, measure := range []func(context.Context, io.Writer, Config) error{
-		measureNodes, measureModels, measureCustomers, measureEndpoints,
+		measureNodes, measureModels, measureCustomers, measureEndpoints, measureTables,
 	} {
 		if err := measure(ctx, w, cfg); err != nil {
 			return err
--- a/pkg/afplacement/demand.go
+++ b/pkg/afplacement/demand.go
@@ -114,6 +114,7 @@
 // adapter is wanted before the adapter.
 func (v View) wantedModels(now time.Time) []want {
 	wants := make(map[string]want)
+	slots := v.fewestSlots()
 	for model, d := range v.demand {
 		waiting, running := d.totals(now)
 		if waiting+running == 0 {
@@ -122,7 +123,7 @@
 		if _, ok := v.cfg.Models[model]; !ok {
 			continue
 		}
-		w := want{model: model, waiting: waiting, since: d.since, count: v.replicasFor(model, waiting+running)}
+		w := want{model: model, waiting: waiting, since: d.since, count: v.replicasOf(slots, model, waiting+running)}
 		wants[model] = w
 		base, adapter := arbutusfork.SplitModel(model)
 		if _, ok := v.cfg.Models[base]; adapter == "" || !ok {
@@ -149,15 +150,22 @@
 }
 
 // replicasFor returns the number of replicas that n concurrent requests need, within the bound.
-func (v View) replicasFor(model string, n int) int {
+func (v View) replicasFor(model string, n int) int { return v.replicasOf(v.fewestSlots(), model, n) }
+
+// replicasOf is replicasFor with the slots of one replica.
+func (v View) replicasOf(slots int, model string, n int) int {
+	return min(max((n+slots-1)/slots, 1), v.bound(model))
+}
+
+// fewestSlots returns the smallest number of slots of an endpoint, at least one.
+func (v View) fewestSlots() int {
 	slots := 0
 	for _, ep := range v.cfg.Endpoints {
 		if slots == 0 || ep.Slots < slots {
 			slots = ep.Slots
 		}
 	}
-	slots = max(slots, 1)
-	return min(max((n+slots-1)/slots, 1), v.bound(model))
+	return max(slots, 1)
 }
 
 // busy reports whether requests wait for or run on the model or, for a base, on one of its adapters.
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -164,6 +164,8 @@
 		v = v.wanted(e, now)
 	case Arrived:
 		v = v.arrived(e, now)
+	case Reported:
+		v = v.reported(e, now)
 	case Released:
 		v.released = with(v.released, e.Sender, release{fence: e.Fence, doubt: e.Doubt})
 		v = v.bar(e.Sender, now)
