afcontrol: decide once on the reports of idle endpoints

Each report of an endpoint led to a decision over all models and to a comparison of the whole routing table: 32 of them a second for 32 idle endpoints, besides 20 ticks.

Reports of endpoints on which nothing is under way now wait for the next tick (at most 50 ms) and are decided on together with it. A report of an endpoint with a load or unload under way acts at once, as before.

Ruled out: a longer poll period, which delays the news of a leaving endpoint.

The decision at each tick remains.

--- a/internal/afcontrol/endpoint.go
+++ b/internal/afcontrol/endpoint.go
@@ -82,7 +82,13 @@
 			if err != nil {
 				s.Log.Debug("endpoint status not read", "endpoint", ep.Name, "error", err)
 			}
-			s.step(sh, afplacement.Observed{Endpoint: ep.Name, Asked: now, Status: st, Err: err != nil})
+			o := afplacement.Observed{Endpoint: ep.Name, Asked: now, Status: st, Err: err != nil}
+			if sh.view.Busy(ep.Name) {
+				s.step(sh, afplacement.Reported{Observed: append(sh.seen, o)})
+				sh.seen = nil
+				return
+			}
+			sh.seen = append(sh.seen, o)
 			s.soon(sh, ep.Name)
 		}
 	})
--- a/internal/afcontrol/service.go
+++ b/internal/afcontrol/service.go
@@ -155,7 +155,8 @@
 		s.follow(sh, now)
 		s.poll(sh, now)
 		s.checkGone(sh, now)
-		s.step(sh, afplacement.Tick{})
+		s.step(sh, afplacement.Reported{Observed: sh.seen})
+		sh.seen = nil
 	}
 	s.flush(now)
 }
--- a/internal/afcontrol/shard.go
+++ b/internal/afcontrol/shard.go
@@ -29,6 +29,8 @@
 	name  string
 	view  afplacement.View
 	polls map[string]*poll
+	// seen are reports of endpoints on which nothing is under way. The next tick decides on them together.
+	seen []afplacement.Observed
 	// fetching tells that a read is in flight, fetched is when the last one started.
 	fetching bool
 	fetched  time.Time
