--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Measures the callers' interface: starts the processes under measurement and the measuring process.
-# Usage: scripts/bench.sh [flags of "arbutusfork-bench entry"]
+# Usage: [PROCS=3] scripts/bench.sh [flags of "arbutusfork-bench entry"]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+procs=${PROCS:-3}
 
 speed=(address 127.0.0.1:9310 stats 127.0.0.1:9311 engine 127.0.0.1:9312)
 memory=(address 127.0.0.1:9320 stats 127.0.0.1:9321 engine 127.0.0.1:9322)
@@ -20,12 +21,12 @@
 	done
 }
 with "" "${speed[@]}"
-bin/arbutusfork-bench serve "${flags[@]}" 2>/dev/null &
+bin/arbutusfork-bench serve --procs "$procs" "${flags[@]}" 2>/dev/null &
 pids+=($!)
 with "" "${memory[@]}"
-bin/arbutusfork-bench serve "${flags[@]}" 2>/dev/null &
+bin/arbutusfork-bench serve --procs "$procs" "${flags[@]}" 2>/dev/null &
 pids+=($!)
 with speed- "${speed[@]}"
 all=("${flags[@]}")
 with memory- "${memory[@]}"
-bin/arbutusfork-bench entry "${all[@]}" "${flags[@]}" "$@"
+bin/arbutusfork-bench entry --procs "$procs" "${all[@]}" "${flags[@]}" "$@"
