afquota: do not count the first rounds of a customer against later ones

Each of the up to 60 rounds in the first 3 s used up 250 ms of the allowance that spaces rounds, so later requests at a replaced VM waited up to 10 s for the next round. Ruled out: the share record, which was complete after 1 s, and the loans, whose lenders had tokens.

Rounds in that time no longer count. TestNewCustomerAboveRate waited 3.75 s before and less than 1 s now (synthetic time).

Also gives the demo and the recovery driver one control client instead of a copy each.

--- a/cmd/arbutusfork-recover/main.go
+++ b/cmd/arbutusfork-recover/main.go
@@ -26,9 +26,12 @@
 	define(app, verbs)
 	verb := kingpin.MustParse(app.Parse(os.Args[1:]))
 	fleet := &afrecover.Fleet{
-		Addresses: afdemo.Deployments["fuqaa"].Addresses(*net), Token: *token,
-		// A replaced VM listens on the same address, so connections are not kept.
-		HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		Addresses: afdemo.Deployments["fuqaa"].Addresses(*net),
+		Control: afdemo.Control{
+			Token: *token,
+			// A replaced VM listens on the same address, so connections are not kept.
+			HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	text, err := verbs[verb](ctx, fleet)
--- a/internal/afdemo/count.go
+++ b/internal/afdemo/count.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -20,20 +19,9 @@
 	Running int `json:"running"`
 }
 
+// get asks a stand-in.
 func (d *Demo) get(ctx context.Context, target string, v any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return err
-	}
-	res, err := d.HTTP.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answered status %d", target, res.StatusCode)
-	}
-	return json.NewDecoder(res.Body).Decode(v)
+	return Control{HTTP: d.HTTP}.Call(ctx, http.MethodGet, target, nil, v)
 }
 
 // loads returns how often the engines have loaded the model.
--- a/internal/afdemo/demo.go
+++ b/internal/afdemo/demo.go
@@ -268,7 +268,7 @@
 	if err := d.waitRunning(ctx); err != nil {
 		return "", err
 	}
-	if err := d.post(ctx, last, "/v1/drain", struct{}{}, nil); err != nil {
+	if err := d.post(ctx, last, "/v1/drain"); err != nil {
 		return "", err
 	}
 	<-done
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -114,17 +114,18 @@
 	defer a.mu.Unlock()
 	now = s.now()
 	served := a.serve(batch, now)
-	if !done {
+	establishing := !served && now-a.created < establishTime
+	switch {
+	case establishing:
+		// These rounds are few and not counted by space, or later requests would wait for the time that they use up.
+		a.next = now + establishGap
+		signal(s.wake)
+	case !done:
 		a.space(served, now)
 	}
 	if served {
 		return
 	}
-	establishing := now-a.created < establishTime
-	if establishing {
-		a.next = now + establishGap
-		signal(s.wake)
-	}
 	for _, w := range batch {
 		if w.tries++; establishing && w.tries < int(establishTime/establishGap) {
 			continue
--- a/internal/afquota/service_test.go
+++ b/internal/afquota/service_test.go
@@ -220,6 +220,32 @@
 	})
 }
 
+// TestNewCustomerAboveRate guards against requests that wait long after a customer's first seconds, because the rounds in
+// them were counted against later ones: replaced VMs then refused requests within rate at their deadline.
+func TestNewCustomerAboveRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, timer := newFleet(6, customer), &aftimer.Service{}
+		f.concurrent(timer)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { timer.Run(ctx) })
+		for _, s := range f.vms {
+			wg.Go(func() { s.Run(ctx) })
+		}
+		s := f.vms[f.members[0].Name]
+		for range 2 {
+			wg.Go(func() { _, _ = s.Reserve(ctx, "c", customer.Burst) }) // The second one cannot be served.
+		}
+		<-time.After(time.Duration(customer.Burst/customer.Rate)*time.Second + establishTime + time.Second)
+		began := time.Now()
+		_, refusal := s.Reserve(ctx, "c", customer.Burst/2)
+		require.Nil(t, refusal)
+		require.Less(t, time.Since(began), time.Second)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // TestConcurrentReservations guards against data races and against admitting more than the burst from many goroutines.
 func TestConcurrentReservations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/afrecover/fleet.go
+++ b/internal/afrecover/fleet.go
@@ -2,11 +2,8 @@
 package afrecover
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,10 +13,8 @@
 // Fleet is a running example deployment.
 type Fleet struct {
 	afdemo.Addresses
-	// Token is the operator token.
-	Token string
-	// HTTP sends control requests. Callers' requests have their own connections.
-	HTTP *http.Client
+	// Control sends control requests. Callers' requests have their own connections.
+	afdemo.Control
 }
 
 // controlTimeout bounds one control request. A frozen VM answers none.
@@ -37,36 +32,7 @@
 func (f *Fleet) call(ctx context.Context, method, target string, message, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	var body io.Reader
-	if message != nil {
-		b, err := json.Marshal(message)
-		if err != nil {
-			return err
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, target, body)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+f.Token)
-	res, err := f.HTTP.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	answer, err := io.ReadAll(res.Body)
-	if err != nil {
-		return err
-	}
-	if res.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("%s answered status %d: %s", target, res.StatusCode, answer)
-	}
-	if v == nil {
-		return nil
-	}
-	return json.Unmarshal(answer, v)
+	return f.Call(ctx, method, target, message, v)
 }
 
 type vmStatus struct {
@@ -130,10 +96,7 @@
 
 // issue returns the secret of a new key.
 func (f *Fleet) issue(ctx context.Context, operator, name, customer string) (string, error) {
-	var a struct {
-		Secret string `json:"secret"`
-	}
-	message := map[string]string{"name": name, "customer": customer}
-	err := f.call(ctx, http.MethodPost, operator+"/v1/keys", message, &a)
-	return a.Secret, err
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return f.Issue(ctx, operator, name, customer)
 }
