--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// maxHead bounds the request line and headers of one request in bytes.
-	maxHead = 32 << 10
+	defaultMaxHead = 32 << 10
 	// maxPipeline bounds the requests that wait on one connection behind the one that runs.
 	maxPipeline = 16
 	// maxUnsent is how many bytes may wait for a slow caller before the relay pauses.
--- a/internal/afentry/raw_test.go
+++ b/internal/afentry/raw_test.go
@@ -60,9 +60,9 @@
 		"413 length":            post + "Content-Length: 1001\r\n\r\n",
 		"413 chunk":             post + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("x", 1001) + "\r\n0\r\n\r\n",
 		"413 endless chunk":     post + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n" + strings.Repeat("x", 100_000),
-		"431 one line":          "GET /stock/nut HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 3*maxHead),
-		"431 many lines":        "GET /stock/nut HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("A: b\r\n", maxHead/6+1) + "\r\n",
-		"431 path":              "GET /" + strings.Repeat("x", 3*maxHead),
+		"431 one line":          "GET /stock/nut HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 3*defaultMaxHead),
+		"431 many lines":        "GET /stock/nut HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("A: b\r\n", defaultMaxHead/6+1) + "\r\n",
+		"431 path":              "GET /" + strings.Repeat("x", 3*defaultMaxHead),
 	}
 	var wg sync.WaitGroup
 	answers := make(map[string]string)
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -67,6 +67,8 @@
 
 	// MaxBody bounds a request's body in bytes. Zero means 4 MB.
 	MaxBody int
+	// MaxHead bounds the request line and headers of one request in bytes. Zero means 32 KB.
+	MaxHead int
 	// MaxConns bounds the open connections. Zero means what the descriptor limit allows.
 	MaxConns int
 	// ReadTimeout, IdleTimeout and WriteTimeout are explained at their defaults of 10 s, 120 s and 10 s.
@@ -120,7 +122,7 @@
 		// The barrier needs to know which poller a descriptor belongs to. A trial with two pollers showed no
 		// measurable effect on speed.
 		NPoller:           1,
-		ReadLimit:         s.MaxBody + 2*maxHead,
+		ReadLimit:         s.MaxBody + 2*s.MaxHead,
 		MaxHTTPBodySize:   s.MaxBody,
 		Handler:           http.HandlerFunc(s.serve),
 		SupportServerOnly: true,
@@ -206,6 +208,7 @@
 			s.Log = slog.New(slog.DiscardHandler)
 		}
 		s.MaxBody = positive(s.MaxBody, defaultMaxBody)
+		s.MaxHead = positive(s.MaxHead, defaultMaxHead)
 		s.MaxConns = positive(s.MaxConns, descriptorBound())
 		s.ReadTimeout = positive(s.ReadTimeout, defaultReadTimeout)
 		s.IdleTimeout = positive(s.IdleTimeout, defaultIdleTimeout)
--- a/internal/afentry/session_test.go
+++ b/internal/afentry/session_test.go
@@ -59,7 +59,7 @@
 	step("wrong timeout", "POST", "/v1/chat/completions", chat+`}`, auth, "X-Request-Timeout: soon")
 	step("dot path", "GET", "/stock/../pay", "")
 	step("too large", "POST", "/v1/chat/completions", strings.Repeat(" ", r.MaxBody+1), auth)
-	step("headers too large", "GET", "/stock/nut", "", "X-Long: "+strings.Repeat("x", maxHead))
+	step("headers too large", "GET", "/stock/nut", "", "X-Long: "+strings.Repeat("x", defaultMaxHead))
 	step("no replica in time", "POST", "/v1/chat/completions", `{"model":"cold","messages":[]}`, auth, "X-Request-Timeout: 0.1")
 	r.limited.Store(true)
 	step("limited", "POST", "/v1/chat/completions", chat+`}`, auth)
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -133,6 +133,7 @@
 		Timer:       s.timer,
 		Registry:    s.registry,
 		MaxBody:     int(s.Settings.Body),
+		MaxHead:     int(s.Settings.Header),
 		MaxConns:    s.Settings.Connections,
 		IdleTimeout: s.Settings.Idle,
 		ReadTimeout: s.Settings.Receive,
