--- a/internal/afslope/slope.go
+++ b/internal/afslope/slope.go
@@ -17,6 +17,8 @@
 	Models    []int
 	Customers []int
 	Endpoints []int
+	// LoanNodes are the sizes of the fleet over which one customer's demand is spread, in synthetic time.
+	LoanNodes []int
 	VMs       []int
 	// Warm is the time before a measurement over real time, and Span its length.
 	Warm time.Duration
@@ -30,6 +32,7 @@
 		Models:    []int{1000, 5000, 20000},
 		Customers: []int{5, 100, 1000},
 		Endpoints: []int{8, 16, 32},
+		LoanNodes: []int{6, 24, 96},
 		VMs:       []int{8, 16, 32, 64},
 		Warm:      8 * time.Second,
 		Span:      5 * time.Second,
@@ -39,7 +42,7 @@
 // Run measures each slope and prints a table of them.
 func Run(ctx context.Context, w io.Writer, cfg Config) error {
 	for _, measure := range []func(context.Context, io.Writer, Config) error{
-		measureNodes, measureModels, measureCustomers, measureEndpoints, measureTables,
+		measureNodes, measureModels, measureCustomers, measureLoans, measureEndpoints, measureTables,
 	} {
 		if err := measure(ctx, w, cfg); err != nil {
 			return err
