--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -3,6 +3,7 @@
 #
 # Each mutant replaces one piece of one file through a build overlay, so that the tree stays as it is, and then runs the
 # named test, which must fail. Conditions whose tests remove the guard themselves are listed in docs/proofs.md.
+# Property tests of a mutant leave failure files under testdata/rapid, which git ignores.
 # Usage: scripts/mutants.sh [NAME...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
