--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -93,7 +93,6 @@
 type shared struct {
 	view  afmember.View
 	links map[string]*link
-	froms map[string]arbutusfork.Incarnation
 	// connected holds up to MaxNeighbours VMs with a link.
 	connected []arbutusfork.VM
 }
@@ -191,7 +190,6 @@
 
 func (s *Service) publish() {
 	links := make(map[string]*link, len(s.peers))
-	froms := map[string]arbutusfork.Incarnation{s.Self.VM: s.Self}
 	var connected []arbutusfork.VM
 	for name, p := range s.peers {
 		if p.link != nil {
@@ -200,11 +198,8 @@
 				connected = append(connected, p.vm)
 			}
 		}
-		if !p.from.IsZero() {
-			froms[name] = p.from
-		}
 	}
-	s.shared.Store(&shared{view: s.view, links: links, froms: froms, connected: connected})
+	s.shared.Store(&shared{view: s.view, links: links, connected: connected})
 }
 
 func (s *Service) changed() {
@@ -223,14 +218,6 @@
 	return s.shared.Load().view
 }
 
-// Incarnation returns the incarnation that a VM had when it last answered on a new link. ok is false if none is
-// known.
-func (s *Service) Incarnation(vm string) (from arbutusfork.Incarnation, ok bool) {
-	s.init()
-	from, ok = s.shared.Load().froms[vm]
-	return from, ok
-}
-
 // SetVMs takes an answer of the platform's list of VMs.
 func (s *Service) SetVMs(vms []arbutusfork.VM) {
 	s.init()
