afquota, serve: share what was written more than once

Three tests of the limits started the same fleet with the same ten lines, and two gauges had the same loop over the shards. Each is one piece now. The tests keep their assertions. No effect on the daemon's behaviour.

--- a/internal/afquota/service_test.go
+++ b/internal/afquota/service_test.go
@@ -168,19 +168,33 @@
 	}
 }
 
+// run starts the timer and, once all that first begins has come to a wait, the VMs. Stop ends them and waits.
+func (f *fleet) run(t *testing.T, first func(ctx context.Context)) (ctx context.Context, stop func()) {
+	timer := &aftimer.Service{}
+	f.concurrent(timer)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { timer.Run(ctx) })
+	if first != nil {
+		first(ctx)
+		synctest.Wait()
+	}
+	for _, s := range f.vms {
+		wg.Go(func() { s.Run(ctx) })
+	}
+	return ctx, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // TestShiftOfDemand guards against refusals later than a second after the whole demand has moved to another VM, over many
 // loan terms, with the service's own goroutines and timers. The requests use 97 % of the rate and stay open: at exactly
 // the rate, a token that is lost on the way can never be regained.
 func TestShiftOfDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, timer := newFleet(6, customer), &aftimer.Service{}
-		f.concurrent(timer)
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		wg.Go(func() { timer.Run(ctx) })
-		for _, s := range f.vms {
-			wg.Go(func() { s.Run(ctx) })
-		}
+		f := newFleet(6, customer)
+		ctx, stop := f.run(t, nil)
 		<-time.After(time.Second)
 		for i := range 6000 {
 			<-time.After(100 * time.Millisecond)
@@ -189,34 +203,28 @@
 				require.Nil(t, refusal, "request %d", i)
 			}
 		}
-		cancel()
-		wg.Wait()
+		stop()
 	})
 }
 
 // TestNewCustomer guards against refusing the first requests of a customer whose shares have not been taken yet, at VMs
-// that learn of it at the same moment.
+// that learn of it at the same moment by these requests.
 func TestNewCustomer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, timer := newFleet(6, customer), &aftimer.Service{}
-		f.concurrent(timer)
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		wg.Go(func() { timer.Run(ctx) })
+		f := newFleet(6, customer)
 		refusals := make(chan *arbutusfork.Refusal, len(f.members))
-		for _, vm := range f.members {
-			s := f.vms[vm.Name]
-			wg.Go(func() { s.Run(ctx) })
-			wg.Go(func() {
-				_, refusal := s.Reserve(ctx, "c", customer.Burst/10)
-				refusals <- refusal
-			})
-		}
+		_, stop := f.run(t, func(ctx context.Context) {
+			for _, s := range f.vms {
+				go func() {
+					_, refusal := s.Reserve(ctx, "c", customer.Burst/10)
+					refusals <- refusal
+				}()
+			}
+		})
 		for range f.members {
 			require.Nil(t, <-refusals)
 		}
-		cancel()
-		wg.Wait()
+		stop()
 	})
 }
 
@@ -224,25 +232,18 @@
 // them were counted against later ones: replaced VMs then refused requests within rate at their deadline.
 func TestNewCustomerAboveRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, timer := newFleet(6, customer), &aftimer.Service{}
-		f.concurrent(timer)
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		wg.Go(func() { timer.Run(ctx) })
-		for _, s := range f.vms {
-			wg.Go(func() { s.Run(ctx) })
-		}
+		f := newFleet(6, customer)
+		ctx, stop := f.run(t, nil)
 		s := f.vms[f.members[0].Name]
 		for range 2 {
-			wg.Go(func() { _, _ = s.Reserve(ctx, "c", customer.Burst) }) // The second one cannot be served.
+			go func() { _, _ = s.Reserve(ctx, "c", customer.Burst) }() // The second one cannot be served.
 		}
 		<-time.After(time.Duration(customer.Burst/customer.Rate)*time.Second + establishTime + time.Second)
 		began := time.Now()
 		_, refusal := s.Reserve(ctx, "c", customer.Burst/2)
 		require.Nil(t, refusal)
 		require.Less(t, time.Since(began), time.Second)
-		cancel()
-		wg.Wait()
+		stop()
 	})
 }
 
--- a/internal/afserve/status.go
+++ b/internal/afserve/status.go
@@ -110,25 +110,9 @@
 				return float64(n)
 			}),
 		s.gauge("arbutusfork_shards_owned", "Placement shards that this VM owns.",
-			func() float64 {
-				n := 0
-				for _, shard := range s.control.Status() {
-					if shard.Owned {
-						n++
-					}
-				}
-				return float64(n)
-			}),
+			func() float64 { return s.sumOwned(func(afcontrol.ShardStatus) int { return 1 }) }),
 		s.gauge("arbutusfork_senders_exposed", "Earlier owners of this VM's shards whose orders may still arrive.",
-			func() float64 {
-				n := 0
-				for _, shard := range s.control.Status() {
-					if shard.Owned {
-						n += len(shard.Exposed)
-					}
-				}
-				return float64(n)
-			}),
+			func() float64 { return s.sumOwned(func(sh afcontrol.ShardStatus) int { return len(sh.Exposed) }) }),
 		s.gauge("arbutusfork_members", "VMs that are believed to be live.",
 			func() float64 { return float64(len(s.peers.Members())) }),
 		s.counter("arbutusfork_platform_reads_total", "Reads of the platform's object API.",
@@ -142,6 +126,17 @@
 	)
 }
 
+// sumOwned adds up a number of each shard that this VM owns.
+func (s *Server) sumOwned(count func(afcontrol.ShardStatus) int) float64 {
+	n := 0
+	for _, shard := range s.control.Status() {
+		if shard.Owned {
+			n += count(shard)
+		}
+	}
+	return float64(n)
+}
+
 func (s *Server) gauge(name, help string, fn func() float64) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, fn)
 }
