--- a/cmd/arbutusfork/main.go
+++ b/cmd/arbutusfork/main.go
@@ -9,12 +9,13 @@
 
 	"arbutusfork.example/arbutusfork/internal/afserve"
 	"arbutusfork.example/arbutusfork/internal/afverb"
+	"arbutusfork.example/arbutusfork/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
-	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Serve: afserve.Run}
+	p := afverb.Program{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Serve: afserve.Run, Gateway: platform.Run}
 	code := p.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -30,6 +30,10 @@
 		x.link.closeAfter()
 		w.Header().Set("Connection", "close")
 	}
+	if s.Forward != nil {
+		s.Forward(&Caller{link: x.link, res: res}, w, r)
+		return
+	}
 	if refusal := s.answer(x); refusal != nil {
 		s.refuse(x, refusal)
 	}
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -58,6 +58,10 @@
 	Finish func(call afclaim.Call, answer afclaim.Answer)
 	Cancel func(call afclaim.Call)
 
+	// Forward answers every request in place of the server's own paths, unless it is nil. It runs in a goroutine of its
+	// own, one request at a time for a connection, and has flushed what it wrote when it returns.
+	Forward func(c *Caller, w http.ResponseWriter, r *http.Request)
+
 	Dispatch *afdispatch.Service
 	// Address is the IP address and port for callers.
 	Address  string
--- /dev/null
+++ b/internal/afgateway/attempt.go
@@ -0,0 +1,249 @@
+package afgateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+)
+
+const (
+	// maxSends bounds the endpoints that one request is offered to, those that did not run it included.
+	maxSends = 5
+	// rejectPause is the pause after an endpoint said that it did not run a request that it was expected to hold the
+	// model for.
+	rejectPause = 40 * time.Millisecond
+	// busyRetry is the Retry-After when every endpoint is full.
+	busyRetry = 500 * time.Millisecond
+	// loadRetry is the Retry-After when a model did not become ready in time.
+	loadRetry = time.Second
+)
+
+// result is how one attempt ended.
+type result struct {
+	// done means that the caller has its answer, whole or visibly broken.
+	done bool
+	// notRun means that the endpoint cannot have run the request or said that it did not.
+	notRun bool
+	// resume means that a stream broke after events had been relayed.
+	resume bool
+	cause  string
+}
+
+// attempts offers the request to endpoints until one has answered or no further attempt is allowed.
+func (j *job) attempts(ctx context.Context) *arbutusfork.Refusal {
+	s := j.server
+	s.countRequest(j.service.Name)
+	if j.service.Engine != nil {
+		s.demand.ask(j.call.Model, j.call.Adapter, j.call.Prompt, j.arrived)
+	}
+	tried := map[string]bool{}
+	cause := ""
+	for {
+		e, refusal := j.acquire(ctx, tried)
+		if refusal != nil {
+			if ctx.Err() != nil {
+				return j.abandoned()
+			}
+			return j.gaveUp(refusal, cause)
+		}
+		if ctx.Err() != nil {
+			e.claim.End(afroster.Nothing)
+			return j.abandoned()
+		}
+		if j.sends > 0 && !s.mayRepeat(j.service.Name) {
+			e.claim.End(afroster.Nothing)
+			return j.gaveUp(refuse(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetry), cause)
+		}
+		j.sends++
+		j.last = e.ID
+		res := j.send(ctx, e)
+		switch {
+		case res.done:
+			return nil
+		case ctx.Err() != nil:
+			return j.abandoned()
+		}
+		cause = res.cause
+		s.Log.Info("attempt failed", "request", j.call.ID, "endpoint", e.ID, "attempt", j.sends, "cause", res.cause,
+			"not_run", res.notRun, "events", j.events, "left", j.left())
+		if !res.notRun {
+			j.runs++
+		}
+		if refusal := j.mayGoOn(res); refusal != nil {
+			return refusal
+		}
+		tried[e.ID] = true
+		if res.notRun {
+			j.sleep(ctx, rejectPause)
+		}
+	}
+}
+
+// mayGoOn returns nil if the request may be offered to another endpoint.
+func (j *job) mayGoOn(res result) *arbutusfork.Refusal {
+	switch {
+	case res.notRun && j.runs == 0:
+		if j.sends >= maxSends || j.left() <= 0 {
+			return refuse(arbutusfork.CodeNoCapacity, "no endpoint took the request: "+res.cause, busyRetry)
+		}
+		return nil
+	case !j.route.Repeatable(), j.runs >= j.route.Attempts, j.sends >= maxSends, j.left() <= 0:
+		return j.unknown(res.cause)
+	}
+	return nil
+}
+
+// unknown returns the refusal of a request that may have run, or breaks an answer that has begun.
+func (j *job) unknown(cause string) *arbutusfork.Refusal {
+	if j.begun {
+		j.breakOff(cause)
+	} else if j.spare != nil {
+		j.deliver(*j.spare)
+		return nil
+	}
+	code := arbutusfork.CodeEndpoint
+	if j.left() <= 0 {
+		code = arbutusfork.CodeDeadline
+	}
+	return arbutusfork.Refuse(code, "the endpoint gave no whole answer: "+cause).WithOutcome(arbutusfork.OutcomeUnknown)
+}
+
+// gaveUp returns the refusal of a request for which no further endpoint is to be had.
+func (j *job) gaveUp(r *arbutusfork.Refusal, cause string) *arbutusfork.Refusal {
+	if j.runs == 0 {
+		return r
+	}
+	return j.unknown(cause + "; " + r.Message)
+}
+
+// abandoned returns the outcome of a request whose caller has left.
+func (j *job) abandoned() *arbutusfork.Refusal {
+	j.breakOff("caller gone")
+	outcome := arbutusfork.OutcomeNotRun
+	if j.sends > 0 {
+		outcome = arbutusfork.OutcomeUnknown
+	}
+	return arbutusfork.Refuse(arbutusfork.CodeDeadline, "the caller left").WithOutcome(outcome)
+}
+
+func (j *job) breakOff(cause string) {
+	if j.broken {
+		return
+	}
+	j.broken = true
+	if j.detail == "" {
+		j.detail = cause
+	}
+	j.caller.Break()
+}
+
+func (j *job) sleep(ctx context.Context, d time.Duration) {
+	done := make(chan struct{})
+	sub := j.server.Timer.After(d, func(time.Time) { close(done) })
+	defer sub.Stop()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// acquire waits for an endpoint that can serve the request.
+func (j *job) acquire(ctx context.Context, tried map[string]bool) (placed, *arbutusfork.Refusal) {
+	s := j.server
+	begin := s.Timer.Now()
+	t := &ticket{
+		service: j.service.Name, model: j.call.Model, adapter: j.call.Adapter, urgency: j.urgency, arrived: j.arrived,
+		given: make(chan placed, 1),
+		pick:  func() (placed, bool) { return j.pick(tried) },
+	}
+	if e, ok := s.queue.tryOrWait(t); ok {
+		return e, nil
+	}
+	defer func() { j.waited += s.Timer.Now().Sub(begin) }()
+	s.Log.Debug("request waits", "request", j.call.ID, "model", j.call.Model, "adapter", j.call.Adapter)
+	if s.Asked != nil {
+		s.Asked()
+	}
+	expired := make(chan struct{})
+	sub := s.Timer.After(j.patience(), func(time.Time) { close(expired) })
+	defer sub.Stop()
+	select {
+	case e := <-t.given:
+		return e, nil
+	case <-ctx.Done():
+	case <-expired:
+	}
+	if e, ok := s.queue.leave(t); ok {
+		return e, nil
+	}
+	if j.service.Engine != nil && !s.held(j.service.Name, j.call.Model, j.call.Adapter) {
+		return placed{}, refuse(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(j.call.Model)+" did not become ready in time", loadRetry)
+	}
+	return placed{}, refuse(arbutusfork.CodeNoCapacity, "every endpoint is full or unusable", busyRetry)
+}
+
+// plainPatience bounds the wait for a plain service: its callers leave after about a second.
+const plainPatience = 500 * time.Millisecond
+
+// patience returns how long the request may wait for an endpoint.
+func (j *job) patience() time.Duration {
+	left := max(j.left(), 0)
+	if j.service.Engine == nil {
+		return min(left, plainPatience)
+	}
+	return left
+}
+
+// pick chooses an endpoint now. The caller holds the queue's lock, so that two requests see each other's choice.
+func (j *job) pick(tried map[string]bool) (placed, bool) {
+	s := j.server
+	all := s.Roster.Endpoints(j.service.Name)
+	e, ok := choose(all, want{
+		model: j.call.Model, adapter: j.call.Adapter, prompt: j.call.Prompt, tokens: j.call.Prompt + j.call.Output,
+		centre: s.Centre, tried: tried, near: s.sessions.find(j.call), shared: sharedTokens(j.call), engine: j.service.Engine,
+		now: s.Timer.Now(),
+	})
+	if !ok {
+		return placed{}, false
+	}
+	return placed{e, s.Roster.Begin(e.ID, j.call.Model, j.call.Adapter, j.call.Prompt, j.call.Prompt+j.call.Output)}, true
+}
+
+// sendError classifies an attempt that failed before an answer.
+type sendError struct {
+	// sent means that bytes of the request may have reached the endpoint.
+	sent bool
+	err  error
+}
+
+func (e *sendError) Error() string { return e.err.Error() }
+
+func wasSent(err error) bool {
+	e, ok := errors.Into[*sendError](err)
+	return !ok || e.sent
+}
+
+// sharedTokens returns the tokens of the prompt that another request of the session has in common.
+func sharedTokens(c Call) int64 {
+	sum := int64(0)
+	for _, p := range c.Parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// held reports whether some endpoint of the service holds the model.
+func (s *Server) held(service, model, adapter string) bool {
+	for _, e := range s.Roster.Endpoints(service) {
+		if holds(e, model, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
--- /dev/null
+++ b/internal/afgateway/metrics.go
@@ -0,0 +1,58 @@
+package afgateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"arbutusfork.example/arbutusfork"
+)
+
+// Metrics counts what the gateway does. Routes are not labels, since a configuration may hold hundreds of them.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	sends    prometheus.Counter
+	first    *prometheus.HistogramVec
+	waited   prometheus.Histogram
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r prometheus.Registerer) Metrics {
+	f := promauto.With(r)
+	buckets := prometheus.ExponentialBuckets(0.004, 2, 13)
+	return Metrics{
+		requests: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_requests_total", Help: "Forwarded requests by kind of route and outcome.",
+		}, []string{"kind", "outcome"}),
+		refused: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_refusals_total", Help: "Requests that were not answered by an endpoint, by code.",
+		}, []string{"code"}),
+		sends: f.NewCounter(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_sends_total", Help: "Requests sent to endpoints, repeats included.",
+		}),
+		first: f.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "arbutusfork_gateway_first_seconds", Help: "Time to the first event of a stream or to a whole answer.", Buckets: buckets,
+		}, []string{"kind"}),
+		waited: f.NewHistogram(prometheus.HistogramOpts{
+			Name: "arbutusfork_gateway_wait_seconds", Help: "Time that requests waited for an endpoint.", Buckets: buckets,
+		}),
+	}
+}
+
+func (m Metrics) count(j *job, outcome arbutusfork.Outcome, r *arbutusfork.Refusal) {
+	if m.requests == nil {
+		return
+	}
+	kind := j.route.Kind.String()
+	m.requests.WithLabelValues(kind, outcome.String()).Inc()
+	m.sends.Add(float64(j.sends))
+	if r != nil {
+		m.refused.WithLabelValues(r.Code.String()).Inc()
+	}
+	if !j.first.IsZero() {
+		m.first.WithLabelValues(kind).Observe(j.first.Sub(j.arrived).Seconds())
+	}
+	if j.waited > 0 {
+		m.waited.Observe(j.waited.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/afgateway/relay.go
@@ -0,0 +1,250 @@
+package afgateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/internal/afroster"
+)
+
+const (
+	// firstFactor times the route's target is how long a repeatable stream waits for its first event before it is sent
+	// elsewhere, at least minFirst. Callers leave after four times the target or two seconds.
+	firstFactor = 3
+	minFirst    = 1200 * time.Millisecond
+	// pauseFactor times the route's pause is how long a stream may be silent before a resumable one goes on elsewhere,
+	// at least minPause. Callers leave after eight pauses or two seconds.
+	pauseFactor = 5
+	minPause    = 1200 * time.Millisecond
+	// wholeFactor times the route's target is how long a repeatable request waits for its answer, at least minWhole.
+	wholeFactor = 3
+	minWhole    = 300 * time.Millisecond
+	// urgencyLevels is the number of ranks that an engine knows.
+	urgencyLevels = 10
+)
+
+var (
+	errDeadline = errors.New("the deadline has passed")
+	errSilent   = errors.New("the endpoint is silent")
+)
+
+// send offers the request to one endpoint and relays its answer.
+func (j *job) send(ctx context.Context, p placed) result {
+	s := j.server
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer s.guardTime(j.left(), cancel, errDeadline)()
+	watch := j.watch(cancel)
+	defer watch.stop()
+	h := s.Wire.Write(j.r.Header, Sending{
+		Endpoint: p.ID, Patience: j.left(), Customer: j.customer.Name, Urgency: min(max(j.urgency, 0), urgencyLevels-1),
+		Ranked: j.service.Engine != nil, After: j.lastEvent,
+	})
+	x, err := s.open(ctx, p.Address, j.r, h, j.body)
+	if err != nil {
+		return j.failed(ctx, p, err)
+	}
+	defer x.close()
+	a := s.Wire.Answer(x.resp.StatusCode, x.resp.Header)
+	switch {
+	case a.ID != "" && a.ID != j.call.ID:
+		p.claim.End(afroster.Bad)
+		return result{cause: "answer to another request"}
+	case a.NotRun:
+		p.claim.End(afroster.Nothing)
+		return result{notRun: true, cause: "endpoint answered " + strconv.Itoa(x.resp.StatusCode) + ", not run"}
+	case isStream(j.route) && x.resp.StatusCode == http.StatusOK &&
+		strings.HasPrefix(x.resp.Header.Get("Content-Type"), "text/event-stream"):
+		return j.relay(ctx, p, x, watch)
+	}
+	return j.relayWhole(ctx, p, x)
+}
+
+// failed classifies an attempt without an answer.
+func (j *job) failed(ctx context.Context, p placed, err error) result {
+	cause := err.Error()
+	if c := context.Cause(ctx); c != nil {
+		cause = c.Error()
+	}
+	v := afroster.Bad
+	if errors.Is(context.Cause(ctx), errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
+		v = afroster.Nothing // The caller left or had little time, which says nothing about the endpoint.
+	}
+	p.claim.End(v)
+	return result{notRun: !wasSent(err), cause: cause}
+}
+
+// relayWhole passes an answer on in one piece, after it has come in full.
+func (j *job) relayWhole(ctx context.Context, p placed, x *exchange) result {
+	body, err := x.whole()
+	if err != nil {
+		return j.failed(ctx, p, err)
+	}
+	status := x.resp.StatusCode
+	own := status >= http.StatusInternalServerError
+	p.claim.End(verdict(!own))
+	answer := wholeAnswer{status, x.resp.Header, body}
+	if own && j.again() {
+		j.spare = &answer
+		return result{cause: "endpoint answered " + strconv.Itoa(status)}
+	}
+	if j.begun {
+		return result{cause: "endpoint answered " + strconv.Itoa(status) + " in mid-stream"}
+	}
+	j.deliver(answer)
+	return result{done: true}
+}
+
+// wholeAnswer is an endpoint's answer in one piece.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// deliver sends a whole answer to the caller.
+func (j *job) deliver(a wholeAnswer) {
+	j.first = j.server.Timer.Now()
+	j.begun, j.status = true, a.status
+	h := j.w.Header()
+	for k, v := range j.server.Wire.Pass(a.header) {
+		h[k] = v
+	}
+	if j.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	if http.StatusText(a.status) == "" {
+		j.breakOff("the endpoint's status " + strconv.Itoa(a.status) + " has no standard text")
+		return
+	}
+	j.w.WriteHeader(a.status)
+	if j.r.Method != http.MethodHead && len(a.body) > 0 {
+		if _, err := j.w.Write(a.body); err != nil {
+			j.detail = "caller gone: " + err.Error()
+		}
+	}
+}
+
+// again reports whether an answer that is an error may be tried elsewhere. The budget is taken when it is.
+func (j *job) again() bool {
+	return j.route.Repeatable() && !j.begun && j.runs+1 < j.route.Attempts && j.left() > minWhole &&
+		len(j.server.Roster.Endpoints(j.service.Name)) > 1
+}
+
+// relay passes a stream on, event by event. The head is sent with the first event, so that a stream that fails before
+// it can still be answered by another endpoint.
+func (j *job) relay(ctx context.Context, p placed, x *exchange, w *watch) result {
+	s := j.server
+	r := &eventReader{r: x.resp.Body}
+	for {
+		e, err := r.next()
+		if err != nil {
+			return j.ended(ctx, p, r, err)
+		}
+		w.progress()
+		if e.id != "" {
+			if !j.follows(e.id) {
+				p.claim.End(afroster.Bad)
+				return result{cause: "event " + e.id + " does not follow " + j.lastEvent, resume: true}
+			}
+			j.lastEvent = e.id
+		}
+		if !j.begun {
+			j.start(x)
+			p.claim.Answered()
+			s.sessions.put(j.call, p.ID, s.Timer.Now())
+		}
+		j.events++
+		_, err = j.w.Write(e.raw)
+		if err == nil {
+			err = j.caller.Flush()
+		}
+		if err != nil {
+			p.claim.End(afroster.Nothing)
+			j.broken = true
+			j.detail = "caller gone: " + err.Error()
+			j.caller.Break()
+			return result{done: true}
+		}
+	}
+}
+
+// follows reports whether an event may come after the last one that was passed on.
+func (j *job) follows(id string) bool {
+	last := j.lastEvent
+	if last == "" {
+		last = j.call.After
+	}
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseInt(last, 10, 64)
+	b, errB := strconv.ParseInt(id, 10, 64)
+	return errA != nil || errB != nil || b > a
+}
+
+// start sends the head of a stream.
+func (j *job) start(x *exchange) {
+	j.begun = true
+	j.first = j.server.Timer.Now()
+	j.status = x.resp.StatusCode
+	h := j.w.Header()
+	for k, v := range j.server.Wire.Pass(x.resp.Header) {
+		h[k] = v
+	}
+	j.w.WriteHeader(j.status)
+}
+
+// ended takes the end of a stream, which is whole only if the endpoint ended it between two events.
+func (j *job) ended(ctx context.Context, p placed, r *eventReader, err error) result {
+	if errors.Is(err, errStreamEnd) {
+		p.claim.End(afroster.Good)
+		if !j.begun {
+			return result{cause: "stream without an event"}
+		}
+		return result{done: true}
+	}
+	res := j.failed(ctx, p, err)
+	res.notRun = false
+	res.resume = j.events > 0
+	if r.partial() > 0 {
+		res.cause += ", in the middle of an event"
+	}
+	return res
+}
+
+// watch ends an attempt whose endpoint stays silent, if another one may take it over.
+type watch struct {
+	job    *job
+	cancel context.CancelCauseFunc
+	end    func()
+}
+
+func (j *job) watch(cancel context.CancelCauseFunc) *watch {
+	w := &watch{job: j, cancel: cancel, end: func() {}}
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || len(j.server.Roster.Endpoints(j.service.Name)) < 2 {
+		return w
+	}
+	limit := max(wholeFactor*j.route.Target, minWhole)
+	if isStream(j.route) {
+		limit = max(firstFactor*j.route.Target, minFirst)
+	}
+	w.end = j.server.guardTime(limit, cancel, errSilent)
+	return w
+}
+
+func (w *watch) progress() {
+	j := w.job
+	if j.runs+1 >= j.route.Attempts || !j.route.Repeatable() {
+		return
+	}
+	w.end()
+	w.end = j.server.guardTime(max(pauseFactor*j.route.Pause, minPause), w.cancel, errSilent)
+}
+
+func (w *watch) stop() { w.end() }
--- /dev/null
+++ b/internal/afgateway/server.go
@@ -0,0 +1,144 @@
+// Package afgateway forwards callers' requests to endpoints: it finds the route, checks the key and the limit, waits for
+// an endpoint that can serve the request, sends it there with its bytes unchanged, and relays the answer.
+//
+// A request has three outcomes: answered, not run, and unknown. Whatever may have reached an endpoint is never called
+// not run, and is sent again only if its route allows that.
+package afgateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afretry"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// Server forwards requests. Set the exported fields before the first request.
+type Server struct {
+	// Table returns the configuration in force, or nil before one is known.
+	Table  func() *afroute.Table
+	Roster *afroster.Roster
+	Wire   Wire
+	Timer  *aftimer.Service
+	Log    *slog.Logger
+	// Centre is this VM's data centre.
+	Centre string
+	// Asked is called when a request begins to wait for something that no endpoint holds. It must not block.
+	Asked func()
+	// Listed returns the number of VMs that may be alive, at least 1.
+	Listed func() int
+	// Repeats is the budget for second sends of each service over all VMs; this VM uses its part.
+	Repeats Repeats
+	// Metrics counts outcomes. The zero value counts nothing that is served.
+	Metrics Metrics
+	// Draw returns a uniform number in [0, 1). Nil means a random one.
+	Draw func() float64
+
+	once   sync.Once
+	dialer net.Dialer
+	queue  queue
+	limits limits
+	demand rates
+
+	mu      sync.Mutex
+	windows map[string]*afretry.Window
+	// sessions maps the last part of a prompt to the endpoint that read it last.
+	sessions sessions
+
+	stopping atomic.Bool
+}
+
+// Repeats is a budget for second sends in a sliding window.
+type Repeats struct {
+	// Ratio is the number of second sends for each request, Extra the number allowed besides in each window.
+	Ratio, Extra float64
+	Window       time.Duration
+}
+
+const (
+	// dialTimeout is far above the 3 ms between data centres and below what a caller notices.
+	dialTimeout = 600 * time.Millisecond
+	// keepAliveIdle and the following detect an endpoint that is gone within about 4 s.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// unackedTimeout ends a connection whose bytes are not acknowledged.
+	unackedTimeout = 4 * time.Second
+)
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		if s.Draw == nil {
+			s.Draw = rand.Float64
+		}
+		s.dialer = net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+			Control:         limitUnacked,
+		}
+		s.windows = make(map[string]*afretry.Window)
+		s.sessions.m = make(map[string]session)
+		s.limits.m = make(map[string]*allowance)
+		s.demand.m = make(map[demandKey]*rate)
+	})
+}
+
+// Stop makes new connections' requests be refused as not run. It is called when the balancer has stopped sending.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Serve answers one request.
+func (s *Server) Serve(c *afentry.Caller, w http.ResponseWriter, r *http.Request) {
+	s.init()
+	j := &job{server: s, caller: c, w: w, r: r, arrived: s.Timer.Now()}
+	refusal := j.run()
+	if refusal != nil {
+		j.refuse(refusal)
+	}
+	j.finish(refusal)
+	if !j.broken {
+		_ = c.Flush() // The connection's own close handling takes a failed write.
+	}
+}
+
+// window returns the budget window of a service with this VM's part of the fleet's extra.
+func (s *Server) window(service string) *afretry.Window {
+	w := s.windows[service]
+	if w == nil {
+		w = &afretry.Window{Length: s.Repeats.Window}
+		s.windows[service] = w
+	}
+	// The VM keeps below the fleet's ratio and half of its part of the extra, since a VM that restarts begins anew.
+	w.Ratio = s.Repeats.Ratio * repeatCaution
+	w.Extra = s.Repeats.Extra / float64(2*max(s.Listed(), 1))
+	return w
+}
+
+// repeatCaution keeps the VMs' own budgets below the fleet's, whose windows do not begin together.
+const repeatCaution = 0.75
+
+func (s *Server) countRequest(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(service).Request(s.Timer.Now())
+}
+
+// mayRepeat takes a second send from the service's budget.
+func (s *Server) mayRepeat(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window(service).Repeat(s.Timer.Now())
+}
+
+// refuse returns a refusal of a request that did not run, with the time after which a retry can succeed.
+func refuse(code arbutusfork.Code, message string, after time.Duration) *arbutusfork.Refusal {
+	return arbutusfork.Refuse(code, message).WithRetryAfter(after)
+}
--- /dev/null
+++ b/internal/afkeeper/message.go
@@ -0,0 +1,143 @@
+package afkeeper
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afassign"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/aflease"
+)
+
+// The kinds of peer messages.
+const (
+	KindBeat = "use"
+	KindView = "view"
+)
+
+// beat is what a VM tells the holder.
+type beat struct {
+	Loads   map[string]load           `msgpack:"loads,omitempty"`
+	Running map[string]map[string]int `msgpack:"running,omitempty"`
+	Demand  []demand                  `msgpack:"demand,omitempty"`
+	// Usage is what the customers' requests asked for lately on this VM, in units a second.
+	Usage map[string]int64 `msgpack:"usage,omitempty"`
+}
+
+type load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	Requests       int
+	Prompt, Tokens int64
+}
+
+type demand struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	Model, Adapter string
+	Waiting        int
+	// Oldest is in milliseconds.
+	Oldest     int64
+	Rate, Work float64
+}
+
+// view is what the holder tells a VM.
+type view struct {
+	Holder string `msgpack:"holder"`
+	Epoch  int64  `msgpack:"epoch"`
+	Beat   int64  `msgpack:"beat"`
+	// Version is the version of the lease's record.
+	Version int64             `msgpack:"version"`
+	Engines map[string]engine `msgpack:"engines"`
+	// Shares is the receiver's part of each customer's limit, in millionths.
+	Shares map[string]int64 `msgpack:"shares,omitempty"`
+}
+
+type engine struct {
+	Born    int64           `msgpack:"b"`
+	Models  []afengine.Held `msgpack:"m,omitempty"`
+	Closing []string        `msgpack:"c,omitempty"`
+	Others  load            `msgpack:"o"`
+	Used    int64           `msgpack:"u,omitempty"`
+}
+
+const shareUnit = 1_000_000
+
+func encodeLoad(l afroster.Load) load {
+	return load{Requests: l.Requests, Prompt: l.Prompt, Tokens: l.Tokens}
+}
+
+func (l load) decode() afroster.Load {
+	return afroster.Load{Requests: l.Requests, Prompt: l.Prompt, Tokens: l.Tokens}
+}
+
+func encodeDemand(in []afassign.Demand) []demand {
+	out := make([]demand, 0, len(in))
+	for _, d := range in {
+		out = append(out, demand{
+			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Oldest: d.Oldest.Milliseconds(), Rate: d.Rate, Work: d.Work,
+		})
+	}
+	return out
+}
+
+func (d demand) decode() afassign.Demand {
+	return afassign.Demand{
+		Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Oldest: time.Duration(d.Oldest) * time.Millisecond,
+		Rate: d.Rate, Work: d.Work,
+	}
+}
+
+// HandleBeat takes a VM's beat. Only the holder uses it.
+func (s *Service) HandleBeat(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var b beat
+	if err := msgpack.Unmarshal(body, &b); err != nil {
+		return nil, &Error{Op: "beat", Kind: Malformed, Err: err}
+	}
+	s.mu.Lock()
+	s.beats[from.VM] = heard{at: s.Timer.Now(), beat: b}
+	s.mu.Unlock()
+	s.poke()
+	return nil, nil
+}
+
+// HandleView takes the holder's view.
+func (s *Service) HandleView(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var v view
+	if err := msgpack.Unmarshal(body, &v); err != nil {
+		return nil, &Error{Op: "view", Kind: Malformed, Err: err}
+	}
+	s.mu.Lock()
+	if v.Version < s.lease.Version() {
+		s.mu.Unlock()
+		return nil, nil // A former holder that does not know yet.
+	}
+	s.lease = s.lease.WithRecord(aflease.Record{Holder: v.Holder, Epoch: v.Epoch, Beat: v.Beat}, v.Version, s.BootTime())
+	if s.holder != from.VM {
+		s.Log.Info("placement holder known", "holder", v.Holder, "epoch", v.Epoch)
+	}
+	s.holder = from.VM
+	s.viewed = s.Timer.Now()
+	s.mu.Unlock()
+	s.adopt(v)
+	return nil, nil
+}
+
+// adopt passes a view on to the roster and the limits.
+func (s *Service) adopt(v view) {
+	statuses := make(map[string]afroster.Status, len(v.Engines))
+	for id, e := range v.Engines {
+		statuses[id] = afroster.Status{
+			Born: e.Born, Models: e.Models, Closing: e.Closing, Others: e.Others.decode(), CacheUsed: e.Used,
+		}
+	}
+	s.Roster.SetView(statuses)
+	shares := make(map[string]float64, len(v.Shares))
+	for name, n := range v.Shares {
+		shares[name] = float64(n) / shareUnit
+	}
+	s.Shares(shares)
+}
--- /dev/null
+++ b/internal/afkeeper/service.go
@@ -0,0 +1,237 @@
+// Package afkeeper holds the placement duty: one VM at a time, by a lease in the platform, collects what all VMs ask
+// for, reads the engines' reports, orders models and adapters, and tells every VM what the engines hold and how much of
+// each customer's limit it may use.
+//
+// All VMs run the same code. Those that do not hold the lease tell the holder about their load and take it over when
+// the holder falls silent.
+package afkeeper
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afassign"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/aflease"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	// tickPeriod is the grid of the holder's work.
+	tickPeriod = 50 * time.Millisecond
+	// beatPeriod is how often a VM tells its load, and viewPeriod how often the holder tells its view, without a change.
+	beatPeriod = 250 * time.Millisecond
+	viewPeriod = 300 * time.Millisecond
+	// beatLife is how long a VM's beat counts: six beats.
+	beatLife = 1500 * time.Millisecond
+	// silence is how long the holder's view must be missing before a VM looks at the lease: four views.
+	silence = 1200 * time.Millisecond
+	// leaseRead is the pause between reads of the lease while the holder is silent.
+	leaseRead = 400 * time.Millisecond
+	// callTimeout bounds a call to the platform or an engine. It is far above the milliseconds that they need.
+	callTimeout = 800 * time.Millisecond
+)
+
+// The kind and name of the lease's object.
+const (
+	LeaseKind = "leases"
+	LeaseName = "placement"
+)
+
+// Service is the duty of one VM. Set the fields before Run.
+type Service struct {
+	Self  arbutusfork.Incarnation
+	Timer *aftimer.Service
+	Log   *slog.Logger
+	// Terms are the times of the lease.
+	Terms aflease.Terms
+	// StoreLoads bounds the loads from the weight store in progress.
+	StoreLoads int
+	// BootTime returns the time since the machine's start, suspension included.
+	BootTime func() time.Duration
+	// Table returns the configuration in force, or nil.
+	Table  func() *afroute.Table
+	Roster *afroster.Roster
+	// Get, Create and Update reach the platform.
+	Get    func(ctx context.Context, kind, name string) (afobject.Object, error)
+	Create func(ctx context.Context, o afobject.Object) (afobject.Object, error)
+	Update func(ctx context.Context, o afobject.Object) (afobject.Object, error)
+	// Members returns the live VMs, this one included, and Listed the number of VMs that may be alive.
+	Members func() []arbutusfork.VM
+	Listed  func() int
+	// Send sends a message to a VM.
+	Send func(vm, kind string, message any) error
+	// Demand returns what this VM's callers ask for, Usage what its customers asked for lately in units a second.
+	Demand func() []afassign.Demand
+	Usage  func() map[string]int64
+	// Shares is called with this VM's part of each customer's limit.
+	Shares func(map[string]float64)
+	// Report and Order reach an engine. Order is called with the holder's name and epoch.
+	Report func(ctx context.Context, e afengine.Entry) (afengine.Report, error)
+	Order  func(ctx context.Context, e afengine.Entry, holder string, epoch int64, o afengine.Order) afengine.Result
+
+	pokes chan struct{}
+
+	mu     sync.Mutex
+	lease  aflease.Lease
+	beats  map[string]heard
+	holder string // holder is the VM that sent the last view.
+	viewed time.Time
+	// stopping VMs do not take the lease.
+	stopping bool
+	// due means that a view should be sent although no report came.
+	due bool
+
+	// The fields below belong to the goroutine of Run.
+	engines   map[string]*state
+	polls     chan polled
+	orders    chan ordered
+	starts    []time.Duration // starts holds when loads from the store began, by the boot time.
+	nextLease time.Duration
+	nextBeat  time.Time
+	nextView  time.Time
+	held      bool
+	changed   bool // changed means that a new view should be sent now.
+	asked     string
+}
+
+type heard struct {
+	at   time.Time
+	beat beat
+}
+
+func (s *Service) init() {
+	s.pokes = make(chan struct{}, 1)
+	s.beats = make(map[string]heard)
+	s.engines = make(map[string]*state)
+	s.polls = make(chan polled, 64)
+	s.orders = make(chan ordered, 64)
+	s.lease = aflease.New(s.Self.String(), s.Terms)
+}
+
+// Init prepares the service for messages. It is called once, before Run and before the handlers are registered.
+func (s *Service) Init() { s.init() }
+
+func (s *Service) poke() {
+	select {
+	case s.pokes <- struct{}{}:
+	default:
+	}
+}
+
+// Wake makes the service look at the demand soon. It does not block.
+func (s *Service) Wake() { s.poke() }
+
+// Run does the duty until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticks := make(chan struct{}, 1)
+	sub := s.Timer.Every(tickPeriod, func(time.Time) {
+		select {
+		case ticks <- struct{}{}:
+		default:
+		}
+	})
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			s.keepLease(ctx)
+		case <-s.pokes:
+		case p := <-s.polls:
+			s.polled(p)
+		case o := <-s.orders:
+			s.ordered(o)
+		}
+		s.act(ctx)
+	}
+}
+
+// act does what the VM's part asks for now.
+func (s *Service) act(ctx context.Context) {
+	s.mu.Lock()
+	held, usable, epoch := s.lease.Held(s.BootTime()), s.lease.Usable(s.BootTime()), s.lease.Epoch()
+	s.mu.Unlock()
+	if held != s.held {
+		s.held = held
+		s.Log.Info("placement lease changed", "held", held, "epoch", epoch)
+	}
+	if !held {
+		s.tell()
+		return
+	}
+	s.refresh(ctx)
+	if usable {
+		s.plan(ctx, epoch)
+	}
+	s.spread()
+}
+
+// tell sends this VM's beat to the holder, at once if a request waits for something new.
+func (s *Service) tell() {
+	s.mu.Lock()
+	to := s.holder
+	s.mu.Unlock()
+	if to == "" || to == s.Self.VM {
+		return
+	}
+	now := s.Timer.Now()
+	demand := s.Demand()
+	asked := waitingKeys(demand)
+	if now.Before(s.nextBeat) && (asked == s.asked || asked == "") {
+		return
+	}
+	s.asked, s.nextBeat = asked, now.Add(beatPeriod)
+	if err := s.Send(to, KindBeat, s.beat(demand)); err != nil {
+		s.Log.Debug("beat not sent", "to", to, "error", err)
+	}
+}
+
+func (s *Service) beat(d []afassign.Demand) beat {
+	loads, running := s.Roster.Own()
+	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: s.Usage()}
+	for id, l := range loads {
+		b.Loads[id] = encodeLoad(l)
+	}
+	return b
+}
+
+// waitingKeys names what requests wait for, so that a change of it can be told.
+func waitingKeys(d []afassign.Demand) string {
+	out := ""
+	for _, x := range d {
+		if x.Waiting > 0 {
+			out += afassign.AdapterKey(x.Model, x.Adapter) + " "
+		}
+	}
+	return out
+}
+
+// Holding reports whether this VM holds the placement lease.
+func (s *Service) Holding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Held(s.BootTime())
+}
+
+// Stop gives the lease up, so that another VM can take it without waiting for its end.
+func (s *Service) Stop(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	record, ok := s.lease.Release()
+	version := s.lease.Version()
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	if _, err := s.write(ctx, record, version); err != nil {
+		s.Log.Warn("placement lease not released; it ends by itself", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/afnode/error.go
@@ -0,0 +1,25 @@
+package afnode
+
+//go:generate stringer -type=ErrorKind -linecomment -output=error_string.go
+
+// ErrorKind classifies an error.
+type ErrorKind int
+
+// The kinds of errors.
+const (
+	// Failed means that a part of the node could not start.
+	Failed ErrorKind = iota // could not start
+)
+
+// Error tells which operation failed and why.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return "node: " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/afnode/feed.go
@@ -0,0 +1,116 @@
+package afnode
+
+import (
+	"time"
+
+	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+// massLapse is the number of entries that must be missing after an outage before they are held for a moment: the
+// platform removes entries whose renewals it could not take.
+const massLapse = 1
+
+// lapseWindow is how long after an outage a removed entry may belong to an endpoint that lives.
+const lapseWindow = 2500 * time.Millisecond
+
+func (n *Node) feed(kind string) *affeed.Feed {
+	return &affeed.Feed{Kind: kind, List: n.client.List, Watch: n.client.Watch, Timer: n.timer, Log: n.log}
+}
+
+// configFeed keeps the configuration. A version never gives way to an older one.
+func (n *Node) configFeed() *affeed.Feed {
+	f := n.feed(n.Platform.ConfigKind)
+	f.All = func(objects []afobject.Object, _ time.Duration) {
+		for _, o := range objects {
+			n.setConfig(o)
+		}
+	}
+	f.Change = func(e afobject.Event) {
+		if e.Type != afobject.Deleted {
+			n.setConfig(e.Object)
+		}
+	}
+	return f
+}
+
+func (n *Node) setConfig(o afobject.Object) {
+	if o.Name != n.Platform.ConfigName {
+		return
+	}
+	t, err := n.Platform.Table(o.Spec)
+	if err != nil {
+		n.log.Error("configuration refused; the old one stays in force", "object", o.Name, "object_version", o.Version, "error", err)
+		return
+	}
+	old := n.table.Load()
+	if old != nil && t.Version <= old.Version {
+		if t.Version < old.Version {
+			n.log.Warn("older configuration ignored", "version", t.Version, "in_force", old.Version)
+		}
+		return
+	}
+	n.table.Store(t)
+	n.log.Info("configuration in force", "version", t.Version, "object_version", o.Version, "routes", t.Routes(),
+		"services", len(t.Services()), "customers", len(t.Customers()))
+	n.wake()
+}
+
+// endpointFeed keeps the endpoints' entries.
+func (n *Node) endpointFeed() *affeed.Feed {
+	f := n.feed(n.Platform.EndpointKind)
+	known := make(map[string]bool)
+	var back time.Time // back is when the platform was last reached again after an outage.
+	f.All = func(objects []afobject.Object, outage time.Duration) {
+		if outage > 0 {
+			back = n.timer.Now()
+		}
+		seen := make(map[string]bool, len(objects))
+		for _, o := range objects {
+			if n.setEndpoint(o) {
+				seen[o.Name] = true
+			}
+		}
+		missing := 0
+		for id := range known {
+			if !seen[id] {
+				missing++
+			}
+		}
+		for id := range known {
+			if !seen[id] {
+				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", outage, "missing", missing)
+				n.roster.Remove(id, outage > 0 && missing >= massLapse)
+			}
+		}
+		known = seen
+	}
+	f.Change = func(e afobject.Event) {
+		id := e.Object.Name
+		if e.Type == afobject.Deleted || !n.setEndpoint(e.Object) {
+			if known[id] {
+				held := !back.IsZero() && n.timer.Now().Sub(back) < lapseWindow
+				n.log.Info("endpoint removed", "endpoint", id, "held", held)
+				n.roster.Remove(id, held)
+				delete(known, id)
+			}
+			return
+		}
+		known[id] = true
+	}
+	return f
+}
+
+// setEndpoint takes an entry and reports whether it names an endpoint.
+func (n *Node) setEndpoint(o afobject.Object) bool {
+	e, err := n.Platform.Entry(o.Name, o.Spec)
+	if err != nil {
+		n.log.Warn("entry ignored", "endpoint", o.Name, "error", err)
+		return false
+	}
+	if n.roster.Put(e) {
+		n.log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "centre", e.Centre,
+			"state", e.State.String(), "born", e.Born, "slots", e.Slots, "models", len(e.Models), "object_version", o.Version)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/afnode/node.go
@@ -0,0 +1,260 @@
+// Package afnode builds and runs the daemon of a VM that forwards requests by route: the gateway, the copies of the
+// platform's objects, the links to the other VMs and the placement duty.
+package afnode
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/afgateway"
+	"arbutusfork.example/arbutusfork/internal/afkeeper"
+	"arbutusfork.example/arbutusfork/internal/aflog"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/aflease"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	// minProcs keeps a processor for requests while nbio's pollers hold theirs in epoll_wait.
+	minProcs = 3
+	// garbagePercent makes the collector keep the heap small, since memory at its peak is paid for. The heap is a few MB.
+	garbagePercent = 50
+	// leaseUse and the following are the lease's times. A holder that cannot renew three times stops.
+	leaseUse    = 2 * time.Second
+	leaseRenew  = 700 * time.Millisecond
+	leaseMargin = 200 * time.Millisecond
+	// storeLoads is the number of loads from the weight store at once, which it carries at full speed.
+	storeLoads = 4
+	// settleTime is the time between turning unready and refusing new connections. The balancer asks once a second and
+	// takes a VM out after two misses.
+	settleTime = 2500 * time.Millisecond
+	// endMargin is kept of the grace period for the last steps of the shutdown.
+	endMargin = 700 * time.Millisecond
+	// callTimeout bounds a call to the platform, which answers in milliseconds.
+	callTimeout = 1500 * time.Millisecond
+	// reservedDescriptors are left for files, peers, endpoints and the platform.
+	reservedDescriptors = 700
+	idleTimeout         = 60 * time.Second
+)
+
+// Node is the daemon of one VM. Set the exported fields before Run.
+type Node struct {
+	Settings Settings
+	Platform Platform
+	// Out receives the log. Nil means standard output.
+	Out io.Writer
+
+	self     arbutusfork.Incarnation
+	timer    *aftimer.Service
+	log      *slog.Logger
+	logs     *aflog.Writer
+	registry *prometheus.Registry
+	client   *afobject.Client
+	roster   *afroster.Roster
+	peers    *afpeer.Service
+	keeper   *afkeeper.Service
+	gateway  *afgateway.Server
+	entry    *afentry.Server
+	members  members
+	wakes    chan struct{}
+
+	table    atomic.Pointer[afroute.Table]
+	stopping atomic.Bool
+}
+
+// Run serves until ctx ends and then shuts down gracefully. It fails with Failed.
+func (n *Node) Run(ctx context.Context) error {
+	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), minProcs))
+	debug.SetGCPercent(garbagePercent)
+	n.build()
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg sync.WaitGroup
+	duties := n.duties()
+	failed := make(chan error, len(duties))
+	for _, d := range duties {
+		wg.Go(func() {
+			if err := d.run(run); err != nil {
+				failed <- &Error{Op: d.name, Kind: Failed, Err: err}
+			}
+		})
+	}
+	n.log.Info("node started", "vm", n.self.VM, "incarnation", n.self.String(), "centre", n.Settings.Centre)
+	var err error
+	select {
+	case <-ctx.Done():
+		n.shutdown(run)
+	case err = <-failed:
+		n.log.Error("node failed", "error", err)
+	}
+	cancel()
+	wg.Wait()
+	n.log.Info("node stopped", "vm", n.self.VM)
+	n.logs.Close()
+	return err
+}
+
+// duty is one part of the node with its own goroutine.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (n *Node) duties() []duty {
+	plain := func(fn func(context.Context)) func(context.Context) error {
+		return func(ctx context.Context) error {
+			fn(ctx)
+			return nil
+		}
+	}
+	return []duty{
+		{"timer", plain(n.timer.Run)},
+		{"peers", n.peers.Run},
+		{"ready", n.serveReady},
+		{"metrics", n.serveMetrics},
+		{"config", plain(n.configFeed().Run)},
+		{"endpoints", plain(n.endpointFeed().Run)},
+		{"members", plain(n.runMembers)},
+		{"keeper", plain(n.keeper.Run)},
+		{"entry", n.entry.Run},
+		{"reload", plain(n.runReload)},
+		{"wake", plain(n.runWakes)},
+	}
+}
+
+func (n *Node) build() {
+	n.self = arbutusfork.Incarnation{VM: n.Settings.VM, Start: time.Now().UnixNano()}
+	n.timer = &aftimer.Service{}
+	n.wakes = make(chan struct{}, 1)
+	out := n.Out
+	if out == nil {
+		out = os.Stdout
+	}
+	n.logs = aflog.NewWriter(out)
+	n.log = slog.New(slog.NewJSONHandler(n.logs, nil))
+	aflog.Route(n.log)
+	n.registry = prometheus.NewRegistry()
+	n.client = &afobject.Client{Base: n.Settings.Platform, Timeout: callTimeout, Dialect: n.Platform.Dialect, HTTP: platformHTTP()}
+	n.roster = &afroster.Roster{Now: n.timer.Now, Changed: n.wake}
+	n.members.init()
+	n.peers = &afpeer.Service{
+		Self: n.self, Address: n.Settings.Peers, Centre: n.Settings.Centre, Timer: n.timer, Log: n.log,
+	}
+	n.buildGateway()
+	n.buildKeeper()
+	n.collect()
+}
+
+func (n *Node) buildGateway() {
+	n.gateway = &afgateway.Server{
+		Table: n.table.Load, Roster: n.roster, Wire: n.Platform.Wire, Timer: n.timer, Log: n.log, Centre: n.Settings.Centre,
+		Asked: func() { n.keeper.Wake() }, Listed: n.listed, Metrics: afgateway.NewMetrics(n.registry),
+		Repeats: afgateway.Repeats{Ratio: n.Settings.RepeatRatio, Extra: n.Settings.RepeatExtra, Window: n.Settings.RepeatWindow},
+	}
+	n.entry = &afentry.Server{
+		Forward: n.gateway.Serve, Fresh: func() bool { return true }, Address: n.Settings.Callers, Log: n.log, Timer: n.timer,
+		Registry: n.registry, IdleTimeout: idleTimeout, MaxHead: 64 << 10,
+	}
+	if n.Settings.Descriptors > 0 {
+		n.entry.MaxConns = max((n.Settings.Descriptors-reservedDescriptors)/2, 64)
+	}
+}
+
+func (n *Node) buildKeeper() {
+	n.keeper = &afkeeper.Service{
+		Self: n.self, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
+		Terms:  aflease.Terms{Use: leaseUse, Renew: leaseRenew, Quiet: n.Settings.Quiet, Margin: leaseMargin},
+		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
+		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send,
+		Demand: n.gateway.Demand, Usage: n.gateway.Usage, Shares: n.gateway.SetShares,
+		Report: n.Platform.Report, Order: n.Platform.Order,
+	}
+	n.keeper.Init()
+	n.peers.Handle(afkeeper.KindBeat, n.keeper.HandleBeat)
+	n.peers.Handle(afkeeper.KindView, n.keeper.HandleView)
+}
+
+// wake makes waiting requests look at the endpoints again. It does not block.
+func (n *Node) wake() {
+	select {
+	case n.wakes <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) runWakes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wakes:
+			n.gateway.Wake()
+		}
+	}
+}
+
+// shutdown stops taking requests, finishes those that wait or run, and gives up what this VM holds.
+func (n *Node) shutdown(ctx context.Context) {
+	n.stopping.Store(true)
+	n.log.Info("graceful shutdown started", "settle", settleTime, "grace", n.Settings.Grace)
+	ctx, cancel := context.WithTimeout(ctx, max(n.Settings.Grace-endMargin, settleTime))
+	defer cancel()
+	n.keeper.Stop(ctx)
+	n.sleep(ctx, settleTime)
+	n.gateway.Stop()
+	n.entry.Drain(ctx)
+	n.leave(context.WithoutCancel(ctx))
+	n.peers.Leave()
+}
+
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	done := make(chan struct{})
+	sub := n.timer.After(d, func(time.Time) { close(done) })
+	defer sub.Stop()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// runReload reads the settings again after SIGHUP. Addresses stay as they are until the next start.
+func (n *Node) runReload(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		s, err := n.Platform.Settings()
+		if err != nil {
+			n.log.Error("settings refused; the old ones stay in force", "error", err)
+			continue
+		}
+		n.log.Info("settings read again", "vm", s.VM, "grace", s.Grace, "repeat_ratio", s.RepeatRatio, "repeat_extra", s.RepeatExtra)
+	}
+}
+
+func platformHTTP() *http.Client {
+	return &http.Client{Transport: platformTransport()}
+}
+
--- /dev/null
+++ b/internal/afnode/status.go
@@ -0,0 +1,88 @@
+package afnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	// readPatience bounds the reading of a status request and the idle time between two.
+	readPatience = 5 * time.Second
+	// platformIdle ends unused connections to the platform.
+	platformIdle = 10 * time.Second
+	// aliveIdle and the following notice a connection that has gone silent within about 3 s.
+	aliveIdle     = time.Second
+	aliveInterval = time.Second
+	aliveCount    = 2
+)
+
+// serveReady answers the balancer's checks. The VM is ready while it knows a configuration and is not stopping.
+func (n *Node) serveReady(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if n.stopping.Load() || n.table.Load() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return n.serveStatus(ctx, n.Settings.Ready, mux)
+}
+
+func (n *Node) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	return n.serveStatus(ctx, n.Settings.Metrics, mux)
+}
+
+func (n *Node) serveStatus(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadTimeout: readPatience, IdleTimeout: readPatience}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+func platformTransport() *http.Transport {
+	d := &net.Dialer{
+		Timeout:         callTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: aliveIdle, Interval: aliveInterval, Count: aliveCount},
+	}
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdle}
+}
+
+// collect registers what is read when the metrics are asked for.
+func (n *Node) collect() {
+	gauge := func(name, help string, fn func() float64) {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, fn))
+	}
+	counter := func(name, help string, fn func() float64) {
+		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, fn))
+	}
+	gauge("arbutusfork_config_version", "Version of the configuration in force.", func() float64 {
+		if t := n.table.Load(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	gauge("arbutusfork_placement_held", "1 while this VM holds the placement duty.", func() float64 {
+		if n.keeper.Holding() {
+			return 1
+		}
+		return 0
+	})
+	gauge("arbutusfork_vms", "VMs that answer, this one included.", func() float64 { return float64(len(n.peers.Members())) })
+	gauge("arbutusfork_endpoints", "Endpoints that are listed.", func() float64 { return float64(len(n.roster.All())) })
+	counter("arbutusfork_platform_reads_total", "Reads of the platform.", func() float64 { return float64(n.client.Reads.Load()) })
+	counter("arbutusfork_platform_writes_total", "Writes to the platform.", func() float64 { return float64(n.client.Writes.Load()) })
+	counter("arbutusfork_log_dropped_total", "Log lines left out because the reader was slow.", func() float64 { return float64(n.logs.Dropped()) })
+}
--- /dev/null
+++ b/internal/afroster/roster.go
@@ -0,0 +1,322 @@
+// Package afroster keeps what this VM knows about the endpoints: the platform's entries, the placement holder's latest
+// view of the engines, the requests that this VM and others have in progress, and how requests ended.
+package afroster
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afhealth"
+)
+
+const (
+	// viewLife is how long the holder's view counts without a newer one. It is sent several times a second.
+	viewLife = 2 * time.Second
+	// lapseGrace is how long an endpoint that still answers stays in use after its entry lapsed while the platform was
+	// away. Endpoints that live are back in the list within about 2 s.
+	lapseGrace = 1700 * time.Millisecond
+)
+
+// Load counts requests in progress.
+type Load struct {
+	Requests int
+	// Prompt is the number of prompt tokens that were sent and not answered yet, and Tokens all tokens of the requests.
+	Prompt, Tokens int64
+}
+
+// Plus returns the sum.
+func (l Load) Plus(m Load) Load {
+	return Load{Requests: l.Requests + m.Requests, Prompt: l.Prompt + m.Prompt, Tokens: l.Tokens + m.Tokens}
+}
+
+// Status is the holder's view of one engine, as it is spread to all VMs.
+type Status struct {
+	Born   int64
+	Models []afengine.Held
+	// Closing names models that get no new requests on this engine.
+	Closing []string
+	// Others is the load that VMs other than this one have on the engine.
+	Others Load
+	// CacheUsed is as in a report.
+	CacheUsed int64
+}
+
+// Endpoint is one endpoint as requests see it. It is a copy.
+type Endpoint struct {
+	afengine.Entry
+	// Own is the load of this VM and Others that of the other VMs, as last heard.
+	Own, Others Load
+	CacheUsed   int64
+	Closing     []string
+	Health      afhealth.Tracker
+}
+
+// Roster is safe for concurrent use. Set Now before the first call.
+type Roster struct {
+	Now func() time.Time
+	// Changed is called after each change that may let a waiting request go on. It must not block.
+	Changed func()
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// viewed is when the holder's view came.
+	viewed time.Time
+	own    map[string]map[string]int // own counts this VM's requests by endpoint and model or model/adapter.
+}
+
+type entry struct {
+	afengine.Entry
+	changed time.Time
+	lapsed  time.Time // lapsed is when the entry disappeared. It is zero while it is listed.
+	status  *Status
+	own     Load
+	health  afhealth.Tracker
+}
+
+func (r *Roster) init() {
+	if r.entries == nil {
+		r.entries = make(map[string]*entry)
+		r.own = make(map[string]map[string]int)
+	}
+}
+
+func (r *Roster) notify() {
+	if r.Changed != nil {
+		r.Changed()
+	}
+}
+
+// Put takes an entry of the platform's list and reports whether it differs in more than its counters.
+func (r *Roster) Put(e afengine.Entry) (fresh bool) {
+	r.mu.Lock()
+	r.init()
+	old := r.entries[e.ID]
+	n := &entry{Entry: e, changed: r.Now()}
+	fresh = true
+	if old != nil {
+		n.own, n.health = old.own, old.health
+		if old.Born == e.Born {
+			n.status = old.status
+			fresh = old.State != e.State || old.Address != e.Address || !old.lapsed.IsZero()
+		}
+	}
+	r.entries[e.ID] = n
+	r.mu.Unlock()
+	r.notify()
+	return fresh
+}
+
+// Remove takes the entry's removal. Held means that the platform may have lost the entry during an outage, so that
+// the endpoint stays in use for a moment.
+func (r *Roster) Remove(id string, held bool) {
+	r.mu.Lock()
+	r.init()
+	if e := r.entries[id]; e != nil {
+		if held {
+			e.lapsed = r.Now()
+		} else {
+			delete(r.entries, id)
+		}
+	}
+	r.mu.Unlock()
+	r.notify()
+}
+
+// Expire removes the endpoints whose entry has been missing for too long.
+func (r *Roster) Expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	for id, e := range r.entries {
+		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseGrace {
+			delete(r.entries, id)
+		}
+	}
+}
+
+// SetView takes the holder's view of the engines.
+func (r *Roster) SetView(view map[string]Status) {
+	r.mu.Lock()
+	r.init()
+	r.viewed = r.Now()
+	for id, e := range r.entries {
+		s, ok := view[id]
+		if !ok || s.Born != e.Born {
+			continue
+		}
+		e.status = &s
+	}
+	r.mu.Unlock()
+	r.notify()
+}
+
+// Endpoints returns the endpoints of a service that may get requests, in order of their IDs. Endpoints that drain or
+// are known to be gone are left out.
+func (r *Roster) Endpoints(service string) []Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	var out []Endpoint
+	for _, e := range r.entries {
+		if e.Service != service || e.State != afengine.Ready {
+			continue
+		}
+		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseGrace {
+			continue
+		}
+		x := Endpoint{Entry: e.Entry, Own: e.own, Health: e.health}
+		if e.status != nil && now.Sub(r.viewed) < viewLife {
+			x.Models, x.Closing, x.Others, x.CacheUsed = e.status.Models, e.status.Closing, e.status.Others, e.status.CacheUsed
+		}
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b Endpoint) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// Entry returns the platform's entry of an endpoint.
+func (r *Roster) Entry(id string) (afengine.Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	if e == nil {
+		return afengine.Entry{}, false
+	}
+	return e.Entry, true
+}
+
+// All returns every entry.
+func (r *Roster) All() []afengine.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]afengine.Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, e.Entry)
+	}
+	return out
+}
+
+// Claim is one request in progress at an endpoint.
+type Claim struct {
+	roster     *Roster
+	id         string
+	key, model string
+	load       Load
+	read       bool
+	ended      bool
+}
+
+// Begin counts a request to an endpoint. Model and adapter are empty for plain services.
+func (r *Roster) Begin(id, model, adapter string, prompt, tokens int64) *Claim {
+	c := &Claim{roster: r, id: id, model: model, load: Load{Requests: 1, Prompt: prompt, Tokens: tokens}}
+	if adapter != "" {
+		c.key = model + "/" + adapter
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init()
+	if e := r.entries[id]; e != nil {
+		e.own = e.own.Plus(c.load)
+		if e.health.Trying(r.Now()) {
+			e.health = e.health.WithTrial()
+		}
+	}
+	r.count(c, 1)
+	return c
+}
+
+func (r *Roster) count(c *Claim, n int) {
+	m := r.own[c.id]
+	if m == nil {
+		m = make(map[string]int)
+		r.own[c.id] = m
+	}
+	for _, key := range []string{c.model, c.key} {
+		if key == "" {
+			continue
+		}
+		m[key] += n
+		if m[key] <= 0 {
+			delete(m, key)
+		}
+	}
+	if len(m) == 0 {
+		delete(r.own, c.id)
+	}
+}
+
+// Answered notes that the prompt has been read.
+func (c *Claim) Answered() {
+	r := c.roster
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.read || c.ended {
+		return
+	}
+	c.read = true
+	if e := r.entries[c.id]; e != nil {
+		e.own.Prompt -= c.load.Prompt
+	}
+	c.load.Prompt = 0
+}
+
+// Verdict says what a request's end tells about its endpoint.
+type Verdict int
+
+// The verdicts.
+const (
+	Nothing Verdict = iota
+	Good
+	Bad
+)
+
+// End takes the request out of the count. It may be called more than once.
+func (c *Claim) End(v Verdict) {
+	r := c.roster
+	r.mu.Lock()
+	if c.ended {
+		r.mu.Unlock()
+		return
+	}
+	c.ended = true
+	if e := r.entries[c.id]; e != nil {
+		e.own = e.own.Plus(Load{Requests: -c.load.Requests, Prompt: -c.load.Prompt, Tokens: -c.load.Tokens})
+		if v != Nothing {
+			e.health = e.health.WithResult(v == Good, r.Now())
+		}
+	}
+	r.count(c, -1)
+	r.mu.Unlock()
+	r.notify()
+}
+
+// Own returns this VM's load by endpoint, and its requests by endpoint and model or adapter.
+func (r *Roster) Own() (loads map[string]Load, running map[string]map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads = make(map[string]Load)
+	running = make(map[string]map[string]int, len(r.own))
+	for id, e := range r.entries {
+		if e.own != (Load{}) {
+			loads[id] = e.own
+		}
+	}
+	for id, m := range r.own {
+		c := make(map[string]int, len(m))
+		for k, n := range m {
+			c[k] = n
+		}
+		running[id] = c
+	}
+	return loads, running
+}
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -34,6 +34,8 @@
 	In  io.Reader
 	// Serve runs the daemon until ctx ends.
 	Serve func(ctx context.Context, s afsettings.Settings) error
+	// Gateway runs the forwarding daemon with the platform's settings until ctx ends.
+	Gateway func(ctx context.Context) error
 	// Do sends a request. Nil means an http.Client.
 	Do func(*http.Request) (*http.Response, error)
 	// ReadFile returns the content of a file. Nil means os.ReadFile.
@@ -84,6 +86,7 @@
 	app.Flag("json", "Print JSON for scripts.").BoolVar(&p.json)
 	p.verbs = make(map[string]func(context.Context) error)
 	p.serveVerb(app)
+	p.gatewayVerb(app)
 	for _, r := range resources {
 		p.resourceVerbs(app.Command(r.verb, r.help), r)
 	}
@@ -112,6 +115,16 @@
 	})
 }
 
+func (p *Program) gatewayVerb(app *kingpin.Application) {
+	cmd := app.Command("gateway", "Run the daemon of this VM on a platform that writes its settings file.")
+	p.verb(cmd, func(ctx context.Context) error {
+		if p.Gateway == nil {
+			return errors.New("gateway: this program is built without the daemon")
+		}
+		return p.Gateway(ctx)
+	})
+}
+
 // report prints the error and returns the exit code.
 func (p *Program) report(err error) int {
 	if err == nil {
--- /dev/null
+++ b/pkg/afassign/plan.go
@@ -0,0 +1,332 @@
+package afassign
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+)
+
+const (
+	// unloadTime is the estimate for unloading an idle model: one report lag.
+	unloadTime = 100 * time.Millisecond
+	// pairRate is the requests a second from which a model gets a second replica, so that the loss of one engine
+	// leaves one.
+	pairRate = 1.5
+	// hotRate is the requests a second from which a model's last replica is not unloaded for another one.
+	hotRate = 0.8
+)
+
+// planner holds the state of one call of Plan.
+type planner struct {
+	View
+	demand   map[string]Demand // demand is by model and by AdapterKey.
+	waiting  map[string]int    // waiting counts requests by model, those for its adapters included.
+	oldest   map[string]time.Duration
+	rate     map[string]float64
+	work     map[string]float64
+	replicas map[string]int
+	onDisk   map[string]int
+	taken    map[string]bool // taken engines got a step or are reserved for one.
+	loads    int             // loads counts those from the store in progress.
+	out      Decision
+}
+
+// Plan returns the orders to send now. Each engine gets at most one order on a model; orders on adapters do not occupy
+// it. The decision is a function of the view: equal views give equal decisions.
+func Plan(v View) Decision {
+	p := newPlanner(v)
+	p.serveAdapters()
+	for _, m := range p.needed() {
+		p.place(m.model, m.reason)
+	}
+	p.prefetch()
+	return p.out
+}
+
+func newPlanner(v View) *planner {
+	p := &planner{
+		View: v, demand: map[string]Demand{}, waiting: map[string]int{}, oldest: map[string]time.Duration{},
+		rate: map[string]float64{}, work: map[string]float64{}, replicas: map[string]int{}, onDisk: map[string]int{},
+		taken: map[string]bool{},
+	}
+	p.Engines = slices.SortedFunc(slices.Values(v.Engines), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	for _, d := range v.Demand {
+		key := d.Model
+		if d.Adapter != "" {
+			key = AdapterKey(d.Model, d.Adapter)
+		}
+		p.demand[key] = d
+		p.waiting[d.Model] += d.Waiting
+		p.oldest[d.Model] = max(p.oldest[d.Model], d.Oldest)
+		p.rate[d.Model] += d.Rate
+		p.work[d.Model] += d.Work
+	}
+	for _, e := range p.Engines {
+		for _, m := range e.Disk {
+			p.onDisk[m]++
+		}
+		if e.FromStore {
+			p.loads++
+		}
+		if e.Closed {
+			continue
+		}
+		for _, h := range e.Held {
+			p.replicas[h.Model]++
+		}
+		if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
+			p.replicas[e.Loading]++
+			p.onDisk[e.Loading]++
+		}
+	}
+	return p
+}
+
+// desired returns the number of replicas that the rate of a model asks for.
+func (p *planner) desired(model string) int {
+	n := 0
+	if p.EngineWork > 0 {
+		n = int(math.Ceil(p.work[model] / p.EngineWork))
+	}
+	switch r := p.rate[model]; {
+	case r >= pairRate:
+		n = max(n, 2)
+	case r >= hotRate:
+		n = max(n, 1)
+	}
+	return min(n, len(p.Engines))
+}
+
+type need struct {
+	model  string
+	reason Reason
+	oldest time.Duration
+	gap    float64
+}
+
+// needed returns the models that need a replica, the most pressing first: those that requests wait for in vain by
+// their longest wait, then busy ones by how far they fall short.
+func (p *planner) needed() []need {
+	var out []need
+	for model := range p.Spec.Models {
+		switch n := p.replicas[model]; {
+		case n == 0 && p.waiting[model] > 0:
+			out = append(out, need{model: model, reason: ForWaiting, oldest: p.oldest[model]})
+		case n < p.desired(model):
+			out = append(out, need{model: model, reason: ForRate, gap: float64(p.desired(model)) / float64(n+1)})
+		}
+	}
+	slices.SortFunc(out, func(a, b need) int {
+		return cmp.Or(
+			cmp.Compare(a.reason, b.reason), cmp.Compare(b.oldest, a.oldest), cmp.Compare(b.gap, a.gap),
+			cmp.Compare(a.model, b.model))
+	})
+	return out
+}
+
+// option is one way to load a model.
+type option struct {
+	engine  *Engine
+	eta     time.Duration
+	store   bool
+	victims []string // victims are unloaded first, in this order.
+	loss    float64  // loss is what unloading the victims costs, in expected requests.
+	running bool     // running means that a victim still serves requests.
+}
+
+// place orders the load of a model on the engine that has it ready first, or makes room there.
+func (p *planner) place(model string, reason Reason) {
+	best, ok := p.best(model, reason)
+	if !ok {
+		return
+	}
+	e := best.engine
+	// An engine that is still at work is kept free for this model, since waiting for it is quicker than another.
+	p.taken[e.ID] = true
+	if e.Busy {
+		return
+	}
+	if len(best.victims) > 0 {
+		p.makeRoom(best, model)
+		return
+	}
+	if best.store {
+		if p.loads >= p.StoreLoads || p.StoreStarts <= 0 {
+			return
+		}
+		p.loads++
+		p.StoreStarts--
+	}
+	p.replicas[model]++
+	p.onDisk[model]++
+	p.out.Steps = append(p.out.Steps, Step{
+		Engine: e.ID, Order: afengine.Order{Model: model, Expected: e.Seq}, Reason: reason,
+		FromStore: best.store, Takes: best.eta,
+	})
+}
+
+// makeRoom unloads the first victim. The load follows once the engine reports the room.
+func (p *planner) makeRoom(o option, model string) {
+	victim := o.victims[0]
+	if o.running {
+		p.out.Closing = append(p.out.Closing, Close{Engine: o.engine.ID, Model: victim})
+	}
+	if o.engine.Running[victim] > 0 {
+		return
+	}
+	p.replicas[victim]--
+	p.out.Steps = append(p.out.Steps, Step{
+		Engine: o.engine.ID, Order: afengine.Order{Unload: true, Model: victim, Expected: o.engine.Seq}, Reason: ForRoom,
+		For: model,
+	})
+}
+
+func (p *planner) best(model string, reason Reason) (option, bool) {
+	var (
+		best  option
+		found bool
+	)
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if e.Closed || p.taken[e.ID] || e.Loading == model || afengine.Holds(e.Held, model, "") {
+			continue
+		}
+		o, ok := p.option(e, model, reason)
+		if ok && (!found || o.before(best)) {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// before orders options by the time to the first answer, then by what they cost others.
+func (o option) before(p option) bool {
+	const near = 150 * time.Millisecond // Differences below a report's lag say nothing.
+	if d := o.eta - p.eta; d < -near || d > near {
+		return d < 0
+	}
+	return o.loss < p.loss
+}
+
+// option returns how the engine could load the model. Only waiting requests may make a busy replica close.
+func (p *planner) option(e *Engine, model string, reason Reason) (option, bool) {
+	m := p.Spec.Models[model]
+	o := option{engine: e, eta: e.Free}
+	switch {
+	case slices.Contains(e.Memory, model):
+		o.eta += m.Warm
+	case slices.Contains(e.Disk, model):
+		o.eta += m.Disk
+	default:
+		o.eta += m.Load
+		o.store = true
+	}
+	room := p.Spec.Memory - p.adapterReserve() - m.Size - p.used(e)
+	if room >= 0 {
+		return o, true
+	}
+	type victim struct {
+		model   string
+		loss    float64
+		running bool
+	}
+	var victims []victim
+	for _, h := range e.Held {
+		running := e.Running[h.Model] > 0
+		left := p.replicas[h.Model] - 1
+		switch {
+		case left < p.desired(h.Model), left == 0 && p.waiting[h.Model] > 0:
+			continue
+		case running && reason != ForWaiting:
+			continue
+		}
+		loss := p.rate[h.Model] / float64(left+1)
+		if left > 0 {
+			loss /= 4 // Another replica serves on, so that only its load rises.
+		}
+		victims = append(victims, victim{h.Model, loss, running})
+	}
+	slices.SortFunc(victims, func(a, b victim) int {
+		if a.running != b.running {
+			if a.running {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.model, b.model))
+	})
+	for _, v := range victims {
+		o.victims = append(o.victims, v.model)
+		o.loss += v.loss
+		o.eta += unloadTime
+		if v.running {
+			o.running = true
+			o.eta += time.Second // A stream that runs lasts some seconds.
+		}
+		room += p.Spec.Models[v.model].Size
+		if room >= 0 {
+			return o, true
+		}
+	}
+	return option{}, false
+}
+
+// used returns the memory that an engine's models and adapters take, in MB.
+func (p *planner) used(e *Engine) float64 {
+	sum := 0.0
+	for _, h := range e.Held {
+		sum += p.Spec.Models[h.Model].Size
+	}
+	if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
+		sum += p.Spec.Models[e.Loading].Size
+	}
+	return sum
+}
+
+// adapterReserve returns the memory that is kept free for adapters, so that models alone never fill an engine.
+func (p *planner) adapterReserve() float64 {
+	largest := 0.0
+	for _, m := range p.Spec.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterSize)
+		}
+	}
+	return largest * float64(p.Spec.AdapterSlots)
+}
+
+// prefetch brings models that lie on no disk to an idle engine while the store has room.
+func (p *planner) prefetch() {
+	if len(p.needed()) > 0 && p.loads > 0 {
+		return
+	}
+	var models []string
+	for model := range p.Spec.Models {
+		if p.onDisk[model] == 0 && p.replicas[model] == 0 {
+			models = append(models, model)
+		}
+	}
+	slices.SortFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.rate[b], p.rate[a]), cmp.Compare(a, b))
+	})
+	idle := 0
+	for _, e := range p.Engines {
+		if !e.Closed && !e.Busy && !p.taken[e.ID] {
+			idle++
+		}
+	}
+	for _, model := range models {
+		// Half of the engines stay free for loads that requests wait for.
+		if p.loads >= p.StoreLoads || p.StoreStarts <= 0 || idle <= len(p.Engines)/2 {
+			return
+		}
+		before := len(p.out.Steps)
+		p.place(model, ForDisk)
+		if len(p.out.Steps) == before {
+			return
+		}
+		idle--
+	}
+}
--- /dev/null
+++ b/pkg/aflease/lease_test.go
@@ -0,0 +1,102 @@
+package aflease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var terms = Terms{Use: 2 * time.Second, Renew: 700 * time.Millisecond, Quiet: 3 * time.Second, Margin: 300 * time.Millisecond}
+
+// Guards against a second holder that acts within Quiet of the first one's last act, whatever the order of pauses,
+// lost answers and reads.
+func TestNoTwoHoldersWithinQuiet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			now     time.Duration
+			record  Record
+			version int64
+			lastBy  string
+			lastAt  time.Duration
+			epochs  = map[int64]string{}
+		)
+		names := []string{"a", "b", "c"}
+		leases := map[string]Lease{}
+		for _, n := range names {
+			leases[n] = New(n, terms)
+		}
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			n := rapid.SampledFrom(names).Draw(t, "who")
+			l := leases[n]
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				l = l.WithRecord(record, version, now)
+			case 1:
+				action, r := l.Next(now)
+				if action != Write {
+					break
+				}
+				sent := now
+				now += time.Duration(rapid.IntRange(0, 200).Draw(t, "write")) * time.Millisecond
+				if l.Version() != version {
+					l = l.WithRecord(record, version, now)
+					break
+				}
+				version++
+				record = r
+				if rapid.Bool().Draw(t, "lost") {
+					l = l.WithoutVersion()
+				} else {
+					l = l.WithWritten(r, version, sent, now)
+				}
+			case 2:
+				if r, ok := l.Release(); ok && l.Version() == version {
+					version++
+					record = r
+					l = l.WithWritten(r, version, now, now)
+				}
+			case 3:
+				if !l.Usable(now) {
+					break
+				}
+				if lastBy != "" && lastBy != n {
+					require.GreaterOrEqual(t, now-lastAt, terms.Quiet, "%s acts %v after %s", n, now-lastAt, lastBy)
+				}
+				if by, ok := epochs[l.Epoch()]; ok {
+					require.Equal(t, by, n, "two holders with epoch %d", l.Epoch())
+				}
+				epochs[l.Epoch()] = n
+				lastBy, lastAt = n, now
+			}
+			leases[n] = l
+		}
+	})
+}
+
+// Guards against a fleet that never elects a holder on its first start.
+func TestFirstHolderActsAtOnce(t *testing.T) {
+	l := New("a", terms).WithRecord(Record{}, 0, 0)
+	action, r := l.Next(0)
+	require.Equal(t, Write, action)
+	l = l.WithWritten(r, 7, 0, 5*time.Millisecond)
+	require.True(t, l.Usable(10*time.Millisecond))
+	require.False(t, l.Usable(terms.Use), "a holder whose renewals fail stops by itself")
+}
+
+// Guards against a write with a lost answer that took effect: the holder must take it up after reading it back.
+func TestLostAnswerReadBack(t *testing.T) {
+	l := New("a", terms).WithRecord(Record{}, 0, 0)
+	_, r := l.Next(0)
+	l = l.WithoutVersion()
+	action, _ := l.Next(time.Second)
+	require.Equal(t, Read, action)
+	l = l.WithRecord(r, 7, time.Second)
+	action, renewed := l.Next(time.Second)
+	require.Equal(t, Write, action)
+	require.Equal(t, r.Epoch, renewed.Epoch)
+	l = l.WithWritten(renewed, 8, time.Second, time.Second)
+	require.True(t, l.Usable(time.Second))
+}
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -38,6 +38,8 @@
 	Timeout time.Duration
 	// Silence is the time without a line after which a watch ends. Zero means 15 s.
 	Silence time.Duration
+	// Dialect is the form in which the platform speaks. The zero value is the customary REST form.
+	Dialect Dialect
 
 	// Reads, Writes and Watches count the calls made since the start.
 	Reads, Writes, Watches atomic.Int64
@@ -87,16 +89,35 @@
 
 // Get returns one object. It fails with NotFound or Unavailable.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	return c.object(ctx, call{op: "get", method: http.MethodGet, kind: kind, name: name})
+}
+
+// object carries out a call whose answer is one object.
+func (c *Client) object(ctx context.Context, k call) (Object, error) {
+	if c.Dialect.Decode != nil {
+		var raw json.RawMessage
+		if err := c.do(ctx, k, &raw); err != nil {
+			return Object{}, err
+		}
+		o, err := c.Dialect.Decode(k.kind, raw)
+		if err != nil {
+			return Object{}, k.lost(err)
+		}
+		return o, nil
+	}
 	var w wireObject
-	if err := c.do(ctx, call{op: "get", method: http.MethodGet, kind: kind, name: name}, &w); err != nil {
+	if err := c.do(ctx, k, &w); err != nil {
 		return Object{}, err
 	}
-	return decodeObject("get", kind, w)
+	return decodeObject(k.op, k.kind, w)
 }
 
 // List returns the objects of a kind and the version of the collection. The empty kind lists all
 // configuration kinds in one call.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, int64, error) {
+	if c.Dialect.Page != nil {
+		return c.listPages(ctx, kind)
+	}
 	var w wireList
 	if err := c.do(ctx, call{op: "list", method: http.MethodGet, kind: kind}, &w); err != nil {
 		return nil, 0, err
@@ -145,7 +166,7 @@
 
 // Delete removes an object if it still has the version. It fails as Update does.
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	query := url.Values{"resourceVersion": {strconv.FormatInt(version, 10)}}
+	query := url.Values{c.Dialect.versionQuery(): {strconv.FormatInt(version, 10)}}
 	return c.do(ctx, call{op: "delete", method: http.MethodDelete, kind: kind, name: name, query: query}, nil)
 }
 
@@ -154,16 +175,16 @@
 	if len(o.Spec) > maxSpecBytes {
 		return Object{}, &Error{Op: k.op, Object: k.String(), Kind: Invalid, Err: errors.New("spec above 1 MB")}
 	}
-	body, err := encodeObject(o)
+	encode := encodeObject
+	if c.Dialect.Encode != nil {
+		encode = c.Dialect.Encode
+	}
+	body, err := encode(o)
 	if err != nil {
 		return Object{}, &Error{Op: k.op, Object: k.String(), Kind: Invalid, Err: err}
 	}
 	k.body = body
-	var w wireObject
-	if err := c.do(ctx, k, &w); err != nil {
-		return Object{}, err
-	}
-	return decodeObject(k.op, o.Kind, w)
+	return c.object(ctx, k)
 }
 
 func decodeObject(op, kind string, w wireObject) (Object, error) {
@@ -180,6 +201,7 @@
 	query                  url.Values
 	accept                 string
 	body                   []byte
+	timeout                time.Duration // timeout replaces the client's own unless it is zero.
 }
 
 func (k call) String() string {
@@ -207,7 +229,7 @@
 	if plural == "" {
 		plural = ConfigurationPath
 	}
-	u := c.Base + basePath + plural
+	u := c.Base + c.Dialect.base() + plural
 	if k.name != "" {
 		u += "/" + url.PathEscape(k.name)
 	}
@@ -260,6 +282,9 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	if k.timeout > 0 {
+		timeout = k.timeout
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if k.writes() {
--- /dev/null
+++ b/pkg/afobject/dialect.go
@@ -0,0 +1,122 @@
+package afobject
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+const (
+	defaultPollWait = 5 * time.Second
+	// pollMargin is what an answer to a waiting call may take beyond the wait.
+	pollMargin = time.Second
+	// maxPages bounds one list: 20,000 objects in pages of 500, with room.
+	maxPages = 200
+)
+
+// Dialect is the form in which a platform speaks, for platforms that list in pages and watch with waiting calls. The
+// functions are all set or all nil.
+type Dialect struct {
+	// Base is the path before the kind, with slashes at both ends. Empty means the customary one.
+	Base string
+	// Version is the query field that makes a deletion conditional. Empty means resourceVersion.
+	Version string
+	// Encode returns the body of a write, Decode an object of an answer.
+	Encode func(o Object) ([]byte, error)
+	Decode func(kind string, body []byte) (Object, error)
+	// Page decodes one answer of a list, Changes one of a watch.
+	Page    func(kind string, body []byte) (Page, error)
+	Changes func(kind string, body []byte) (Page, error)
+	// After returns the query for the page after a name, Since the one for changes after a version.
+	After func(name string) url.Values
+	Since func(version int64, wait time.Duration) url.Values
+	// Wait bounds one waiting call of a watch. Zero means 5 s.
+	Wait time.Duration
+}
+
+// Page is one answer of a list or a watch.
+type Page struct {
+	Objects []Object
+	Events  []Event
+	// Next is the name to continue the list after. Empty means that the list is complete.
+	Next string
+	// Version is the collection version of the answer.
+	Version int64
+}
+
+func (d Dialect) base() string {
+	if d.Base == "" {
+		return basePath
+	}
+	return d.Base
+}
+
+func (d Dialect) versionQuery() string {
+	if d.Version == "" {
+		return "resourceVersion"
+	}
+	return d.Version
+}
+
+// listPages reads a collection page by page. The version is that of the first page, so that a watch from it reports
+// what changed in between.
+func (c *Client) listPages(ctx context.Context, kind string) ([]Object, int64, error) {
+	var (
+		all     []Object
+		version int64
+		next    string
+	)
+	for n := range maxPages {
+		k := call{op: "list", method: http.MethodGet, kind: kind}
+		if next != "" {
+			k.query = c.Dialect.After(next)
+		}
+		var raw json.RawMessage
+		if err := c.do(ctx, k, &raw); err != nil {
+			return nil, 0, err
+		}
+		page, err := c.Dialect.Page(kind, raw)
+		if err != nil {
+			return nil, 0, k.fail(Invalid, err)
+		}
+		if n == 0 {
+			version = page.Version
+		}
+		all = append(all, page.Objects...)
+		next = page.Next
+		if next == "" {
+			return all, version, nil
+		}
+	}
+	return nil, 0, &Error{Op: "list", Object: kind, Kind: Invalid}
+}
+
+// poll watches with calls that wait. Each call that brings no change ends in a bookmark.
+func (c *Client) poll(ctx context.Context, kind string, since int64, fn func(Event)) error {
+	wait := c.Dialect.Wait
+	if wait <= 0 {
+		wait = defaultPollWait
+	}
+	for {
+		c.Watches.Add(1)
+		k := call{
+			op: "watch", method: http.MethodGet, kind: kind, query: c.Dialect.Since(since, wait),
+			timeout: wait + pollMargin,
+		}
+		var raw json.RawMessage
+		if err := c.do(ctx, k, &raw); err != nil {
+			return err
+		}
+		page, err := c.Dialect.Changes(kind, raw)
+		if err != nil {
+			return k.fail(Invalid, err)
+		}
+		for _, e := range page.Events {
+			fn(e)
+		}
+		since = max(since, page.Version)
+		fn(Event{Type: Bookmark, Object: Object{Kind: kind, Version: since}})
+	}
+}
--- a/pkg/afobject/watch.go
+++ b/pkg/afobject/watch.go
@@ -32,6 +32,9 @@
 // breaks, or ctx ends. The empty kind watches all configuration kinds. The object of a deletion has no Spec and
 // the version of the deletion. Watch never returns nil; Expired means that since is no longer kept.
 func (c *Client) Watch(ctx context.Context, kind string, since int64, fn func(Event)) error {
+	if c.Dialect.Page != nil {
+		return c.poll(ctx, kind, since, fn)
+	}
 	c.Watches.Add(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- /dev/null
+++ b/pkg/afroute/table.go
@@ -0,0 +1,185 @@
+package afroute
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Service is a group of endpoints that answer the same requests.
+type Service struct {
+	Name string
+	// Health is the path of the health check.
+	Health string
+	// Connections bounds the connections that one endpoint accepts from all VMs together. Zero means unknown.
+	Connections int
+	// Engine describes the model engines of the service. It is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of one service, which are all alike.
+type Engine struct {
+	// Slots is the number of requests that one engine runs at once.
+	Slots int
+	// Cache is the memory of one engine for prompts and running requests, in tokens.
+	Cache int64
+	// Memory bounds the models and adapters that one engine holds together, in MB.
+	Memory float64
+	// AdapterSlots bounds the adapters that one engine holds.
+	AdapterSlots int
+	// LoadsPerSecond is what the weight store allows for all engines together.
+	LoadsPerSecond float64
+	// Models are the models that the service may offer, by name.
+	Models map[string]Model
+}
+
+// Model describes the cost of a model's weights.
+type Model struct {
+	Name string
+	// Size is in MB.
+	Size float64
+	// Load, Disk and Warm are the times to load the weights from the weight store, the engine's disk and its memory.
+	Load, Disk, Warm time.Duration
+	// Adapters is the number of adapters, and AdapterSize the size of one in MB.
+	Adapters    int
+	AdapterSize float64
+}
+
+// Customer is one customer with its limit.
+type Customer struct {
+	Name string
+	// Priority overrides the rank of the route if Ranked is set.
+	Priority int
+	Ranked   bool
+	// Rate is in units per second and Burst in units. A zero rate means no limit.
+	Rate, Burst int64
+	// InTokens means that the unit is a token, and Plain what a request without a token count costs. Otherwise the
+	// unit is a request.
+	InTokens bool
+	Plain    int64
+}
+
+// Limits bound what a caller may send. Zero values mean the entry's own defaults.
+type Limits struct {
+	// Header and Body are in bytes.
+	Header, Body int
+	// Receive bounds the time for the headers, Idle the time between two requests on a connection.
+	Receive, Idle time.Duration
+}
+
+// Table is one version of the configuration. It is immutable after NewTable.
+type Table struct {
+	// Version rises with each configuration.
+	Version int64
+	// Limits apply to all callers.
+	Limits Limits
+
+	// hosts holds the routes of each host, the longest prefix first.
+	hosts     map[string][]Route
+	services  map[string]Service
+	customers map[string]Customer
+	// keys maps the digest of a key to the name of its customer.
+	keys map[string]string
+}
+
+// NewTable returns a table. Keys maps each key in clear text to the name of its customer; the table keeps digests only.
+func NewTable(version int64, limits Limits, routes []Route, services []Service, customers []Customer, keys map[string]string) *Table {
+	t := &Table{
+		Version: version, Limits: limits,
+		hosts: make(map[string][]Route), services: make(map[string]Service, len(services)),
+		customers: make(map[string]Customer, len(customers)), keys: make(map[string]string, len(keys)),
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	for _, c := range customers {
+		t.customers[c.Name] = c
+	}
+	for key, customer := range keys {
+		t.keys[digest(key)] = customer
+	}
+	return t
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Match returns the route with the longest prefix of the path on the host. The host may carry a port.
+func (t *Table) Match(host, path string) (Route, bool) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Keyed reports whether requests need a key on routes that are not public.
+func (t *Table) Keyed() bool { return len(t.customers) > 0 }
+
+// Holder returns the customer that a key belongs to.
+func (t *Table) Holder(key string) (Customer, bool) {
+	name, ok := t.keys[digest(key)]
+	if !ok {
+		return Customer{}, false
+	}
+	c, ok := t.customers[name]
+	return c, ok
+}
+
+// Customer returns a customer by name.
+func (t *Table) Customer(name string) (Customer, bool) {
+	c, ok := t.customers[name]
+	return c, ok
+}
+
+// Customers returns the customers in order of name.
+func (t *Table) Customers() []Customer {
+	out := make([]Customer, 0, len(t.customers))
+	for _, c := range t.customers {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Customer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns the services in order of name.
+func (t *Table) Services() []Service {
+	out := make([]Service, 0, len(t.services))
+	for _, s := range t.services {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.hosts {
+		n += len(list)
+	}
+	return n
+}
