keeper: divide limits from one ledger at the placement holder

Ruled out: spending the slack of the published bound. Change: the holder keeps one ledger for each customer from the counts that the VMs report, grants half of the level by demand, and gives the rest to requests that do not fit a grant; without a holder each VM keeps to an equal part. The plan keeps the room that it made for a model, and a request whose model cannot be ready in time is refused with the time when it is.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -160,10 +160,21 @@
 		service: j.service.Name, model: j.call.Model, adapter: j.call.Adapter, urgency: j.urgency, arrived: j.arrived,
 		given: make(chan placed, 1),
 		pick:  func() (placed, bool) { return j.pick(tried) },
+		hopeless: func() bool {
+			at, ok := s.soon.at(j.call.Model)
+			return ok && at.Sub(s.Timer.Now()) > j.patience() && !s.held(j.service.Name, j.call.Model, "")
+		},
+		spoiled: make(chan struct{}),
 	}
 	if e, ok := s.queue.tryOrWait(t); ok {
 		return e, nil
 	}
+	if t.hopeless() {
+		if e, ok := s.queue.leave(t); ok {
+			return e, nil
+		}
+		return placed{}, j.tooLate()
+	}
 	defer func() { j.waited += s.Timer.Now().Sub(begin) }()
 	s.Log.Debug("request waits", "request", j.call.ID, "model", j.call.Model, "adapter", j.call.Adapter)
 	if s.Asked != nil {
@@ -177,12 +188,14 @@
 		return e, nil
 	case <-ctx.Done():
 	case <-expired:
+	case <-t.spoiled:
+		return placed{}, j.tooLate()
 	}
 	if e, ok := s.queue.leave(t); ok {
 		return e, nil
 	}
 	if j.service.Engine != nil && !s.held(j.service.Name, j.call.Model, j.call.Adapter) {
-		return placed{}, refuse(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(j.call.Model)+" did not become ready in time", loadRetry)
+		return placed{}, j.tooLate()
 	}
 	return placed{}, refuse(arbutusfork.CodeNoCapacity, "every endpoint is full or unusable", busyRetry)
 }
@@ -196,9 +209,25 @@
 	if j.service.Engine == nil {
 		return min(left, plainPatience)
 	}
+	if j.route.Gap > 0 && !j.begun {
+		// Callers leave when the first event does not come; an engine needs a moment for it.
+		left = min(left, max(j.route.Gap-firstEvent-j.server.Timer.Now().Sub(j.arrived), 0))
+	}
 	return left
 }
 
+// firstEvent is the time that an engine needs for the first event of a usual request.
+const firstEvent = 250 * time.Millisecond
+
+// tooLate returns the refusal of a request whose model is not ready in time, with the time when it should be.
+func (j *job) tooLate() *arbutusfork.Refusal {
+	after := loadRetry
+	if at, ok := j.server.soon.at(j.call.Model); ok {
+		after = max(at.Sub(j.server.Timer.Now())+rejectPause, rejectPause)
+	}
+	return refuse(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(j.call.Model)+" is not ready in time", after)
+}
+
 // pick chooses an endpoint now. The caller holds the queue's lock, so that two requests see each other's choice.
 func (j *job) pick(tried map[string]bool) (placed, bool) {
 	s := j.server
@@ -246,4 +275,3 @@
 	}
 	return false
 }
-
--- a/internal/afgateway/demand.go
+++ b/internal/afgateway/demand.go
@@ -11,7 +11,7 @@
 
 const (
 	// rateTime is the time constant of the demand's average: demand moves to other models within seconds.
-	rateTime = 3 * time.Second
+	rateTime = 4 * time.Second
 	// sessionLife is how long a session's endpoint is remembered, and maxSessions bounds them.
 	sessionLife = 20 * time.Second
 	maxSessions = 4096
@@ -84,15 +84,36 @@
 	return out
 }
 
-// Usage returns what the customers asked for lately on this VM, in units a second.
-func (s *Server) Usage() map[string]int64 {
-	s.init()
-	return s.limits.usage(s.Timer.Now())
-}
-
 // Wake lets waiting requests go on after a change of the endpoints.
 func (s *Server) Wake() { s.queue.wake() }
 
+// forecast holds when models that no engine holds should be loaded.
+type forecast struct {
+	mu sync.Mutex
+	m  map[string]time.Time
+}
+
+// SetSoon takes the times until models are loaded.
+func (s *Server) SetSoon(soon map[string]time.Duration) {
+	now := s.Timer.Now()
+	m := make(map[string]time.Time, len(soon))
+	for model, d := range soon {
+		m[model] = now.Add(d)
+	}
+	s.soon.mu.Lock()
+	s.soon.m = m
+	s.soon.mu.Unlock()
+	s.Wake()
+}
+
+// at returns when a model should be loaded, if a load is in progress.
+func (f *forecast) at(model string) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, ok := f.m[model]
+	return t, ok
+}
+
 // session is where a session's prompt was read last.
 type session struct {
 	endpoint string
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net/http"
@@ -142,9 +143,21 @@
 			cost = j.call.Prompt + j.call.Output
 		}
 	}
-	after, ok := j.server.limits.take(j.customer, cost, j.server.Listed(), j.server.Timer.Now())
+	short, ok := j.server.limits.take(j.customer, cost, j.server.Listed(), j.server.Timer.Now())
+	if !ok && j.server.Spend != nil {
+		after, given := j.server.Spend(context.Background(), j.customer.Name, cost)
+		if given {
+			j.cost = cost
+			return nil
+		}
+		if after > 0 {
+			short.after = min(after, maxLimitWait)
+		}
+	}
 	if !ok {
-		return refuse(arbutusfork.CodeLimited, "the customer's limit is used up", after)
+		j.detail = fmt.Sprintf("cost %d, level %.0f, rate %.0f of %d, burst %d, grant %v old", short.cost, short.level,
+			short.perSecond, j.customer.Rate, j.customer.Burst, short.granted)
+		return refuse(arbutusfork.CodeLimited, "the customer's limit is used up", short.after)
 	}
 	j.cost = cost
 	return nil
--- a/internal/afgateway/limit.go
+++ b/internal/afgateway/limit.go
@@ -5,68 +5,87 @@
 	"sync"
 	"time"
 
+	"arbutusfork.example/arbutusfork/internal/afkeeper"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
 
 const (
-	// shareLife is how long the holder's division of the limits counts. After it each VM keeps to an equal part.
-	shareLife = 2 * time.Second
+	// grantLife is how long the holder's grant counts. After it each VM keeps to an equal part.
+	grantLife = 2 * time.Second
 	// maxLimitWait bounds Retry-After for a customer above its limit.
 	maxLimitWait = 5 * time.Second
-	// startLevel is the part of a bucket with which a VM starts. A VM that restarts has forgotten what it spent.
+	// startLevel is the part of its bucket with which a VM starts. A VM that restarts has forgotten what it spent.
 	startLevel = 0.3
 )
 
 // limits holds this VM's part of the customers' limits.
 type limits struct {
-	mu     sync.Mutex
-	m      map[string]*allowance
-	shares map[string]float64
-	shared time.Time
+	mu      sync.Mutex
+	m       map[string]*allowance
+	granted time.Time
 }
 
 // allowance is a token bucket with this VM's part of a customer's rate and burst.
 type allowance struct {
 	level float64
 	at    time.Time
-	// burst and rate are the parts at the last use.
-	burst, rate float64
-	asked       rate
+	// part is the granted part of the rate.
+	part float64
+	// spent counts what was spent since the start.
+	spent int64
+	asked rate
 }
 
-// part returns this VM's part of a customer's limit.
-func (l *limits) part(customer string, listed int, now time.Time) float64 {
-	if p, ok := l.shares[customer]; ok && now.Sub(l.shared) < shareLife {
-		return p
-	}
-	return 1 / float64(max(listed, 1))
+// shortage tells why a request does not fit a customer's limit.
+type shortage struct {
+	// after is the time until there should be enough.
+	after time.Duration
+	// cost and level are in the customer's units, perSecond is this VM's part of the rate.
+	cost             int64
+	level, perSecond float64
+	// granted is the age of the holder's grant.
+	granted time.Duration
 }
 
-// take reserves cost units, or returns the time after which they should be there.
-func (l *limits) take(c afroute.Customer, cost int64, listed int, now time.Time) (time.Duration, bool) {
+// take reserves cost units, or returns why it cannot.
+func (l *limits) take(c afroute.Customer, cost int64, listed int, now time.Time) (shortage, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	part := l.part(c.Name, listed, now)
-	burst, perSecond := part*float64(c.Burst), part*float64(c.Rate)
+	a := l.account(c.Name, now)
+	equal := 1 / float64(max(listed, 1))
+	part, burst := a.part, float64(c.Burst)
+	if part <= 0 || now.Sub(l.granted) > grantLife {
+		part, burst = equal, equal*burst
+	}
 	// A request above the part of one VM must fit into a full bucket, or large requests would never run.
 	burst = max(burst, min(float64(cost), float64(c.Burst)))
-	a := l.m[c.Name]
-	if a == nil {
-		a = &allowance{level: startLevel * burst, at: now, asked: rate{at: now}}
-		l.m[c.Name] = a
+	perSecond := part * float64(c.Rate)
+	if a.at.IsZero() {
+		a.level, a.at = startLevel*equal*float64(c.Burst), now
 	}
 	a.asked.add(now, float64(cost))
 	a.level = min(a.level+perSecond*now.Sub(a.at).Seconds(), burst)
-	a.at, a.burst, a.rate = now, burst, perSecond
+	a.at = now
 	if a.level >= float64(cost) {
 		a.level -= float64(cost)
-		return 0, true
+		a.spent += cost
+		return shortage{}, true
 	}
-	if perSecond <= 0 {
-		return maxLimitWait, false
+	short := shortage{after: maxLimitWait, cost: cost, level: a.level, perSecond: perSecond, granted: now.Sub(l.granted)}
+	if perSecond > 0 {
+		wait := min((float64(cost)-a.level)/perSecond, maxLimitWait.Seconds())
+		short.after = time.Duration(math.Ceil(wait*1000)) * time.Millisecond
+	}
+	return short, false
+}
+
+func (l *limits) account(customer string, now time.Time) *allowance {
+	a := l.m[customer]
+	if a == nil {
+		a = &allowance{asked: rate{at: now}}
+		l.m[customer] = a
 	}
-	wait := time.Duration(math.Min((float64(cost)-a.level)/perSecond, maxLimitWait.Seconds()) * float64(time.Second))
-	return wait, false
+	return a
 }
 
 // put returns units of a request that did not run.
@@ -74,26 +93,37 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a := l.m[customer]; a != nil {
-		a.level = min(a.level+float64(cost), a.burst)
+		a.level += float64(cost)
+		a.spent -= cost
 	}
 }
 
-func (l *limits) usage(now time.Time) map[string]int64 {
+// Usage returns what the customers spent and asked for on this VM.
+func (s *Server) Usage() map[string]afkeeper.Use {
+	s.init()
+	l := &s.limits
+	now := s.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]int64, len(l.m))
+	out := make(map[string]afkeeper.Use, len(l.m))
 	for name, a := range l.m {
 		a.asked.decay(now)
-		if n := int64(a.asked.units); n > 0 {
-			out[name] = n
-		}
+		out[name] = afkeeper.Use{Spent: a.spent, Asked: int64(a.asked.units)}
 	}
 	return out
 }
 
-// SetShares takes this VM's part of each customer's limit.
-func (s *Server) SetShares(shares map[string]float64) {
-	s.limits.mu.Lock()
-	defer s.limits.mu.Unlock()
-	s.limits.shares, s.limits.shared = shares, s.Timer.Now()
+// SetGrants takes this VM's part of each customer's limit.
+func (s *Server) SetGrants(grants map[string]afkeeper.Grant) {
+	s.init()
+	l := &s.limits
+	now := s.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.granted = now
+	for name, g := range grants {
+		a := l.account(name, now)
+		a.level = float64(g.Level - (a.spent - g.Spent))
+		a.part, a.at = g.Part, now
+	}
 }
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -23,6 +23,10 @@
 	// pick returns an endpoint that can serve the request now. It is called with the queue's lock held.
 	pick  func() (placed, bool)
 	given chan placed
+	// hopeless returns true once it is known that the request cannot be served in time.
+	hopeless func() bool
+	// spoiled is closed when that is found out while the request waits.
+	spoiled chan struct{}
 }
 
 // queue holds the requests that wait for an endpoint. The most urgent go first, those of one rank in order of arrival,
@@ -71,16 +75,18 @@
 	stuck := map[class]bool{}
 	q.tickets = slices.DeleteFunc(q.tickets, func(t *ticket) bool {
 		c := class{t.service, t.model, t.adapter}
-		if stuck[c] {
-			return false
-		}
-		e, ok := t.pick()
-		if !ok {
+		if !stuck[c] {
+			if e, ok := t.pick(); ok {
+				t.given <- e
+				return true
+			}
 			stuck[c] = true
-			return false
 		}
-		t.given <- e
-		return true
+		if t.hopeless() {
+			close(t.spoiled)
+			return true
+		}
+		return false
 	})
 }
 
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -6,6 +6,7 @@
 package afgateway
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -36,6 +37,9 @@
 	Asked func()
 	// Listed returns the number of VMs that may be alive, at least 1.
 	Listed func() int
+	// Spend takes units of a customer's limit that this VM's grant does not cover, or returns the time after which there
+	// should be enough.
+	Spend func(ctx context.Context, customer string, cost int64) (time.Duration, bool)
 	// Repeats is the budget for second sends of each service over all VMs; this VM uses its part.
 	Repeats Repeats
 	// Metrics counts outcomes. The zero value counts nothing that is served.
@@ -48,6 +52,7 @@
 	queue  queue
 	limits limits
 	demand rates
+	soon   forecast
 
 	mu      sync.Mutex
 	windows map[string]*afretry.Window
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -24,7 +24,11 @@
 	// closeTime is how long a replica that is to be unloaded gets no new requests.
 	closeTime = 5 * time.Second
 	// conflictPause is how long an engine that refused an order is left alone, for a newer report.
-	conflictPause = 250 * time.Millisecond
+	conflictPause = 80 * time.Millisecond
+	// unloadPause is how long an engine that unloads an idle model takes no other order.
+	unloadPause = 60 * time.Millisecond
+	// intentTime is how long the room that was made for a model is kept for it.
+	intentTime = 1500 * time.Millisecond
 )
 
 // state is what the holder knows about one engine.
@@ -47,6 +51,9 @@
 	adapters map[string]time.Time
 	// unclear is until when an order without an answer is waited for.
 	unclear time.Time
+	// intent is the model that room was made for, until kept.
+	intent  string
+	kept    time.Time
 	closing map[string]time.Time
 }
 
@@ -197,6 +204,9 @@
 		Memory: x.report.Memory, Disk: x.report.Disk, Seq: x.seq, Running: running,
 		Busy: x.loading != "" || x.report.Busy,
 	}
+	if now.Before(x.kept) {
+		e.Intent = x.intent
+	}
 	if e.Busy {
 		e.Free = max(x.ends.Sub(now), workPoll)
 	}
@@ -253,8 +263,8 @@
 }
 
 // engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
-// read 22 to 26 prompt tokens a millisecond, and half of their time goes to other models and to generating.
-const engineWork = 9000
+// read 22 to 26 prompt tokens a millisecond, and nearly half of their time goes to other models and to generating.
+const engineWork = 14000
 
 // storeStarts returns how many loads from the weight store may begin now.
 func (s *Service) storeStarts(e *afroute.Engine) int {
@@ -268,6 +278,9 @@
 func (s *Service) send(ctx context.Context, step afassign.Step, epoch int64, now time.Time) {
 	x := s.engines[step.Engine]
 	x.sent = true
+	if step.Reason == afassign.ForRoom && step.Order.Adapter == "" {
+		x.intent, x.kept = step.For, now.Add(intentTime)
+	}
 	if step.FromStore {
 		s.starts = append(s.starts, s.BootTime())
 	}
@@ -339,9 +352,12 @@
 		x.report.Models = slices.DeleteFunc(slices.Clone(x.report.Models), func(h afengine.Held) bool { return h.Model == order.Model })
 		delete(x.closing, order.Model)
 		s.changed = true
+		x.unclear = now.Add(unloadPause)
+		s.Timer.After(unloadPause, func(time.Time) { s.poke() })
 		x.next = now.Add(workPoll)
 	default:
 		x.loading, x.store = order.Model, step.FromStore
+		x.kept = time.Time{}
 		x.ends = now.Add(step.Takes)
 		x.next = now.Add(min(step.Takes+reportLag/4, idlePoll))
 	}
@@ -422,11 +438,12 @@
 	s.nextView = now.Add(viewPeriod)
 	record, version := s.lease.Record(), s.lease.Version()
 	beats := make(map[string]beat, len(s.beats)+1)
+	starts := make(map[string]int64, len(s.beats)+1)
 	for vm, h := range s.beats {
-		beats[vm] = h.beat
+		beats[vm], starts[vm] = h.beat, h.from.Start
 	}
 	s.mu.Unlock()
-	beats[s.Self.VM] = s.beat(s.Demand())
+	beats[s.Self.VM], starts[s.Self.VM] = s.beat(s.Demand()), s.Self.Start
 	total := make(map[string]afroster.Load)
 	for _, b := range beats {
 		for id, l := range b.Loads {
@@ -434,11 +451,12 @@
 		}
 	}
 	members := s.Members()
-	shares := divide(beats, members, max(s.Listed(), len(members)))
+	grants := s.grant(beats, starts, members, now)
+	soon := s.soon(now)
 	for _, vm := range members {
 		v := view{
 			Holder: record.Holder, Epoch: record.Epoch, Beat: record.Beat, Version: version,
-			Engines: s.viewFor(beats[vm.Name], total, now), Shares: shares[vm.Name],
+			Engines: s.viewFor(beats[vm.Name], total, now), Grants: grants[vm.Name], Soon: soon,
 		}
 		if vm.Name == s.Self.VM {
 			s.adopt(v)
@@ -450,6 +468,20 @@
 	}
 }
 
+// soon returns the times until models that no engine holds are loaded.
+func (s *Service) soon(now time.Time) map[string]int64 {
+	out := make(map[string]int64)
+	for _, x := range s.engines {
+		if x.loading != "" {
+			ms := max(x.ends.Sub(now), workPoll).Milliseconds()
+			if old, ok := out[x.loading]; !ok || ms < old {
+				out[x.loading] = ms
+			}
+		}
+	}
+	return out
+}
+
 func (s *Service) viewFor(own beat, total map[string]afroster.Load, now time.Time) map[string]engine {
 	out := make(map[string]engine, len(s.engines))
 	for id, t := range total {
--- a/internal/afkeeper/error.go
+++ b/internal/afkeeper/error.go
@@ -19,7 +19,9 @@
 }
 
 // Error returns the operation, the kind and the cause.
-func (e *Error) Error() string { return "keeper " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error() }
+func (e *Error) Error() string {
+	return "keeper " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -23,8 +23,8 @@
 	Loads   map[string]load           `msgpack:"loads,omitempty"`
 	Running map[string]map[string]int `msgpack:"running,omitempty"`
 	Demand  []demand                  `msgpack:"demand,omitempty"`
-	// Usage is what the customers' requests asked for lately on this VM, in units a second.
-	Usage map[string]int64 `msgpack:"usage,omitempty"`
+	// Usage is by customer.
+	Usage map[string]use `msgpack:"usage,omitempty"`
 }
 
 type load struct {
@@ -52,8 +52,10 @@
 	// Version is the version of the lease's record.
 	Version int64             `msgpack:"version"`
 	Engines map[string]engine `msgpack:"engines"`
-	// Shares is the receiver's part of each customer's limit, in millionths.
-	Shares map[string]int64 `msgpack:"shares,omitempty"`
+	// Grants is what the receiver may spend of each customer's limit.
+	Grants map[string]grant `msgpack:"grants,omitempty"`
+	// Soon is the time until a model that no engine holds is loaded, in milliseconds.
+	Soon map[string]int64 `msgpack:"soon,omitempty"`
 }
 
 type engine struct {
@@ -64,7 +66,25 @@
 	Used    int64           `msgpack:"u,omitempty"`
 }
 
-const shareUnit = 1_000_000
+// grant is a VM's part of a customer's limit.
+type grant struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	// Level is what may be spent, less what was spent after the count Spent.
+	Level, Spent int64
+	// Part is the part of the rate by which the level rises, in millionths.
+	Part int64
+}
+
+// use is what a VM says of a customer.
+type use struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	// Spent counts what was spent since the VM's start, and Asked is what requests ask for lately, in units a second.
+	Spent, Asked int64
+}
+
+const partUnit = 1_000_000
 
 func encodeLoad(l afroster.Load) load {
 	return load{Requests: l.Requests, Prompt: l.Prompt, Tokens: l.Tokens}
@@ -98,7 +118,7 @@
 		return nil, &Error{Op: "beat", Kind: Malformed, Err: err}
 	}
 	s.mu.Lock()
-	s.beats[from.VM] = heard{at: s.Timer.Now(), beat: b}
+	s.beats[from.VM] = heard{at: s.Timer.Now(), from: from, beat: b}
 	s.mu.Unlock()
 	s.poke()
 	return nil, nil
@@ -135,9 +155,14 @@
 		}
 	}
 	s.Roster.SetView(statuses)
-	shares := make(map[string]float64, len(v.Shares))
-	for name, n := range v.Shares {
-		shares[name] = float64(n) / shareUnit
+	grants := make(map[string]Grant, len(v.Grants))
+	for name, g := range v.Grants {
+		grants[name] = Grant{Level: g.Level, Spent: g.Spent, Part: float64(g.Part) / partUnit}
+	}
+	s.Grants(grants)
+	soon := make(map[string]time.Duration, len(v.Soon))
+	for model, ms := range v.Soon {
+		soon[model] = time.Duration(ms) * time.Millisecond
 	}
-	s.Shares(shares)
+	s.Soon(soon)
 }
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -67,11 +67,14 @@
 	Listed  func() int
 	// Send sends a message to a VM.
 	Send func(vm, kind string, message any) error
-	// Demand returns what this VM's callers ask for, Usage what its customers asked for lately in units a second.
+	// Call sends a message to a VM and waits for the answer.
+	Call func(ctx context.Context, vm, kind string, message, answer any) error
+	// Demand returns what this VM's callers ask for, Usage what its customers spent and asked for.
 	Demand func() []afassign.Demand
-	Usage  func() map[string]int64
-	// Shares is called with this VM's part of each customer's limit.
-	Shares func(map[string]float64)
+	Usage  func() map[string]Use
+	// Grants is called with this VM's part of each customer's limit, Soon with the times until models are loaded.
+	Grants func(map[string]Grant)
+	Soon   func(map[string]time.Duration)
 	// Report and Order reach an engine. Order is called with the holder's name and epoch.
 	Report func(ctx context.Context, e afengine.Entry) (afengine.Report, error)
 	Order  func(ctx context.Context, e afengine.Entry, holder string, epoch int64, o afengine.Order) afengine.Result
@@ -85,6 +88,9 @@
 	viewed time.Time
 	// stopping VMs do not take the lease.
 	stopping bool
+	// ledgers holds the customers' limits while this VM holds the lease, and live the part of the VMs that answer.
+	ledgers map[string]*ledger
+	live    float64
 	// due means that a view should be sent although no report came.
 	due bool
 
@@ -103,6 +109,7 @@
 
 type heard struct {
 	at   time.Time
+	from arbutusfork.Incarnation
 	beat beat
 }
 
@@ -110,6 +117,7 @@
 	s.pokes = make(chan struct{}, 1)
 	s.beats = make(map[string]heard)
 	s.engines = make(map[string]*state)
+	s.ledgers = make(map[string]*ledger)
 	s.polls = make(chan polled, 64)
 	s.orders = make(chan ordered, 64)
 	s.lease = aflease.New(s.Self.String(), s.Terms)
@@ -164,6 +172,9 @@
 		s.Log.Info("placement lease changed", "held", held, "epoch", epoch)
 	}
 	if !held {
+		s.mu.Lock()
+		clear(s.ledgers)
+		s.mu.Unlock()
 		s.tell()
 		return
 	}
@@ -196,7 +207,10 @@
 
 func (s *Service) beat(d []afassign.Demand) beat {
 	loads, running := s.Roster.Own()
-	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: s.Usage()}
+	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}}
+	for customer, u := range s.Usage() {
+		b.Usage[customer] = use{Spent: u.Spent, Asked: u.Asked}
+	}
 	for id, l := range loads {
 		b.Loads[id] = encodeLoad(l)
 	}
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -1,40 +1,193 @@
 package afkeeper
 
 import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
 
-// floorPart is the part of a customer's limit that is divided equally, so that a VM that suddenly gets requests can
-// serve them until the next view.
-const floorPart = 0.3
-
-// divide splits each customer's limit among the VMs: a part equally, the rest by what their requests ask for. Listed is
-// the number of VMs that may be alive; the parts of those that do not answer stay unused, since they may still serve.
-func divide(beats map[string]beat, members []arbutusfork.VM, listed int) map[string]map[string]int64 {
-	total := map[string]int64{}
-	for _, b := range beats {
-		for customer, n := range b.Usage {
-			total[customer] += n
-		}
-	}
-	out := make(map[string]map[string]int64, len(members))
-	if listed == 0 || len(members) == 0 {
+const (
+	// grantPart is the part of a customer's tokens that is granted to the VMs ahead of requests. The rest is kept for
+	// requests that do not fit a VM's grant, so that the tokens are not lost in pieces that are too small.
+	grantPart = 0.5
+	// floorPart is the part of the grants that is divided equally, for VMs that suddenly get requests.
+	floorPart = 0.4
+	// firstLevel is the part of a burst that a new holder grants, since it does not know what was spent before.
+	firstLevel = 0.3
+	// maxDebt bounds how far below zero a customer's level may fall, in seconds of its rate.
+	maxDebt = 2
+)
+
+// Use is what a VM knows of a customer's requests.
+type Use struct {
+	// Spent counts what was spent since the VM's start, and Asked is what requests ask for lately, in units a second.
+	Spent, Asked int64
+}
+
+// Grant is a VM's part of a customer's limit.
+type Grant struct {
+	// Level is what the VM may spend, less what it spent after its count was Spent.
+	Level, Spent int64
+	// Part is the part of the customer's rate by which the level rises until the next grant.
+	Part float64
+}
+
+// ledger is the customer's token bucket over all VMs, as the holder keeps it from the counts that the VMs report.
+type ledger struct {
+	level float64
+	at    time.Time
+	// out is what the VMs may spend of the level without asking.
+	out float64
+	// spent holds the last count of each VM's start.
+	spent map[arbutusfork.Incarnation]int64
+}
+
+// grant brings the ledgers up to date and divides what is there.
+func (s *Service) grant(beats map[string]beat, starts map[string]int64, members []arbutusfork.VM, now time.Time) map[string]map[string]grant {
+	out := make(map[string]map[string]grant, len(members))
+	table := s.Table()
+	if table == nil {
 		return out
 	}
-	// Silent VMs keep the equal part that they fall back to.
-	live := float64(len(members)) / float64(listed)
+	// VMs that do not answer may still serve with the equal part that they fall back to.
+	live := float64(len(members)) / float64(max(s.Listed(), len(members), 1))
 	for _, vm := range members {
-		m := make(map[string]int64, len(total))
-		for customer, sum := range total {
-			part := floorPart / float64(len(members))
-			if sum > 0 {
-				part += (1 - floorPart) * float64(beats[vm.Name].Usage[customer]) / float64(sum)
-			} else {
-				part = 1 / float64(len(members))
-			}
-			m[customer] = int64(part * live * shareUnit)
+		out[vm.Name] = make(map[string]grant)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.live = live
+	for _, c := range table.Customers() {
+		if c.Rate <= 0 {
+			continue
 		}
-		out[vm.Name] = m
+		l := s.ledgers[c.Name]
+		if l == nil {
+			l = &ledger{level: firstLevel * float64(c.Burst), at: now, spent: make(map[arbutusfork.Incarnation]int64)}
+			s.ledgers[c.Name] = l
+		}
+		l.update(c, live, beats, starts, now)
+		l.divide(c, live, beats, members, out)
 	}
 	return out
 }
+
+func (l *ledger) update(c afroute.Customer, live float64, beats map[string]beat, starts map[string]int64, now time.Time) {
+	l.refill(c, live, now)
+	for vm, b := range beats {
+		i := arbutusfork.Incarnation{VM: vm, Start: starts[vm]}
+		spent := b.Usage[c.Name].Spent
+		old, known := l.spent[i]
+		if !known {
+			old = spent // It is not known when this was spent.
+		}
+		l.level -= float64(spent - old)
+		l.spent[i] = spent
+	}
+	l.level = max(l.level, -maxDebt*float64(c.Rate))
+}
+
+func (l *ledger) refill(c afroute.Customer, live float64, now time.Time) {
+	l.level = min(l.level+live*float64(c.Rate)*now.Sub(l.at).Seconds(), float64(c.Burst))
+	l.at = now
+}
+
+// spend takes units that no grant covers, or returns the time after which they should be there.
+func (l *ledger) spend(c afroute.Customer, live float64, cost int64, now time.Time) (time.Duration, bool) {
+	l.refill(c, live, now)
+	if short := float64(cost) - (l.level - l.out); short > 0 {
+		return time.Duration(short / (live * float64(c.Rate)) * float64(time.Second)), false
+	}
+	l.level -= float64(cost)
+	return 0, true
+}
+
+func (l *ledger) divide(c afroute.Customer, live float64, beats map[string]beat, members []arbutusfork.VM, out map[string]map[string]grant) {
+	asked := int64(0)
+	for _, vm := range members {
+		asked += beats[vm.Name].Usage[c.Name].Asked
+	}
+	l.out = max(l.level, 0) * grantPart
+	for _, vm := range members {
+		u := beats[vm.Name].Usage[c.Name]
+		part := 1 / float64(len(members))
+		if asked > 0 {
+			part = floorPart*part + (1-floorPart)*float64(u.Asked)/float64(asked)
+		}
+		out[vm.Name][c.Name] = grant{
+			Level: int64(l.out * part), Spent: u.Spent, Part: int64(part * grantPart * live * partUnit),
+		}
+	}
+}
+
+// spendRequest asks the holder for units of a customer's limit.
+type spendRequest struct {
+	Customer string `msgpack:"customer"`
+	Cost     int64  `msgpack:"cost"`
+}
+
+// spendAnswer is the holder's answer. After is in milliseconds and counts only if the units were not given.
+type spendAnswer struct {
+	Given bool  `msgpack:"given"`
+	After int64 `msgpack:"after,omitempty"`
+}
+
+// KindSpend is the kind of peer message by which a VM asks for units that its grant does not cover.
+const KindSpend = "spend"
+
+// spendTimeout bounds the question to the holder. It is several times the way there and back.
+const spendTimeout = 60 * time.Millisecond
+
+// Spend takes units of a customer's limit that this VM's grant does not cover. It returns false, with the time after
+// which there should be enough, if the limit has not as much or the holder does not answer.
+func (s *Service) Spend(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
+	s.mu.Lock()
+	to := s.holder
+	s.mu.Unlock()
+	if s.Holding() {
+		return s.spend(customer, cost)
+	}
+	if to == "" || to == s.Self.VM {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	defer cancel()
+	var a spendAnswer
+	if err := s.Call(ctx, to, KindSpend, spendRequest{Customer: customer, Cost: cost}, &a); err != nil {
+		s.Log.Info("holder not asked for units of a limit", "holder", to, "customer", customer, "error", err)
+		return 0, false
+	}
+	return time.Duration(a.After) * time.Millisecond, a.Given
+}
+
+func (s *Service) spend(customer string, cost int64) (time.Duration, bool) {
+	table := s.Table()
+	if table == nil {
+		return 0, false
+	}
+	c, ok := table.Customer(customer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.ledgers[customer]
+	if !ok || l == nil || s.live <= 0 || c.Rate <= 0 {
+		return 0, false
+	}
+	return l.spend(c, s.live, cost, s.Timer.Now())
+}
+
+// HandleSpend answers another VM that asks for units.
+func (s *Service) HandleSpend(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	var r spendRequest
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		return nil, &Error{Op: "spend", Kind: Malformed, Err: err}
+	}
+	if !s.Holding() {
+		return spendAnswer{}, nil
+	}
+	after, ok := s.spend(r.Customer, r.Cost)
+	return spendAnswer{Given: ok, After: after.Milliseconds()}, nil
+}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -165,7 +165,11 @@
 func (n *Node) buildGateway() {
 	n.gateway = &afgateway.Server{
 		Table: n.table.Load, Roster: n.roster, Wire: n.Platform.Wire, Timer: n.timer, Log: n.log, Centre: n.Settings.Centre,
-		Asked: func() { n.keeper.Wake() }, Listed: n.listed, Metrics: afgateway.NewMetrics(n.registry),
+		Asked: func() { n.keeper.Wake() }, Listed: n.listed,
+		Spend: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
+			return n.keeper.Spend(ctx, customer, cost)
+		},
+		Metrics: afgateway.NewMetrics(n.registry),
 		Repeats: afgateway.Repeats{Ratio: n.Settings.RepeatRatio, Extra: n.Settings.RepeatExtra, Window: n.Settings.RepeatWindow},
 	}
 	n.entry = &afentry.Server{
@@ -182,13 +186,14 @@
 		Self: n.self, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
 		Terms:  aflease.Terms{Use: leaseUse, Renew: leaseRenew, Quiet: n.Settings.Quiet, Margin: leaseMargin},
 		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
-		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send,
-		Demand: n.gateway.Demand, Usage: n.gateway.Usage, Shares: n.gateway.SetShares,
+		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send, Call: n.peers.Call,
+		Demand: n.gateway.Demand, Usage: n.gateway.Usage, Grants: n.gateway.SetGrants, Soon: n.gateway.SetSoon,
 		Report: n.Platform.Report, Order: n.Platform.Order,
 	}
 	n.keeper.Init()
 	n.peers.Handle(afkeeper.KindBeat, n.keeper.HandleBeat)
 	n.peers.Handle(afkeeper.KindView, n.keeper.HandleView)
+	n.peers.Handle(afkeeper.KindSpend, n.keeper.HandleSpend)
 }
 
 // wake makes waiting requests look at the endpoints again. It does not block.
@@ -257,4 +262,3 @@
 func platformHTTP() *http.Client {
 	return &http.Client{Transport: platformTransport()}
 }
-
--- a/pkg/afassign/adapter.go
+++ b/pkg/afassign/adapter.go
@@ -53,7 +53,7 @@
 	ordered[best.ID] = true
 	// The engine takes no order on a model in the same call, because the count that it would expect is not known yet.
 	p.taken[best.ID] = true
-	held, victim := p.adapters(*best)
+	held, victim := p.adaptersOf(*best)
 	if held+len(best.Coming) < p.Spec.AdapterSlots {
 		p.out.Steps = append(p.out.Steps, Step{
 			Engine: best.ID, Order: afengine.Order{Model: d.Model, Adapter: d.Adapter, Expected: best.Seq}, Reason: ForWaiting,
@@ -72,7 +72,7 @@
 
 // adapterCost prefers engines with free adapter slots, then those with few requests.
 func (p *planner) adapterCost(e Engine) int {
-	held, _ := p.adapters(e)
+	held, _ := p.adaptersOf(e)
 	running := 0
 	for key, n := range e.Running {
 		if !strings.Contains(key, "/") {
@@ -83,8 +83,8 @@
 	return (held+len(e.Coming))*perAdapter + running
 }
 
-// adapters counts the adapters that the engine holds and names the least asked one that no request uses or waits for.
-func (p *planner) adapters(e Engine) (held int, idle string) {
+// adaptersOf counts the adapters that the engine holds and names the least asked one that no request uses or waits for.
+func (p *planner) adaptersOf(e Engine) (held int, idle string) {
 	for _, h := range e.Held {
 		for _, a := range h.Adapters {
 			held++
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -15,6 +15,8 @@
 	// pairRate is the requests a second from which a model gets a second replica, so that the loss of one engine
 	// leaves one.
 	pairRate = 1.5
+	// rateLoads is the number of loads from the weight store at once that only add a replica of a busy model.
+	rateLoads = 1
 	// hotRate is the requests a second from which a model's last replica is not unloaded for another one.
 	hotRate = 0.8
 )
@@ -27,6 +29,7 @@
 	oldest   map[string]time.Duration
 	rate     map[string]float64
 	work     map[string]float64
+	adapters map[string]float64 // adapters is the rate of a model's requests with an adapter.
 	replicas map[string]int
 	onDisk   map[string]int
 	taken    map[string]bool // taken engines got a step or are reserved for one.
@@ -39,6 +42,7 @@
 func Plan(v View) Decision {
 	p := newPlanner(v)
 	p.serveAdapters()
+	p.goOn()
 	for _, m := range p.needed() {
 		p.place(m.model, m.reason)
 	}
@@ -50,13 +54,14 @@
 	p := &planner{
 		View: v, demand: map[string]Demand{}, waiting: map[string]int{}, oldest: map[string]time.Duration{},
 		rate: map[string]float64{}, work: map[string]float64{}, replicas: map[string]int{}, onDisk: map[string]int{},
-		taken: map[string]bool{},
+		taken: map[string]bool{}, adapters: map[string]float64{},
 	}
 	p.Engines = slices.SortedFunc(slices.Values(v.Engines), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, d := range v.Demand {
 		key := d.Model
 		if d.Adapter != "" {
 			key = AdapterKey(d.Model, d.Adapter)
+			p.adapters[d.Model] += d.Rate
 		}
 		p.demand[key] = d
 		p.waiting[d.Model] += d.Waiting
@@ -80,6 +85,8 @@
 		if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
 			p.replicas[e.Loading]++
 			p.onDisk[e.Loading]++
+		} else if e.Intent != "" && !afengine.Holds(e.Held, e.Intent, "") {
+			p.replicas[e.Intent]++
 		}
 	}
 	return p
@@ -137,12 +144,30 @@
 	running bool     // running means that a victim still serves requests.
 }
 
+// goOn orders the loads for which room was made.
+func (p *planner) goOn() {
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if e.Closed || e.Busy || e.Intent == "" || p.taken[e.ID] || afengine.Holds(e.Held, e.Intent, "") {
+			continue
+		}
+		p.replicas[e.Intent]-- // It counted as a replica; placing it counts it again.
+		if o, ok := p.option(e, e.Intent, ForWaiting); ok {
+			p.commit(o, e.Intent, ForWaiting)
+		}
+	}
+}
+
 // place orders the load of a model on the engine that has it ready first, or makes room there.
 func (p *planner) place(model string, reason Reason) {
 	best, ok := p.best(model, reason)
-	if !ok {
+	if !ok || reason == ForRate && best.store && p.loads >= rateLoads {
 		return
 	}
+	p.commit(best, model, reason)
+}
+
+func (p *planner) commit(best option, model string, reason Reason) {
 	e := best.engine
 	// An engine that is still at work is kept free for this model, since waiting for it is quicker than another.
 	p.taken[e.ID] = true
@@ -224,6 +249,10 @@
 		o.eta += m.Load
 		o.store = true
 	}
+	// While the engine loads it takes no orders on adapters, which the models that it holds may need.
+	for _, h := range e.Held {
+		o.loss += p.adapters[h.Model] / float64(max(p.replicas[h.Model], 1)) * (o.eta - e.Free).Seconds()
+	}
 	room := p.Spec.Memory - p.adapterReserve() - m.Size - p.used(e)
 	if room >= 0 {
 		return o, true
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -27,6 +27,8 @@
 	// FromStore means that the load reads from the weight store.
 	FromStore bool
 	Busy      bool
+	// Intent is the model for which room was made on this engine. Its load comes next.
+	Intent string
 	// Free is the estimated time until the engine takes another order. It is zero unless Busy is set.
 	Free time.Duration
 	// Memory and Disk name the models whose weights the engine's host keeps.
--- a/pkg/afroute/route.go
+++ b/pkg/afroute/route.go
@@ -31,6 +31,8 @@
 	Target time.Duration
 	// Pause is the longest pause between two events of a stream that the route aims for.
 	Pause time.Duration
+	// Gap is how long callers wait for the next event, the first included, before they leave. Zero means that they stay.
+	Gap time.Duration
 	// Priority is the rank of the route's requests. Zero is the most urgent.
 	Priority int
 	// Attempts is the largest number of endpoints that one request may be sent to, at least 1.
