assign: reserve engines only for loads that can go on

Cause: an engine was kept for a model whose load had to wait for the weight store's turn, so that engines stood idle for 40 s while requests waited for models on their disks; and replicas of busy models were spread over all engines, whose disks could then not be used. Ruled out: the conflicts after an unload, which cost 80 ms each.

--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -17,6 +17,8 @@
 	pairRate = 1.5
 	// rateLoads is the number of loads from the weight store at once that only add a replica of a busy model.
 	rateLoads = 1
+	// busyPrefetch is the number of loads at once that bring models to disks while requests come.
+	busyPrefetch = 1
 	// hotRate is the requests a second from which a model's last replica is not unloaded for another one.
 	hotRate = 0.8
 )
@@ -70,9 +72,6 @@
 		p.work[d.Model] += d.Work
 	}
 	for _, e := range p.Engines {
-		for _, m := range e.Disk {
-			p.onDisk[m]++
-		}
 		if e.FromStore {
 			p.loads++
 		}
@@ -84,14 +83,45 @@
 		}
 		if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
 			p.replicas[e.Loading]++
-			p.onDisk[e.Loading]++
 		} else if e.Intent != "" && !afengine.Holds(e.Held, e.Intent, "") {
 			p.replicas[e.Intent]++
 		}
 	}
+	for i := range p.Engines {
+		p.countDisk(&p.Engines[i])
+	}
 	return p
 }
 
+// countDisk counts the models that could be loaded from the engine's disk: one that is full of busy models has no room.
+func (p *planner) countDisk(e *Engine) {
+	if e.Closed {
+		return
+	}
+	room := p.Spec.Memory - p.adapterReserve()
+	for _, h := range e.Held {
+		if p.desired(h.Model) > 0 {
+			room -= p.Spec.Models[h.Model].Size
+		}
+	}
+	for _, m := range e.Disk {
+		if room >= p.Spec.Models[m].Size {
+			p.onDisk[m]++
+		}
+	}
+}
+
+// busy returns the number of busy models that the engine holds.
+func (p *planner) busy(e *Engine) int {
+	n := 0
+	for _, h := range e.Held {
+		if p.desired(h.Model) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // desired returns the number of replicas that the rate of a model asks for.
 func (p *planner) desired(model string) int {
 	n := 0
@@ -142,6 +172,7 @@
 	victims []string // victims are unloaded first, in this order.
 	loss    float64  // loss is what unloading the victims costs, in expected requests.
 	running bool     // running means that a victim still serves requests.
+	busy    int      // busy is the number of busy models that the engine holds.
 }
 
 // goOn orders the loads for which room was made.
@@ -220,15 +251,22 @@
 			continue
 		}
 		o, ok := p.option(e, model, reason)
-		if ok && (!found || o.before(best)) {
+		if !ok || o.store && !e.Busy && (p.loads >= p.StoreLoads || p.StoreStarts <= 0) {
+			continue
+		}
+		if !found || o.before(best, reason) {
 			best, found = o, true
 		}
 	}
 	return best, found
 }
 
-// before orders options by the time to the first answer, then by what they cost others.
-func (o option) before(p option) bool {
+// before orders options by the time to the first answer, then by what they cost others. A further replica of a busy
+// model goes beside other busy models, so that the other engines keep their room for rare ones.
+func (o option) before(p option, reason Reason) bool {
+	if reason == ForRate && o.store == p.store && o.busy != p.busy {
+		return o.busy > p.busy
+	}
 	const near = 150 * time.Millisecond // Differences below a report's lag say nothing.
 	if d := o.eta - p.eta; d < -near || d > near {
 		return d < 0
@@ -239,7 +277,7 @@
 // option returns how the engine could load the model. Only waiting requests may make a busy replica close.
 func (p *planner) option(e *Engine, model string, reason Reason) (option, bool) {
 	m := p.Spec.Models[model]
-	o := option{engine: e, eta: e.Free}
+	o := option{engine: e, eta: e.Free, busy: p.busy(e)}
 	switch {
 	case slices.Contains(e.Memory, model):
 		o.eta += m.Warm
@@ -269,13 +307,17 @@
 		switch {
 		case left < p.desired(h.Model), left == 0 && p.waiting[h.Model] > 0:
 			continue
-		case running && reason != ForWaiting:
+		case running && reason == ForDisk:
 			continue
 		}
 		loss := p.rate[h.Model] / float64(left+1)
 		if left > 0 {
 			loss /= 4 // Another replica serves on, so that only its load rises.
 		}
+		if p.desired(h.Model) > 0 {
+			// Surplus replicas of busy models leave the engines first that hold few of them.
+			loss *= float64(o.busy)
+		}
 		victims = append(victims, victim{h.Model, loss, running})
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
@@ -326,10 +368,17 @@
 	return largest * float64(p.Spec.AdapterSlots)
 }
 
-// prefetch brings models that lie on no disk to an idle engine while the store has room.
+// prefetch brings models that can be loaded from no disk to idle engines while the store has room. Requests that wait
+// come first: then one such load at a time goes on, and half of the engines stay free.
 func (p *planner) prefetch() {
-	if len(p.needed()) > 0 && p.loads > 0 {
-		return
+	most := p.StoreLoads
+	if len(p.rate) > 0 {
+		most = min(most, busyPrefetch)
+	}
+	for _, w := range p.waiting {
+		if w > 0 && p.loads > 0 {
+			return
+		}
 	}
 	var models []string
 	for model := range p.Spec.Models {
@@ -347,8 +396,7 @@
 		}
 	}
 	for _, model := range models {
-		// Half of the engines stay free for loads that requests wait for.
-		if p.loads >= p.StoreLoads || p.StoreStarts <= 0 || idle <= len(p.Engines)/2 {
+		if p.loads >= most || p.StoreStarts <= 0 || idle <= len(p.Engines)/2 {
 			return
 		}
 		before := len(p.out.Steps)
