assign: count replicas on engines whose order is on its way

Cause: an engine with an order in flight counted as holding nothing, so that a busy model got three or four replicas at once. Ruled out: the demand's average, which asks for two.

--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -221,8 +221,8 @@
 		}
 	}
 	slices.Sort(e.Coming)
-	e.Closed = !x.known || x.sent || now.Sub(x.at) > reportLife+idlePoll || now.Before(x.unclear) ||
-		x.entry.State != afengine.Ready
+	e.Pending = x.sent || now.Before(x.unclear)
+	e.Closed = !x.known || now.Sub(x.at) > reportLife+idlePoll || x.entry.State != afengine.Ready
 	return e
 }
 
--- a/pkg/afassign/adapter.go
+++ b/pkg/afassign/adapter.go
@@ -40,7 +40,7 @@
 		if afengine.Holds(e.Held, d.Model, d.Adapter) || slices.Contains(e.Coming, key) {
 			return
 		}
-		if ordered[e.ID] || e.Busy || len(e.Coming) >= comingPerEngine {
+		if ordered[e.ID] || e.Busy || e.Pending || len(e.Coming) >= comingPerEngine {
 			continue
 		}
 		if best == nil || p.adapterCost(*e) < p.adapterCost(*best) {
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -179,7 +179,7 @@
 func (p *planner) goOn() {
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if e.Closed || e.Busy || e.Intent == "" || p.taken[e.ID] || afengine.Holds(e.Held, e.Intent, "") {
+		if e.Closed || e.Pending || e.Busy || e.Intent == "" || p.taken[e.ID] || afengine.Holds(e.Held, e.Intent, "") {
 			continue
 		}
 		p.replicas[e.Intent]-- // It counted as a replica; placing it counts it again.
@@ -192,9 +192,12 @@
 // place orders the load of a model on the engine that has it ready first, or makes room there.
 func (p *planner) place(model string, reason Reason) {
 	best, ok := p.best(model, reason)
-	if !ok || reason == ForRate && best.store && p.loads >= rateLoads {
+	if !ok {
 		return
 	}
+	if n := p.replicas[model]; reason == ForRate && best.store && (p.loads >= rateLoads || p.desired(model) < n+2) {
+		return // The store is for models that no engine can load otherwise.
+	}
 	p.commit(best, model, reason)
 }
 
@@ -247,7 +250,7 @@
 	)
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if e.Closed || p.taken[e.ID] || e.Loading == model || afengine.Holds(e.Held, model, "") {
+		if e.Closed || e.Pending || p.taken[e.ID] || e.Loading == model || afengine.Holds(e.Held, model, "") {
 			continue
 		}
 		o, ok := p.option(e, model, reason)
@@ -391,7 +394,7 @@
 	})
 	idle := 0
 	for _, e := range p.Engines {
-		if !e.Closed && !e.Busy && !p.taken[e.ID] {
+		if !e.Closed && !e.Pending && !e.Busy && !p.taken[e.ID] {
 			idle++
 		}
 	}
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -37,7 +37,9 @@
 	Seq int64
 	// Running counts the requests in progress by model, and by model/adapter for those that use an adapter.
 	Running map[string]int
-	// Closed engines take no new orders: they leave, do not answer, or their count is not known.
+	// Pending engines take no new orders for a moment: the outcome of one is not known yet.
+	Pending bool
+	// Closed engines leave, do not answer, or their state is not known. What they hold does not count.
 	Closed bool
 }
 
