--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -16,16 +17,32 @@
 	// platform's return neither floods it nor is late for it: entries must be known again within 2 s.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
-	// batchPause is the pause between two waiting calls after a change. Changes that come at once are one call then.
-	batchPause = 100 * time.Millisecond
+	// kickPause is the least time between two restarts of a watch that others were ahead of.
+	kickPause = 400 * time.Millisecond
 )
 
+// Mark tells how far a copy is.
+type Mark struct {
+	// Version is the latest version of an object that was seen, and Count the number of objects.
+	Version int64 `msgpack:"v"`
+	Count   int   `msgpack:"n"`
+}
+
+// Behind reports whether the copy with the mark n is certainly newer than the one with m.
+func (m Mark) Behind(n Mark) bool {
+	return n.Version > m.Version || n.Version == m.Version && n.Count < m.Count
+}
+
 // Feed copies one kind. Set the fields before Run. The functions are called from the goroutine of Run.
 type Feed struct {
 	Kind string
-	// List and Watch reach the platform as afobject.Client does.
-	List  func(ctx context.Context, kind string) ([]afobject.Object, int64, error)
-	Watch func(ctx context.Context, kind string, since int64, fn func(afobject.Event)) error
+	// List and Poll reach the platform as afobject.Client does.
+	List func(ctx context.Context, kind string) ([]afobject.Object, int64, error)
+	Poll func(ctx context.Context, kind string, since int64, wait func() time.Duration, fn func(afobject.Event)) error
+	// Wait returns how long one call waits for a change. A call that has gone silent is noticed after that time only.
+	Wait func() time.Duration
+	// Pause is the time between two calls after a change, so that changes that come together cost one call.
+	Pause time.Duration
 	// All is called with each complete list. Outage is the time for which the platform could not be reached before.
 	All func(objects []afobject.Object, outage time.Duration)
 	// Change is called with each change after the list.
@@ -33,6 +50,12 @@
 	Timer  *aftimer.Service
 	Log    *slog.Logger
 
+	mu     sync.Mutex
+	mark   Mark
+	names  map[string]bool
+	stop   context.CancelFunc // stop ends the running watch. It is nil while there is none.
+	kicked time.Time
+
 	lost  time.Time // lost is when the platform was first found unreachable. It is zero while it is reached.
 	pause time.Duration
 }
@@ -45,30 +68,88 @@
 			f.failed(ctx, "list", err)
 			continue
 		}
+		f.noteAll(objects)
 		f.All(objects, f.reached())
 		f.follow(ctx, version)
 	}
 }
 
+// Mark returns how far the copy is.
+func (f *Feed) Mark() Mark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mark
+}
+
+// Compare takes the mark of another VM's copy. If that one is newer, the watch is taken for silent and begun anew.
+func (f *Feed) Compare(other Mark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Timer.Now()
+	if f.stop == nil || !f.mark.Behind(other) || now.Sub(f.kicked) < kickPause {
+		return
+	}
+	f.kicked = now
+	f.Log.Info("another VM's copy is newer; watching anew", "kind", f.Kind, "version", f.mark.Version, "other", other.Version)
+	f.stop()
+}
+
+func (f *Feed) noteAll(objects []afobject.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names = make(map[string]bool, len(objects))
+	for _, o := range objects {
+		f.names[o.Name] = true
+		f.mark.Version = max(f.mark.Version, o.Version)
+	}
+	f.mark.Count = len(f.names)
+}
+
+func (f *Feed) note(e afobject.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mark.Version = max(f.mark.Version, e.Object.Version)
+	if e.Type == afobject.Deleted {
+		delete(f.names, e.Object.Name)
+	} else {
+		f.names[e.Object.Name] = true
+	}
+	f.mark.Count = len(f.names)
+}
+
+// watching sets what ends the running watch.
+func (f *Feed) watching(stop context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stop = stop
+}
+
 // follow watches until the history that the watch needs is gone.
 func (f *Feed) follow(ctx context.Context, version int64) {
 	for ctx.Err() == nil {
 		watch, stop := context.WithCancel(ctx)
+		f.watching(stop)
 		changed := false
-		err := f.Watch(watch, f.Kind, version, func(e afobject.Event) {
+		err := f.Poll(watch, f.Kind, version, f.Wait, func(e afobject.Event) {
 			f.reached()
-			version = max(version, e.Object.Version)
 			if e.Type != afobject.Bookmark {
 				changed = true
+				f.note(e)
 				f.Change(e)
 				return
 			}
+			version = max(version, e.Object.Version)
 			if changed {
 				changed = false
-				f.sleep(ctx, batchPause)
+				f.sleep(ctx, f.Pause)
 			}
 		})
+		f.watching(nil)
+		kicked := watch.Err() != nil
 		stop()
+		if kicked {
+			continue
+		}
 		if afobject.IsKind(err, afobject.Expired) {
 			f.Log.Info("watch expired; listing again", "kind", f.Kind, "version", version)
 			return
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -453,9 +453,10 @@
 	members := s.Members()
 	grants := s.grant(beats, starts, members, now)
 	soon := s.soon(now)
+	marks := s.Marks()
 	for _, vm := range members {
 		v := view{
-			Holder: record.Holder, Epoch: record.Epoch, Beat: record.Beat, Version: version,
+			Holder: record.Holder, Epoch: record.Epoch, Beat: record.Beat, Version: version, Marks: marks,
 			Engines: s.viewFor(beats[vm.Name], total, now), Grants: grants[vm.Name], Soon: soon,
 		}
 		if vm.Name == s.Self.VM {
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afassign"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
@@ -23,6 +24,8 @@
 	Loads   map[string]load           `msgpack:"loads,omitempty"`
 	Running map[string]map[string]int `msgpack:"running,omitempty"`
 	Demand  []demand                  `msgpack:"demand,omitempty"`
+	// Marks tells how far the VM's copies of the platform's objects are, by kind.
+	Marks map[string]affeed.Mark `msgpack:"marks,omitempty"`
 	// Usage is by customer.
 	Usage map[string]use `msgpack:"usage,omitempty"`
 }
@@ -50,8 +53,10 @@
 	Epoch  int64  `msgpack:"epoch"`
 	Beat   int64  `msgpack:"beat"`
 	// Version is the version of the lease's record.
-	Version int64             `msgpack:"version"`
-	Engines map[string]engine `msgpack:"engines"`
+	Version int64 `msgpack:"version"`
+	// Marks are the holder's, as in a beat.
+	Marks   map[string]affeed.Mark `msgpack:"marks,omitempty"`
+	Engines map[string]engine      `msgpack:"engines"`
 	// Grants is what the receiver may spend of each customer's limit.
 	Grants map[string]grant `msgpack:"grants,omitempty"`
 	// Soon is the time until a model that no engine holds is loaded, in milliseconds.
@@ -120,6 +125,7 @@
 	s.mu.Lock()
 	s.beats[from.VM] = heard{at: s.Timer.Now(), from: from, beat: b}
 	s.mu.Unlock()
+	s.Compare(b.Marks)
 	s.poke()
 	return nil, nil
 }
@@ -142,6 +148,7 @@
 	s.holder = from.VM
 	s.viewed = s.Timer.Now()
 	s.mu.Unlock()
+	s.Compare(v.Marks)
 	s.adopt(v)
 	return nil, nil
 }
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afassign"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
@@ -75,6 +76,9 @@
 	// Grants is called with this VM's part of each customer's limit, Soon with the times until models are loaded.
 	Grants func(map[string]Grant)
 	Soon   func(map[string]time.Duration)
+	// Marks returns how far this VM's copies of the platform's objects are, by kind, and Compare takes another VM's.
+	Marks   func() map[string]affeed.Mark
+	Compare func(map[string]affeed.Mark)
 	// Report and Order reach an engine. Order is called with the holder's name and epoch.
 	Report func(ctx context.Context, e afengine.Entry) (afengine.Report, error)
 	Order  func(ctx context.Context, e afengine.Entry, holder string, epoch int64, o afengine.Order) afengine.Result
@@ -207,7 +211,7 @@
 
 func (s *Service) beat(d []afassign.Demand) beat {
 	loads, running := s.Roster.Own()
-	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}}
+	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}, Marks: s.Marks()}
 	for customer, u := range s.Usage() {
 		b.Usage[customer] = use{Spent: u.Spent, Asked: u.Asked}
 	}
@@ -235,6 +239,13 @@
 	return s.lease.Held(s.BootTime())
 }
 
+// Covered reports whether another VM that holds the lease tells this one about the platform's objects.
+func (s *Service) Covered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder != s.Self.VM && !s.viewed.IsZero() && s.Timer.Now().Sub(s.viewed) < silence
+}
+
 // Stop gives the lease up, so that another VM can take it without waiting for its end.
 func (s *Service) Stop(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -14,8 +14,48 @@
 // lapseWindow is how long after an outage a removed entry may belong to an endpoint that lives.
 const lapseWindow = 2500 * time.Millisecond
 
+const (
+	// aloneWait is how long one call waits for a change while no other VM tells about changes: a configuration must be in
+	// force within 2 s although the platform may keep a call waiting in silence. coveredWait is for VMs that hear of
+	// changes from the placement holder several times a second.
+	aloneWait   = 900 * time.Millisecond
+	coveredWait = 8 * time.Second
+	// endpointPause and configPause are the times between two calls after a change. Endpoints change with each order, and
+	// one that drains must get no requests after 2 s.
+	endpointPause = 400 * time.Millisecond
+	configPause   = 50 * time.Millisecond
+)
+
 func (n *Node) feed(kind string) *affeed.Feed {
-	return &affeed.Feed{Kind: kind, List: n.client.List, Watch: n.client.Watch, Timer: n.timer, Log: n.log}
+	f := &affeed.Feed{
+		Kind: kind, List: n.client.List, Poll: n.client.Poll, Timer: n.timer, Log: n.log, Pause: configPause,
+		Wait: func() time.Duration {
+			if n.keeper.Covered() {
+				return coveredWait
+			}
+			return aloneWait
+		},
+	}
+	n.feeds[kind] = f
+	return f
+}
+
+// marks returns how far the copies are.
+func (n *Node) marks() map[string]affeed.Mark {
+	out := make(map[string]affeed.Mark, len(n.feeds))
+	for kind, f := range n.feeds {
+		out[kind] = f.Mark()
+	}
+	return out
+}
+
+// compare takes the marks of another VM.
+func (n *Node) compare(other map[string]affeed.Mark) {
+	for kind, m := range other {
+		if f := n.feeds[kind]; f != nil {
+			f.Compare(m)
+		}
+	}
 }
 
 // configFeed keeps the configuration. A version never gives way to an older one.
@@ -59,6 +99,7 @@
 // endpointFeed keeps the endpoints' entries.
 func (n *Node) endpointFeed() *affeed.Feed {
 	f := n.feed(n.Platform.EndpointKind)
+	f.Pause = endpointPause
 	known := make(map[string]bool)
 	var back time.Time // back is when the platform was last reached again after an outage.
 	f.All = func(objects []afobject.Object, outage time.Duration) {
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -58,15 +58,16 @@
 }
 
 // runMembers writes the own entry and keeps the copy of all entries.
-func (n *Node) runMembers(ctx context.Context) {
+func (n *Node) runMembers(ctx context.Context, f *affeed.Feed) {
 	go n.join(ctx)
 	sweep := n.timer.Every(sweepPeriod, func(now time.Time) { go n.sweep(ctx, now) })
 	defer sweep.Stop()
-	n.memberFeed().Run(ctx)
+	f.Run(ctx)
 }
 
 func (n *Node) memberFeed() *affeed.Feed {
 	f := n.feed(memberKind)
+	f.Wait = func() time.Duration { return coveredWait }
 	f.All = func(objects []afobject.Object, _ time.Duration) {
 		n.members.mu.Lock()
 		clear(n.members.listed)
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -20,6 +20,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afgateway"
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
 	"arbutusfork.example/arbutusfork/internal/aflog"
@@ -73,7 +74,9 @@
 	gateway  *afgateway.Server
 	entry    *afentry.Server
 	members  members
-	wakes    chan struct{}
+	// feeds holds the copies of the platform's objects by kind. It does not change after the start.
+	feeds map[string]*affeed.Feed
+	wakes chan struct{}
 
 	table    atomic.Pointer[afroute.Table]
 	stopping atomic.Bool
@@ -124,14 +127,15 @@
 			return nil
 		}
 	}
+	config, endpoints, members := n.configFeed(), n.endpointFeed(), n.memberFeed()
 	return []duty{
 		{"timer", plain(n.timer.Run)},
 		{"peers", n.peers.Run},
 		{"ready", n.serveReady},
 		{"metrics", n.serveMetrics},
-		{"config", plain(n.configFeed().Run)},
-		{"endpoints", plain(n.endpointFeed().Run)},
-		{"members", plain(n.runMembers)},
+		{"config", plain(config.Run)},
+		{"endpoints", plain(endpoints.Run)},
+		{"members", plain(func(ctx context.Context) { n.runMembers(ctx, members) })},
 		{"keeper", plain(n.keeper.Run)},
 		{"entry", n.entry.Run},
 		{"reload", plain(n.runReload)},
@@ -154,6 +158,7 @@
 	n.client = &afobject.Client{Base: n.Settings.Platform, Timeout: callTimeout, Dialect: n.Platform.Dialect, HTTP: platformHTTP()}
 	n.roster = &afroster.Roster{Now: n.timer.Now, Changed: n.wake}
 	n.members.init()
+	n.feeds = make(map[string]*affeed.Feed)
 	n.peers = &afpeer.Service{
 		Self: n.self, Address: n.Settings.Peers, Centre: n.Settings.Centre, Timer: n.timer, Log: n.log,
 	}
@@ -188,6 +193,7 @@
 		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
 		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send, Call: n.peers.Call,
 		Demand: n.gateway.Demand, Usage: n.gateway.Usage, Grants: n.gateway.SetGrants, Soon: n.gateway.SetSoon,
+		Marks: n.marks, Compare: n.compare,
 		Report: n.Platform.Report, Order: n.Platform.Order,
 	}
 	n.keeper.Init()
--- a/pkg/afobject/dialect.go
+++ b/pkg/afobject/dialect.go
@@ -10,8 +10,8 @@
 
 const (
 	defaultPollWait = 5 * time.Second
-	// pollMargin is what an answer to a waiting call may take beyond the wait.
-	pollMargin = time.Second
+	// pollMargin is what an answer to a waiting call may take beyond the wait. The platform answers in milliseconds.
+	pollMargin = 500 * time.Millisecond
 	// maxPages bounds one list: 20,000 objects in pages of 500, with room.
 	maxPages = 200
 )
@@ -32,8 +32,6 @@
 	// After returns the query for the page after a name, Since the one for changes after a version.
 	After func(name string) url.Values
 	Since func(version int64, wait time.Duration) url.Values
-	// Wait bounds one waiting call of a watch. Zero means 5 s.
-	Wait time.Duration
 }
 
 // Page is one answer of a list or a watch.
@@ -93,17 +91,14 @@
 	return nil, 0, &Error{Op: "list", Object: kind, Kind: Invalid}
 }
 
-// poll watches with calls that wait. Each call that brings no change ends in a bookmark.
-func (c *Client) poll(ctx context.Context, kind string, since int64, fn func(Event)) error {
-	wait := c.Dialect.Wait
-	if wait <= 0 {
-		wait = defaultPollWait
-	}
+// Poll watches as Watch does, with calls that wait for a change for the time that wait returns. Each answer ends in a
+// bookmark. It needs a dialect with pages.
+func (c *Client) Poll(ctx context.Context, kind string, since int64, wait func() time.Duration, fn func(Event)) error {
 	for {
 		c.Watches.Add(1)
+		d := wait()
 		k := call{
-			op: "watch", method: http.MethodGet, kind: kind, query: c.Dialect.Since(since, wait),
-			timeout: wait + pollMargin,
+			op: "watch", method: http.MethodGet, kind: kind, query: c.Dialect.Since(since, d), timeout: d + pollMargin,
 		}
 		var raw json.RawMessage
 		if err := c.do(ctx, k, &raw); err != nil {
--- a/pkg/afobject/watch.go
+++ b/pkg/afobject/watch.go
@@ -33,7 +33,7 @@
 // the version of the deletion. Watch never returns nil; Expired means that since is no longer kept.
 func (c *Client) Watch(ctx context.Context, kind string, since int64, fn func(Event)) error {
 	if c.Dialect.Page != nil {
-		return c.poll(ctx, kind, since, fn)
+		return c.Poll(ctx, kind, since, func() time.Duration { return defaultPollWait }, fn)
 	}
 	c.Watches.Add(1)
 	ctx, cancel := context.WithCancelCause(ctx)
