--- /dev/null
+++ b/internal/affeed/feed_test.go
@@ -0,0 +1,185 @@
+package affeed
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// store is a platform whose watches can hear nothing.
+type store struct {
+	mu      sync.Mutex
+	objects []afobject.Object
+	version int64
+	silent  bool
+	expired bool
+	polls   int
+	fail    error
+}
+
+func (s *store) list(context.Context, string) ([]afobject.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.objects), s.version, s.fail
+}
+
+// set changes the store between two steps of the feed.
+func (s *store) set(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+func (s *store) poll(ctx context.Context, kind string, since int64, wait func() time.Duration, fn func(afobject.Event)) error {
+	for {
+		events, err := s.changes(kind, since)
+		if err != nil {
+			return err
+		}
+		for _, e := range events {
+			since = e.Object.Version
+			fn(e)
+		}
+		d := wait()
+		s.set(func() {
+			if s.silent {
+				d += time.Hour // The call is not answered.
+			}
+		})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(d):
+		}
+	}
+}
+
+func (s *store) changes(kind string, since int64) ([]afobject.Event, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.polls++
+	if s.fail != nil {
+		return nil, s.fail
+	}
+	if s.expired {
+		s.expired = false
+		return nil, &afobject.Error{Op: "watch", Kind: afobject.Expired}
+	}
+	var events []afobject.Event
+	if s.silent || s.version <= since {
+		return nil, nil
+	}
+	for _, o := range s.objects {
+		if o.Version > since {
+			events = append(events, afobject.Event{Type: afobject.Modified, Object: o})
+		}
+	}
+	return append(events, afobject.Event{Type: afobject.Bookmark, Object: afobject.Object{Kind: kind, Version: s.version}}), nil
+}
+
+func (s *store) put(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	for i := range s.objects {
+		if s.objects[i].Name == name {
+			s.objects[i].Version = s.version
+			return
+		}
+	}
+	s.objects = append(s.objects, afobject.Object{Name: name, Version: s.version})
+}
+
+func newFeed(s *store, got map[string]int64) *Feed {
+	take := func(o afobject.Object) { got[o.Name] = o.Version }
+	return &Feed{
+		Kind: "config", List: s.list, Poll: s.poll, Wait: func() time.Duration { return time.Second },
+		All: func(objects []afobject.Object, _ time.Duration) {
+			for _, o := range objects {
+				take(o)
+			}
+		},
+		Change: func(e afobject.Event) { take(e.Object) },
+		Timer:  &aftimer.Service{}, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+func run(t *testing.T, f *Feed) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+	})
+	go f.Timer.Run(ctx)
+	go f.Run(ctx)
+}
+
+// Guards against a watch that hears nothing while changes are made: another VM's copy shows that it is behind.
+func TestSilentWatchIsBegunAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1, silent: true}
+		s.put("main")
+		got := map[string]int64{}
+		f := newFeed(s, got)
+		run(t, f)
+		pass(time.Second)
+		require.Equal(t, int64(2), got["main"])
+		s.put("main")
+		pass(3 * time.Second)
+		require.Equal(t, int64(2), got["main"], "the watch is silent")
+		s.set(func() { s.silent = false })
+		f.Compare(Mark{Version: 3, Count: 1})
+		pass(200 * time.Millisecond)
+		require.Equal(t, int64(3), got["main"])
+		polls := 0
+		s.set(func() { polls = s.polls })
+		f.Compare(Mark{Version: 3, Count: 1})
+		pass(100 * time.Millisecond)
+		s.set(func() { require.Equal(t, polls, s.polls, "an equal copy starts nothing") })
+	})
+}
+
+// Guards against changes that are missed when the platform has dropped the history that the watch needs.
+func TestExpiredWatchListsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1}
+		s.put("main")
+		got := map[string]int64{}
+		run(t, newFeed(s, got))
+		pass(100 * time.Millisecond)
+		s.put("main")
+		s.set(func() { s.expired = true })
+		pass(2 * time.Second)
+		require.Equal(t, int64(3), got["main"])
+	})
+}
+
+// Guards against a copy that is late after an outage: entries must be known again within 2 s of the return.
+func TestBackAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1, fail: &afobject.Error{Op: "list", Kind: afobject.Unavailable}}
+		got := map[string]int64{}
+		run(t, newFeed(s, got))
+		pass(30 * time.Second)
+		s.put("main")
+		s.set(func() { s.fail = nil })
+		pass(time.Second)
+		require.Equal(t, int64(2), got["main"])
+	})
+}
+
+// pass lets the bubble's time go by until all of the feed's steps are done.
+func pass(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
--- /dev/null
+++ b/pkg/afassign/plan_test.go
@@ -0,0 +1,193 @@
+package afassign
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+)
+
+// spec returns an engine that holds two large models, or five small ones.
+func spec(models int) afroute.Engine {
+	e := afroute.Engine{Slots: 64, Memory: 200, AdapterSlots: 4, LoadsPerSecond: 2, Models: map[string]afroute.Model{}}
+	for i := range models {
+		m := afroute.Model{
+			Name: name(i), Size: 72, Load: 6 * time.Second, Disk: 1300 * time.Millisecond, Warm: 600 * time.Millisecond,
+			AdapterSize: 0.1,
+		}
+		if i%3 == 0 {
+			m.Size, m.Adapters = 34, 8
+		}
+		e.Models[m.Name] = m
+	}
+	return e
+}
+
+func name(i int) string { return "m" + strconv.Itoa(i) }
+
+func held(models ...string) []afengine.Held {
+	var out []afengine.Held
+	for _, m := range models {
+		out = append(out, afengine.Held{Model: m})
+	}
+	return out
+}
+
+func view(engines ...Engine) View {
+	return View{Spec: spec(12), Engines: engines, StoreLoads: 4, StoreStarts: 10, EngineWork: 14000}
+}
+
+// Guards against a load from the weight store while the model lies on the disk of an engine with room.
+func TestLoadsFromDisk(t *testing.T) {
+	v := view(Engine{ID: "a"}, Engine{ID: "b", Disk: []string{"m1"}, Seq: 4})
+	v.Demand = []Demand{{Model: "m1", Waiting: 1, Oldest: time.Second}}
+	d := Plan(v)
+	i := slices.IndexFunc(d.Steps, func(s Step) bool { return s.Order.Model == "m1" })
+	require.GreaterOrEqual(t, i, 0)
+	require.Equal(t, Step{
+		Engine: "b", Order: afengine.Order{Model: "m1", Expected: 4}, Reason: ForWaiting, Takes: 1300 * time.Millisecond,
+	}, d.Steps[i])
+}
+
+// Guards against an engine that is kept idle for a model whose load the weight store cannot take yet.
+func TestFullStoreReservesNoEngine(t *testing.T) {
+	v := view(Engine{ID: "a", Disk: []string{"m2"}, Memory: nil})
+	v.StoreLoads = 0
+	v.Demand = []Demand{{Model: "m1", Waiting: 5, Oldest: 9 * time.Second}, {Model: "m2", Waiting: 1, Oldest: time.Second}}
+	d := Plan(v)
+	require.Len(t, d.Steps, 1)
+	require.Equal(t, "m2", d.Steps[0].Order.Model)
+}
+
+// Guards against further replicas of a busy model while the order for one is on its way.
+func TestPendingReplicaCounts(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1")}, Engine{ID: "b", Loading: "m1", Busy: true, Free: time.Second},
+		Engine{ID: "c", Disk: []string{"m1"}}, Engine{ID: "d", Intent: "m1", Pending: true})
+	v.Demand = []Demand{{Model: "m1", Rate: 6, Work: 20000}}
+	v.StoreLoads = 0
+	require.Empty(t, Plan(v).Steps)
+}
+
+// Guards against losing the room that was made for a model to another one.
+func TestRoomIsKept(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1"), Intent: "m2", Disk: []string{"m2", "m4"}, Seq: 7})
+	v.Demand = []Demand{{Model: "m4", Waiting: 3, Oldest: 5 * time.Second}, {Model: "m2", Waiting: 1, Oldest: time.Second}}
+	d := Plan(v)
+	require.Len(t, d.Steps, 1)
+	require.Equal(t, "m2", d.Steps[0].Order.Model)
+}
+
+// Guards against unloading the only replica of a model that requests wait for or that is asked for often.
+func TestKeepsWantedModels(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1", "m2"), Disk: []string{"m4"}})
+	v.StoreLoads = 0
+	v.Demand = []Demand{{Model: "m4", Waiting: 1}, {Model: "m1", Rate: 1}, {Model: "m2", Waiting: 1}}
+	require.Empty(t, Plan(v).Steps)
+	v.Demand[2].Waiting = 0
+	d := Plan(v)
+	require.Len(t, d.Steps, 1)
+	require.Equal(t, afengine.Order{Unload: true, Model: "m2"}, d.Steps[0].Order)
+}
+
+// fleet is a set of engines that carry out orders, some of them late.
+type fleet struct {
+	v    View
+	late []Step
+}
+
+// carry carries out an order as an engine does: only at the expected count and while no other one is in progress.
+func (f *fleet) carry(s Step) {
+	i := slices.IndexFunc(f.v.Engines, func(e Engine) bool { return e.ID == s.Engine })
+	e := &f.v.Engines[i]
+	if e.Seq != s.Order.Expected || e.Busy {
+		return
+	}
+	e.Seq++
+	o := s.Order
+	switch {
+	case o.Adapter != "" && o.Unload:
+		for k := range e.Held {
+			if e.Held[k].Model == o.Model {
+				e.Held[k].Adapters = slices.DeleteFunc(e.Held[k].Adapters, func(a string) bool { return a == o.Adapter })
+			}
+		}
+	case o.Adapter != "":
+		for k := range e.Held {
+			if e.Held[k].Model == o.Model {
+				e.Held[k].Adapters = append(slices.Clone(e.Held[k].Adapters), o.Adapter)
+			}
+		}
+	case o.Unload:
+		e.Held = slices.DeleteFunc(e.Held, func(h afengine.Held) bool { return h.Model == o.Model })
+	default:
+		e.Busy, e.Loading, e.Free = true, o.Model, s.Takes
+	}
+}
+
+func (f *fleet) check(t *rapid.T) {
+	for _, e := range f.v.Engines {
+		used, adapters := 0.0, 0
+		for _, h := range e.Held {
+			m := f.v.Spec.Models[h.Model]
+			used += m.Size + float64(len(h.Adapters))*m.AdapterSize
+			adapters += len(h.Adapters)
+		}
+		if e.Loading != "" {
+			used += f.v.Spec.Models[e.Loading].Size
+		}
+		require.LessOrEqual(t, used, f.v.Spec.Memory, "engine %s", e.ID)
+		require.LessOrEqual(t, adapters, f.v.Spec.AdapterSlots, "engine %s", e.ID)
+	}
+}
+
+// Guards against an engine that is ordered to hold more than its memory or its adapter slots, also when orders are
+// carried out late or twice.
+func TestNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{v: view()}
+		for i := range 4 {
+			f.v.Engines = append(f.v.Engines, Engine{ID: fmt.Sprint("e", i)})
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			f.v.Demand = nil
+			for i := range 12 {
+				d := Demand{Model: name(i), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Rate: float64(rapid.IntRange(0, 3).Draw(t, "rate"))}
+				if i%3 == 0 && rapid.Bool().Draw(t, "adapter") {
+					d.Adapter = "a" + strconv.Itoa(rapid.IntRange(1, 8).Draw(t, "which"))
+				}
+				f.v.Demand = append(f.v.Demand, d)
+			}
+			for _, s := range Plan(f.v).Steps {
+				switch rapid.IntRange(0, 4).Draw(t, "fate") {
+				case 0:
+					f.late = append(f.late, s)
+				case 1:
+					f.carry(s)
+					f.late = append(f.late, s)
+				default:
+					f.carry(s)
+				}
+				f.check(t)
+			}
+			for i := range f.v.Engines {
+				e := &f.v.Engines[i]
+				if e.Busy && rapid.Bool().Draw(t, "done") {
+					e.Held = append(slices.Clone(e.Held), afengine.Held{Model: e.Loading})
+					e.Busy, e.Loading, e.Free = false, "", 0
+				}
+			}
+			if len(f.late) > 0 && rapid.Bool().Draw(t, "late") {
+				f.carry(f.late[0])
+				f.late = f.late[1:]
+				f.check(t)
+			}
+		}
+	})
+}
