feed: end long waits when the holder is lost or the history is gone

Ruled out: the marks of the other VMs, which were as old. Change: all watches begin anew when one learns that the history was dropped, and those of a VM when no holder tells it about changes any more; a copy must be behind for 600 ms before it counts as silent, so that the pause after a change costs no call. TestRestartEndsSilentWait guards it.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -17,8 +17,9 @@
 	// platform's return neither floods it nor is late for it: entries must be known again within 2 s.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
-	// kickPause is the least time between two restarts of a watch that others were ahead of.
-	kickPause = 400 * time.Millisecond
+	// behindTime is how long another copy must have been newer before the watch is taken for silent. A change reaches
+	// all VMs within a call and a pause of some hundred milliseconds.
+	behindTime = 600 * time.Millisecond
 )
 
 // Mark tells how far a copy is.
@@ -47,14 +48,17 @@
 	All func(objects []afobject.Object, outage time.Duration)
 	// Change is called with each change after the list.
 	Change func(afobject.Event)
-	Timer  *aftimer.Service
-	Log    *slog.Logger
-
-	mu     sync.Mutex
-	mark   Mark
-	names  map[string]bool
-	stop   context.CancelFunc // stop ends the running watch. It is nil while there is none.
-	kicked time.Time
+	// Expired is called when the platform has dropped the history that the watch needs. Nil means that nobody asks.
+	Expired func()
+	Timer   *aftimer.Service
+	Log     *slog.Logger
+
+	mu    sync.Mutex
+	mark  Mark
+	names map[string]bool
+	stop  context.CancelFunc // stop ends the running watch. It is nil while there is none.
+	// behind is since when another copy has been newer. It is zero while none is.
+	behind time.Time
 
 	lost  time.Time // lost is when the platform was first found unreachable. It is zero while it is reached.
 	pause time.Duration
@@ -85,15 +89,30 @@
 func (f *Feed) Compare(other Mark) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mark.Behind(other) {
+		return
+	}
 	now := f.Timer.Now()
-	if f.stop == nil || !f.mark.Behind(other) || now.Sub(f.kicked) < kickPause {
+	if f.behind.IsZero() {
+		f.behind = now
+	}
+	if f.stop == nil || now.Sub(f.behind) < behindTime {
 		return
 	}
-	f.kicked = now
+	f.behind = now
 	f.Log.Info("another VM's copy is newer; watching anew", "kind", f.Kind, "version", f.mark.Version, "other", other.Version)
 	f.stop()
 }
 
+// Restart begins the watch anew, because its wait is too long or its history may be gone.
+func (f *Feed) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop != nil {
+		f.stop()
+	}
+}
+
 func (f *Feed) noteAll(objects []afobject.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,6 +122,7 @@
 		f.mark.Version = max(f.mark.Version, o.Version)
 	}
 	f.mark.Count = len(f.names)
+	f.behind = time.Time{}
 }
 
 func (f *Feed) note(e afobject.Event) {
@@ -115,6 +135,7 @@
 		f.names[e.Object.Name] = true
 	}
 	f.mark.Count = len(f.names)
+	f.behind = time.Time{}
 }
 
 // watching sets what ends the running watch.
@@ -152,6 +173,9 @@
 		}
 		if afobject.IsKind(err, afobject.Expired) {
 			f.Log.Info("watch expired; listing again", "kind", f.Kind, "version", version)
+			if f.Expired != nil {
+				f.Expired()
+			}
 			return
 		}
 		if ctx.Err() == nil {
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -139,6 +139,9 @@
 		require.Equal(t, int64(2), got["main"], "the watch is silent")
 		s.set(func() { s.silent = false })
 		f.Compare(Mark{Version: 3, Count: 1})
+		pass(behindTime)
+		require.Equal(t, int64(2), got["main"], "the change may still be on its way")
+		f.Compare(Mark{Version: 3, Count: 1})
 		pass(200 * time.Millisecond)
 		require.Equal(t, int64(3), got["main"])
 		polls := 0
@@ -149,6 +152,23 @@
 	})
 }
 
+// Guards against a long wait that goes on after the VM has lost the holder that told it about changes.
+func TestRestartEndsSilentWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1, silent: true}
+		s.put("main")
+		got := map[string]int64{}
+		f := newFeed(s, got)
+		run(t, f)
+		pass(time.Second)
+		s.put("main")
+		s.set(func() { s.silent = false })
+		f.Restart()
+		pass(100 * time.Millisecond)
+		require.Equal(t, int64(3), got["main"])
+	})
+}
+
 // Guards against changes that are missed when the platform has dropped the history that the watch needs.
 func TestExpiredWatchListsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -1,6 +1,7 @@
 package afnode
 
 import (
+	"context"
 	"time"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
@@ -22,6 +23,8 @@
 	coveredWait = 8 * time.Second
 	// endpointPause and configPause are the times between two calls after a change. Endpoints change with each order, and
 	// one that drains must get no requests after 2 s.
+	// coverPeriod is how often the change between the two is looked for.
+	coverPeriod   = 250 * time.Millisecond
 	endpointPause = 400 * time.Millisecond
 	configPause   = 50 * time.Millisecond
 )
@@ -35,11 +38,36 @@
 			}
 			return aloneWait
 		},
+		// The history of the other kinds is gone too, and their watches may be silent.
+		Expired: func() { n.restartFeeds(kind) },
 	}
 	n.feeds[kind] = f
 	return f
 }
 
+// restartFeeds begins the watches of all other kinds anew.
+func (n *Node) restartFeeds(except string) {
+	for kind, f := range n.feeds {
+		if kind != except {
+			f.Restart()
+		}
+	}
+}
+
+// runCover begins the watches anew when no holder tells this VM about changes any more, since their calls wait for long.
+func (n *Node) runCover(ctx context.Context) {
+	covered := false
+	sub := n.timer.Every(coverPeriod, func(time.Time) {
+		before := covered
+		covered = n.keeper.Covered()
+		if before && !covered {
+			n.restartFeeds("")
+		}
+	})
+	defer sub.Stop()
+	<-ctx.Done()
+}
+
 // marks returns how far the copies are.
 func (n *Node) marks() map[string]affeed.Mark {
 	out := make(map[string]affeed.Mark, len(n.feeds))
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -140,6 +140,7 @@
 		{"entry", n.entry.Run},
 		{"reload", plain(n.runReload)},
 		{"wake", plain(n.runWakes)},
+		{"cover", plain(n.runCover)},
 	}
 }
 
