assign: a replica that runs out no longer counts

Ruled out: full engines (a replica had 15 requests). Change: closing replicas do not count and their room is used first; an adapter that is unloaded at once delays no further order. TestClosesOneSurplusReplica failed before with 3 closed replicas.

--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -197,10 +197,22 @@
 	return ""
 }
 
+// closed returns the models that get no new requests.
+func (x *state) closed(now time.Time) []string {
+	var out []string
+	for model, until := range x.closing {
+		if now.Before(until) {
+			out = append(out, model)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // input returns the engine as Plan takes it.
 func (x *state) input(now time.Time, running map[string]int) afassign.Engine {
 	e := afassign.Engine{
-		ID: x.entry.ID, Held: x.held(now), Loading: x.loading, FromStore: x.store,
+		ID: x.entry.ID, Held: x.held(now), Closing: x.closed(now), Loading: x.loading, FromStore: x.store,
 		Memory: x.report.Memory, Disk: x.report.Disk, Seq: x.seq, Running: running,
 		Busy: x.loading != "" || x.report.Busy,
 	}
@@ -319,11 +331,12 @@
 	case afengine.Accepted:
 		s.accepted(x, o.step, now)
 	case afengine.Already:
-		x.next = now
-		x.unclear = now.Add(conflictPause)
 		if order.Adapter != "" && order.Unload {
 			s.accepted(x, o.step, now) // An adapter that no request uses is unloaded at once.
+			return
 		}
+		x.next = now
+		x.unclear = now.Add(conflictPause)
 	case afengine.Unclear:
 		// A fresh report tells whether it was taken. If it is carried out later, its count decides.
 		x.unclear = now.Add(reportLag)
@@ -492,12 +505,7 @@
 	for id, x := range s.engines {
 		e := out[id]
 		e.Models, e.Used = x.held(now), x.report.CacheUsed
-		for model, until := range x.closing {
-			if now.Before(until) {
-				e.Closing = append(e.Closing, model)
-			}
-		}
-		slices.Sort(e.Closing)
+		e.Closing = x.closed(now)
 		out[id] = e
 	}
 	for id, e := range out {
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -79,7 +79,9 @@
 			continue
 		}
 		for _, h := range e.Held {
-			p.replicas[h.Model]++
+			if !slices.Contains(e.Closing, h.Model) {
+				p.replicas[h.Model]++
+			}
 		}
 		if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
 			p.replicas[e.Loading]++
@@ -230,13 +232,14 @@
 // makeRoom unloads the first victim. The load follows once the engine reports the room.
 func (p *planner) makeRoom(o option, model string) {
 	victim := o.victims[0]
-	if o.running {
-		p.out.Closing = append(p.out.Closing, Close{Engine: o.engine.ID, Model: victim})
+	closing := slices.Contains(o.engine.Closing, victim)
+	if !closing {
+		p.replicas[victim]--
 	}
 	if o.engine.Running[victim] > 0 {
+		p.out.Closing = append(p.out.Closing, Close{Engine: o.engine.ID, Model: victim})
 		return
 	}
-	p.replicas[victim]--
 	p.out.Steps = append(p.out.Steps, Step{
 		Engine: o.engine.ID, Order: afengine.Order{Unload: true, Model: victim, Expected: o.engine.Seq}, Reason: ForRoom,
 		For: model,
@@ -307,6 +310,10 @@
 	for _, h := range e.Held {
 		running := e.Running[h.Model] > 0
 		left := p.replicas[h.Model] - 1
+		if slices.Contains(e.Closing, h.Model) {
+			victims = append(victims, victim{h.Model, 0, running})
+			continue
+		}
 		switch {
 		case left < p.desired(h.Model), left == 0 && p.waiting[h.Model] > 0:
 			continue
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -96,6 +96,32 @@
 	require.Equal(t, afengine.Order{Unload: true, Model: "m2"}, d.Steps[0].Order)
 }
 
+// Guards against closing every replica of a busy model at once to make room for rare ones.
+func TestClosesOneSurplusReplica(t *testing.T) {
+	v := view()
+	running := map[string]int{"m1": 5, "m2": 4}
+	for _, id := range []string{"a", "b", "c"} {
+		v.Engines = append(v.Engines, Engine{ID: id, Held: held("m1", "m2"), Running: running, Disk: []string{"m4", "m5", "m7"}})
+	}
+	v.Demand = []Demand{
+		{Model: "m1", Rate: 6, Work: 6000}, {Model: "m2", Rate: 6, Work: 6000},
+		{Model: "m4", Waiting: 1, Oldest: time.Second}, {Model: "m5", Waiting: 1}, {Model: "m7", Waiting: 1},
+	}
+	closing := map[string]int{}
+	for range 3 { // The holder decides again while the replicas run out.
+		for _, c := range Plan(v).Closing {
+			i := slices.IndexFunc(v.Engines, func(e Engine) bool { return e.ID == c.Engine })
+			if !slices.Contains(v.Engines[i].Closing, c.Model) {
+				v.Engines[i].Closing = append(v.Engines[i].Closing, c.Model)
+				closing[c.Model]++
+			}
+		}
+	}
+	require.LessOrEqual(t, closing["m1"], 1)
+	require.LessOrEqual(t, closing["m2"], 1)
+	require.Positive(t, closing["m1"]+closing["m2"])
+}
+
 // fleet is a set of engines that carry out orders, some of them late.
 type fleet struct {
 	v    View
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -22,6 +22,8 @@
 	Held []afengine.Held
 	// Coming names adapters on their way, as model/adapter. They count towards the adapter slots.
 	Coming []string
+	// Closing names held models that get no new requests any more.
+	Closing []string
 	// Loading is the model that is being loaded. Empty with Busy set means that the order is not known.
 	Loading string
 	// FromStore means that the load reads from the weight store.
