keeper: hand the lease over by message; bound unread prompts

Cause: after a holder lost the store no orders were given for 5 to 8 s, since its successor waited out a lease that was no longer used, and a single replica of a model that had become busy got 70 prompts at once, whose callers all left. The lease's property test covers the message.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -216,14 +216,19 @@
 	return left
 }
 
-// firstEvent is the time that an engine needs for the first event of a usual request.
-const firstEvent = 250 * time.Millisecond
+const (
+	// firstEvent is the time that an engine needs for the first event of a usual request while it reads others.
+	firstEvent = 400 * time.Millisecond
+	// returnSpread is the time over which the callers return that were refused because a model was being loaded.
+	returnSpread = 800 * time.Millisecond
+)
 
 // tooLate returns the refusal of a request whose model is not ready in time, with the time when it should be.
 func (j *job) tooLate() *arbutusfork.Refusal {
 	after := loadRetry
 	if at, ok := j.server.soon.at(j.call.Model); ok {
-		after = max(at.Sub(j.server.Timer.Now())+rejectPause, rejectPause)
+		// Callers that come back together would wait for each other.
+		after = max(at.Sub(j.server.Timer.Now()), 0) + rejectPause + time.Duration(j.server.Draw()*float64(returnSpread))
 	}
 	return refuse(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(j.call.Model)+" is not ready in time", after)
 }
--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -18,6 +18,9 @@
 	// overfull is how many requests an engine may have above its slots. They wait there for milliseconds and spare the
 	// way back here.
 	overfull = 8
+	// maxUnread bounds the prompt tokens that an engine has still to read, so that a new request's first event comes in
+	// about a second: engines of the users read 22 to 26 tokens a millisecond.
+	maxUnread = 20000
 	// plainQueue is how many requests a plain endpoint may have for each of its slots.
 	plainQueue = 3
 )
@@ -92,6 +95,9 @@
 	if !holds(e, w.model, w.adapter) || load.Requests >= w.engine.Slots+overfull {
 		return false
 	}
+	if load.Prompt > 0 && load.Prompt+w.prompt > maxUnread {
+		return false
+	}
 	return load.Requests == 0 || w.engine.Cache <= 0 || load.Tokens+w.tokens <= w.engine.Cache+w.engine.Cache/8
 }
 
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -256,7 +256,9 @@
 		}
 		for id, x := range s.engines {
 			if x.entry.Service == service.Name {
-				v.Engines = append(v.Engines, x.input(now, running[id]))
+				e := x.input(now, running[id])
+				e.Pending = e.Pending || s.quiet(id, epoch)
+				v.Engines = append(v.Engines, e)
 			}
 		}
 		d := afassign.Plan(v)
@@ -274,6 +276,14 @@
 	}
 }
 
+// quiet reports whether an engine got an order of another holder so lately that it must not get one of this holder yet.
+func (s *Service) quiet(id string, epoch int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.lastOrders[id]
+	return ok && s.orderEpochs[id] != epoch && s.BootTime() < at+s.Terms.Quiet+s.Terms.Margin
+}
+
 // engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
 // read 22 to 26 prompt tokens a millisecond, and nearly half of their time goes to other models and to generating.
 const engineWork = 14000
@@ -305,7 +315,12 @@
 		defer cancel()
 		result := afengine.Refused
 		s.mu.Lock()
-		usable := s.lease.Usable(s.BootTime()) && s.lease.Epoch() == epoch
+		at := s.BootTime()
+		usable := s.lease.Usable(at) && s.lease.Epoch() == epoch
+		if usable {
+			s.lastOrders[entry.ID] = at
+			s.orderEpochs[entry.ID] = epoch
+		}
 		s.mu.Unlock()
 		if usable {
 			result = s.Order(c, entry, s.Self.String(), epoch, step.Order)
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -6,6 +6,9 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/aflease"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -17,9 +20,9 @@
 func (s *Service) keepLease(ctx context.Context) {
 	now := s.BootTime()
 	s.mu.Lock()
-	lease, viewed, stopping := s.lease, s.viewed, s.stopping
+	lease, viewed, stopping, next := s.lease, s.viewed, s.stopping, s.nextLease
 	s.mu.Unlock()
-	if stopping || now < s.nextLease {
+	if stopping || now < next {
 		return
 	}
 	if !lease.Held(now) {
@@ -27,28 +30,38 @@
 		if !viewed.IsZero() && quiet < silence+s.rank() {
 			return
 		}
-		if viewed.IsZero() && s.nextLease == 0 {
-			s.nextLease = now + s.rank()
+		if viewed.IsZero() && !s.ranked {
+			s.ranked = true
+			s.setNext(now + s.rank())
 			return
 		}
 	}
+	if lease.Lapsed(now) {
+		s.retire()
+	}
 	action, record := lease.Next(now)
 	switch action {
 	case aflease.Wait:
 		if !lease.Held(now) {
 			// The holder is silent towards this VM but may renew.
-			s.nextLease = now + leaseRead
+			s.setNext(now + leaseRead)
 			s.readLease(ctx)
 		}
 	case aflease.Read:
-		s.nextLease = now + leaseRead
+		s.setNext(now + leaseRead)
 		s.readLease(ctx)
 	case aflease.Write:
-		s.nextLease = now + tickPeriod
+		s.setNext(now + tickPeriod)
 		s.writeLease(ctx, record, lease.Version())
 	}
 }
 
+func (s *Service) setNext(at time.Duration) {
+	s.mu.Lock()
+	s.nextLease = at
+	s.mu.Unlock()
+}
+
 // rank returns a delay by which this VM follows others in taking the lease.
 func (s *Service) rank() time.Duration {
 	for i, vm := range s.Members() {
@@ -108,3 +121,67 @@
 	}
 	return s.Update(ctx, o)
 }
+
+// KindStop is the kind of peer message by which a VM says that it has stopped using the lease.
+const KindStop = "stop"
+
+// stop tells that the holder of an epoch gives no more orders.
+type stop struct {
+	Epoch int64 `msgpack:"epoch"`
+	// Orders holds the age of the last order to each engine that got one lately, in milliseconds.
+	Orders map[string]int64 `msgpack:"orders,omitempty"`
+}
+
+// retire stops the use of the lease for good and tells the other VMs when each engine got its last order, so that they
+// need not wait for orders that will not come.
+func (s *Service) retire() {
+	now := s.BootTime()
+	s.mu.Lock()
+	m := stop{Epoch: s.lease.Epoch(), Orders: make(map[string]int64)}
+	s.lease = s.lease.WithRetired()
+	for id, at := range s.lastOrders {
+		if age := now - at; age < 2*s.Terms.Quiet {
+			m.Orders[id] = age.Milliseconds()
+		}
+	}
+	s.mu.Unlock()
+	s.Log.Info("placement lease given up", "epoch", m.Epoch, "ordered_lately", len(m.Orders))
+	for _, vm := range s.Members() {
+		if vm.Name == s.Self.VM {
+			continue
+		}
+		if err := s.Send(vm.Name, KindStop, m); err != nil {
+			s.Log.Debug("stop not sent", "to", vm.Name, "error", err)
+		}
+	}
+}
+
+// HandleStop takes the word of a former holder.
+func (s *Service) HandleStop(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var m stop
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "stop", Kind: Malformed, Err: err}
+	}
+	now := s.BootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, ms := range m.Orders {
+		// The message's own delay makes the order look younger than it is.
+		s.lastOrders[id] = max(s.lastOrders[id], now-time.Duration(ms)*time.Millisecond)
+	}
+	s.lease = s.lease.WithStopped(m.Epoch, now)
+	if s.holder == from.VM {
+		s.viewed = time.Time{}
+		s.holder = ""
+	}
+	s.nextLease = now + s.delay(from.VM)
+	s.Log.Info("placement holder stopped", "vm", from.VM, "epoch", m.Epoch)
+	return nil, nil
+}
+
+// delay returns a time that differs between VMs, so that one of them takes the lease.
+func (s *Service) delay(key string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.Self.VM + key)) // A hash never fails.
+	return time.Duration(h.Sum32()%1000) * rankDelay / 1000
+}
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -95,20 +95,26 @@
 	// ledgers holds the customers' limits while this VM holds the lease, and live the part of the VMs that answer.
 	ledgers map[string]*ledger
 	live    float64
+	// lastOrders holds when each engine got its last order of any holder, by the boot time, as far as that is known.
+	lastOrders map[string]time.Duration
+	// orderEpochs holds the epoch of this VM's own last order to each engine.
+	orderEpochs map[string]int64
+	// nextLease is when to look at the lease again, by the boot time.
+	nextLease time.Duration
 	// due means that a view should be sent although no report came.
 	due bool
 
 	// The fields below belong to the goroutine of Run.
-	engines   map[string]*state
-	polls     chan polled
-	orders    chan ordered
-	starts    []time.Duration // starts holds when loads from the store began, by the boot time.
-	nextLease time.Duration
-	nextBeat  time.Time
-	nextView  time.Time
-	held      bool
-	changed   bool // changed means that a new view should be sent now.
-	asked     string
+	engines  map[string]*state
+	polls    chan polled
+	orders   chan ordered
+	starts   []time.Duration // starts holds when loads from the store began, by the boot time.
+	ranked   bool
+	nextBeat time.Time
+	nextView time.Time
+	held     bool
+	changed  bool // changed means that a new view should be sent now.
+	asked    string
 }
 
 type heard struct {
@@ -121,6 +127,8 @@
 	s.pokes = make(chan struct{}, 1)
 	s.beats = make(map[string]heard)
 	s.engines = make(map[string]*state)
+	s.lastOrders = make(map[string]time.Duration)
+	s.orderEpochs = make(map[string]int64)
 	s.ledgers = make(map[string]*ledger)
 	s.polls = make(chan polled, 64)
 	s.orders = make(chan ordered, 64)
@@ -256,6 +264,7 @@
 	if !ok {
 		return
 	}
+	s.retire()
 	if _, err := s.write(ctx, record, version); err != nil {
 		s.Log.Warn("placement lease not released; it ends by itself", "error", err)
 	}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -38,8 +38,8 @@
 	// garbagePercent makes the collector keep the heap small, since memory at its peak is paid for. The heap is a few MB.
 	garbagePercent = 50
 	// leaseUse and the following are the lease's times. A holder that cannot renew three times stops.
-	leaseUse    = 2 * time.Second
-	leaseRenew  = 700 * time.Millisecond
+	leaseUse    = 1500 * time.Millisecond
+	leaseRenew  = 450 * time.Millisecond
 	leaseMargin = 200 * time.Millisecond
 	// storeLoads is the number of loads from the weight store at once, which it carries at full speed.
 	storeLoads = 4
@@ -200,6 +200,7 @@
 	n.keeper.Init()
 	n.peers.Handle(afkeeper.KindBeat, n.keeper.HandleBeat)
 	n.peers.Handle(afkeeper.KindView, n.keeper.HandleView)
+	n.peers.Handle(afkeeper.KindStop, n.keeper.HandleStop)
 	n.peers.Handle(afkeeper.KindSpend, n.keeper.HandleSpend)
 }
 
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -314,8 +314,10 @@
 			victims = append(victims, victim{h.Model, 0, running})
 			continue
 		}
+		// A model that more requests wait for than use the victim may take one of its replicas, but not the last.
+		wanted := reason == ForWaiting && left > 0 && float64(p.waiting[model])+p.rate[model] > p.rate[h.Model]/2
 		switch {
-		case left < p.desired(h.Model), left == 0 && p.waiting[h.Model] > 0:
+		case left < p.desired(h.Model) && !wanted, left == 0 && p.waiting[h.Model] > 0:
 			continue
 		case running && reason == ForDisk:
 			continue
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -44,6 +44,11 @@
 	until time.Duration
 	// from is when the own use may begin, after the previous holder's orders.
 	from time.Duration
+	// stopped is the epoch whose holder said that it has stopped using the lease, and at is when that was heard.
+	stopped int64
+	at      time.Duration
+	// retired is the epoch that this process has given up.
+	retired int64
 }
 
 // New returns the view of a process that has not read the record. Self is unique for each start of a process.
@@ -87,7 +92,7 @@
 		l.from = l.begin()
 	}
 	l.record, l.version, l.known, l.seen = r, version, true, now
-	if r.Holder == l.self && !r.Released {
+	if r.Holder == l.self && !r.Released && l.retired != r.Epoch {
 		l.until = sent + l.terms.Use
 	} else {
 		l.until = 0
@@ -95,6 +100,25 @@
 	return l
 }
 
+// WithStopped returns the lease after the holder of an epoch said that it has stopped using it for good. What it used
+// the lease for last must be told besides: Quiet is then the business of whoever acts.
+func (l Lease) WithStopped(epoch int64, now time.Duration) Lease {
+	if epoch > l.stopped {
+		l.stopped, l.at = epoch, now
+	}
+	if l.record.Holder == l.self && epoch == l.record.Epoch-1 {
+		l.from = min(l.from, now)
+	}
+	return l
+}
+
+// WithRetired returns the lease of a holder that stops using it for good, before it tells others so.
+func (l Lease) WithRetired() Lease {
+	l.until = 0
+	l.retired = l.record.Epoch
+	return l
+}
+
 // WithoutVersion returns the lease after a write whose outcome is unknown: the record must be read again.
 func (l Lease) WithoutVersion() Lease {
 	l.known = false
@@ -104,10 +128,12 @@
 // begin returns when a new holder may use the lease for the first time: the previous holder's use has ended and
 // Quiet has passed.
 func (l Lease) begin() time.Duration {
-	if l.version == 0 {
+	switch {
+	case l.version == 0:
 		return 0
-	}
-	if l.record.Released {
+	case l.stopped == l.record.Epoch:
+		return l.at
+	case l.record.Released:
 		return l.seen + l.terms.Quiet + l.terms.Margin
 	}
 	return l.seen + l.terms.Use + l.terms.Quiet + l.terms.Margin
@@ -118,7 +144,7 @@
 	if !l.known {
 		return Read, Record{}
 	}
-	if l.record.Holder == l.self && !l.record.Released {
+	if l.record.Holder == l.self && !l.record.Released && l.retired != l.record.Epoch {
 		if now >= l.until-l.terms.Use+l.terms.Renew {
 			r := l.record
 			r.Beat++
@@ -126,7 +152,7 @@
 		}
 		return Wait, Record{}
 	}
-	if l.version != 0 && !l.record.Released && now < l.seen+l.terms.Use+l.terms.Margin {
+	if l.version != 0 && !l.record.Released && l.stopped != l.record.Epoch && now < l.seen+l.terms.Use+l.terms.Margin {
 		return Wait, Record{}
 	}
 	return Write, Record{Holder: l.self, Epoch: l.record.Epoch + 1, Beat: l.record.Beat + 1}
@@ -143,6 +169,11 @@
 	return r, true
 }
 
+// Lapsed reports whether this process held the lease and can use it no more, but has not said so.
+func (l Lease) Lapsed(now time.Duration) bool {
+	return l.record.Holder == l.self && l.until > 0 && now >= l.until && l.retired != l.record.Epoch
+}
+
 // Version returns the version that a write is conditional on. Zero means that the record must not exist.
 func (l Lease) Version() int64 { return l.version }
 
@@ -162,7 +193,7 @@
 
 // Held reports whether this process holds the lease, although it may have to wait before the first use.
 func (l Lease) Held(now time.Duration) bool {
-	return l.record.Holder == l.self && !l.record.Released && now < l.until
+	return l.retired != l.record.Epoch && l.record.Holder == l.self && !l.record.Released && now < l.until
 }
 
 // Usable reports whether this process may act under the lease now.
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -23,6 +23,14 @@
 			epochs  = map[int64]string{}
 		)
 		names := []string{"a", "b", "c"}
+		// heard holds the stops on their way, each with when its holder acted last.
+		type stop struct {
+			epoch int64
+			last  time.Duration
+		}
+		var stops []stop
+		quiet := map[string]time.Duration{} // quiet is until when a process knows that it must not act.
+		acted := map[string]time.Duration{}
 		leases := map[string]Lease{}
 		for _, n := range names {
 			leases[n] = New(n, terms)
@@ -31,7 +39,7 @@
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
 			n := rapid.SampledFrom(names).Draw(t, "who")
 			l := leases[n]
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
 				l = l.WithRecord(record, version, now)
 			case 1:
@@ -58,10 +66,22 @@
 					record = r
 					l = l.WithWritten(r, version, now, now)
 				}
+			case 4:
+				if l.Held(now) || l.Lapsed(now) {
+					stops = append(stops, stop{l.Epoch(), acted[n]})
+					l = l.WithRetired()
+				}
+			case 5:
+				if len(stops) > 0 {
+					x := rapid.SampledFrom(stops).Draw(t, "stop")
+					quiet[n] = max(quiet[n], x.last+terms.Quiet)
+					l = l.WithStopped(x.epoch, now)
+				}
 			case 3:
-				if !l.Usable(now) {
+				if !l.Usable(now) || now < quiet[n] {
 					break
 				}
+				acted[n] = now
 				if lastBy != "" && lastBy != n {
 					require.GreaterOrEqual(t, now-lastAt, terms.Quiet, "%s acts %v after %s", n, now-lastAt, lastBy)
 				}
