assign: weigh needs by the requests that a load serves

Ruled out: missing room (80 loads for rare models went on). Change: the weight is the waiting requests, those expected within 2 s, and a little for the age; four requests that wait ask for one more replica; prompts that are unread are bounded at 8,000 tokens for each engine. TestManyShortWaitsGoFirst failed before.

--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -18,9 +18,10 @@
 	// overfull is how many requests an engine may have above its slots. They wait there for milliseconds and spare the
 	// way back here.
 	overfull = 8
-	// maxUnread bounds the prompt tokens that an engine has still to read, so that a new request's first event comes in
-	// about a second: engines of the users read 22 to 26 tokens a millisecond.
-	maxUnread = 20000
+	// maxUnread bounds the prompt tokens that an engine has still to read. Engines read 2,048 tokens between two steps of
+	// the running streams, which takes 80 to 93 ms, and an event holds three or four steps: with more prompts in a row the
+	// pauses of the streams grow beyond their aim of 250 to 300 ms.
+	maxUnread = 8000
 	// plainQueue is how many requests a plain endpoint may have for each of its slots.
 	plainQueue = 3
 )
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -285,8 +285,8 @@
 }
 
 // engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
-// read 22 to 26 prompt tokens a millisecond, and nearly half of their time goes to other models and to generating.
-const engineWork = 14000
+// read 22 to 26 prompt tokens a millisecond, and reading for more than half of the time delays the events of running streams.
+const engineWork = 10000
 
 // storeStarts returns how many loads from the weight store may begin now.
 func (s *Service) storeStarts(e *afroute.Engine) int {
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -19,6 +19,13 @@
 	rateLoads = 1
 	// busyPrefetch is the number of loads at once that bring models to disks while requests come.
 	busyPrefetch = 1
+	// pressedWaiting requests that have waited for pressedTime ask for one more replica than serves them.
+	pressedWaiting = 4
+	pressedTime    = 300 * time.Millisecond
+	// expectTime is the time for which further requests for a model count as if they waited, and agePerSecond what a
+	// second of the longest wait counts in requests, so that no model waits forever.
+	expectTime   = 2 * time.Second
+	agePerSecond = 0.3
 	// hotRate is the requests a second from which a model's last replica is not unloaded for another one.
 	hotRate = 0.8
 )
@@ -33,6 +40,7 @@
 	work     map[string]float64
 	adapters map[string]float64 // adapters is the rate of a model's requests with an adapter.
 	replicas map[string]int
+	serving  map[string]int // serving counts the replicas that take requests now.
 	onDisk   map[string]int
 	taken    map[string]bool // taken engines got a step or are reserved for one.
 	loads    int             // loads counts those from the store in progress.
@@ -56,7 +64,7 @@
 	p := &planner{
 		View: v, demand: map[string]Demand{}, waiting: map[string]int{}, oldest: map[string]time.Duration{},
 		rate: map[string]float64{}, work: map[string]float64{}, replicas: map[string]int{}, onDisk: map[string]int{},
-		taken: map[string]bool{}, adapters: map[string]float64{},
+		taken: map[string]bool{}, serving: map[string]int{}, adapters: map[string]float64{},
 	}
 	p.Engines = slices.SortedFunc(slices.Values(v.Engines), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, d := range v.Demand {
@@ -81,6 +89,7 @@
 		for _, h := range e.Held {
 			if !slices.Contains(e.Closing, h.Model) {
 				p.replicas[h.Model]++
+				p.serving[h.Model]++
 			}
 		}
 		if e.Loading != "" && !afengine.Holds(e.Held, e.Loading, "") {
@@ -136,32 +145,35 @@
 	case r >= hotRate:
 		n = max(n, 1)
 	}
+	if p.waiting[model] >= pressedWaiting && p.oldest[model] >= pressedTime {
+		n = max(n, p.serving[model]+1)
+	}
 	return min(n, len(p.Engines))
 }
 
 type need struct {
 	model  string
 	reason Reason
-	oldest time.Duration
-	gap    float64
+	weight float64
 }
 
 // needed returns the models that need a replica, the most pressing first: those that requests wait for in vain by
-// their longest wait, then busy ones by how far they fall short.
+// the requests that a load would serve, then busy ones by how far they fall short. The longest wait alone does not
+// decide, since requests for a model that many wait for are refused before theirs is long.
 func (p *planner) needed() []need {
 	var out []need
 	for model := range p.Spec.Models {
 		switch n := p.replicas[model]; {
 		case n == 0 && p.waiting[model] > 0:
-			out = append(out, need{model: model, reason: ForWaiting, oldest: p.oldest[model]})
+			weight := float64(p.waiting[model]) + p.rate[model]*expectTime.Seconds() + p.oldest[model].Seconds()*agePerSecond
+			out = append(out, need{model: model, reason: ForWaiting, weight: weight})
 		case n < p.desired(model):
-			out = append(out, need{model: model, reason: ForRate, gap: float64(p.desired(model)) / float64(n+1)})
+			out = append(out, need{model: model, reason: ForRate, weight: float64(p.desired(model)) / float64(n+1)})
 		}
 	}
 	slices.SortFunc(out, func(a, b need) int {
 		return cmp.Or(
-			cmp.Compare(a.reason, b.reason), cmp.Compare(b.oldest, a.oldest), cmp.Compare(b.gap, a.gap),
-			cmp.Compare(a.model, b.model))
+			cmp.Compare(a.reason, b.reason), cmp.Compare(b.weight, a.weight), cmp.Compare(a.model, b.model))
 	})
 	return out
 }
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -96,6 +96,19 @@
 	require.Equal(t, afengine.Order{Unload: true, Model: "m2"}, d.Steps[0].Order)
 }
 
+// Guards against a model that many requests ask for and that is never loaded, because each of them is refused before it
+// has waited as long as one request for a rare model.
+func TestManyShortWaitsGoFirst(t *testing.T) {
+	v := view(Engine{ID: "a", Disk: []string{"m1", "m2"}})
+	v.Spec.Memory = 80
+	v.Demand = []Demand{
+		{Model: "m1", Waiting: 1, Oldest: 11 * time.Second, Rate: 0.1}, {Model: "m2", Waiting: 12, Oldest: 1500 * time.Millisecond, Rate: 10},
+	}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m2", d.Steps[0].Order.Model)
+}
+
 // Guards against closing every replica of a busy model at once to make room for rare ones.
 func TestClosesOneSurplusReplica(t *testing.T) {
 	v := view()
