gateway: refuse what still waits when a VM stops

Ruled out: a request that was being served; it had not been sent. Change: 4 s after the signal waiting requests are refused as not run, which leaves those that run 3 s.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -190,6 +190,11 @@
 	case <-expired:
 	case <-t.spoiled:
 		return placed{}, j.tooLate()
+	case <-s.ending:
+		if e, ok := s.queue.leave(t); ok {
+			return e, nil
+		}
+		return placed{}, refuse(arbutusfork.CodeStopping, "the server is stopping", stopRetry)
 	}
 	if e, ok := s.queue.leave(t); ok {
 		return e, nil
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -60,6 +60,9 @@
 	sessions sessions
 
 	stopping atomic.Bool
+	// ending is closed when no request may begin to wait or go on waiting.
+	ending   chan struct{}
+	endsOnce sync.Once
 }
 
 // Repeats is a budget for second sends in a sliding window.
@@ -90,6 +93,7 @@
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 			Control:         limitUnacked,
 		}
+		s.ending = make(chan struct{})
 		s.windows = make(map[string]*afretry.Window)
 		s.sessions.m = make(map[string]session)
 		s.limits.m = make(map[string]*allowance)
@@ -100,6 +104,12 @@
 // Stop makes new connections' requests be refused as not run. It is called when the balancer has stopped sending.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// End refuses the requests that still wait for an endpoint, so that those that run can finish before the process ends.
+func (s *Server) End() {
+	s.init()
+	s.endsOnce.Do(func() { close(s.ending) })
+}
+
 // Serve answers one request.
 func (s *Server) Serve(c *afentry.Caller, w http.ResponseWriter, r *http.Request) {
 	s.init()
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -46,6 +46,9 @@
 	// settleTime is the time between turning unready and refusing new connections. The balancer asks once a second and
 	// takes a VM out after two misses.
 	settleTime = 2500 * time.Millisecond
+	// waitTime is how long requests may go on waiting for an endpoint after that. What is left of the grace period is for
+	// those that run.
+	waitTime = 1500 * time.Millisecond
 	// endMargin is kept of the grace period for the last steps of the shutdown.
 	endMargin = 700 * time.Millisecond
 	// callTimeout bounds a call to the platform, which answers in milliseconds.
@@ -232,6 +235,8 @@
 	n.keeper.Stop(ctx)
 	n.sleep(ctx, settleTime)
 	n.gateway.Stop()
+	end := n.timer.After(waitTime, func(time.Time) { n.gateway.End() })
+	defer end.Stop()
 	n.entry.Drain(ctx)
 	n.leave(context.WithoutCancel(ctx))
 	n.peers.Leave()
