keeper: count a load whose order is on its way

Ruled out: the plan's own count, which is right within one call. Change: the load counts from the sending.

--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -40,6 +40,9 @@
 	next   time.Time // next is when to ask again.
 	asking bool
 	sent   bool // sent means that an order is on its way.
+	// ordered is the model of a load whose order is on its way, and fetch tells that it reads from the weight store.
+	ordered string
+	fetch   bool
 	// seq counts the orders that were accepted, those of this holder after the report included.
 	seq int64
 	// applied is when the last order was accepted.
@@ -216,6 +219,9 @@
 		Memory: x.report.Memory, Disk: x.report.Disk, Seq: x.seq, Running: running,
 		Busy: x.loading != "" || x.report.Busy,
 	}
+	if x.sent && x.ordered != "" {
+		e.Loading, e.FromStore, e.Busy = x.ordered, x.fetch, true
+	}
 	if now.Before(x.kept) {
 		e.Intent = x.intent
 	}
@@ -300,6 +306,10 @@
 func (s *Service) send(ctx context.Context, step afassign.Step, epoch int64, now time.Time) {
 	x := s.engines[step.Engine]
 	x.sent = true
+	x.ordered, x.fetch = "", step.FromStore
+	if !step.Order.Unload && step.Order.Adapter == "" {
+		x.ordered = step.Order.Model
+	}
 	if step.Reason == afassign.ForRoom && step.Order.Adapter == "" {
 		x.intent, x.kept = step.For, now.Add(intentTime)
 	}
