assign: let pressed models use the weight store and bound an engine's work

Change: a model with four requests that wait counts with those that wait in vain, by waiting requests for each replica; an engine that would get more prompt tokens a second than one should read is the last choice. Two tests failed before.

--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -145,12 +145,28 @@
 	case r >= hotRate:
 		n = max(n, 1)
 	}
-	if p.waiting[model] >= pressedWaiting && p.oldest[model] >= pressedTime {
+	if p.pressed(model) {
 		n = max(n, p.serving[model]+1)
 	}
 	return min(n, len(p.Engines))
 }
 
+// pressed reports whether requests wait although the model is served.
+func (p *planner) pressed(model string) bool {
+	return p.waiting[model] >= pressedWaiting && p.oldest[model] >= pressedTime
+}
+
+// load returns the prompt tokens a second that the engine's models bring it.
+func (p *planner) load(e *Engine) float64 {
+	sum := 0.0
+	for _, h := range e.Held {
+		if !slices.Contains(e.Closing, h.Model) {
+			sum += p.work[h.Model] / float64(max(p.replicas[h.Model], 1))
+		}
+	}
+	return sum
+}
+
 type need struct {
 	model  string
 	reason Reason
@@ -167,6 +183,9 @@
 		case n == 0 && p.waiting[model] > 0:
 			weight := float64(p.waiting[model]) + p.rate[model]*expectTime.Seconds() + p.oldest[model].Seconds()*agePerSecond
 			out = append(out, need{model: model, reason: ForWaiting, weight: weight})
+		case n < p.desired(model) && p.pressed(model):
+			weight := float64(p.waiting[model])/float64(n+1) + p.rate[model]
+			out = append(out, need{model: model, reason: ForWaiting, weight: weight})
 		case n < p.desired(model):
 			out = append(out, need{model: model, reason: ForRate, weight: float64(p.desired(model)) / float64(n+1)})
 		}
@@ -187,6 +206,7 @@
 	loss    float64  // loss is what unloading the victims costs, in expected requests.
 	running bool     // running means that a victim still serves requests.
 	busy    int      // busy is the number of busy models that the engine holds.
+	full    bool     // full means that the model would bring the engine more work than it should get.
 }
 
 // goOn orders the loads for which room was made.
@@ -282,6 +302,9 @@
 // before orders options by the time to the first answer, then by what they cost others. A further replica of a busy
 // model goes beside other busy models, so that the other engines keep their room for rare ones.
 func (o option) before(p option, reason Reason) bool {
+	if o.full != p.full {
+		return p.full
+	}
 	if reason == ForRate && o.store == p.store && o.busy != p.busy {
 		return o.busy > p.busy
 	}
@@ -296,6 +319,8 @@
 func (p *planner) option(e *Engine, model string, reason Reason) (option, bool) {
 	m := p.Spec.Models[model]
 	o := option{engine: e, eta: e.Free, busy: p.busy(e)}
+	share := p.work[model] / float64(p.replicas[model]+1)
+	o.full = p.EngineWork > 0 && share > p.EngineWork/10 && p.load(e)+share > p.EngineWork
 	switch {
 	case slices.Contains(e.Memory, model):
 		o.eta += m.Warm
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -109,6 +109,25 @@
 	require.Equal(t, "m2", d.Steps[0].Order.Model)
 }
 
+// Guards against a busy model that never gets a second replica because rare models use the weight store all the time.
+func TestPressedModelUsesStore(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1")}, Engine{ID: "b", FromStore: true, Loading: "m4", Busy: true, Free: 3 * time.Second}, Engine{ID: "c"})
+	v.Demand = []Demand{{Model: "m1", Waiting: 20, Oldest: time.Second, Rate: 10, Work: 15000}, {Model: "m2", Waiting: 1, Oldest: 9 * time.Second}}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m1", d.Steps[0].Order.Model)
+}
+
+// Guards against two busy models on one engine while another one has less to do.
+func TestBusyModelsDoNotShareAFullEngine(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1"), Disk: []string{"m2"}}, Engine{ID: "b", Disk: []string{"m2"}})
+	v.Demand = []Demand{{Model: "m1", Rate: 6, Work: 9000}, {Model: "m2", Waiting: 5, Oldest: time.Second, Rate: 6, Work: 9000}}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m2", d.Steps[0].Order.Model)
+	require.Equal(t, "b", d.Steps[0].Engine)
+}
+
 // Guards against closing every replica of a busy model at once to make room for rare ones.
 func TestClosesOneSurplusReplica(t *testing.T) {
 	v := view()
