keeper: pass endpoints on and name only what changed

Ruled out: longer pauses, which the time to notice a drain forbids. Change: the holder passes changes of the endpoints on, numbered, and a VM that missed one asks for all; VMs that hear the holder do not watch endpoints; views carry loads and changed engines only, less often in large fleets; VMs with narrow links let others take the lease first.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -17,6 +17,8 @@
 	// platform's return neither floods it nor is late for it: entries must be known again within 2 s.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
+	// suspendPeriod is how often a suspended feed looks whether it is still.
+	suspendPeriod = 100 * time.Millisecond
 	// behindTime is how long another copy must have been newer before the watch is taken for silent. A change reaches
 	// all VMs within a call and a pause of some hundred milliseconds.
 	behindTime = 600 * time.Millisecond
@@ -48,6 +50,8 @@
 	All func(objects []afobject.Object, outage time.Duration)
 	// Change is called with each change after the list.
 	Change func(afobject.Event)
+	// Suspended reports that another VM tells about changes, so that the platform need not be asked. Nil means never.
+	Suspended func() bool
 	// Expired is called when the platform has dropped the history that the watch needs. Nil means that nobody asks.
 	Expired func()
 	Timer   *aftimer.Service
@@ -67,6 +71,10 @@
 // Run keeps the copy until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.suspended() {
+			f.sleep(ctx, suspendPeriod)
+			continue
+		}
 		objects, version, err := f.List(ctx, f.Kind)
 		if err != nil {
 			f.failed(ctx, "list", err)
@@ -78,6 +86,8 @@
 	}
 }
 
+func (f *Feed) suspended() bool { return f.Suspended != nil && f.Suspended() }
+
 // Mark returns how far the copy is.
 func (f *Feed) Mark() Mark {
 	f.mu.Lock()
@@ -160,12 +170,20 @@
 				return
 			}
 			version = max(version, e.Object.Version)
+			if f.suspended() {
+				stop()
+				return
+			}
 			if changed {
 				changed = false
 				f.sleep(ctx, f.Pause)
 			}
 		})
 		f.watching(nil)
+		if f.suspended() {
+			stop()
+			return
+		}
 		kicked := watch.Err() != nil
 		stop()
 		if kicked {
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afassign"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
@@ -441,7 +440,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for vm, h := range s.beats {
-		if now.Sub(h.at) > beatLife {
+		if now.Sub(h.at) > stretch(beatLife, s.Listed()) {
 			delete(s.beats, vm)
 			continue
 		}
@@ -462,85 +461,3 @@
 	}
 	return running, wanted
 }
-
-// spread sends the view to every VM.
-func (s *Service) spread() {
-	now := s.Timer.Now()
-	s.mu.Lock()
-	changed := s.changed || s.due
-	if now.Before(s.nextView) && !changed {
-		s.mu.Unlock()
-		return
-	}
-	s.due, s.changed = false, false
-	s.nextView = now.Add(viewPeriod)
-	record, version := s.lease.Record(), s.lease.Version()
-	beats := make(map[string]beat, len(s.beats)+1)
-	starts := make(map[string]int64, len(s.beats)+1)
-	for vm, h := range s.beats {
-		beats[vm], starts[vm] = h.beat, h.from.Start
-	}
-	s.mu.Unlock()
-	beats[s.Self.VM], starts[s.Self.VM] = s.beat(s.Demand()), s.Self.Start
-	total := make(map[string]afroster.Load)
-	for _, b := range beats {
-		for id, l := range b.Loads {
-			total[id] = total[id].Plus(l.decode())
-		}
-	}
-	members := s.Members()
-	grants := s.grant(beats, starts, members, now)
-	soon := s.soon(now)
-	marks := s.Marks()
-	for _, vm := range members {
-		v := view{
-			Holder: record.Holder, Epoch: record.Epoch, Beat: record.Beat, Version: version, Marks: marks,
-			Engines: s.viewFor(beats[vm.Name], total, now), Grants: grants[vm.Name], Soon: soon,
-		}
-		if vm.Name == s.Self.VM {
-			s.adopt(v)
-			continue
-		}
-		if err := s.Send(vm.Name, KindView, v); err != nil {
-			s.Log.Debug("view not sent", "to", vm.Name, "error", err)
-		}
-	}
-}
-
-// soon returns the times until models that no engine holds are loaded.
-func (s *Service) soon(now time.Time) map[string]int64 {
-	out := make(map[string]int64)
-	for _, x := range s.engines {
-		if x.loading != "" {
-			ms := max(x.ends.Sub(now), workPoll).Milliseconds()
-			if old, ok := out[x.loading]; !ok || ms < old {
-				out[x.loading] = ms
-			}
-		}
-	}
-	return out
-}
-
-func (s *Service) viewFor(own beat, total map[string]afroster.Load, now time.Time) map[string]engine {
-	out := make(map[string]engine, len(s.engines))
-	for id, t := range total {
-		l := own.Loads[id].decode()
-		out[id] = engine{Others: load{Requests: t.Requests - l.Requests, Prompt: t.Prompt - l.Prompt, Tokens: t.Tokens - l.Tokens}}
-	}
-	for id, x := range s.engines {
-		e := out[id]
-		e.Models, e.Used = x.held(now), x.report.CacheUsed
-		e.Closing = x.closed(now)
-		out[id] = e
-	}
-	for id, e := range out {
-		if entry, ok := s.Roster.Entry(id); ok {
-			e.Born = entry.Born
-			if x := s.engines[id]; x == nil {
-				e.Models = entry.Models
-			}
-			out[id] = e
-		}
-	}
-	return out
-}
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -27,7 +27,7 @@
 	}
 	if !lease.Held(now) {
 		quiet := s.Timer.Now().Sub(viewed)
-		if !viewed.IsZero() && quiet < silence+s.rank() {
+		if !viewed.IsZero() && quiet < s.silence()+s.rank() {
 			return
 		}
 		if viewed.IsZero() && !s.ranked {
@@ -66,12 +66,12 @@
 func (s *Service) rank() time.Duration {
 	for i, vm := range s.Members() {
 		if vm.Name == s.Self.VM {
-			return time.Duration(min(i, 8)) * rankDelay
+			return time.Duration(min(i, 8))*rankDelay + s.Handicap
 		}
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Self.VM)) // A hash never fails.
-	return time.Duration(h.Sum32()%8) * rankDelay
+	return time.Duration(h.Sum32()%8)*rankDelay + s.Handicap
 }
 
 func (s *Service) readLease(ctx context.Context) {
@@ -183,5 +183,5 @@
 func (s *Service) delay(key string) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Self.VM + key)) // A hash never fails.
-	return time.Duration(h.Sum32()%1000) * rankDelay / 1000
+	return time.Duration(h.Sum32()%1000)*rankDelay/1000 + s.Handicap
 }
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -55,8 +55,13 @@
 	// Version is the version of the lease's record.
 	Version int64 `msgpack:"version"`
 	// Marks are the holder's, as in a beat.
-	Marks   map[string]affeed.Mark `msgpack:"marks,omitempty"`
-	Engines map[string]engine      `msgpack:"engines"`
+	Marks map[string]affeed.Mark `msgpack:"marks,omitempty"`
+	// Engines are the engines that changed since the last view, or all of them.
+	Engines map[string]engine `msgpack:"engines,omitempty"`
+	// Loads is the load of all VMs together, by endpoint.
+	Loads map[string]load `msgpack:"loads,omitempty"`
+	// Relay counts the changes of the endpoints that the holder passed on.
+	Relay int64 `msgpack:"relay,omitempty"`
 	// Grants is what the receiver may spend of each customer's limit.
 	Grants map[string]grant `msgpack:"grants,omitempty"`
 	// Soon is the time until a model that no engine holds is loaded, in milliseconds.
@@ -67,8 +72,6 @@
 	Born    int64           `msgpack:"b"`
 	Models  []afengine.Held `msgpack:"m,omitempty"`
 	Closing []string        `msgpack:"c,omitempty"`
-	Others  load            `msgpack:"o"`
-	Used    int64           `msgpack:"u,omitempty"`
 }
 
 // grant is a VM's part of a customer's limit.
@@ -149,27 +152,7 @@
 	s.viewed = s.Timer.Now()
 	s.mu.Unlock()
 	s.Compare(v.Marks)
+	s.follow(from.VM, v.Epoch, v.Relay)
 	s.adopt(v)
 	return nil, nil
 }
-
-// adopt passes a view on to the roster and the limits.
-func (s *Service) adopt(v view) {
-	statuses := make(map[string]afroster.Status, len(v.Engines))
-	for id, e := range v.Engines {
-		statuses[id] = afroster.Status{
-			Born: e.Born, Models: e.Models, Closing: e.Closing, Others: e.Others.decode(), CacheUsed: e.Used,
-		}
-	}
-	s.Roster.SetView(statuses)
-	grants := make(map[string]Grant, len(v.Grants))
-	for name, g := range v.Grants {
-		grants[name] = Grant{Level: g.Level, Spent: g.Spent, Part: float64(g.Part) / partUnit}
-	}
-	s.Grants(grants)
-	soon := make(map[string]time.Duration, len(v.Soon))
-	for model, ms := range v.Soon {
-		soon[model] = time.Duration(ms) * time.Millisecond
-	}
-	s.Soon(soon)
-}
--- /dev/null
+++ b/internal/afkeeper/relay.go
@@ -0,0 +1,174 @@
+package afkeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+)
+
+// The kinds of peer messages by which the holder passes the endpoints on, so that each VM need not watch them itself.
+const (
+	KindRelay = "relay"
+	KindList  = "list"
+)
+
+// relay is a change of the endpoints, or all of them if Whole is set.
+type relay struct {
+	Epoch int64 `msgpack:"epoch"`
+	// Seq counts the changes that the holder passed on. A VM that missed one asks for all.
+	Seq     int64        `msgpack:"seq"`
+	Whole   bool         `msgpack:"whole,omitempty"`
+	Entries []relayEntry `msgpack:"entries,omitempty"`
+	Removed []string     `msgpack:"removed,omitempty"`
+}
+
+// relayEntry is an endpoint without what the view says of it.
+type relayEntry struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	ID, Service, Address, Centre string
+	Slots, State                 int
+	Born                         int64
+	// Leaves is in milliseconds.
+	Leaves int64
+}
+
+func encodeEntry(e afengine.Entry) relayEntry {
+	return relayEntry{
+		ID: e.ID, Service: e.Service, Address: e.Address, Centre: e.Centre, Slots: e.Slots, State: int(e.State), Born: e.Born,
+		Leaves: e.Leaves.Milliseconds(),
+	}
+}
+
+func (e relayEntry) decode() afengine.Entry {
+	return afengine.Entry{
+		ID: e.ID, Service: e.Service, Address: e.Address, Centre: e.Centre, Slots: e.Slots, State: afengine.State(e.State),
+		Born: e.Born, Leaves: time.Duration(e.Leaves) * time.Millisecond,
+	}
+}
+
+// relayState is what a VM knows of the holder's relay.
+type relayState struct {
+	epoch, seq int64
+	// whole means that all endpoints of the epoch are known up to seq.
+	whole bool
+	// asking is set while all endpoints are asked for.
+	asking bool
+}
+
+// Relay passes a change of the endpoints on, if this VM holds the lease.
+func (s *Service) Relay(changed []afengine.Entry, removed []string) {
+	s.mu.Lock()
+	held, epoch := s.lease.Held(s.BootTime()), s.lease.Epoch()
+	if !held {
+		s.mu.Unlock()
+		return
+	}
+	s.relaySeq++
+	m := relay{Epoch: epoch, Seq: s.relaySeq, Removed: removed}
+	s.mu.Unlock()
+	for _, e := range changed {
+		m.Entries = append(m.Entries, encodeEntry(e))
+	}
+	for _, vm := range s.Members() {
+		if vm.Name == s.Self.VM {
+			continue
+		}
+		if err := s.Send(vm.Name, KindRelay, m); err != nil {
+			s.Log.Debug("endpoints not passed on", "to", vm.Name, "error", err)
+		}
+	}
+}
+
+// HandleRelay takes a change of the endpoints from the holder.
+func (s *Service) HandleRelay(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var m relay
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, &Error{Op: "relay", Kind: Malformed, Err: err}
+	}
+	s.mu.Lock()
+	r := &s.relayed
+	fits := r.whole && m.Epoch == r.epoch && m.Seq == r.seq+1 && s.holder == from.VM
+	if fits {
+		r.seq = m.Seq
+	}
+	s.mu.Unlock()
+	if fits {
+		s.take(m)
+	}
+	return nil, nil
+}
+
+// take passes the holder's word on to the roster.
+func (s *Service) take(m relay) {
+	entries := make([]afengine.Entry, 0, len(m.Entries))
+	for _, e := range m.Entries {
+		entries = append(entries, e.decode())
+	}
+	s.Listing(entries, m.Removed, m.Whole)
+}
+
+// HandleList answers a VM that asks for all endpoints.
+func (s *Service) HandleList(arbutusfork.Incarnation, []byte) (any, error) {
+	s.mu.Lock()
+	m := relay{Epoch: s.lease.Epoch(), Seq: s.relaySeq, Whole: s.lease.Held(s.BootTime())}
+	s.mu.Unlock()
+	if !m.Whole || !s.Complete() {
+		m.Whole = false
+		return m, nil
+	}
+	for _, e := range s.Roster.All() {
+		m.Entries = append(m.Entries, encodeEntry(e))
+	}
+	return m, nil
+}
+
+// follow compares what this VM knows with the holder's view and asks for all endpoints if it missed a change.
+func (s *Service) follow(holder string, epoch, seq int64) {
+	s.mu.Lock()
+	r := &s.relayed
+	if r.whole && r.epoch == epoch && r.seq == seq || r.asking {
+		s.mu.Unlock()
+		return
+	}
+	if r.epoch != epoch {
+		r.whole = false
+	}
+	r.asking = true
+	s.mu.Unlock()
+	go s.pull(holder)
+}
+
+func (s *Service) pull(holder string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var m relay
+	err := s.Call(ctx, holder, KindList, struct{}{}, &m)
+	s.mu.Lock()
+	s.relayed.asking = false
+	ok := err == nil && m.Whole
+	if ok {
+		s.relayed = relayState{epoch: m.Epoch, seq: m.Seq, whole: true}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.Log.Info("endpoints not learnt from the holder", "holder", holder, "error", err)
+	}
+	if ok {
+		s.take(m)
+	}
+}
+
+// Relayed reports whether this VM learns of the endpoints from a holder that it hears, so that it need not watch them.
+func (s *Service) Relayed() bool {
+	if !s.Covered() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relayed.whole && s.relayed.epoch == s.lease.Epoch()
+}
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -26,13 +26,8 @@
 const (
 	// tickPeriod is the grid of the holder's work.
 	tickPeriod = 50 * time.Millisecond
-	// beatPeriod is how often a VM tells its load, and viewPeriod how often the holder tells its view, without a change.
-	beatPeriod = 250 * time.Millisecond
-	viewPeriod = 300 * time.Millisecond
 	// beatLife is how long a VM's beat counts: six beats.
 	beatLife = 1500 * time.Millisecond
-	// silence is how long the holder's view must be missing before a VM looks at the lease: four views.
-	silence = 1200 * time.Millisecond
 	// leaseRead is the pause between reads of the lease while the holder is silent.
 	leaseRead = 400 * time.Millisecond
 	// callTimeout bounds a call to the platform or an engine. It is far above the milliseconds that they need.
@@ -52,6 +47,8 @@
 	Log   *slog.Logger
 	// Terms are the times of the lease.
 	Terms aflease.Terms
+	// Handicap is how long this VM lets others take the lease first, because it has less of a processor or network.
+	Handicap time.Duration
 	// StoreLoads bounds the loads from the weight store in progress.
 	StoreLoads int
 	// BootTime returns the time since the machine's start, suspension included.
@@ -79,6 +76,10 @@
 	// Marks returns how far this VM's copies of the platform's objects are, by kind, and Compare takes another VM's.
 	Marks   func() map[string]affeed.Mark
 	Compare func(map[string]affeed.Mark)
+	// Listing is called with endpoints that the holder passed on, all of them if whole is set. Complete reports whether
+	// this VM knows all endpoints from the platform.
+	Listing  func(entries []afengine.Entry, removed []string, whole bool)
+	Complete func() bool
 	// Report and Order reach an engine. Order is called with the holder's name and epoch.
 	Report func(ctx context.Context, e afengine.Entry) (afengine.Report, error)
 	Order  func(ctx context.Context, e afengine.Entry, holder string, epoch int64, o afengine.Order) afengine.Result
@@ -99,6 +100,11 @@
 	lastOrders map[string]time.Duration
 	// orderEpochs holds the epoch of this VM's own last order to each engine.
 	orderEpochs map[string]int64
+	// ownLoads is what this VM's last beat said.
+	ownLoads map[string]load
+	// relaySeq counts the changes of the endpoints that this VM passed on, and relayed is what it knows of another's.
+	relaySeq int64
+	relayed  relayState
 	// nextLease is when to look at the lease again, by the boot time.
 	nextLease time.Duration
 	// due means that a view should be sent although no report came.
@@ -112,6 +118,9 @@
 	ranked   bool
 	nextBeat time.Time
 	nextView time.Time
+	lastView time.Time
+	told     map[string]engine // told is what the last view said of the engines.
+	shown    map[string]int64  // shown holds the starts of the VMs that were shown all engines.
 	held     bool
 	changed  bool // changed means that a new view should be sent now.
 	asked    string
@@ -128,6 +137,7 @@
 	s.beats = make(map[string]heard)
 	s.engines = make(map[string]*state)
 	s.lastOrders = make(map[string]time.Duration)
+	s.shown = make(map[string]int64)
 	s.orderEpochs = make(map[string]int64)
 	s.ledgers = make(map[string]*ledger)
 	s.polls = make(chan polled, 64)
@@ -181,6 +191,7 @@
 	s.mu.Unlock()
 	if held != s.held {
 		s.held = held
+		clear(s.shown)
 		s.Log.Info("placement lease changed", "held", held, "epoch", epoch)
 	}
 	if !held {
@@ -211,7 +222,7 @@
 	if now.Before(s.nextBeat) && (asked == s.asked || asked == "") {
 		return
 	}
-	s.asked, s.nextBeat = asked, now.Add(beatPeriod)
+	s.asked, s.nextBeat = asked, now.Add(stretch(beatPeriod, s.Listed()))
 	if err := s.Send(to, KindBeat, s.beat(demand)); err != nil {
 		s.Log.Debug("beat not sent", "to", to, "error", err)
 	}
@@ -220,12 +231,15 @@
 func (s *Service) beat(d []afassign.Demand) beat {
 	loads, running := s.Roster.Own()
 	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}, Marks: s.Marks()}
-	for customer, u := range s.Usage() {
-		b.Usage[customer] = use{Spent: u.Spent, Asked: u.Asked}
-	}
 	for id, l := range loads {
 		b.Loads[id] = encodeLoad(l)
 	}
+	for customer, u := range s.Usage() {
+		b.Usage[customer] = use{Spent: u.Spent, Asked: u.Asked}
+	}
+	s.mu.Lock()
+	s.ownLoads = b.Loads
+	s.mu.Unlock()
 	return b
 }
 
@@ -251,7 +265,7 @@
 func (s *Service) Covered() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder != s.Self.VM && !s.viewed.IsZero() && s.Timer.Now().Sub(s.viewed) < silence
+	return s.holder != s.Self.VM && !s.viewed.IsZero() && s.Timer.Now().Sub(s.viewed) < s.silence()
 }
 
 // Stop gives the lease up, so that another VM can take it without waiting for its end.
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -112,6 +112,10 @@
 		asked += beats[vm.Name].Usage[c.Name].Asked
 	}
 	l.out = max(l.level, 0) * grantPart
+	if len(members) > smallFleet {
+		// In a large fleet most grants would lie unused in parts that are too small for a request.
+		l.out *= float64(smallFleet) / float64(len(members))
+	}
 	for _, vm := range members {
 		u := beats[vm.Name].Usage[c.Name]
 		part := 1 / float64(len(members))
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
 
@@ -128,6 +129,7 @@
 func (n *Node) endpointFeed() *affeed.Feed {
 	f := n.feed(n.Platform.EndpointKind)
 	f.Pause = endpointPause
+	f.Suspended = n.keeper.Relayed
 	known := make(map[string]bool)
 	var back time.Time // back is when the platform was last reached again after an outage.
 	f.All = func(objects []afobject.Object, outage time.Duration) {
@@ -135,11 +137,21 @@
 			back = n.timer.Now()
 		}
 		seen := make(map[string]bool, len(objects))
+		var fresh []afengine.Entry
 		for _, o := range objects {
-			if n.setEndpoint(o) {
+			e, listed, changed := n.setEndpoint(o)
+			if listed {
 				seen[o.Name] = true
 			}
+			if changed {
+				fresh = append(fresh, e)
+			}
+		}
+		// What other VMs passed on while this feed was suspended counts as known.
+		for _, e := range n.roster.All() {
+			known[e.ID] = true
 		}
+		var removed []string
 		missing := 0
 		for id := range known {
 			if !seen[id] {
@@ -149,37 +161,71 @@
 		for id := range known {
 			if !seen[id] {
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", outage, "missing", missing)
-				n.roster.Remove(id, outage > 0 && missing >= massLapse)
+				held := outage > 0 && missing >= massLapse
+				n.roster.Remove(id, held)
+				if !held {
+					removed = append(removed, id)
+				}
 			}
 		}
 		known = seen
+		n.listedAll.Store(true)
+		if len(fresh)+len(removed) > 0 {
+			n.keeper.Relay(fresh, removed)
+		}
 	}
 	f.Change = func(e afobject.Event) {
 		id := e.Object.Name
-		if e.Type == afobject.Deleted || !n.setEndpoint(e.Object) {
+		var (
+			entry           afengine.Entry
+			listed, changed bool
+		)
+		if e.Type != afobject.Deleted {
+			entry, listed, changed = n.setEndpoint(e.Object)
+		}
+		if !listed {
 			if known[id] {
 				held := !back.IsZero() && n.timer.Now().Sub(back) < lapseWindow
-				n.log.Info("endpoint removed", "endpoint", id, "held", held)
+				n.log.Info("endpoint removed", "endpoint", id, "held", held, "source", "platform")
 				n.roster.Remove(id, held)
 				delete(known, id)
+				n.keeper.Relay(nil, []string{id})
 			}
 			return
 		}
 		known[id] = true
+		if changed {
+			n.keeper.Relay([]afengine.Entry{entry}, nil)
+		}
 	}
 	return f
 }
 
-// setEndpoint takes an entry and reports whether it names an endpoint.
-func (n *Node) setEndpoint(o afobject.Object) bool {
+// setEndpoint takes an entry and reports whether it names an endpoint, and whether that changed in more than its counters.
+func (n *Node) setEndpoint(o afobject.Object) (e afengine.Entry, listed, changed bool) {
 	e, err := n.Platform.Entry(o.Name, o.Spec)
 	if err != nil {
 		n.log.Warn("entry ignored", "endpoint", o.Name, "error", err)
-		return false
+		return e, false, false
+	}
+	changed = n.roster.Put(e)
+	if changed {
+		n.logEndpoint(e, "platform")
+	}
+	return e, true, changed
+}
+
+func (n *Node) logEndpoint(e afengine.Entry, source string) {
+	n.log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "centre", e.Centre,
+		"state", e.State.String(), "born", e.Born, "slots", e.Slots, "models", len(e.Models), "source", source)
+}
+
+// relist takes endpoints that the placement holder passed on.
+func (n *Node) relist(entries []afengine.Entry, removed []string, whole bool) {
+	for _, e := range n.roster.Relist(entries, removed, whole) {
+		n.logEndpoint(e, "holder")
 	}
-	if n.roster.Put(e) {
-		n.log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "centre", e.Centre,
-			"state", e.State.String(), "born", e.Born, "slots", e.Slots, "models", len(e.Models), "object_version", o.Version)
+	for _, id := range removed {
+		n.log.Info("endpoint removed", "endpoint", id, "source", "holder")
 	}
-	return true
 }
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -51,6 +51,10 @@
 	waitTime = 1500 * time.Millisecond
 	// endMargin is kept of the grace period for the last steps of the shutdown.
 	endMargin = 700 * time.Millisecond
+	// fullLink is the bandwidth in Mbit/s from which a VM takes the placement duty without letting others go first, since
+	// the holder's messages to a hundred VMs take some Mbit/s. smallHandicap is how long others go first.
+	fullLink      = 100
+	smallHandicap = time.Second
 	// callTimeout bounds a call to the platform, which answers in milliseconds.
 	callTimeout = 1500 * time.Millisecond
 	// reservedDescriptors are left for files, peers, endpoints and the platform.
@@ -81,8 +85,10 @@
 	feeds map[string]*affeed.Feed
 	wakes chan struct{}
 
-	table    atomic.Pointer[afroute.Table]
-	stopping atomic.Bool
+	table atomic.Pointer[afroute.Table]
+	// listedAll means that the endpoints were read from the platform once.
+	listedAll atomic.Bool
+	stopping  atomic.Bool
 }
 
 // Run serves until ctx ends and then shuts down gracefully. It fails with Failed.
@@ -197,16 +203,26 @@
 		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
 		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send, Call: n.peers.Call,
 		Demand: n.gateway.Demand, Usage: n.gateway.Usage, Grants: n.gateway.SetGrants, Soon: n.gateway.SetSoon,
-		Marks: n.marks, Compare: n.compare,
+		Marks: n.marks, Compare: n.compare, Listing: n.relist, Complete: n.listedAll.Load, Handicap: n.handicap(),
 		Report: n.Platform.Report, Order: n.Platform.Order,
 	}
 	n.keeper.Init()
 	n.peers.Handle(afkeeper.KindBeat, n.keeper.HandleBeat)
 	n.peers.Handle(afkeeper.KindView, n.keeper.HandleView)
+	n.peers.Handle(afkeeper.KindRelay, n.keeper.HandleRelay)
+	n.peers.Handle(afkeeper.KindList, n.keeper.HandleList)
 	n.peers.Handle(afkeeper.KindStop, n.keeper.HandleStop)
 	n.peers.Handle(afkeeper.KindSpend, n.keeper.HandleSpend)
 }
 
+// handicap returns how long this VM lets others take the placement duty first.
+func (n *Node) handicap() time.Duration {
+	if n.Settings.LinkMbps > 0 && n.Settings.LinkMbps < fullLink {
+		return smallHandicap
+	}
+	return 0
+}
+
 // wake makes waiting requests look at the endpoints again. It does not block.
 func (n *Node) wake() {
 	select {
--- a/internal/afnode/settings.go
+++ b/internal/afnode/settings.go
@@ -22,6 +22,8 @@
 	// Descriptors bounds the open files and connections of the process, and MemoryMB its memory. Zero means unknown.
 	Descriptors int
 	MemoryMB    float64
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s. Zero means unknown.
+	LinkMbps float64
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
 	// Quiet is the time for which an endpoint must not get orders of two holders.
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -13,7 +13,7 @@
 
 const (
 	// viewLife is how long the holder's view counts without a newer one. It is sent several times a second.
-	viewLife = 2 * time.Second
+	viewLife = 3 * time.Second
 	// lapseGrace is how long an endpoint that still answers stays in use after its entry lapsed while the platform was
 	// away. Endpoints that live are back in the list within about 2 s.
 	lapseGrace = 1700 * time.Millisecond
@@ -37,10 +37,6 @@
 	Models []afengine.Held
 	// Closing names models that get no new requests on this engine.
 	Closing []string
-	// Others is the load that VMs other than this one have on the engine.
-	Others Load
-	// CacheUsed is as in a report.
-	CacheUsed int64
 }
 
 // Endpoint is one endpoint as requests see it. It is a copy.
@@ -48,7 +44,6 @@
 	afengine.Entry
 	// Own is the load of this VM and Others that of the other VMs, as last heard.
 	Own, Others Load
-	CacheUsed   int64
 	Closing     []string
 	Health      afhealth.Tracker
 }
@@ -72,6 +67,7 @@
 	lapsed  time.Time // lapsed is when the entry disappeared. It is zero while it is listed.
 	status  *Status
 	own     Load
+	others  Load // others is the load of the other VMs in the holder's latest view.
 	health  afhealth.Tracker
 }
 
@@ -96,7 +92,7 @@
 	n := &entry{Entry: e, changed: r.Now()}
 	fresh = true
 	if old != nil {
-		n.own, n.health = old.own, old.health
+		n.own, n.others, n.health = old.own, old.others, old.health
 		if old.Born == e.Born {
 			n.status = old.status
 			fresh = old.State != e.State || old.Address != e.Address || !old.lapsed.IsZero()
@@ -136,22 +132,47 @@
 	}
 }
 
-// SetView takes the holder's view of the engines.
-func (r *Roster) SetView(view map[string]Status) {
+// SetView takes the holder's view: the engines that changed, and the load of the other VMs on all endpoints.
+func (r *Roster) SetView(changed map[string]Status, others map[string]Load) {
 	r.mu.Lock()
 	r.init()
 	r.viewed = r.Now()
 	for id, e := range r.entries {
-		s, ok := view[id]
-		if !ok || s.Born != e.Born {
-			continue
+		e.others = others[id]
+		if s, ok := changed[id]; ok && s.Born == e.Born {
+			e.status = &s
 		}
-		e.status = &s
 	}
 	r.mu.Unlock()
 	r.notify()
 }
 
+// Relist takes entries that another VM passed on. They say nothing about models, so that what is known of these stays
+// until the view tells more. If whole is set, endpoints that are missing are removed. It returns the entries that are new.
+func (r *Roster) Relist(entries []afengine.Entry, removed []string, whole bool) (fresh []afengine.Entry) {
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.ID] = true
+		if old, ok := r.Entry(e.ID); ok && old.Born == e.Born {
+			e.Models, e.Memory, e.Disk, e.Seq = old.Models, old.Memory, old.Disk, old.Seq
+		}
+		if r.Put(e) {
+			fresh = append(fresh, e)
+		}
+	}
+	if whole {
+		for _, e := range r.All() {
+			if !seen[e.ID] {
+				removed = append(removed, e.ID)
+			}
+		}
+	}
+	for _, id := range removed {
+		r.Remove(id, false)
+	}
+	return fresh
+}
+
 // Endpoints returns the endpoints of a service that may get requests, in order of their IDs. Endpoints that drain or
 // are known to be gone are left out.
 func (r *Roster) Endpoints(service string) []Endpoint {
@@ -167,8 +188,11 @@
 			continue
 		}
 		x := Endpoint{Entry: e.Entry, Own: e.own, Health: e.health}
-		if e.status != nil && now.Sub(r.viewed) < viewLife {
-			x.Models, x.Closing, x.Others, x.CacheUsed = e.status.Models, e.status.Closing, e.status.Others, e.status.CacheUsed
+		if now.Sub(r.viewed) < viewLife {
+			x.Others = e.others
+			if e.status != nil {
+				x.Models, x.Closing = e.status.Models, e.status.Closing
+			}
 		}
 		out = append(out, x)
 	}
