lease: let a restarted holder go on at once

Ruled out: the platform (its answers took 4 ms) and the balancer. Change: the record names the machine, and a process inherits the lease of an earlier one there; buckets start with 0.6 of their part.

--- a/internal/afgateway/limit.go
+++ b/internal/afgateway/limit.go
@@ -14,8 +14,9 @@
 	grantLife = 2 * time.Second
 	// maxLimitWait bounds Retry-After for a customer above its limit.
 	maxLimitWait = 5 * time.Second
-	// startLevel is the part of its bucket with which a VM starts. A VM that restarts has forgotten what it spent.
-	startLevel = 0.3
+	// startLevel is the part of its bucket with which a VM starts. A VM that restarts has forgotten what it spent, but
+	// did not spend while it was down.
+	startLevel = 0.6
 )
 
 // limits holds this VM's part of the customers' limits.
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -25,16 +25,8 @@
 	if stopping || now < next {
 		return
 	}
-	if !lease.Held(now) {
-		quiet := s.Timer.Now().Sub(viewed)
-		if !viewed.IsZero() && quiet < s.silence()+s.rank() {
-			return
-		}
-		if viewed.IsZero() && !s.ranked {
-			s.ranked = true
-			s.setNext(now + s.rank())
-			return
-		}
+	if !lease.Held(now) && !viewed.IsZero() && s.Timer.Now().Sub(viewed) < s.silence()+s.rank() {
+		return
 	}
 	if lease.Lapsed(now) {
 		s.retire()
@@ -51,6 +43,11 @@
 		s.setNext(now + leaseRead)
 		s.readLease(ctx)
 	case aflease.Write:
+		if !lease.Held(now) && !lease.Inherited() && !s.ranked {
+			s.ranked = true
+			s.setNext(now + s.rank())
+			return
+		}
 		s.setNext(now + tickPeriod)
 		s.writeLease(ctx, record, lease.Version())
 	}
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -42,9 +42,11 @@
 
 // Service is the duty of one VM. Set the fields before Run.
 type Service struct {
-	Self  arbutusfork.Incarnation
-	Timer *aftimer.Service
-	Log   *slog.Logger
+	Self arbutusfork.Incarnation
+	// Machine names where this process runs. No other process runs there at the same time.
+	Machine string
+	Timer   *aftimer.Service
+	Log     *slog.Logger
 	// Terms are the times of the lease.
 	Terms aflease.Terms
 	// Handicap is how long this VM lets others take the lease first, because it has less of a processor or network.
@@ -142,7 +144,7 @@
 	s.ledgers = make(map[string]*ledger)
 	s.polls = make(chan polled, 64)
 	s.orders = make(chan ordered, 64)
-	s.lease = aflease.New(s.Self.String(), s.Terms)
+	s.lease = aflease.New(s.Self.String(), s.Machine, s.Terms)
 }
 
 // Init prepares the service for messages. It is called once, before Run and before the handlers are registered.
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -17,7 +17,7 @@
 	// floorPart is the part of the grants that is divided equally, for VMs that suddenly get requests.
 	floorPart = 0.4
 	// firstLevel is the part of a burst that a new holder grants, since it does not know what was spent before.
-	firstLevel = 0.3
+	firstLevel = 0.6
 	// maxDebt bounds how far below zero a customer's level may fall, in seconds of its rate.
 	maxDebt = 2
 )
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -198,7 +198,7 @@
 
 func (n *Node) buildKeeper() {
 	n.keeper = &afkeeper.Service{
-		Self: n.self, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
+		Self: n.self, Machine: n.Settings.VM + "@" + n.Settings.Peers, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
 		Terms:  aflease.Terms{Use: leaseUse, Renew: leaseRenew, Quiet: n.Settings.Quiet, Margin: leaseMargin},
 		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
 		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send, Call: n.peers.Call,
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -8,8 +8,9 @@
 
 // Record is the lease as it is stored.
 type Record struct {
-	// Holder names the process that holds the lease.
-	Holder string `json:"holder"`
+	// Holder names the process that holds the lease, and Machine where it runs. A machine runs one such process at a time.
+	Holder  string `json:"holder"`
+	Machine string `json:"machine,omitempty"`
 	// Epoch rises each time the lease changes hands.
 	Epoch int64 `json:"epoch"`
 	// Beat rises with each renewal, so that each renewal is a new version.
@@ -32,8 +33,9 @@
 
 // Lease is what one process knows about the lease. It is immutable; With methods return changed copies.
 type Lease struct {
-	self  string
-	terms Terms
+	self    string
+	machine string
+	terms   Terms
 
 	record  Record
 	version int64
@@ -52,7 +54,14 @@
 }
 
 // New returns the view of a process that has not read the record. Self is unique for each start of a process.
-func New(self string, terms Terms) Lease { return Lease{self: self, terms: terms} }
+func New(self, machine string, terms Terms) Lease {
+	return Lease{self: self, machine: machine, terms: terms}
+}
+
+// Inherited reports whether the holder was an earlier process of this machine, which has ended.
+func (l Lease) Inherited() bool {
+	return l.known && l.record.Holder != l.self && l.machine != "" && l.record.Machine == l.machine
+}
 
 // Action is what a process should do next.
 type Action int
@@ -129,7 +138,7 @@
 // Quiet has passed.
 func (l Lease) begin() time.Duration {
 	switch {
-	case l.version == 0:
+	case l.version == 0, l.Inherited():
 		return 0
 	case l.stopped == l.record.Epoch:
 		return l.at
@@ -152,10 +161,10 @@
 		}
 		return Wait, Record{}
 	}
-	if l.version != 0 && !l.record.Released && l.stopped != l.record.Epoch && now < l.seen+l.terms.Use+l.terms.Margin {
+	if l.version != 0 && !l.record.Released && !l.Inherited() && l.stopped != l.record.Epoch && now < l.seen+l.terms.Use+l.terms.Margin {
 		return Wait, Record{}
 	}
-	return Write, Record{Holder: l.self, Epoch: l.record.Epoch + 1, Beat: l.record.Beat + 1}
+	return Write, Record{Holder: l.self, Machine: l.machine, Epoch: l.record.Epoch + 1, Beat: l.record.Beat + 1}
 }
 
 // Release returns the record that gives the lease up, if this process holds it.
