--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -172,7 +172,7 @@
 		s.holder = ""
 	}
 	s.nextLease = now + s.delay(from.VM)
-	s.Log.Info("placement holder stopped", "vm", from.VM, "epoch", m.Epoch)
+	s.Log.Info("placement holder stopped", "holder", from.VM, "epoch", m.Epoch)
 	return nil, nil
 }
 
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -17,6 +17,8 @@
 const (
 	KindBeat = "use"
 	KindView = "view"
+	// KindGrant carries what the receiver may spend of each customer's limit.
+	KindGrant = "grant"
 )
 
 // beat is what a VM tells the holder.
@@ -62,8 +64,6 @@
 	Loads map[string]load `msgpack:"loads,omitempty"`
 	// Relay counts the changes of the endpoints that the holder passed on.
 	Relay int64 `msgpack:"relay,omitempty"`
-	// Grants is what the receiver may spend of each customer's limit.
-	Grants map[string]grant `msgpack:"grants,omitempty"`
 	// Soon is the time until a model that no engine holds is loaded, in milliseconds.
 	Soon map[string]int64 `msgpack:"soon,omitempty"`
 }
@@ -156,3 +156,21 @@
 	s.adopt(v)
 	return nil, nil
 }
+
+func decodeGrants(in map[string]grant) map[string]Grant {
+	out := make(map[string]Grant, len(in))
+	for name, g := range in {
+		out[name] = Grant{Level: g.Level, Spent: g.Spent, Part: float64(g.Part) / partUnit}
+	}
+	return out
+}
+
+// HandleGrant takes this VM's parts of the limits from the holder.
+func (s *Service) HandleGrant(_ arbutusfork.Incarnation, body []byte) (any, error) {
+	var g map[string]grant
+	if err := msgpack.Unmarshal(body, &g); err != nil {
+		return nil, &Error{Op: "grant", Kind: Malformed, Err: err}
+	}
+	s.Grants(decodeGrants(g))
+	return nil, nil
+}
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -117,7 +117,10 @@
 		l.out *= float64(smallFleet) / float64(len(members))
 	}
 	for _, vm := range members {
-		u := beats[vm.Name].Usage[c.Name]
+		u, asks := beats[vm.Name].Usage[c.Name]
+		if !asks && len(members) > smallFleet {
+			continue // In a large fleet a VM asks the holder when its first request comes.
+		}
 		part := 1 / float64(len(members))
 		if asked > 0 {
 			part = floorPart*part + (1-floorPart)*float64(u.Asked)/float64(asked)
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 )
@@ -65,22 +67,43 @@
 	all := s.describe(now)
 	news := s.news(all)
 	grants := s.grant(beats, starts, members, now)
+	v.Engines = news
+	some, err := msgpack.Marshal(v)
+	if err != nil {
+		s.Log.Error("view not encoded", "error", err)
+		return
+	}
+	v.Engines = all
+	whole, err := msgpack.Marshal(v)
+	if err != nil {
+		s.Log.Error("view not encoded", "error", err)
+		return
+	}
 	for _, vm := range members {
-		v.Grants, v.Engines = grants[vm.Name], news
-		if s.fresh(vm, starts[vm.Name], len(members)) {
-			v.Engines = all
-		}
 		if vm.Name == s.Self.VM {
 			s.adopt(v)
+			s.Grants(decodeGrants(grants[vm.Name]))
 			continue
 		}
-		if err := s.Send(vm.Name, KindView, v); err != nil {
-			delete(s.shown, vm.Name)
-			s.Log.Debug("view not sent", "to", vm.Name, "error", err)
+		body := some
+		if s.fresh(vm, starts[vm.Name], len(members)) {
+			body = whole
+		}
+		s.show(vm.Name, KindView, msgpack.RawMessage(body))
+		if g := grants[vm.Name]; len(g) > 0 {
+			s.show(vm.Name, KindGrant, g)
 		}
 	}
 }
 
+// show sends a part of the view to a VM. One that cannot be reached is shown all engines again.
+func (s *Service) show(vm, kind string, message any) {
+	if err := s.Send(vm, kind, message); err != nil {
+		delete(s.shown, vm)
+		s.Log.Debug("view not sent", "to", vm, "kind", kind, "error", err)
+	}
+}
+
 // fresh reports whether a VM may not know all engines. In a small fleet every view names them.
 func (s *Service) fresh(vm arbutusfork.VM, start int64, vms int) bool {
 	if vms <= smallFleet {
@@ -151,7 +174,7 @@
 	return out
 }
 
-// adopt passes a view on to the roster and the limits.
+// adopt passes a view on to the roster.
 func (s *Service) adopt(v view) {
 	statuses := make(map[string]afroster.Status, len(v.Engines))
 	for id, e := range v.Engines {
@@ -168,11 +191,6 @@
 		}
 	}
 	s.Roster.SetView(statuses, others)
-	grants := make(map[string]Grant, len(v.Grants))
-	for name, g := range v.Grants {
-		grants[name] = Grant{Level: g.Level, Spent: g.Spent, Part: float64(g.Part) / partUnit}
-	}
-	s.Grants(grants)
 	soon := make(map[string]time.Duration, len(v.Soon))
 	for model, ms := range v.Soon {
 		soon[model] = time.Duration(ms) * time.Millisecond
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -84,7 +84,7 @@
 			delete(n.members.listed, e.Object.Name)
 			delete(n.members.version, e.Object.Name)
 			n.members.mu.Unlock()
-			n.log.Info("VM no longer listed", "vm", e.Object.Name)
+			n.log.Info("VM no longer listed", "name", e.Object.Name)
 		} else {
 			n.setMember(e.Object)
 		}
@@ -96,7 +96,7 @@
 func (n *Node) setMember(o afobject.Object) {
 	var m memberSpec
 	if err := json.Unmarshal(o.Spec, &m); err != nil {
-		n.log.Warn("entry of a VM ignored", "vm", o.Name, "error", err)
+		n.log.Warn("entry of a VM ignored", "name", o.Name, "error", err)
 		return
 	}
 	n.members.mu.Lock()
@@ -210,6 +210,6 @@
 	}
 	for _, e := range gone {
 		err := n.client.Delete(ctx, memberKind, e.vm, e.version)
-		n.log.Info("entry of an unreachable VM removed", "vm", e.vm, "error", err)
+		n.log.Info("entry of an unreachable VM removed", "name", e.vm, "error", err)
 	}
 }
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -108,7 +108,7 @@
 			}
 		})
 	}
-	n.log.Info("node started", "vm", n.self.VM, "incarnation", n.self.String(), "centre", n.Settings.Centre)
+	n.log.Info("node started", "incarnation", n.self.String(), "centre", n.Settings.Centre)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -118,7 +118,7 @@
 	}
 	cancel()
 	wg.Wait()
-	n.log.Info("node stopped", "vm", n.self.VM)
+	n.log.Info("node stopped")
 	n.logs.Close()
 	return err
 }
@@ -162,7 +162,7 @@
 		out = os.Stdout
 	}
 	n.logs = aflog.NewWriter(out)
-	n.log = slog.New(slog.NewJSONHandler(n.logs, nil))
+	n.log = slog.New(slog.NewJSONHandler(n.logs, nil)).With("vm", n.Settings.VM)
 	aflog.Route(n.log)
 	n.registry = prometheus.NewRegistry()
 	n.client = &afobject.Client{Base: n.Settings.Platform, Timeout: callTimeout, Dialect: n.Platform.Dialect, HTTP: platformHTTP()}
@@ -212,6 +212,7 @@
 	n.peers.Handle(afkeeper.KindRelay, n.keeper.HandleRelay)
 	n.peers.Handle(afkeeper.KindList, n.keeper.HandleList)
 	n.peers.Handle(afkeeper.KindStop, n.keeper.HandleStop)
+	n.peers.Handle(afkeeper.KindGrant, n.keeper.HandleGrant)
 	n.peers.Handle(afkeeper.KindSpend, n.keeper.HandleSpend)
 }
 
@@ -284,7 +285,7 @@
 			n.log.Error("settings refused; the old ones stay in force", "error", err)
 			continue
 		}
-		n.log.Info("settings read again", "vm", s.VM, "grace", s.Grace, "repeat_ratio", s.RepeatRatio, "repeat_extra", s.RepeatExtra)
+		n.log.Info("settings read again", "grace", s.Grace, "repeat_ratio", s.RepeatRatio, "repeat_extra", s.RepeatExtra)
 	}
 }
 
--- a/internal/afsettings/page_test.go
+++ b/internal/afsettings/page_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	page  = "operators.md"
+	page  = "OPERATIONS.md"
 	begin = "<!-- settings: begin -->\n"
 	end   = "<!-- settings: end -->\n"
 )
--- a/internal/afsettings/settings.go
+++ b/internal/afsettings/settings.go
@@ -126,7 +126,7 @@
 	return faults
 }
 
-// Describe returns the settings as a Markdown table for docs/operators.md.
+// Describe returns the settings as a Markdown table for docs/OPERATIONS.md.
 func (Settings) Describe() string {
 	var b strings.Builder
 	b.WriteString("| flag | environment variable | unit | default | meaning |\n")
--- /dev/null
+++ b/internal/afsoak/fleet.go
@@ -0,0 +1,315 @@
+package afsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"arbutusfork.example/arbutusfork/internal/afstandin/afplatform"
+)
+
+const (
+	modelSize   = 70.0
+	engineSize  = 150.0 // engineSize holds two models.
+	loadTime    = 300 * time.Millisecond
+	graceTime   = 5 * time.Second
+	quietTime   = 1500 * time.Millisecond
+	streamParts = 12
+	streamPause = 40 * time.Millisecond
+	plainPause  = 15 * time.Millisecond
+	// customerRate is generous but for the customer that exceeds it.
+	customerRate  = 1_000_000
+	limitedRate   = 4000
+	limitedBurst  = 4000
+	requestTokens = 120
+	// Each seed has a loopback network of its own, so that several runs fit on one machine.
+	firstNet = 10
+	nets     = 200
+)
+
+// vm is one daemon as a process of its own.
+type vm struct {
+	name, ip string
+	settings string
+	platform *proxy
+	log      *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{} // done is closed when the process has ended.
+	frozen  bool
+	calm    time.Time // calm is when the last harm to the VM ended. It is zero while it lasts.
+	lives   int
+	leaving bool
+}
+
+// fleet is the whole scene.
+type fleet struct {
+	program, dir string
+	store        *afplatform.Store
+	storeAddress string
+	server       *http.Server
+	vms          []*vm
+
+	mu        sync.Mutex
+	endpoints []*endpoint
+	serial    int
+	version   int64
+	keys      map[string]string // keys maps keys in force to customers.
+	runs      map[string][]afplatform.Run
+	violation func(rule, format string, args ...any)
+}
+
+// endpoint is a stand-in with its proxy.
+type endpoint struct {
+	*afplatform.Endpoint
+	proxy  *proxy
+	server *http.Server
+	gone   bool
+}
+
+func (f *fleet) ran(r afplatform.Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[r.ID] = append(f.runs[r.ID], r)
+	if r.Key {
+		f.violation("UNASKED", "request %s: the key reached endpoint %s", r.ID, r.Endpoint)
+	}
+}
+
+// addEndpoint starts an endpoint and writes its entry.
+func (f *fleet) addEndpoint(service string, models []string) error {
+	f.mu.Lock()
+	f.serial++
+	id := "i-" + strconv.Itoa(f.serial)
+	f.mu.Unlock()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p, err := newProxy("127.0.0.1:0", l.Addr().String())
+	if err != nil {
+		return err
+	}
+	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
+		ID: id, Service: service, Centre: "z1", Address: p.address(), Store: f.store, Memory: engineSize, LoadTime: loadTime,
+		Events: streamParts, Pause: plainPause, Ran: f.ran,
+	}}
+	if models != nil {
+		e.Models, e.Pause = map[string]float64{}, streamPause
+		for _, m := range models {
+			e.Models[m] = modelSize
+		}
+	}
+	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
+	go func() { _ = e.server.Serve(l) }()
+	e.Enter("ready")
+	f.mu.Lock()
+	f.endpoints = append(f.endpoints, e)
+	f.mu.Unlock()
+	return nil
+}
+
+// live returns the endpoints of a service that are not gone.
+func (f *fleet) live(service string) []*endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*endpoint
+	for _, e := range f.endpoints {
+		if e.Service == service && !e.gone {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// kill ends an endpoint at once and removes its entry, as the platform does after missing heartbeats.
+func (f *fleet) kill(e *endpoint) {
+	f.mu.Lock()
+	e.gone = true
+	f.mu.Unlock()
+	e.proxy.close()
+	_ = e.server.Close()
+	f.store.Remove(afplatform.KindEndpoints, e.ID)
+}
+
+// configure writes the next configuration.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	f.version += 3
+	tenants := map[string][]string{}
+	for key, customer := range f.keys {
+		tenants[customer] = append(tenants[customer], key)
+	}
+	version := f.version
+	f.mu.Unlock()
+	route := func(name, prefix, kind, service string, attempts, timeout int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "soak.example", "path-prefix": prefix, "route-type": kind, "timeout-ms": timeout,
+			"target-latency-ms": 500, "priority": 1, "service": service, "max-attempts": attempts, "resumable": resumable,
+			"gap-aim-ms": 250, "sticky": resumable,
+		}
+	}
+	var models []map[string]any
+	for _, m := range modelNames {
+		models = append(models, map[string]any{"name": m, "weights-mb": modelSize, "load-s": 0.3, "disk-s": 0.3, "warm-s": 0.3})
+	}
+	var customers []map[string]any
+	for name, keys := range tenants {
+		rate := customerRate
+		burst := customerRate
+		if name == limitedCustomer {
+			rate, burst = limitedRate, limitedBurst
+		}
+		customers = append(customers, map[string]any{
+			"name": name, "api-keys": keys, "unit": "tokens", "plain-tokens": requestTokens, "rate-per-s": rate, "burst": burst,
+		})
+	}
+	f.store.Put("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("talk", "/talk/", "streaming", "llm", 2, 6000, true), route("note", "/note/", "streaming", "llm", 1, 6000, false),
+			route("pay", "/pay/", "unsafe", "app", 1, 2000, false), route("look", "/look/", "safe", "app", 2, 2000, false),
+		},
+		"services": []any{
+			map[string]any{"name": "app", "health-check": "/health", "max-connections": 500},
+			map[string]any{"name": "llm", "health-check": "/health", "max-connections": 500, "engine": map[string]any{
+				"slots": 64, "kv-capacity": 100000, "weights-mb": engineSize, "adapter-slots": 4, "loads-per-s": 20, "models": models,
+			}},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": customers,
+	})
+}
+
+// addVM writes a VM's settings and starts it.
+func (f *fleet) addVM(name, ip string) error {
+	p, err := newProxy("127.0.0.1:0", f.storeAddress)
+	if err != nil {
+		return err
+	}
+	v := &vm{name: name, ip: ip, platform: p, settings: filepath.Join(f.dir, name+".json")}
+	raw, err := json.Marshal(map[string]any{
+		"node-name": name, "ip": ip, "zone": "z1", "internal-ports": []int{7600, 7615},
+		"listen":   map[string]any{"front": ip + ":8221", "ready": ip + ":8224"},
+		"platform": map[string]any{"address": p.address()}, "limits": map[string]any{"max-fds": 4096, "link-mbps": 1000},
+		"bounds": map[string]any{
+			"grace-s": graceTime.Seconds(), "lease-ms": quietTime.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(v.settings, raw, 0o600); err != nil {
+		return err
+	}
+	if v.log, err = os.Create(filepath.Join(f.dir, name+".log")); err != nil {
+		return err
+	}
+	f.vms = append(f.vms, v)
+	return v.start(f.program)
+}
+
+func (v *vm) start(program string) error {
+	cmd := exec.Command(program, "gateway")
+	cmd.Env = append(os.Environ(), "ARBUTUSFORK_CONFIG="+v.settings)
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	v.mu.Lock()
+	v.cmd, v.done, v.frozen, v.leaving, v.calm = cmd, done, false, false, time.Now()
+	v.lives++
+	v.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // How it ended is known from the signal that was sent.
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the VM's process if it runs.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	select {
+	case <-v.done:
+	default:
+		_ = v.cmd.Process.Signal(s) // It may end meanwhile.
+	}
+}
+
+// harm notes that a harm begins, or that it ends.
+func (v *vm) harm(lasting bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calm = time.Time{}
+	if !lasting {
+		v.calm = time.Now()
+	}
+}
+
+// calmFor returns for how long no harm was done to the VM.
+func (v *vm) calmFor(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.calm.IsZero() {
+		return 0
+	}
+	return now.Sub(v.calm)
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGKILL)
+		<-v.done
+		v.platform.close()
+		_ = v.log.Close()
+	}
+	for _, e := range f.endpoints {
+		e.proxy.close()
+		_ = e.server.Close()
+	}
+	_ = f.server.Close()
+}
+
+func newFleet(program, dir string, seed uint64, vms, engines, plain int, violation func(string, string, ...any)) (*fleet, error) {
+	f := &fleet{
+		program: program, dir: dir, store: afplatform.NewStore(), runs: map[string][]afplatform.Run{}, violation: violation, version: 1,
+		keys: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.storeAddress = l.Addr().String()
+	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = f.server.Serve(l) }()
+	f.configure()
+	for range engines {
+		if err := f.addEndpoint("llm", modelNames); err != nil {
+			return nil, err
+		}
+	}
+	for range plain {
+		if err := f.addEndpoint("app", nil); err != nil {
+			return nil, err
+		}
+	}
+	for i := range vms {
+		if err := f.addVM(fmt.Sprintf("vm%d", i+1), fmt.Sprintf("127.0.%d.%d", firstNet+seed%nets, i+1)); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/afstandin/afplatform/engine.go
@@ -0,0 +1,250 @@
+package afplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The headers that endpoints read and write.
+const (
+	headerID       = "X-Arbutusfork-Request-Id"
+	headerModel    = "X-Arbutusfork-Model"
+	headerExpect   = "X-Arbutusfork-Expect-Instance"
+	headerNotRun   = "X-Arbutusfork-Not-Executed"
+	headerSigned   = "X-Arbutusfork-Server-Signature"
+	headerCustomer = "X-Arbutusfork-Tenant"
+	headerAfter    = "Last-Event-Id"
+)
+
+// KindEndpoints is the kind of the endpoints' entries.
+const KindEndpoints = "servers"
+
+// Order is an order as an engine received it.
+type Order struct {
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter"`
+	Expected  int64  `json:"expected"`
+	Holder    string `json:"holder"`
+	Fence     int64  `json:"fence"`
+	At        time.Time
+}
+
+// Run is a request that an endpoint ran.
+type Run struct {
+	ID, Endpoint, Customer string
+	// Key tells that the caller's key reached the endpoint.
+	Key bool
+	At  time.Time
+}
+
+// Endpoint is a stand-in of one endpoint: a model engine, or a plain service if Models is nil. Set the exported fields
+// before Serve or Enter.
+type Endpoint struct {
+	ID, Service, Centre string
+	// Address is what the entry names.
+	Address string
+	Store   *Store
+	// Models maps the models that the engine may hold to their sizes, Memory bounds their sum. LoadTime is the time of a
+	// load.
+	Models   map[string]float64
+	Memory   float64
+	LoadTime time.Duration
+	// Events is the number of events of a stream and Pause the time between two.
+	Events int
+	Pause  time.Duration
+	// Ran is called for each request that runs. It must not block.
+	Ran func(Run)
+
+	// Faults are switched while the endpoint runs.
+	Full, Breaks atomic.Bool
+
+	mu     sync.Mutex
+	born   int64
+	state  string
+	held   []string
+	disk   []string
+	seq    int64
+	busy   bool
+	orders []Order
+	over   bool
+}
+
+// Enter writes the endpoint's entry.
+func (e *Endpoint) Enter(state string) {
+	e.mu.Lock()
+	if e.born == 0 {
+		e.born = time.Now().UnixMilli()
+	}
+	e.state = state
+	spec := e.describe()
+	e.mu.Unlock()
+	e.Store.Put(KindEndpoints, e.ID, spec)
+}
+
+// describe is called with the lock held.
+func (e *Endpoint) describe() map[string]any {
+	models := []map[string]any{}
+	for _, m := range e.held {
+		models = append(models, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+	}
+	return map[string]any{
+		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": 64, "state": e.state, "seq": e.seq,
+		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100000,
+		"coming": []string{}, "at-hand": map[string]any{"in-memory": []string{}, "on-disk": e.disk},
+	}
+}
+
+// Hold makes the engine hold a model without an order.
+func (e *Endpoint) Hold(model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = append(e.held, model)
+}
+
+// Holds reports whether the engine holds a model.
+func (e *Endpoint) Holds(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.held, model)
+}
+
+// Orders returns the orders received so far, and whether one would have taken more than the memory.
+func (e *Endpoint) Orders() (orders []Order, over bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders), e.over
+}
+
+// ServeHTTP answers one call.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/report":
+		e.mu.Lock()
+		body, _ := json.Marshal(e.describe()) // The map holds only plain values, which always marshal.
+		e.mu.Unlock()
+		_, _ = w.Write(body) // The caller may have left.
+	case r.URL.Path == "/order":
+		e.order(w, r)
+	default:
+		e.run(w, r)
+	}
+}
+
+func (e *Endpoint) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.Header.Get(headerExpect) != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	o.At = time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	if e.busy || o.Expected != e.seq {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.seq++
+	w.WriteHeader(http.StatusAccepted)
+	if o.Operation != "load" {
+		e.held = slices.DeleteFunc(e.held, func(m string) bool { return m == o.Model })
+		return
+	}
+	used := e.Models[o.Model]
+	for _, m := range e.held {
+		used += e.Models[m]
+	}
+	e.over = e.over || used > e.Memory
+	e.busy = true
+	time.AfterFunc(e.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.busy = false
+		e.held = append(e.held, o.Model)
+		if !slices.Contains(e.disk, o.Model) {
+			e.disk = append(e.disk, o.Model)
+		}
+	})
+}
+
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerID)
+	w.Header().Set(headerID, id)
+	refuse := func(status int) {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(status)
+	}
+	switch {
+	case r.Header.Get(headerExpect) != e.ID, e.Models != nil && !e.Holds(r.Header.Get(headerModel)):
+		refuse(http.StatusMisdirectedRequest)
+		return
+	case e.Full.Load():
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
+	if e.Ran != nil {
+		e.Ran(Run{
+			ID: id, Endpoint: e.ID, Customer: r.Header.Get(headerCustomer), Key: r.Header.Get("Authorization") != "", At: time.Now(),
+		})
+	}
+	w.Header().Set(headerSigned, e.ID)
+	if e.Models == nil {
+		e.whole(w, id)
+		return
+	}
+	e.stream(w, r, id)
+}
+
+func (e *Endpoint) whole(w http.ResponseWriter, id string) {
+	time.Sleep(e.Pause)
+	body := "done " + id
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if e.Breaks.Load() {
+		_, _ = w.Write([]byte(body[:len(body)/2]))
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte(body)) // The caller may have left.
+}
+
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string) {
+	from := 0
+	if after := r.Header.Get(headerAfter); after != "" {
+		from, _ = strconv.Atoi(after) // An unreadable number begins the stream anew, which callers see.
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher, ok := w.(http.Flusher)
+	if !ok {
+		return
+	}
+	for i := from + 1; i <= e.Events; i++ {
+		text := Event(id, i)
+		if e.Breaks.Load() && i == e.Events/2+1 {
+			_, _ = w.Write([]byte(text[:len(text)/2]))
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write([]byte(text)); err != nil {
+			return
+		}
+		flusher.Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.Pause):
+		}
+	}
+}
+
+// Event returns the text of an event of a request's stream.
+func Event(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", i, id, i) }
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -87,6 +87,7 @@
 	p.verbs = make(map[string]func(context.Context) error)
 	p.serveVerb(app)
 	p.gatewayVerb(app)
+	p.traceVerb(app)
 	for _, r := range resources {
 		p.resourceVerbs(app.Command(r.verb, r.help), r)
 	}
--- /dev/null
+++ b/internal/afverb/trace.go
@@ -0,0 +1,45 @@
+package afverb
+
+import (
+	"bytes"
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/internal/afexplain"
+)
+
+// traceVerb reads the logs of several VMs. It needs no VM that runs, since logs outlive the processes.
+func (p *Program) traceVerb(app *kingpin.Application) {
+	cmd := app.Command("trace", "Print the story of one request from the logs of several VMs.")
+	id := cmd.Flag("request", "Request id, or the beginning of it.").Required().String()
+	files := cmd.Arg("log", "Log files; - is standard input.").Required().Strings()
+	p.verb(cmd, func(context.Context) error {
+		t := afexplain.Trace{Request: *id}
+		for _, name := range *files {
+			if err := p.readLog(&t, name); err != nil {
+				return &Error{Op: "trace", Kind: Usage, Err: errors.Wrapf(err, "trace: %s", name)}
+			}
+		}
+		var out bytes.Buffer
+		if err := t.Write(&out); err != nil {
+			return errors.Wrap(err, "trace")
+		}
+		_, err := p.Out.Write(out.Bytes())
+		return err
+	})
+}
+
+func (p *Program) readLog(t *afexplain.Trace, name string) error {
+	if name == "-" {
+		return t.Read(p.In)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }() // Nothing was written.
+	return t.Read(f)
+}
