assign: load first for requests that can still be on time

Ruled out: more loads at once (the weight store's rate binds). Change: requests past their target count 0.3; a stream that is silent is sent elsewhere only if another endpoint holds its model, after 2 targets instead of 3; VMs ask for changes of the VMs' entries at most every 0.8 s. TestOnTimeGoesBeforeLate guards the order.

--- a/internal/afexplain/trace.go
+++ b/internal/afexplain/trace.go
@@ -69,8 +69,8 @@
 	return fmt.Sprint(v)
 }
 
-// about reports whether the line belongs to a story of the requests.
-func (l line) about(t *Trace, model string, endpoints map[string]bool, from, to time.Time) bool {
+// about reports whether the line belongs to the story of the request. Served names the VMs that had it.
+func (l line) about(t *Trace, model string, endpoints, served map[string]bool, from, to time.Time) bool {
 	if id := l.text("request"); id != "" {
 		return strings.HasPrefix(id, t.Request)
 	}
@@ -83,15 +83,18 @@
 	case "endpoint listed", "endpoint removed", "endpoint no longer listed":
 		return endpoints[l.text("endpoint")]
 	}
-	return decisive[l.text("msg")]
+	return everywhere[l.text("msg")] || decisive[l.text("msg")] && served[l.text("vm")]
 }
 
-// decisive names lines that may concern every request of a VM.
-var decisive = map[string]bool{
-	"placement lease changed": true, "placement lease given up": true, "placement holder stopped": true, "platform lost": true,
-	"platform regained": true, "node started": true, "graceful shutdown started": true, "node stopped": true,
-	"configuration in force": true, "log lines left out": true,
-}
+// everywhere names lines of any VM that may concern every request, decisive those that concern the VM's own.
+var (
+	everywhere = map[string]bool{"placement lease changed": true, "placement lease given up": true}
+	decisive   = map[string]bool{
+		"placement holder known": true, "placement holder stopped": true, "platform lost": true, "platform regained": true,
+		"node started": true, "graceful shutdown started": true, "node stopped": true, "configuration in force": true,
+		"log lines left out": true,
+	}
+)
 
 // Write prints the story in order of time. It fails if no line names the request, or if lines of two requests match.
 func (t *Trace) Write(w io.Writer) error {
@@ -99,7 +102,7 @@
 		from, to  time.Time
 		model, id string
 	)
-	endpoints := make(map[string]bool)
+	endpoints, served := make(map[string]bool), make(map[string]bool)
 	for _, l := range t.lines {
 		got := l.text("request")
 		if got == "" || !strings.HasPrefix(got, t.Request) {
@@ -109,6 +112,7 @@
 			return errors.Errorf("%q begins several requests, among them %s and %s", t.Request, id, got)
 		}
 		id = got
+		served[l.text("vm")] = true
 		if from.IsZero() || l.at.Before(from) {
 			from = l.at
 		}
@@ -130,7 +134,7 @@
 	}
 	slices.SortStableFunc(t.lines, func(a, b line) int { return a.at.Compare(b.at) })
 	for _, l := range t.lines {
-		if !l.about(t, model, endpoints, from.Add(-traceMargin), to.Add(traceMargin)) {
+		if !l.about(t, model, endpoints, served, from.Add(-traceMargin), to.Add(traceMargin)) {
 			continue
 		}
 		if _, err := fmt.Fprintf(w, "%+9.3fs %-18s %s%s\n", l.at.Sub(from).Seconds(), l.text("vm"), l.text("msg"), l.rest()); err != nil {
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -157,7 +157,7 @@
 	s := j.server
 	begin := s.Timer.Now()
 	t := &ticket{
-		service: j.service.Name, model: j.call.Model, adapter: j.call.Adapter, urgency: j.urgency, arrived: j.arrived,
+		service: j.service.Name, model: j.call.Model, adapter: j.call.Adapter, urgency: j.urgency, arrived: j.arrived, target: j.route.Target,
 		given: make(chan placed, 1),
 		pick:  func() (placed, bool) { return j.pick(tried) },
 		hopeless: func() bool {
--- a/internal/afgateway/demand.go
+++ b/internal/afgateway/demand.go
@@ -75,11 +75,11 @@
 		}
 		delete(waiting, k)
 		out = append(out, afassign.Demand{
-			Model: k.model, Adapter: k.adapter, Waiting: w.n, Oldest: w.oldest, Rate: r.count, Work: r.units,
+			Model: k.model, Adapter: k.adapter, Waiting: w.n, Fresh: w.fresh, Oldest: w.oldest, Rate: r.count, Work: r.units,
 		})
 	}
 	for k, w := range waiting {
-		out = append(out, afassign.Demand{Model: k.model, Adapter: k.adapter, Waiting: w.n, Oldest: w.oldest})
+		out = append(out, afassign.Demand{Model: k.model, Adapter: k.adapter, Waiting: w.n, Fresh: w.fresh, Oldest: w.oldest})
 	}
 	return out
 }
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -20,6 +20,8 @@
 	service, model, adapter string
 	urgency                 int
 	arrived                 time.Time
+	// target is the time from arrival within which an answer earns its full worth.
+	target time.Duration
 	// pick returns an endpoint that can serve the request now. It is called with the queue's lock held.
 	pick  func() (placed, bool)
 	given chan placed
@@ -102,6 +104,9 @@
 		k := demandKey{t.model, t.adapter}
 		c := out[k]
 		c.n++
+		if now.Sub(t.arrived) < t.target {
+			c.fresh++
+		}
 		c.oldest = max(c.oldest, now.Sub(t.arrived))
 		out[k] = c
 	}
@@ -110,5 +115,6 @@
 
 type waitCount struct {
 	n      int
+	fresh  int // fresh counts those that may still be answered within their target.
 	oldest time.Duration
 }
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -15,8 +15,8 @@
 const (
 	// firstFactor times the route's target is how long a repeatable stream waits for its first event before it is sent
 	// elsewhere, at least minFirst. Callers leave after four times the target or two seconds.
-	firstFactor = 3
-	minFirst    = 1200 * time.Millisecond
+	firstFactor = 2
+	minFirst    = 900 * time.Millisecond
 	// pauseFactor times the route's pause is how long a stream may be silent before a resumable one goes on elsewhere,
 	// at least minPause. Callers leave after eight pauses or two seconds.
 	pauseFactor = 5
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer s.guardTime(j.left(), cancel, errDeadline)()
-	watch := j.watch(cancel)
+	watch := j.watch(p, cancel)
 	defer watch.stop()
 	h := s.Wire.Write(j.r.Header, Sending{
 		Endpoint: p.ID, Patience: j.left(), Customer: j.customer.Name, Urgency: min(max(j.urgency, 0), urgencyLevels-1),
@@ -220,14 +220,15 @@
 
 // watch ends an attempt whose endpoint stays silent, if another one may take it over.
 type watch struct {
-	job    *job
-	cancel context.CancelCauseFunc
-	end    func()
+	job      *job
+	endpoint string
+	cancel   context.CancelCauseFunc
+	end      func()
 }
 
-func (j *job) watch(cancel context.CancelCauseFunc) *watch {
-	w := &watch{job: j, cancel: cancel, end: func() {}}
-	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || len(j.server.Roster.Endpoints(j.service.Name)) < 2 {
+func (j *job) watch(p placed, cancel context.CancelCauseFunc) *watch {
+	w := &watch{job: j, cancel: cancel, end: func() {}, endpoint: p.ID}
+	if !w.movable() {
 		return w
 	}
 	limit := max(wholeFactor*j.route.Target, minWhole)
@@ -240,11 +241,26 @@
 
 func (w *watch) progress() {
 	j := w.job
-	if j.runs+1 >= j.route.Attempts || !j.route.Repeatable() {
+	w.end()
+	w.end = func() {}
+	if !w.movable() {
 		return
 	}
-	w.end()
 	w.end = j.server.guardTime(max(pauseFactor*j.route.Pause, minPause), w.cancel, errSilent)
 }
 
+// movable reports whether another endpoint may and can take the request over.
+func (w *watch) movable() bool {
+	j := w.job
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
+		return false
+	}
+	for _, e := range j.server.Roster.Endpoints(j.service.Name) {
+		if e.ID != w.endpoint && (j.service.Engine == nil || holds(e, j.call.Model, j.call.Adapter)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *watch) stop() { w.end() }
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -429,6 +429,7 @@
 		x := sum[k]
 		x.Model, x.Adapter = d.Model, d.Adapter
 		x.Waiting += d.Waiting
+		x.Fresh += d.Fresh
 		x.Oldest = max(x.Oldest, d.Oldest)
 		x.Rate += d.Rate
 		x.Work += d.Work
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -43,7 +43,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
 	Model, Adapter string
-	Waiting        int
+	Waiting, Fresh int
 	// Oldest is in milliseconds.
 	Oldest     int64
 	Rate, Work float64
@@ -106,7 +106,7 @@
 	out := make([]demand, 0, len(in))
 	for _, d := range in {
 		out = append(out, demand{
-			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Oldest: d.Oldest.Milliseconds(), Rate: d.Rate, Work: d.Work,
+			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Fresh: d.Fresh, Oldest: d.Oldest.Milliseconds(), Rate: d.Rate, Work: d.Work,
 		})
 	}
 	return out
@@ -114,7 +114,7 @@
 
 func (d demand) decode() afassign.Demand {
 	return afassign.Demand{
-		Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Oldest: time.Duration(d.Oldest) * time.Millisecond,
+		Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Fresh: d.Fresh, Oldest: time.Duration(d.Oldest) * time.Millisecond,
 		Rate: d.Rate, Work: d.Work,
 	}
 }
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -19,6 +19,8 @@
 	// goneAfter is how long a VM must be unreachable before its entry is removed. Until then its part of the
 	// customers' limits stays unused, since it may still serve.
 	goneAfter = 25 * time.Second
+	// memberPause is the time between two calls after a change, so that VMs that start together cost few calls.
+	memberPause = 800 * time.Millisecond
 	// sweepPeriod is how often entries of unreachable VMs are looked at.
 	sweepPeriod = 2 * time.Second
 )
@@ -68,6 +70,7 @@
 func (n *Node) memberFeed() *affeed.Feed {
 	f := n.feed(memberKind)
 	f.Wait = func() time.Duration { return coveredWait }
+	f.Pause = memberPause
 	f.All = func(objects []afobject.Object, _ time.Duration) {
 		n.members.mu.Lock()
 		clear(n.members.listed)
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -25,7 +25,9 @@
 	// expectTime is the time for which further requests for a model count as if they waited, and agePerSecond what a
 	// second of the longest wait counts in requests, so that no model waits forever.
 	expectTime   = 2 * time.Second
-	agePerSecond = 0.3
+	agePerSecond = 0.1
+	// lateWeight is what a request counts that can no longer be answered within its target.
+	lateWeight = 0.3
 	// hotRate is the requests a second from which a model's last replica is not unloaded for another one.
 	hotRate = 0.8
 )
@@ -35,6 +37,7 @@
 	View
 	demand   map[string]Demand // demand is by model and by AdapterKey.
 	waiting  map[string]int    // waiting counts requests by model, those for its adapters included.
+	fresh    map[string]int    // fresh counts those of them that may still be on time.
 	oldest   map[string]time.Duration
 	rate     map[string]float64
 	work     map[string]float64
@@ -62,7 +65,7 @@
 
 func newPlanner(v View) *planner {
 	p := &planner{
-		View: v, demand: map[string]Demand{}, waiting: map[string]int{}, oldest: map[string]time.Duration{},
+		View: v, demand: map[string]Demand{}, waiting: map[string]int{}, fresh: map[string]int{}, oldest: map[string]time.Duration{},
 		rate: map[string]float64{}, work: map[string]float64{}, replicas: map[string]int{}, onDisk: map[string]int{},
 		taken: map[string]bool{}, serving: map[string]int{}, adapters: map[string]float64{},
 	}
@@ -75,6 +78,7 @@
 		}
 		p.demand[key] = d
 		p.waiting[d.Model] += d.Waiting
+		p.fresh[d.Model] += d.Fresh
 		p.oldest[d.Model] = max(p.oldest[d.Model], d.Oldest)
 		p.rate[d.Model] += d.Rate
 		p.work[d.Model] += d.Work
@@ -181,7 +185,9 @@
 	for model := range p.Spec.Models {
 		switch n := p.replicas[model]; {
 		case n == 0 && p.waiting[model] > 0:
-			weight := float64(p.waiting[model]) + p.rate[model]*expectTime.Seconds() + p.oldest[model].Seconds()*agePerSecond
+			late := p.waiting[model] - p.fresh[model]
+			weight := float64(p.fresh[model]) + lateWeight*float64(late) + p.rate[model]*expectTime.Seconds() +
+				p.oldest[model].Seconds()*agePerSecond
 			out = append(out, need{model: model, reason: ForWaiting, weight: weight})
 		case n < p.desired(model) && p.pressed(model):
 			weight := float64(p.waiting[model])/float64(n+1) + p.rate[model]
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -128,6 +128,19 @@
 	require.Equal(t, "b", d.Steps[0].Engine)
 }
 
+// Guards against answering every request late under a load that is too large: a load for a request that can still be on time
+// goes before one for a request that is late.
+func TestOnTimeGoesBeforeLate(t *testing.T) {
+	v := view(Engine{ID: "a", Disk: []string{"m1", "m2"}})
+	v.Spec.Memory = 80
+	v.Demand = []Demand{{Model: "m1", Waiting: 1, Oldest: 5 * time.Second}, {Model: "m2", Waiting: 1, Fresh: 1, Oldest: time.Second}}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m2", d.Steps[0].Order.Model)
+	v.Demand[0].Oldest = 11 * time.Second
+	require.Equal(t, "m1", Plan(v).Steps[0].Order.Model, "a request that has waited for long is not forgotten")
+}
+
 // Guards against closing every replica of a busy model at once to make room for rare ones.
 func TestClosesOneSurplusReplica(t *testing.T) {
 	v := view()
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -53,6 +53,8 @@
 	// Waiting counts the requests that wait for it, and Oldest is the longest wait among them.
 	Waiting int
 	Oldest  time.Duration
+	// Fresh counts those of them that may still be answered within their target.
+	Fresh int
 	// Rate is the recent number of requests a second.
 	Rate float64
 	// Work is the recent number of prompt tokens a second.
