assign: copy rare models before traffic and keep former busy ones

Cause: a fifth of the requests for rare models needed the weight store, whose loads take 6 s and hold an engine, because the one disk with a copy was on an engine full of busy models; and when demand moved back to a model its last replica was gone. Change: before the first requests models get a second copy; models that several engines held or that were busy count a rate of 0.3.

--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -257,7 +257,7 @@
 		}
 		v := afassign.View{
 			Spec: *service.Engine, Demand: wanted, StoreLoads: s.StoreLoads, StoreStarts: s.storeStarts(service.Engine),
-			EngineWork: engineWork,
+			EngineWork: engineWork, Often: s.often,
 		}
 		for id, x := range s.engines {
 			if x.entry.Service == service.Name {
@@ -266,6 +266,7 @@
 				v.Engines = append(v.Engines, e)
 			}
 		}
+		s.noteBusy(v)
 		d := afassign.Plan(v)
 		for _, c := range d.Closing {
 			x := s.engines[c.Engine]
@@ -281,6 +282,13 @@
 	}
 }
 
+// noteBusy remembers the models that are busy or were given several engines.
+func (s *Service) noteBusy(v afassign.View) {
+	for _, model := range afassign.Busy(v) {
+		s.often[model] = true
+	}
+}
+
 // quiet reports whether an engine got an order of another holder so lately that it must not get one of this holder yet.
 func (s *Service) quiet(id string, epoch int64) bool {
 	s.mu.Lock()
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -118,6 +118,7 @@
 	orders   chan ordered
 	starts   []time.Duration // starts holds when loads from the store began, by the boot time.
 	ranked   bool
+	often    map[string]bool // often names models that have been busy since the process started.
 	nextBeat time.Time
 	nextView time.Time
 	lastView time.Time
@@ -139,6 +140,8 @@
 	s.beats = make(map[string]heard)
 	s.engines = make(map[string]*state)
 	s.lastOrders = make(map[string]time.Duration)
+	s.often = make(map[string]bool)
+	s.often = make(map[string]bool)
 	s.shown = make(map[string]int64)
 	s.orderEpochs = make(map[string]int64)
 	s.ledgers = make(map[string]*ledger)
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -22,6 +22,12 @@
 	// pressedWaiting requests that have waited for pressedTime ask for one more replica than serves them.
 	pressedWaiting = 4
 	pressedTime    = 300 * time.Millisecond
+	// startReplicas is the number of engines that hold a model before any request, from which it is taken for a busy one.
+	startReplicas = 2
+	// oftenRate is what a model counts in requests a second, beside its rate, that has been busy before: demand comes back.
+	oftenRate = 0.3
+	// copies is the number of engines on whose disk a model should lie, so that one of them has room and time for it.
+	copies = 2
 	// expectTime is the time for which further requests for a model count as if they waited, and agePerSecond what a
 	// second of the longest wait counts in requests, so that no model waits forever.
 	expectTime   = 2 * time.Second
@@ -115,7 +121,7 @@
 	}
 	room := p.Spec.Memory - p.adapterReserve()
 	for _, h := range e.Held {
-		if p.desired(h.Model) > 0 {
+		if p.likelyBusy(h.Model) {
 			room -= p.Spec.Models[h.Model].Size
 		}
 	}
@@ -126,6 +132,23 @@
 	}
 }
 
+// likelyBusy reports whether a model is busy, or is likely to be once requests come: several engines hold it at the start.
+func (p *planner) likelyBusy(model string) bool {
+	return p.desired(model) > 0 || len(p.rate) == 0 && p.replicas[model] >= startReplicas
+}
+
+// Busy returns the models that are busy or that several engines hold.
+func Busy(v View) []string {
+	p := newPlanner(v)
+	var out []string
+	for model := range v.Spec.Models {
+		if p.desired(model) > 0 || p.replicas[model] >= startReplicas {
+			out = append(out, model)
+		}
+	}
+	return out
+}
+
 // busy returns the number of busy models that the engine holds.
 func (p *planner) busy(e *Engine) int {
 	n := 0
@@ -365,7 +388,14 @@
 		case running && reason == ForDisk:
 			continue
 		}
-		loss := p.rate[h.Model] / float64(left+1)
+		if len(p.rate) == 0 && left+1 >= startReplicas {
+			continue // Nothing is known yet but that this model was given several engines.
+		}
+		rate := p.rate[h.Model]
+		if p.Often[h.Model] {
+			rate = max(rate, oftenRate)
+		}
+		loss := rate / float64(left+1)
 		if left > 0 {
 			loss /= 4 // Another replica serves on, so that only its load rises.
 		}
@@ -423,6 +453,11 @@
 	return largest * float64(p.Spec.AdapterSlots)
 }
 
+// loading reports whether an engine loads the model.
+func (p *planner) loading(model string) bool {
+	return slices.ContainsFunc(p.Engines, func(e Engine) bool { return e.Loading == model })
+}
+
 // prefetch brings models that can be loaded from no disk to idle engines while the store has room. Requests that wait
 // come first: then one such load at a time goes on, and half of the engines stay free.
 func (p *planner) prefetch() {
@@ -437,12 +472,12 @@
 	}
 	var models []string
 	for model := range p.Spec.Models {
-		if p.onDisk[model] == 0 && p.replicas[model] == 0 {
+		if p.onDisk[model] < copies && !p.likelyBusy(model) && !p.loading(model) {
 			models = append(models, model)
 		}
 	}
 	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.rate[b], p.rate[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.onDisk[a], p.onDisk[b]), cmp.Compare(p.rate[b], p.rate[a]), cmp.Compare(a, b))
 	})
 	idle := 0
 	for _, e := range p.Engines {
@@ -451,7 +486,15 @@
 		}
 	}
 	for _, model := range models {
-		if p.loads >= most || p.StoreStarts <= 0 || idle <= len(p.Engines)/2 {
+		if p.replicas[model] > 0 && p.onDisk[model] > 0 {
+			// Where the model is held, its own engine serves; a copy elsewhere can wait.
+			continue
+		}
+		spare := len(p.Engines) / 2
+		if p.onDisk[model] > 0 && len(p.rate) > 0 {
+			return // While requests come, a second copy is worth less than an engine that is free for them.
+		}
+		if p.loads >= most || p.StoreStarts <= 0 || idle <= spare {
 			return
 		}
 		before := len(p.out.Steps)
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -141,6 +141,34 @@
 	require.Equal(t, "m1", Plan(v).Steps[0].Order.Model, "a request that has waited for long is not forgotten")
 }
 
+// Guards against unloading the last replica of a model that was busy a moment ago for one that never was, since demand moves
+// among the same models.
+func TestKeepsFormerlyBusyModels(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1", "m2"), Disk: []string{"m4"}})
+	v.StoreLoads = 0
+	v.Often = map[string]bool{"m1": true}
+	v.Demand = []Demand{{Model: "m4", Waiting: 1, Fresh: 1}}
+	d := Plan(v)
+	require.Len(t, d.Steps, 1)
+	require.Equal(t, afengine.Order{Unload: true, Model: "m2"}, d.Steps[0].Order)
+}
+
+// Guards against spending the time before the first requests: models that only one disk has are copied then.
+func TestCopiesBeforeRequestsCome(t *testing.T) {
+	v := view()
+	for i := range 4 {
+		v.Engines = append(v.Engines, Engine{ID: fmt.Sprint("e", i)})
+	}
+	for i := range 12 {
+		v.Engines[i%4].Disk = append(v.Engines[i%4].Disk, name(i))
+	}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, ForDisk, d.Steps[0].Reason)
+	v.Demand = []Demand{{Model: "m9", Rate: 1}}
+	require.Empty(t, Plan(v).Steps, "while requests come the engines stay free for them")
+}
+
 // Guards against closing every replica of a busy model at once to make room for rare ones.
 func TestClosesOneSurplusReplica(t *testing.T) {
 	v := view()
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -66,6 +66,8 @@
 	Spec    afroute.Engine
 	Engines []Engine
 	Demand  []Demand
+	// Often names models that have been busy before.
+	Often map[string]bool
 	// StoreLoads is the number of loads from the weight store that may be in progress at once.
 	StoreLoads int
 	// StoreStarts is the number of such loads that may still begin now within the store's rate.
