gateway: answer what still runs when the process ends

Ruled out by the log: the connection was not idle, and the request had been sent 1 s after SIGTERM. Change: at the end of the grace period requests that run are answered 502, or their stream is broken off, and those that wait are refused as not run; plans are at most every 15 ms, more seldom in large fleets.

--- a/cmd/arbutusfork-soak/main.go
+++ b/cmd/arbutusfork-soak/main.go
@@ -2,10 +2,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -22,10 +25,12 @@
 	vms := app.Flag("vms", "Number of VMs.").Default("4").Int()
 	callers := app.Flag("callers", "Number of callers.").Default("12").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	failed := 0
-	for s := *seed; s < *seed+*runs; s++ {
+	for s := *seed; s < *seed+*runs && ctx.Err() == nil; s++ {
 		run := afsoak.Soak{
-			Program: *program, Dir: filepath.Join(*dir, strconv.FormatUint(s, 10)), Seed: s, Length: *length, VMs: *vms, Callers: *callers,
+			Ctx: ctx, Program: *program, Dir: filepath.Join(*dir, strconv.FormatUint(s, 10)), Seed: s, Length: *length, VMs: *vms, Callers: *callers,
 			Out: os.Stdout,
 		}
 		violations, err := run.Run()
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -47,13 +47,13 @@
 		e, refusal := j.acquire(ctx, tried)
 		if refusal != nil {
 			if ctx.Err() != nil {
-				return j.abandoned()
+				return j.ended(ctx)
 			}
 			return j.gaveUp(refusal, cause)
 		}
 		if ctx.Err() != nil {
 			e.claim.End(afroster.Nothing)
-			return j.abandoned()
+			return j.ended(ctx)
 		}
 		if j.sends > 0 && !s.mayRepeat(j.service.Name) {
 			e.claim.End(afroster.Nothing)
@@ -66,7 +66,7 @@
 		case res.done:
 			return nil
 		case ctx.Err() != nil:
-			return j.abandoned()
+			return j.ended(ctx)
 		}
 		cause = res.cause
 		s.Log.Info("attempt failed", "request", j.call.ID, "endpoint", e.ID, "attempt", j.sends, "cause", res.cause,
@@ -121,6 +121,17 @@
 	return j.unknown(cause + "; " + r.Message)
 }
 
+// ended returns the outcome of a request whose context has ended: its caller has left, or the process stops.
+func (j *job) ended(ctx context.Context) *arbutusfork.Refusal {
+	if !errors.Is(context.Cause(ctx), errStopping) {
+		return j.abandoned()
+	}
+	if j.sends == 0 {
+		return refuse(arbutusfork.CodeStopping, errStopping.Error(), stopRetry)
+	}
+	return j.unknown(errStopping.Error())
+}
+
 // abandoned returns the outcome of a request whose caller has left.
 func (j *job) abandoned() *arbutusfork.Refusal {
 	j.breakOff("caller gone")
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -90,6 +90,8 @@
 		j.detail = "caller gone"
 		return nil
 	}
+	s.enter(j, cancel)
+	defer s.leave(j)
 	return j.attempts(ctx)
 }
 
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -31,6 +31,7 @@
 var (
 	errDeadline = errors.New("the deadline has passed")
 	errSilent   = errors.New("the endpoint is silent")
+	errStopping = errors.New("the server is stopping")
 )
 
 // send offers the request to one endpoint and relays its answer.
@@ -144,7 +145,7 @@
 	for {
 		e, err := r.next()
 		if err != nil {
-			return j.ended(ctx, p, r, err)
+			return j.streamEnded(ctx, p, r, err)
 		}
 		w.progress()
 		if e.id != "" {
@@ -200,8 +201,8 @@
 	j.w.WriteHeader(j.status)
 }
 
-// ended takes the end of a stream, which is whole only if the endpoint ended it between two events.
-func (j *job) ended(ctx context.Context, p placed, r *eventReader, err error) result {
+// streamEnded takes the end of a stream, which is whole only if the endpoint ended it between two events.
+func (j *job) streamEnded(ctx context.Context, p placed, r *eventReader, err error) result {
 	if errors.Is(err, errStreamEnd) {
 		p.claim.End(afroster.Good)
 		if !j.begun {
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -56,6 +56,8 @@
 
 	mu      sync.Mutex
 	windows map[string]*afretry.Window
+	// running holds what ends the requests in progress.
+	running map[*job]context.CancelCauseFunc
 	// sessions maps the last part of a prompt to the endpoint that read it last.
 	sessions sessions
 
@@ -94,6 +96,7 @@
 			Control:         limitUnacked,
 		}
 		s.ending = make(chan struct{})
+		s.running = make(map[*job]context.CancelCauseFunc)
 		s.windows = make(map[string]*afretry.Window)
 		s.sessions.m = make(map[string]session)
 		s.limits.m = make(map[string]*allowance)
@@ -110,6 +113,29 @@
 	s.endsOnce.Do(func() { close(s.ending) })
 }
 
+// Abort answers the requests that still run, as their outcome is known, because the process is about to end.
+func (s *Server) Abort() {
+	s.init()
+	s.End()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, cancel := range s.running {
+		cancel(errStopping)
+	}
+}
+
+func (s *Server) enter(j *job, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[j] = cancel
+}
+
+func (s *Server) leave(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, j)
+}
+
 // Serve answers one request.
 func (s *Server) Serve(c *afentry.Caller, w http.ResponseWriter, r *http.Request) {
 	s.init()
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -28,6 +28,8 @@
 	tickPeriod = 50 * time.Millisecond
 	// beatLife is how long a VM's beat counts: six beats.
 	beatLife = 1500 * time.Millisecond
+	// planGap is the least time between two plans, which the messages of the other VMs ask for. It grows with the fleet.
+	planGap = 15 * time.Millisecond
 	// leaseRead is the pause between reads of the lease while the holder is silent.
 	leaseRead = 400 * time.Millisecond
 	// callTimeout bounds a call to the platform or an engine. It is far above the milliseconds that they need.
@@ -119,6 +121,7 @@
 	starts   []time.Duration // starts holds when loads from the store began, by the boot time.
 	ranked   bool
 	often    map[string]bool // often names models that have been busy since the process started.
+	nextPlan time.Time
 	nextBeat time.Time
 	nextView time.Time
 	lastView time.Time
@@ -207,7 +210,8 @@
 		return
 	}
 	s.refresh(ctx)
-	if usable {
+	if now := s.Timer.Now(); usable && !now.Before(s.nextPlan) {
+		s.nextPlan = now.Add(stretch(planGap, len(s.Members())))
 		s.plan(ctx, epoch)
 	}
 	s.spread()
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -51,6 +51,8 @@
 	waitTime = 1500 * time.Millisecond
 	// endMargin is kept of the grace period for the last steps of the shutdown.
 	endMargin = 700 * time.Millisecond
+	// abortTime is for the answers to requests that did not end within the grace period.
+	abortTime = 100 * time.Millisecond
 	// fullLink is the bandwidth in Mbit/s from which a VM takes the placement duty without letting others go first, since
 	// the holder's messages to a hundred VMs take some Mbit/s. smallHandicap is how long others go first.
 	fullLink      = 100
@@ -255,6 +257,8 @@
 	end := n.timer.After(waitTime, func(time.Time) { n.gateway.End() })
 	defer end.Stop()
 	n.entry.Drain(ctx)
+	n.gateway.Abort()
+	n.sleep(context.WithoutCancel(ctx), abortTime)
 	n.leave(context.WithoutCancel(ctx))
 	n.peers.Leave()
 }
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -35,6 +35,8 @@
 type Soak struct {
 	// Program is the path of the daemon's program.
 	Program string
+	// Ctx ends the run early, with all of its processes. Nil means that nothing does.
+	Ctx context.Context
 	// Dir receives settings and logs.
 	Dir     string
 	Seed    uint64
@@ -84,7 +86,10 @@
 	s.fleet = f
 	defer f.close()
 	s.callers = &callers{fleet: f, seed: s.Seed}
-	ctx, cancel := context.WithCancel(context.Background())
+	if s.Ctx == nil {
+		s.Ctx = context.Background()
+	}
+	ctx, cancel := context.WithCancel(s.Ctx)
 	defer cancel()
 	time.Sleep(settleTime)
 	var wg sync.WaitGroup
@@ -92,12 +97,14 @@
 		wg.Go(func() { s.callers.run(ctx, i) })
 	}
 	end := time.Now().Add(s.Length)
-	for time.Now().Before(end) {
+	for time.Now().Before(end) && ctx.Err() == nil {
 		s.harm()
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.heal.Wait()
-	s.recover()
+	if ctx.Err() == nil {
+		s.recover()
+	}
 	cancel()
 	wg.Wait()
 	s.judge()
