node: bind addresses before any part runs

Change: the daemon binds its addresses first and ends with an error if one is in use; the soak starts a VM once.

--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -86,6 +87,8 @@
 	// feeds holds the copies of the platform's objects by kind. It does not change after the start.
 	feeds map[string]*affeed.Feed
 	wakes chan struct{}
+	// ready and metrics are bound before any part runs.
+	ready, metrics net.Listener
 
 	table atomic.Pointer[afroute.Table]
 	// listedAll means that the endpoints were read from the platform once.
@@ -98,6 +101,11 @@
 	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), minProcs))
 	debug.SetGCPercent(garbagePercent)
 	n.build()
+	if err := n.listen(); err != nil {
+		n.log.Error("node not started", "error", err)
+		n.logs.Close()
+		return &Error{Op: "listen", Kind: Failed, Err: err}
+	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -29,20 +29,30 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return n.serveStatus(ctx, n.Settings.Ready, mux)
+	return n.serveStatus(ctx, n.ready, mux)
 }
 
 func (n *Node) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-	return n.serveStatus(ctx, n.Settings.Metrics, mux)
+	return n.serveStatus(ctx, n.metrics, mux)
 }
 
-func (n *Node) serveStatus(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
+// listen binds every address but the peers' one, before any part runs: nbio's accept loop spins if its engine is stopped
+// while it starts, as a part that cannot bind its address would cause.
+func (n *Node) listen() error {
+	if err := n.entry.Listen(); err != nil {
 		return err
 	}
+	var err error
+	if n.ready, err = net.Listen("tcp", n.Settings.Ready); err != nil {
+		return err
+	}
+	n.metrics, err = net.Listen("tcp", n.Settings.Metrics)
+	return err
+}
+
+func (n *Node) serveStatus(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadTimeout: readPatience, IdleTimeout: readPatience}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -42,13 +42,14 @@
 	platform *proxy
 	log      *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{} // done is closed when the process has ended.
-	frozen  bool
-	calm    time.Time // calm is when the last harm to the VM ended. It is zero while it lasts.
-	lives   int
-	leaving bool
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // done is closed when the process has ended.
+	// reviving is the done channel of the process that is to be started again.
+	reviving chan struct{}
+	calm     time.Time // calm is when the last harm to the VM ended. It is zero while it lasts.
+	lives    int
+	leaving  bool
 }
 
 // fleet is the whole scene.
@@ -227,7 +228,7 @@
 	}
 	done := make(chan struct{})
 	v.mu.Lock()
-	v.cmd, v.done, v.frozen, v.leaving, v.calm = cmd, done, false, false, time.Now()
+	v.cmd, v.done, v.leaving, v.calm = cmd, done, false, time.Now()
 	v.lives++
 	v.mu.Unlock()
 	go func() {
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -209,7 +209,12 @@
 func (s *Soak) restart(v *vm) {
 	v.mu.Lock()
 	done := v.done
+	again := v.reviving == done
+	v.reviving = done
 	v.mu.Unlock()
+	if again {
+		return // Another harm to the same process starts it again.
+	}
 	s.heal.Go(func() {
 		select {
 		case <-done:
@@ -218,12 +223,6 @@
 			v.signal(syscall.SIGKILL)
 			<-done
 		}
-		v.mu.Lock()
-		again := v.done != done
-		v.mu.Unlock()
-		if again {
-			return // Another harm to the VM has started it already.
-		}
 		if err := v.start(s.fleet.program); err != nil {
 			s.violation("SOAK", "%s not started: %v", v.name, err)
 		}
