--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -42,14 +42,14 @@
 	x := &exchange{conn: conn, reader: readers.Get().(*bufio.Reader)}
 	x.reader.Reset(conn)
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	sent := make(chan error, 1)
+	sent := make(chan struct{})
 	// The endpoint may answer before it has read a long body, so that writing must not hold up reading.
 	go func() {
-		_, err := conn.Write(head(r, h, body))
-		if err == nil && len(body) > 0 {
-			_, err = conn.Write(body)
+		defer close(sent)
+		// A write that fails shows in the answer, which does not come then.
+		if _, err := conn.Write(head(r, h, body)); err == nil && len(body) > 0 {
+			_, _ = conn.Write(body)
 		}
-		sent <- err
 	}()
 	resp, err := x.readHead(r)
 	if err != nil {
--- /dev/null
+++ b/internal/afkeeper/order.go
@@ -0,0 +1,246 @@
+package afkeeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afassign"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+)
+
+type ordered struct {
+	id     string
+	born   int64
+	step   afassign.Step
+	result afengine.Result
+}
+
+// engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
+// read 22 to 26 prompt tokens a millisecond, and reading for more than half of the time delays the events of running streams.
+const engineWork = 10000
+
+// plan decides and sends orders for each service of engines.
+func (s *Service) plan(ctx context.Context, epoch int64) {
+	now := s.Timer.Now()
+	table := s.Table()
+	if table == nil {
+		return
+	}
+	running, wanted := s.collect(now)
+	for _, service := range table.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		v := afassign.View{
+			Spec: *service.Engine, Demand: wanted, StoreLoads: s.StoreLoads, StoreStarts: s.storeStarts(service.Engine),
+			EngineWork: engineWork, Often: s.often,
+		}
+		for id, x := range s.engines {
+			if x.entry.Service == service.Name {
+				e := x.input(now, running[id])
+				e.Pending = e.Pending || s.quiet(id, epoch)
+				v.Engines = append(v.Engines, e)
+			}
+		}
+		s.noteBusy(v)
+		d := afassign.Plan(v)
+		for _, c := range d.Closing {
+			x := s.engines[c.Engine]
+			if !now.Before(x.closing[c.Model]) {
+				s.changed = true
+				s.Log.Info("replica closing", "endpoint", c.Engine, "model", c.Model, "running", running[c.Engine][c.Model])
+			}
+			x.closing[c.Model] = now.Add(closeTime)
+		}
+		for _, step := range d.Steps {
+			s.send(ctx, step, epoch, now)
+		}
+	}
+}
+
+// noteBusy remembers the models that are busy or were given several engines.
+func (s *Service) noteBusy(v afassign.View) {
+	for _, model := range afassign.Busy(v) {
+		s.often[model] = true
+	}
+}
+
+// quiet reports whether an engine got an order of another holder so lately that it must not get one of this holder yet.
+func (s *Service) quiet(id string, epoch int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.lastOrders[id]
+	return ok && s.orderEpochs[id] != epoch && s.BootTime() < at+s.Terms.Quiet+s.Terms.Margin
+}
+
+// storeStarts returns how many loads from the weight store may begin now.
+func (s *Service) storeStarts(e *afroute.Engine) int {
+	const window = 5 * time.Second
+	now := s.BootTime()
+	s.starts = slices.DeleteFunc(s.starts, func(t time.Duration) bool { return now-t > window })
+	return int(e.LoadsPerSecond*window.Seconds()) - len(s.starts)
+}
+
+// send gives an order to an engine, in its own goroutine.
+func (s *Service) send(ctx context.Context, step afassign.Step, epoch int64, now time.Time) {
+	x := s.engines[step.Engine]
+	x.sent = true
+	x.ordered, x.fetch = "", step.FromStore
+	if !step.Order.Unload && step.Order.Adapter == "" {
+		x.ordered = step.Order.Model
+	}
+	if step.Reason == afassign.ForRoom && step.Order.Adapter == "" {
+		x.intent, x.kept = step.For, now.Add(intentTime)
+	}
+	if step.FromStore {
+		s.starts = append(s.starts, s.BootTime())
+	}
+	s.Log.Info("order decided", "endpoint", step.Engine, "unload", step.Order.Unload, "model", step.Order.Model,
+		"adapter", step.Order.Adapter, "expected", step.Order.Expected, "epoch", epoch, "reason", step.Reason.String(),
+		"for", step.For, "store", step.FromStore, "takes", step.Takes, "report_age", now.Sub(x.at))
+	entry := x.entry
+	go func() {
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		result := afengine.Refused
+		s.mu.Lock()
+		at := s.BootTime()
+		usable := s.lease.Usable(at) && s.lease.Epoch() == epoch
+		if usable {
+			s.lastOrders[entry.ID] = at
+			s.orderEpochs[entry.ID] = epoch
+		}
+		s.mu.Unlock()
+		if usable {
+			result = s.Order(c, entry, s.Self.String(), epoch, step.Order)
+		}
+		s.orders <- ordered{id: entry.ID, born: entry.Born, step: step, result: result}
+	}()
+}
+
+// ordered takes the result of an order.
+func (s *Service) ordered(o ordered) {
+	x := s.engines[o.id]
+	if x == nil || x.entry.Born != o.born {
+		return
+	}
+	x.sent = false
+	now := s.Timer.Now()
+	order := o.step.Order
+	if o.result != afengine.Accepted {
+		s.Log.Info("order not accepted", "endpoint", o.id, "model", order.Model, "adapter", order.Adapter,
+			"unload", order.Unload, "expected", order.Expected, "result", int(o.result))
+	}
+	switch o.result {
+	case afengine.Accepted:
+		s.accepted(x, o.step, now)
+	case afengine.Already:
+		if order.Adapter != "" && order.Unload {
+			s.accepted(x, o.step, now) // An adapter that no request uses is unloaded at once.
+			return
+		}
+		x.next = now
+		x.unclear = now.Add(conflictPause)
+	case afengine.Unclear:
+		// A fresh report tells whether it was taken. If it is carried out later, its count decides.
+		x.unclear = now.Add(reportLag)
+		x.next = now.Add(reportLag)
+	case afengine.Conflict, afengine.Refused:
+		x.unclear = now.Add(conflictPause)
+		x.next = now
+	}
+}
+
+func (s *Service) accepted(x *state, step afassign.Step, now time.Time) {
+	order := step.Order
+	x.seq = order.Expected + 1
+	x.applied = now
+	x.unclear = time.Time{}
+	switch {
+	case order.Adapter != "" && order.Unload:
+		x.report.Models = withoutAdapter(x.report.Models, order.Model, order.Adapter)
+		s.changed = true
+	case order.Adapter != "":
+		key := afassign.AdapterKey(order.Model, order.Adapter)
+		x.adapters[key] = now.Add(adapterTime)
+		s.Timer.After(adapterTime, func(time.Time) { s.viewSoon() })
+		x.next = now.Add(adapterTime + workPoll)
+	case order.Unload:
+		x.report.Models = slices.DeleteFunc(slices.Clone(x.report.Models), func(h afengine.Held) bool { return h.Model == order.Model })
+		delete(x.closing, order.Model)
+		s.changed = true
+		x.unclear = now.Add(unloadPause)
+		s.Timer.After(unloadPause, func(time.Time) { s.poke() })
+		x.next = now.Add(workPoll)
+	default:
+		x.loading, x.store = order.Model, step.FromStore
+		x.kept = time.Time{}
+		x.ends = now.Add(step.Takes)
+		x.next = now.Add(min(step.Takes+reportLag/4, idlePoll))
+	}
+}
+
+// viewSoon makes the loop send a view.
+func (s *Service) viewSoon() {
+	s.mu.Lock()
+	s.due = true
+	s.mu.Unlock()
+	s.poke()
+}
+
+func withoutAdapter(held []afengine.Held, model, adapter string) []afengine.Held {
+	out := slices.Clone(held)
+	for i, h := range out {
+		if h.Model == model {
+			out[i].Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == adapter })
+		}
+	}
+	return out
+}
+
+// collect sums up the beats: the requests in progress by engine and model, and the demand.
+func (s *Service) collect(now time.Time) (running map[string]map[string]int, wanted []afassign.Demand) {
+	_, own := s.Roster.Own()
+	running = own
+	type key struct{ model, adapter string }
+	sum := map[key]afassign.Demand{}
+	add := func(d afassign.Demand) {
+		k := key{d.Model, d.Adapter}
+		x := sum[k]
+		x.Model, x.Adapter = d.Model, d.Adapter
+		x.Waiting += d.Waiting
+		x.Fresh += d.Fresh
+		x.Oldest = max(x.Oldest, d.Oldest)
+		x.Rate += d.Rate
+		x.Work += d.Work
+		sum[k] = x
+	}
+	for _, d := range s.Demand() {
+		add(d)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, h := range s.beats {
+		if now.Sub(h.at) > stretch(beatLife, s.Listed()) {
+			delete(s.beats, vm)
+			continue
+		}
+		for id, m := range h.beat.Running {
+			if running[id] == nil {
+				running[id] = map[string]int{}
+			}
+			for k, n := range m {
+				running[id][k] += n
+			}
+		}
+		for _, d := range h.beat.Demand {
+			add(d.decode())
+		}
+	}
+	for _, d := range sum {
+		wanted = append(wanted, d)
+	}
+	return running, wanted
+}
--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -96,7 +96,7 @@
 		p.mu.Lock()
 		harm, deaf := p.harm, x.deaf
 		p.mu.Unlock()
-		if n > 0 && !deaf && harm != Silent && !(harm == OneWay && back) {
+		if n > 0 && !deaf && harm != Silent && (harm != OneWay || !back) {
 			if harm == Delayed {
 				time.Sleep(proxyDelay)
 			}
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -179,8 +179,11 @@
 		v.Engines = append(v.Engines, Engine{ID: id, Held: held("m1", "m2"), Running: running, Disk: []string{"m4", "m5", "m7"}})
 	}
 	v.Demand = []Demand{
-		{Model: "m1", Rate: 6, Work: 6000}, {Model: "m2", Rate: 6, Work: 6000},
-		{Model: "m4", Waiting: 1, Oldest: time.Second}, {Model: "m5", Waiting: 1}, {Model: "m7", Waiting: 1},
+		{Model: "m1", Rate: 6, Work: 6000},
+		{Model: "m2", Rate: 6, Work: 6000},
+		{Model: "m4", Waiting: 1, Oldest: time.Second},
+		{Model: "m5", Waiting: 1},
+		{Model: "m7", Waiting: 1},
 	}
 	closing := map[string]int{}
 	for range 3 { // The holder decides again while the replicas run out.
