gateway: go back to an endpoint that only lost an answer

Change: a request that may be repeated goes back if no other endpoint can take it and the first one was not silent; a plan that has to wait is made when its pause of 6 ms is over.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -29,6 +29,8 @@
 	done bool
 	// notRun means that the endpoint cannot have run the request or said that it did not.
 	notRun bool
+	// silent means that the endpoint was given up because it was silent.
+	silent bool
 	// resume means that a stream broke after events had been relayed.
 	resume bool
 	cause  string
@@ -78,6 +80,12 @@
 			return refusal
 		}
 		tried[e.ID] = true
+		if res.silent {
+			if j.silent == nil {
+				j.silent = map[string]bool{}
+			}
+			j.silent[e.ID] = true
+		}
 		if res.notRun {
 			j.sleep(ctx, rejectPause)
 		}
@@ -253,11 +261,18 @@
 func (j *job) pick(tried map[string]bool) (placed, bool) {
 	s := j.server
 	all := s.Roster.Endpoints(j.service.Name)
-	e, ok := choose(all, want{
+	w := want{
 		model: j.call.Model, adapter: j.call.Adapter, prompt: j.call.Prompt, tokens: j.call.Prompt + j.call.Output,
 		centre: s.Centre, tried: tried, near: s.sessions.find(j.call), shared: sharedTokens(j.call), engine: j.service.Engine,
 		now: s.Timer.Now(),
-	})
+	}
+	e, ok := choose(all, w)
+	if !ok && len(tried) > 0 {
+		// An endpoint that lost one answer is better than none: no other one may ever hold the model or adapter. One
+		// that was silent has too much to do already.
+		w.tried = j.silent
+		e, ok = choose(all, w)
+	}
 	if !ok {
 		return placed{}, false
 	}
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -48,6 +48,9 @@
 	// spare is an endpoint's own error, which the caller gets if no other endpoint answers.
 	spare *wholeAnswer
 
+	// silent names the endpoints that were given up because they were silent.
+	silent map[string]bool
+
 	// sends counts the attempts that reached an endpoint, runs those that may have run there.
 	sends, runs int
 	waited      time.Duration
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -77,7 +77,7 @@
 		v = afroster.Nothing // The caller left or had little time, which says nothing about the endpoint.
 	}
 	p.claim.End(v)
-	return result{notRun: !wasSent(err), cause: cause}
+	return result{notRun: !wasSent(err), silent: errors.Is(context.Cause(ctx), errSilent), cause: cause}
 }
 
 // relayWhole passes an answer on in one piece, after it has come in full.
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -29,7 +29,7 @@
 	// beatLife is how long a VM's beat counts: six beats.
 	beatLife = 1500 * time.Millisecond
 	// planGap is the least time between two plans, which the messages of the other VMs ask for. It grows with the fleet.
-	planGap = 15 * time.Millisecond
+	planGap = 6 * time.Millisecond
 	// leaseRead is the pause between reads of the lease while the holder is silent.
 	leaseRead = 400 * time.Millisecond
 	// callTimeout bounds a call to the platform or an engine. It is far above the milliseconds that they need.
@@ -122,6 +122,7 @@
 	ranked   bool
 	often    map[string]bool // often names models that have been busy since the process started.
 	nextPlan time.Time
+	planDue  bool // planDue means that a poke is on its way for a plan that had to wait.
 	nextBeat time.Time
 	nextView time.Time
 	lastView time.Time
@@ -210,13 +211,27 @@
 		return
 	}
 	s.refresh(ctx)
-	if now := s.Timer.Now(); usable && !now.Before(s.nextPlan) {
-		s.nextPlan = now.Add(stretch(planGap, len(s.Members())))
-		s.plan(ctx, epoch)
+	if usable {
+		s.planSoon(ctx, epoch)
 	}
 	s.spread()
 }
 
+// planSoon plans now, or as soon as the pause after the last plan is over.
+func (s *Service) planSoon(ctx context.Context, epoch int64) {
+	now := s.Timer.Now()
+	if wait := s.nextPlan.Sub(now); wait > 0 {
+		if !s.planDue {
+			s.planDue = true
+			s.Timer.After(wait, func(time.Time) { s.poke() })
+		}
+		return
+	}
+	s.planDue = false
+	s.nextPlan = now.Add(stretch(planGap, len(s.Members())))
+	s.plan(ctx, epoch)
+}
+
 // tell sends this VM's beat to the holder, at once if a request waits for something new.
 func (s *Service) tell() {
 	s.mu.Lock()
