gateway: keep one timer for an attempt

Each event of a stream set a new timer and copied the list of endpoints to see whether the stream could move. Ruled out: the plan, 2.8 ms at most every 15 ms. Change: an attempt has one timer that looks at the last event when it fires. TestSilentStreamGoesOnElsewhere guards what the timer is for.

--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
 const (
@@ -219,43 +221,78 @@
 	return res
 }
 
-// watch ends an attempt whose endpoint stays silent, if another one may take it over.
+// watch ends an attempt whose endpoint stays silent, if another one may take it over. It keeps one timer for an attempt
+// and not one for each event, of which a VM may relay thousands a second.
 type watch struct {
 	job      *job
 	endpoint string
 	cancel   context.CancelCauseFunc
-	end      func()
+
+	mu      sync.Mutex
+	last    time.Time // last is when the endpoint was heard last, or the beginning.
+	limit   time.Duration
+	timer   *aftimer.Subscription
+	stopped bool
 }
 
 func (j *job) watch(p placed, cancel context.CancelCauseFunc) *watch {
-	w := &watch{job: j, cancel: cancel, end: func() {}, endpoint: p.ID}
-	if !w.movable() {
+	w := &watch{job: j, endpoint: p.ID, cancel: cancel, last: j.server.Timer.Now()}
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
 		return w
 	}
-	limit := max(wholeFactor*j.route.Target, minWhole)
+	w.limit = max(wholeFactor*j.route.Target, minWhole)
 	if isStream(j.route) {
-		limit = max(firstFactor*j.route.Target, minFirst)
+		w.limit = max(firstFactor*j.route.Target, minFirst)
 	}
-	w.end = j.server.guardTime(limit, cancel, errSilent)
+	w.arm(w.limit)
 	return w
 }
 
-func (w *watch) progress() {
-	j := w.job
-	w.end()
-	w.end = func() {}
-	if !w.movable() {
+// arm sets the timer. The caller holds mu, or nobody else knows the watch.
+func (w *watch) arm(d time.Duration) {
+	w.timer = w.job.server.Timer.After(d, w.check)
+}
+
+// check is called when the endpoint may have been silent for too long.
+func (w *watch) check(now time.Time) {
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
+	}
+	left := w.limit - now.Sub(w.last)
+	if left <= 0 && !w.movable() {
+		left = w.limit
+	}
+	if left > 0 {
+		w.arm(left)
+		w.mu.Unlock()
 		return
 	}
-	w.end = j.server.guardTime(max(pauseFactor*j.route.Pause, minPause), w.cancel, errSilent)
+	w.mu.Unlock()
+	w.cancel(errSilent)
+}
+
+// progress notes an event. From the first one on the pauses between two count.
+func (w *watch) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = w.job.server.Timer.Now()
+	w.limit = max(pauseFactor*w.job.route.Pause, minPause)
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 }
 
 // movable reports whether another endpoint may and can take the request over.
 func (w *watch) movable() bool {
 	j := w.job
-	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
-		return false
-	}
 	for _, e := range j.server.Roster.Endpoints(j.service.Name) {
 		if e.ID != w.endpoint && (j.service.Engine == nil || holds(e, j.call.Model, j.call.Adapter)) {
 			return true
@@ -263,5 +300,3 @@
 	}
 	return false
 }
-
-func (w *watch) stop() { w.end() }
