roster: expire endpoints that did not come back after an outage

Cause: a look for unreachable code showed that lapsed entries were never removed: the holder went on asking such engines for reports, and VMs that learn of endpoints from the holder kept them, since only removals without an outage were passed on. Ruled out: the choice of endpoints on the holder itself, which leaves lapsed ones out. TestLapsedEndpointExpires guards it.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -31,8 +31,6 @@
 	notRun bool
 	// silent means that the endpoint was given up because it was silent.
 	silent bool
-	// resume means that a stream broke after events had been relayed.
-	resume bool
 	cause  string
 }
 
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -153,7 +153,7 @@
 		if e.id != "" {
 			if !j.follows(e.id) {
 				p.claim.End(afroster.Bad)
-				return result{cause: "event " + e.id + " does not follow " + j.lastEvent, resume: true}
+				return result{cause: "event " + e.id + " does not follow " + j.lastEvent}
 			}
 			j.lastEvent = e.id
 		}
@@ -214,7 +214,6 @@
 	}
 	res := j.failed(ctx, p, err)
 	res.notRun = false
-	res.resume = j.events > 0
 	if r.partial() > 0 {
 		res.cause += ", in the middle of an event"
 	}
--- a/internal/afgateway/wire.go
+++ b/internal/afgateway/wire.go
@@ -17,7 +17,6 @@
 	Pass func(h http.Header) http.Header
 	// Echo returns the headers of an answer of the gateway itself.
 	Echo func(id string) http.Header
-	// Version returns the version of the weights in an event, if the event names one.
 }
 
 // Call is what a caller's headers say.
@@ -67,8 +66,4 @@
 	ID string
 	// NotRun means that the endpoint says that it did not run the request.
 	NotRun bool
-	// Elsewhere means that the endpoint is not the expected one or does not hold the model.
-	Elsewhere bool
-	// Signed means that the answer is an endpoint's own.
-	Signed bool
 }
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -64,11 +64,22 @@
 		if before && !covered {
 			n.restartFeeds("")
 		}
+		n.expire()
 	})
 	defer sub.Stop()
 	<-ctx.Done()
 }
 
+// expire removes endpoints whose entries did not come back after an outage, and passes that on.
+func (n *Node) expire() {
+	gone := n.roster.Expire()
+	if len(gone) == 0 {
+		return
+	}
+	n.log.Info("endpoints did not come back after an outage", "endpoints", gone)
+	n.keeper.Relay(nil, gone)
+}
+
 // marks returns how far the copies are.
 func (n *Node) marks() map[string]affeed.Mark {
 	out := make(map[string]affeed.Mark, len(n.feeds))
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -120,16 +120,18 @@
 	r.notify()
 }
 
-// Expire removes the endpoints whose entry has been missing for too long.
-func (r *Roster) Expire() {
+// Expire removes the endpoints whose entry has been missing for too long and returns them.
+func (r *Roster) Expire() (gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
 	for id, e := range r.entries {
 		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseGrace {
 			delete(r.entries, id)
+			gone = append(gone, id)
 		}
 	}
+	return gone
 }
 
 // SetView takes the holder's view: the engines that changed, and the load of the other VMs on all endpoints.
--- /dev/null
+++ b/internal/afroster/roster_test.go
@@ -0,0 +1,37 @@
+package afroster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+)
+
+// Guards against an endpoint whose entry lapsed during an outage and that stays known for good although it is gone.
+func TestLapsedEndpointExpires(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	r.Put(afengine.Entry{ID: "i-1", Service: "app"})
+	r.Put(afengine.Entry{ID: "i-2", Service: "app"})
+	r.Remove("i-1", true)
+	require.Len(t, r.Endpoints("app"), 2, "it may live and be listed again soon")
+	require.Empty(t, r.Expire())
+	now = now.Add(lapseGrace + time.Millisecond)
+	require.Len(t, r.Endpoints("app"), 1)
+	require.Equal(t, []string{"i-1"}, r.Expire())
+	require.Len(t, r.All(), 1)
+}
+
+// Guards against losing what the holder said of an engine when its entry is passed on without models.
+func TestRelistKeepsModels(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	r.Put(afengine.Entry{ID: "i-1", Service: "llm", Born: 5, Models: []afengine.Held{{Model: "m1"}}})
+	fresh := r.Relist([]afengine.Entry{{ID: "i-1", Service: "llm", Born: 5}, {ID: "i-2", Service: "llm"}}, nil, true)
+	require.Len(t, fresh, 1)
+	require.True(t, afengine.Holds(r.Endpoints("llm")[0].Models, "m1", ""))
+	r.Relist([]afengine.Entry{{ID: "i-2", Service: "llm"}}, nil, true)
+	require.Len(t, r.All(), 1, "a whole list leaves no other endpoint")
+}
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -192,14 +192,6 @@
 // Epoch returns the epoch of the record.
 func (l Lease) Epoch() int64 { return l.record.Epoch }
 
-// Holder returns the holder that the record names, unless it was released.
-func (l Lease) Holder() string {
-	if l.record.Released {
-		return ""
-	}
-	return l.record.Holder
-}
-
 // Held reports whether this process holds the lease, although it may have to wait before the first use.
 func (l Lease) Held(now time.Duration) bool {
 	return l.retired != l.record.Epoch && l.record.Holder == l.self && !l.record.Released && now < l.until
