--- a/internal/aflog/writer.go
+++ b/internal/aflog/writer.go
@@ -39,13 +39,18 @@
 		w.total.Add(1)
 		return len(b), nil
 	}
+	w.tellDropped()
+	w.buf = append(w.buf, b...)
+	w.more.Signal()
+	return len(b), nil
+}
+
+// tellDropped queues a line about those that were left out. The caller holds mu.
+func (w *Writer) tellDropped() {
 	if w.dropped > 0 {
 		w.buf = fmt.Appendf(w.buf, "{\"level\":\"WARN\",\"msg\":\"log lines left out\",\"count\":%d}\n", w.dropped)
 		w.dropped = 0
 	}
-	w.buf = append(w.buf, b...)
-	w.more.Signal()
-	return len(b), nil
 }
 
 // Dropped returns the number of lines that were left out.
@@ -54,6 +59,7 @@
 // Close writes what is queued.
 func (w *Writer) Close() {
 	w.mu.Lock()
+	w.tellDropped()
 	w.closed = true
 	w.more.Signal()
 	w.mu.Unlock()
--- /dev/null
+++ b/pkg/afroute/table_test.go
@@ -0,0 +1,51 @@
+package afroute
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request that is routed by a shorter prefix, by another host's route, or by a part of a path segment.
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	table := NewTable(1, Limits{}, []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, nil, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/", "short"},
+		{"a.example:8080", "/x/yy/1", "short"},
+		{"A.EXAMPLE", "/x/y/1", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/y/1", ""},
+	} {
+		r, ok := table.Match(c.host, c.path)
+		require.Equal(t, c.want != "", ok, c)
+		require.Equal(t, c.want, r.Name, c)
+	}
+}
+
+// Guards against keys that are kept in clear text or that work for another customer.
+func TestKeysByDigest(t *testing.T) {
+	table := NewTable(1, Limits{}, nil, nil, []Customer{{Name: "one"}, {Name: "two"}}, map[string]string{"k1": "one", "k2": "two", "k3": "gone"})
+	c, ok := table.Holder("k2")
+	require.True(t, ok)
+	require.Equal(t, "two", c.Name)
+	for _, key := range []string{"", "k", "k3", "k1 "} {
+		_, ok := table.Holder(key)
+		require.False(t, ok, key)
+	}
+	require.NotContains(t, table.keys, "k1")
+}
+
+// Guards against a split that sends requests to a service of weight zero or leaves some out.
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Split: []Share{{"a", 0}, {"b", 3}, {"c", 1}}}
+	got := map[string]int{}
+	for i := range 400 {
+		got[r.Service(float64(i)/400)]++
+	}
+	require.Equal(t, map[string]int{"b": 300, "c": 100}, got)
+}
