standin: keep the platform's words of the soak in one place

Cause: the soak wrote the operator's configuration, the settings file and callers' headers in the platform's words itself. Change: the stand-in translates them from types with the project's words. Ruled out: using platform/ for it, which would check the translation against itself.

--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -17,7 +17,6 @@
 const (
 	limitedCustomer = "limited"
 	callTimeout     = 8 * time.Second
-	headerDeadline  = "X-Arbutusfork-Deadline-Ms"
 )
 
 var modelNames = []string{"m1", "m2", "m3", "m4", "m5"}
@@ -74,19 +73,17 @@
 	if strings.HasPrefix(x.path, "/look/") {
 		method = http.MethodGet
 	}
-	r, err := http.NewRequest(method, "http://"+v.ip+":8221"+x.path, bytes.NewReader([]byte("hello")))
+	r, err := http.NewRequest(method, "http://"+v.ip+afplatform.CallersPort+x.path, bytes.NewReader([]byte("hello")))
 	if err != nil {
 		c.fleet.violation("SOAK", "request not made: %v", err)
 		return
 	}
 	r.Host = "soak.example"
-	r.Header.Set("X-Arbutusfork-Request-Id", x.id)
-	r.Header.Set("Authorization", "Bearer "+x.key)
-	r.Header.Set(headerDeadline, "6000")
+	head := afplatform.Call{ID: x.id, Key: x.key, Patience: streamTimeout, Prompt: requestTokens * 2 / 3, Output: requestTokens / 3}
 	if strings.HasPrefix(x.path, "/talk/") || strings.HasPrefix(x.path, "/note/") {
-		r.Header.Set("X-Arbutusfork-Model", modelNames[random.IntN(len(modelNames))])
-		r.Header.Set("X-Arbutusfork-Token-Usage", "80,40")
+		head.Model = modelNames[random.IntN(len(modelNames))]
 	}
+	head.Write(r.Header)
 	x.sent = time.Now()
 	x.calm = v.calmFor(x.sent)
 	v.mu.Lock()
@@ -99,7 +96,7 @@
 		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close() // The body was read or is broken.
 		x.status, x.body, x.whole, x.err = resp.StatusCode, string(body), err == nil, err
-		if x.status == http.StatusOK && resp.Header.Get("X-Arbutusfork-Server-Signature") == "" {
+		if x.status == http.StatusOK && !afplatform.Signed(resp.Header) {
 			c.fleet.violation("MIXED", "request %s: success without a signature", x.id)
 		}
 	}
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -1,7 +1,6 @@
 package afsoak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,6 +24,9 @@
 	streamParts = 12
 	streamPause = 40 * time.Millisecond
 	plainPause  = 15 * time.Millisecond
+	// streamTimeout and plainTimeout are the routes' timeouts.
+	streamTimeout = 6 * time.Second
+	plainTimeout  = 2 * time.Second
 	// customerRate is generous but for the customer that exceeds it.
 	customerRate  = 1_000_000
 	limitedRate   = 4000
@@ -105,10 +107,7 @@
 		Events: streamParts, Pause: plainPause, Ran: f.ran,
 	}}
 	if models != nil {
-		e.Models, e.Pause = map[string]float64{}, streamPause
-		for _, m := range models {
-			e.Models[m] = modelSize
-		}
+		e.Models, e.Pause = modelSizes(), streamPause
 	}
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
@@ -146,49 +145,38 @@
 func (f *fleet) configure() {
 	f.mu.Lock()
 	f.version += 3
-	tenants := map[string][]string{}
+	held := map[string][]string{}
 	for key, customer := range f.keys {
-		tenants[customer] = append(tenants[customer], key)
+		held[customer] = append(held[customer], key)
 	}
-	version := f.version
+	c := afplatform.Config{Version: f.version, Plain: "app", Engines: "llm", Models: modelSizes(), Memory: engineSize, Load: loadTime}
 	f.mu.Unlock()
-	route := func(name, prefix, kind, service string, attempts, timeout int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "soak.example", "path-prefix": prefix, "route-type": kind, "timeout-ms": timeout,
-			"target-latency-ms": 500, "priority": 1, "service": service, "max-attempts": attempts, "resumable": resumable,
-			"gap-aim-ms": 250, "sticky": resumable,
+	route := func(name, kind, service string, attempts int, timeout time.Duration, resumable bool) afplatform.Route {
+		return afplatform.Route{
+			Name: name, Host: "soak.example", Prefix: "/" + name + "/", Kind: kind, Service: service, Attempts: attempts, Timeout: timeout,
+			Resumable: resumable,
 		}
 	}
-	var models []map[string]any
-	for _, m := range modelNames {
-		models = append(models, map[string]any{"name": m, "weights-mb": modelSize, "load-s": 0.3, "disk-s": 0.3, "warm-s": 0.3})
+	c.Routes = []afplatform.Route{
+		route("talk", "streaming", "llm", 2, streamTimeout, true), route("note", "streaming", "llm", 1, streamTimeout, false),
+		route("pay", "unsafe", "app", 1, plainTimeout, false), route("look", "safe", "app", 2, plainTimeout, false),
 	}
-	var customers []map[string]any
-	for name, keys := range tenants {
-		rate := customerRate
-		burst := customerRate
+	for name, keys := range held {
+		x := afplatform.Customer{Name: name, Keys: keys, Rate: customerRate, Burst: customerRate, Plain: requestTokens}
 		if name == limitedCustomer {
-			rate, burst = limitedRate, limitedBurst
+			x.Rate, x.Burst = limitedRate, limitedBurst
 		}
-		customers = append(customers, map[string]any{
-			"name": name, "api-keys": keys, "unit": "tokens", "plain-tokens": requestTokens, "rate-per-s": rate, "burst": burst,
-		})
+		c.Customers = append(c.Customers, x)
+	}
+	f.store.Put("config", "main", c.Spec())
+}
+
+func modelSizes() map[string]float64 {
+	sizes := make(map[string]float64, len(modelNames))
+	for _, m := range modelNames {
+		sizes[m] = modelSize
 	}
-	f.store.Put("config", "main", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("talk", "/talk/", "streaming", "llm", 2, 6000, true), route("note", "/note/", "streaming", "llm", 1, 6000, false),
-			route("pay", "/pay/", "unsafe", "app", 1, 2000, false), route("look", "/look/", "safe", "app", 2, 2000, false),
-		},
-		"services": []any{
-			map[string]any{"name": "app", "health-check": "/health", "max-connections": 500},
-			map[string]any{"name": "llm", "health-check": "/health", "max-connections": 500, "engine": map[string]any{
-				"slots": 64, "kv-capacity": 100000, "weights-mb": engineSize, "adapter-slots": 4, "loads-per-s": 20, "models": models,
-			}},
-		},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": customers,
-	})
+	return sizes
 }
 
 // addVM writes a VM's settings and starts it.
@@ -198,14 +186,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platform: p, settings: filepath.Join(f.dir, name+".json")}
-	raw, err := json.Marshal(map[string]any{
-		"node-name": name, "ip": ip, "zone": "z1", "internal-ports": []int{7600, 7615},
-		"listen":   map[string]any{"front": ip + ":8221", "ready": ip + ":8224"},
-		"platform": map[string]any{"address": p.address()}, "limits": map[string]any{"max-fds": 4096, "link-mbps": 1000},
-		"bounds": map[string]any{
-			"grace-s": graceTime.Seconds(), "lease-ms": quietTime.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
-		},
-	})
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", Store: p.address(), Grace: graceTime, Quiet: quietTime}.File()
 	if err != nil {
 		return err
 	}
@@ -221,7 +202,7 @@
 
 func (v *vm) start(program string) error {
 	cmd := exec.Command(program, "gateway")
-	cmd.Env = append(os.Environ(), "ARBUTUSFORK_CONFIG="+v.settings)
+	cmd.Env = append(os.Environ(), afplatform.SettingsVariable+"="+v.settings)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err := cmd.Start(); err != nil {
 		return err
