--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -22,7 +22,9 @@
 			lastAt  time.Duration
 			epochs  = map[int64]string{}
 		)
-		names := []string{"a", "b", "c"}
+		names := []string{"a", "b"}
+		// Acts and renewals come more often than stops, so that one process acts shortly before another takes over.
+		whats := []int{0, 0, 1, 1, 1, 3, 3, 3, 2, 4, 5}
 		// heard holds the stops on their way, each with when its holder acted last.
 		type stop struct {
 			epoch int64
@@ -35,11 +37,11 @@
 		for _, n := range names {
 			leases[n] = New(n, "vm-"+n, terms)
 		}
-		for range rapid.IntRange(10, 120).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+		for range rapid.IntRange(60, 250).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
 			n := rapid.SampledFrom(names).Draw(t, "who")
 			l := leases[n]
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.SampledFrom(whats).Draw(t, "what") {
 			case 0:
 				l = l.WithRecord(record, version, now)
 			case 1:
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,6 +72,24 @@
 mutant c11-older pkg/afconfig/delta.go \
 	'o.Version > 0 && o.Version <= old.Version' 'o.Version < 0' \
 	./pkg/afconfig TestLateChange
+mutant gateway-quiet pkg/aflease/lease.go \
+	'return l.seen + l.terms.Use + l.terms.Quiet + l.terms.Margin' 'return l.seen' \
+	./pkg/aflease TestNoTwoHoldersWithinQuiet
+mutant gateway-memory pkg/afassign/option.go \
+	'if room >= 0 {' 'if room >= -p.Spec.Memory {' \
+	./pkg/afassign TestNeverOvercommits
+mutant gateway-limit internal/afkeeper/share.go \
+	'(l.level - l.out); short > 0' '(l.level + l.out); short > 0' \
+	./internal/afkeeper TestLedgerKeepsTheLimit
+mutant gateway-twice internal/afgateway/attempt.go \
+	'case !j.route.Repeatable(), j.runs >= j.route.Attempts' 'case j.runs >= 3' \
+	./platform TestUnsafeRunsOnce
+mutant gateway-order internal/afgateway/event.go \
+	'if e.partial() == 0 {' 'if true {' \
+	./platform TestBrokenStreamIsVisible
+mutant gateway-key platform/header.go \
+	'headerKey: true, headerDeadline' 'headerDeadline' \
+	./platform TestForwardsUnchanged
 
 if [ "$survivors" -gt 0 ]; then
 	echo "$survivors mutants were not caught"
