gateway: end a request whose kept answer was delivered

Cause: found while reading the change: when a safe request's first endpoint answered an error, which is kept, and the second gave no answer, the kept answer was delivered and the loop then sent the request a third time. Ruled out: the budget, which counts these sends. Change: whether a request may go on and what ends it are two functions.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -74,8 +74,8 @@
 		if !res.notRun {
 			j.runs++
 		}
-		if refusal := j.mayGoOn(res); refusal != nil {
-			return refusal
+		if !j.mayGoOn(res) {
+			return j.stop(res)
 		}
 		tried[e.ID] = true
 		if res.silent {
@@ -90,21 +90,24 @@
 	}
 }
 
-// mayGoOn returns nil if the request may be offered to another endpoint.
-func (j *job) mayGoOn(res result) *arbutusfork.Refusal {
-	switch {
-	case res.notRun && j.runs == 0:
-		if j.sends >= maxSends || j.left() <= 0 {
-			return refuse(arbutusfork.CodeNoCapacity, "no endpoint took the request: "+res.cause, busyRetry)
-		}
-		return nil
-	case !j.route.Repeatable(), j.runs >= j.route.Attempts, j.sends >= maxSends, j.left() <= 0:
-		return j.unknown(res.cause)
+// mayGoOn reports whether the request may be offered to another endpoint.
+func (j *job) mayGoOn(res result) bool {
+	if j.sends >= maxSends || j.left() <= 0 {
+		return false
+	}
+	return res.notRun && j.runs == 0 || j.route.Repeatable() && j.runs < j.route.Attempts
+}
+
+// stop returns the refusal of a request that may not be offered again, or nil if an answer was kept for it.
+func (j *job) stop(res result) *arbutusfork.Refusal {
+	if j.runs == 0 {
+		return refuse(arbutusfork.CodeNoCapacity, "no endpoint took the request: "+res.cause, busyRetry)
 	}
-	return nil
+	return j.unknown(res.cause)
 }
 
-// unknown returns the refusal of a request that may have run, or breaks an answer that has begun.
+// unknown returns the refusal of a request that may have run, or breaks an answer that has begun. It returns nil after it
+// delivered an answer that was kept.
 func (j *job) unknown(cause string) *arbutusfork.Refusal {
 	if j.begun {
 		j.breakOff(cause)
