mutants: adapt a guard and sharpen the limit's property

Change: the guard's new text; 4 to 16 requests of 20 to 400 tokens in a view. No change of the programs.

--- a/internal/afkeeper/share_test.go
+++ b/internal/afkeeper/share_test.go
@@ -32,7 +32,7 @@
 		spent, level := map[string]int64{}, map[string]float64{}
 		total := 0.0
 		begin := now
-		for range rapid.IntRange(5, 60).Draw(t, "views") {
+		for range rapid.IntRange(20, 60).Draw(t, "views") {
 			beats := map[string]beat{}
 			for _, vm := range members {
 				beats[vm.Name] = beat{Usage: map[string]use{"c": {Spent: spent[vm.Name], Asked: int64(rapid.IntRange(0, 500).Draw(t, "asked"))}}}
@@ -42,9 +42,9 @@
 				g := grants[vm.Name]["c"]
 				level[vm.Name] = float64(g.Level - (spent[vm.Name] - g.Spent))
 			}
-			for range rapid.IntRange(0, 6).Draw(t, "requests") {
+			for range rapid.IntRange(4, 16).Draw(t, "requests") {
 				vm := rapid.SampledFrom(members).Draw(t, "vm").Name
-				cost := int64(rapid.IntRange(1, 300).Draw(t, "cost"))
+				cost := int64(rapid.IntRange(20, 400).Draw(t, "cost"))
 				if level[vm] >= float64(cost) {
 					level[vm] -= float64(cost)
 					spent[vm] += cost
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
 	'(l.level - l.out); short > 0' '(l.level + l.out); short > 0' \
 	./internal/afkeeper TestLedgerKeepsTheLimit
 mutant gateway-twice internal/afgateway/attempt.go \
-	'case !j.route.Repeatable(), j.runs >= j.route.Attempts' 'case j.runs >= 3' \
+	'res.notRun && j.runs == 0 || j.route.Repeatable() && j.runs < j.route.Attempts' 'j.runs < 3' \
 	./platform TestUnsafeRunsOnce
 mutant gateway-order internal/afgateway/event.go \
 	'if e.partial() == 0 {' 'if true {' \
