entry: keep answers in chunks below the engine's buffer

Cause of the spoilt bytes in answers (TestWithdrawnKey and TestCrossedAnswers in KNOWN-RED.txt): when an answer without a length has bytes waiting and a further write brings them to 64 KB, the HTTP engine writes its buffer out, gives it back to the pool and goes on appending to it, then frees it again. Two later answers of any connection then share one buffer. TestSlowReader, whose engine runs ahead under load so that events are written without a flush, poisoned the pool for the tests after it; the gateway did the same with a first event above 64 KB, and the operators' /metrics with a page above 64 KB.

Ruled out: hijacked connections and failed writes (a broken connection under 4,000 writes uses no freed buffer); writes after the handler's return.

Change: all answers go through one response type, which passes pieces of at most 16 KB on and flushes between them; answers with a length are not touched, since none of them used a freed buffer. The operators' metrics are sent with their length.

--- a/internal/afentry/caller.go
+++ b/internal/afentry/caller.go
@@ -1,13 +1,9 @@
 package afentry
 
-import (
-	"github.com/lesismal/nbio/nbhttp"
-)
-
 // Caller is the connection that a forwarded request came on.
 type Caller struct {
 	link *link
-	res  *nbhttp.Response
+	res  *response
 }
 
 // Bind sets what is called when the caller hangs up. It reports false if that has already happened.
--- a/internal/afentry/request.go
+++ b/internal/afentry/request.go
@@ -30,7 +30,7 @@
 // exchange is one request with what was decided about it.
 type exchange struct {
 	id       string
-	w        http.ResponseWriter
+	w        *response
 	r        *http.Request
 	link     *link
 	arrived  time.Time
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -15,15 +15,16 @@
 
 // serve answers one request. It is called in a goroutine of its own, one request at a time for a connection.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	res, ok := w.(*nbhttp.Response)
+	engine, ok := w.(*nbhttp.Response)
 	if !ok {
 		return
 	}
-	conn, ok := res.Parser.Conn.(*linkConn)
+	conn, ok := engine.Parser.Conn.(*linkConn)
 	if !ok {
 		return
 	}
-	x := &exchange{w: w, r: r, link: conn.link, arrived: s.Timer.Now()}
+	res := &response{Response: engine}
+	x := &exchange{w: res, r: r, link: conn.link, arrived: s.Timer.Now()}
 	// The link closes the connection itself, after everything has been sent.
 	if r.Close || s.draining.Load() {
 		r.Close = false
@@ -31,7 +32,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.Forward != nil {
-		s.Forward(&Caller{link: x.link, res: res}, w, r)
+		s.Forward(&Caller{link: x.link, res: res}, res, r)
 		return
 	}
 	if refusal := s.answer(x); refusal != nil {
--- a/internal/afentry/stream.go
+++ b/internal/afentry/stream.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"arbutusfork.example/arbutusfork"
 )
 
@@ -51,9 +49,7 @@
 // flush sends what was written and waits while too much of it is unsent.
 func (t *stream) flush() error {
 	x := t.job.exchange
-	if f, ok := x.w.(http.Flusher); ok {
-		f.Flush()
-	}
+	x.w.Flush()
 	return x.link.flush(maxUnsent)
 }
 
@@ -71,9 +67,7 @@
 	t.job.server.metrics.refused.WithLabelValues(refusal.Code.String()).Inc()
 	_, _ = x.w.Write([]byte("data: " + string(encodeRefusal(refusal, x.id, "")) + "\n\n"))
 	x.link.closeAfter()
-	if res, ok := x.w.(*nbhttp.Response); ok {
-		res.Flush()
-		// A hijacked response is not ended by the engine. The link closes the connection.
-		_, _, _ = res.Hijack()
-	}
+	x.w.Flush()
+	// A hijacked response is not ended by the engine. The link closes the connection.
+	_, _, _ = x.w.Hijack()
 }
--- a/internal/afoperator/server.go
+++ b/internal/afoperator/server.go
@@ -119,7 +119,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	metrics := promhttp.HandlerFor(s.Gatherer, promhttp.HandlerOpts{})
-	mux.Handle("GET /metrics", metrics)
+	mux.Handle("GET /metrics", whole(metrics))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.ready)
 
--- a/internal/afoperator/server_test.go
+++ b/internal/afoperator/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -99,6 +100,23 @@
 	return w
 }
 
+// TestLargeMetrics guards against a long page of metrics that is sent without its length, for which the engine uses
+// buffers that it has freed.
+func TestLargeMetrics(t *testing.T) {
+	s := server(&platform{})
+	registry := prometheus.NewRegistry()
+	many := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "many", Help: "Many series."}, []string{"n"})
+	registry.MustRegister(many)
+	for n := range 5000 {
+		many.WithLabelValues(strconv.Itoa(n)).Set(1)
+	}
+	s.Gatherer = registry
+	r := call(s, "GET", "/metrics", "", "", "")
+	require.Equal(t, http.StatusOK, r.Code)
+	require.Greater(t, r.Body.Len(), 64<<10)
+	require.Equal(t, strconv.Itoa(r.Body.Len()), r.Header().Get("Content-Length"))
+}
+
 // TestToken guards against a path that answers without the token, and against a health check that needs it.
 func TestToken(t *testing.T) {
 	s := server(&platform{})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,6 +57,9 @@
 mutant c6-broken internal/afentry/stream.go \
 	'if refusal == nil {' 'if refusal != nil || t.begun {' \
 	./internal/afentry TestBrokenStream
+mutant c6-buffer internal/afentry/response.go \
+	'piece := b[:min(len(b), maxPiece-r.waiting)]' 'piece := b' \
+	./internal/afentry TestLargeEvents
 mutant c7-handed pkg/afretry/attempt.go \
 	'case a.Status == 0 && !a.Handed:' 'case a.Status == 0:' \
 	./pkg/afretry TestNeverTwice
