--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -163,6 +163,17 @@
 	return w
 }
 
+// SetRepeats changes the budget for second sends. Windows of another length begin without requests.
+func (s *Server) SetRepeats(r Repeats) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Window != s.Repeats.Window {
+		clear(s.windows)
+	}
+	s.Repeats = r
+}
+
 // repeatCaution keeps the VMs' own budgets below the fleet's, whose windows do not begin together.
 const repeatCaution = 0.75
 
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -9,12 +9,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,6 +36,9 @@
 	minProcs = 3
 	// garbagePercent makes the collector keep the heap small, since memory at its peak is paid for. The heap is a few MB.
 	garbagePercent = 50
+	// memoryPart is the part of the VM's memory from which the collector works harder. The rest is for stacks, the kernel's
+	// buffers and what grows between two collections.
+	memoryPart = 0.7
 	// leaseUse and the following are the lease's times. A holder that cannot renew three times stops.
 	leaseUse    = 1500 * time.Millisecond
 	leaseRenew  = 450 * time.Millisecond
@@ -94,12 +95,20 @@
 	// listedAll means that the endpoints were read from the platform once.
 	listedAll atomic.Bool
 	stopping  atomic.Bool
+
+	// reloaded holds the settings that were read last. It is nil while those of the start are in force.
+	reloaded atomic.Pointer[Settings]
+	// refused is the fault of the settings file that was logged last. Only reload uses it.
+	refused string
 }
 
 // Run serves until ctx ends and then shuts down gracefully. It fails with Failed.
 func (n *Node) Run(ctx context.Context) error {
 	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), minProcs))
 	debug.SetGCPercent(garbagePercent)
+	if n.Settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(n.Settings.MemoryMB * memoryPart * (1 << 20)))
+	}
 	n.build()
 	if err := n.listen(); err != nil {
 		n.log.Error("node not started", "error", err)
@@ -195,7 +204,7 @@
 			return n.keeper.Spend(ctx, customer, cost)
 		},
 		Metrics: afgateway.NewMetrics(n.registry),
-		Repeats: afgateway.Repeats{Ratio: n.Settings.RepeatRatio, Extra: n.Settings.RepeatExtra, Window: n.Settings.RepeatWindow},
+		Repeats: n.Settings.repeats(),
 	}
 	n.entry = &afentry.Server{
 		Forward: n.gateway.Serve, Fresh: func() bool { return true }, Address: n.Settings.Callers, Log: n.log, Timer: n.timer,
@@ -256,8 +265,9 @@
 // shutdown stops taking requests, finishes those that wait or run, and gives up what this VM holds.
 func (n *Node) shutdown(ctx context.Context) {
 	n.stopping.Store(true)
-	n.log.Info("graceful shutdown started", "settle", settleTime, "grace", n.Settings.Grace)
-	ctx, cancel := context.WithTimeout(ctx, max(n.Settings.Grace-endMargin, settleTime))
+	grace := n.inForce().Grace
+	n.log.Info("graceful shutdown started", "settle", settleTime, "grace", grace)
+	ctx, cancel := context.WithTimeout(ctx, max(grace-endMargin, settleTime))
 	defer cancel()
 	n.keeper.Stop(ctx)
 	n.sleep(ctx, settleTime)
@@ -281,26 +291,6 @@
 	}
 }
 
-// runReload reads the settings again after SIGHUP. Addresses stay as they are until the next start.
-func (n *Node) runReload(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		s, err := n.Platform.Settings()
-		if err != nil {
-			n.log.Error("settings refused; the old ones stay in force", "error", err)
-			continue
-		}
-		n.log.Info("settings read again", "grace", s.Grace, "repeat_ratio", s.RepeatRatio, "repeat_extra", s.RepeatExtra)
-	}
-}
-
 func platformHTTP() *http.Client {
 	return &http.Client{Transport: platformTransport()}
 }
