bench: measure the gateway as a process of its own

Change: arbutusfork-bench gateway starts the daemon beside stand-ins of the store and of three endpoints. The stand-ins take the number of slots and of descriptors.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: build
 	scripts/bench.sh
+	$(BIN)/arbutusfork-bench gateway
 
 slopes: build
 	$(BIN)/arbutusfork-bench slopes
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -76,6 +76,9 @@
 	over   bool
 }
 
+// Direct sets the headers of a call that comes without a daemon in between.
+func (e *Endpoint) Direct(h http.Header) { h.Set(headerExpect, e.ID) }
+
 // Enter writes the endpoint's entry.
 func (e *Endpoint) Enter(state string) {
 	e.mu.Lock()
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -1,6 +1,7 @@
 package afplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -33,6 +34,8 @@
 	Memory         float64
 	Load           time.Duration
 	Customers      []Customer
+	// Slots is the number of requests that an engine runs at once. Zero means 64.
+	Slots int
 }
 
 // Spec returns the configuration in the form of the store.
@@ -59,7 +62,7 @@
 		"services": []any{
 			map[string]any{"name": c.Plain, "health-check": "/health", "max-connections": 500},
 			map[string]any{"name": c.Engines, "health-check": "/health", "max-connections": 500, "engine": map[string]any{
-				"slots": 64, "kv-capacity": 100000, "weights-mb": c.Memory, "adapter-slots": 4, "loads-per-s": 20, "models": models,
+				"slots": cmp.Or(c.Slots, 64), "kv-capacity": 100000, "weights-mb": c.Memory, "adapter-slots": 4, "loads-per-s": 20, "models": models,
 			}},
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
@@ -70,6 +73,8 @@
 type Settings struct {
 	VM, IP, Centre, Store string
 	Grace, Quiet          time.Duration
+	// Descriptors bounds the VM's open files. Zero means 4,096.
+	Descriptors int
 }
 
 // The ports of a VM.
@@ -86,7 +91,7 @@
 	return json.Marshal(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": s.Centre, "internal-ports": []int{7600, 7615},
 		"listen":   map[string]any{"front": s.IP + CallersPort, "ready": s.IP + ReadyPort},
-		"platform": map[string]any{"address": s.Store}, "limits": map[string]any{"max-fds": 4096, "link-mbps": 1000},
+		"platform": map[string]any{"address": s.Store}, "limits": map[string]any{"max-fds": cmp.Or(s.Descriptors, 4096), "link-mbps": 1000},
 		"bounds": map[string]any{
 			"grace-s": s.Grace.Seconds(), "lease-ms": s.Quiet.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
 		},
