--- a/internal/afbooking/commit.go
+++ b/internal/afbooking/commit.go
@@ -1,6 +1,7 @@
 package afbooking
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -104,7 +105,7 @@
 }
 
 func (s *Service) load(b *bucket) error {
-	ctx, cancel := s.withTimeout(platformTimeout)
+	ctx, cancel := s.Timer.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
 	o, err := s.Get(ctx, afobject.Claims, b.name)
 	if afobject.IsKind(err, afobject.NotFound) {
@@ -138,7 +139,7 @@
 		s.Log.Error("claim record cannot be encoded", "record", b.name, "error", err)
 		return false
 	}
-	ctx, cancel := s.withTimeout(platformTimeout)
+	ctx, cancel := s.Timer.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
 	s.counts.writes.Add(1)
 	o := afobject.Object{Kind: afobject.Claims, Name: b.name, Version: b.cache.version, Spec: spec}
--- a/internal/afbooking/service.go
+++ b/internal/afbooking/service.go
@@ -124,17 +124,6 @@
 	return b
 }
 
-func (s *Service) withTimeout(d time.Duration) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	sub := s.Timer.After(d, func(time.Time) { cancel() })
-	return ctx, func() {
-		sub.Stop()
-		cancel()
-	}
-}
-
 func (s *Service) pause(d time.Duration) {
-	c := make(chan struct{})
-	s.Timer.After(d, func(time.Time) { close(c) })
-	<-c
+	s.Timer.Wait(context.Background(), d)
 }
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -142,15 +142,7 @@
 	if a.leaving || a.missing {
 		return true
 	}
-	due := make(chan struct{})
-	sub := s.Timer.After(afretry.Backoff(n, float64(s.Random(1000))/1000), func(time.Time) { close(due) })
-	defer sub.Stop()
-	select {
-	case <-due:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return s.Timer.Wait(ctx, afretry.Backoff(n, float64(s.Random(1000))/1000))
 }
 
 // request builds the HTTP request of one attempt.
--- a/internal/afentry/listener.go
+++ b/internal/afentry/listener.go
@@ -1,6 +1,7 @@
 package afentry
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -45,9 +46,7 @@
 		if err != nil {
 			if ne, ok := err.(interface{ Temporary() bool }); ok && ne.Temporary() {
 				l.server.Log.Warn("accept failed", "cause", err)
-				pause := make(chan struct{})
-				l.server.Timer.After(acceptPause, func(time.Time) { close(pause) })
-				<-pause
+				l.server.Timer.Wait(context.Background(), acceptPause)
 				continue
 			}
 			return nil, err
--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -72,7 +72,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.suspended() {
-			f.sleep(ctx, suspendPeriod)
+			f.Timer.Wait(ctx, suspendPeriod)
 			continue
 		}
 		objects, version, err := f.List(ctx, f.Kind)
@@ -176,7 +176,7 @@
 			}
 			if changed {
 				changed = false
-				f.sleep(ctx, f.Pause)
+				f.Timer.Wait(ctx, f.Pause)
 			}
 		})
 		f.watching(nil)
@@ -211,7 +211,7 @@
 		f.Log.Warn("platform lost", "kind", f.Kind, "op", op, "error", err)
 	}
 	f.pause = min(max(2*f.pause, firstRetry), maxRetry)
-	f.sleep(ctx, f.pause)
+	f.Timer.Wait(ctx, f.pause)
 }
 
 // reached notes an answer and returns for how long there was none.
@@ -225,13 +225,3 @@
 	f.Log.Info("platform regained", "kind", f.Kind, "outage", outage)
 	return outage
 }
-
-func (f *Feed) sleep(ctx context.Context, d time.Duration) {
-	done := make(chan struct{})
-	sub := f.Timer.After(d, func(time.Time) { close(done) })
-	defer sub.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -85,7 +85,7 @@
 			j.silent[e.ID] = true
 		}
 		if res.notRun {
-			j.sleep(ctx, rejectPause)
+			s.Timer.Wait(ctx, rejectPause)
 		}
 	}
 }
@@ -162,16 +162,6 @@
 	j.caller.Break()
 }
 
-func (j *job) sleep(ctx context.Context, d time.Duration) {
-	done := make(chan struct{})
-	sub := j.server.Timer.After(d, func(time.Time) { close(done) })
-	defer sub.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // acquire waits for an endpoint that can serve the request.
 func (j *job) acquire(ctx context.Context, tried map[string]bool) (placed, *arbutusfork.Refusal) {
 	s := j.server
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -132,14 +132,14 @@
 	for ctx.Err() == nil {
 		if err := n.writeMember(ctx); err != nil {
 			n.log.Info("own entry not written", "error", err)
-			n.sleep(ctx, joinRetry)
+			n.timer.Wait(ctx, joinRetry)
 			continue
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.members.rejoin:
-			n.sleep(ctx, joinRetry)
+			n.timer.Wait(ctx, joinRetry)
 		}
 	}
 }
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -270,27 +270,17 @@
 	ctx, cancel := context.WithTimeout(ctx, max(grace-endMargin, settleTime))
 	defer cancel()
 	n.keeper.Stop(ctx)
-	n.sleep(ctx, settleTime)
+	n.timer.Wait(ctx, settleTime)
 	n.gateway.Stop()
 	end := n.timer.After(waitTime, func(time.Time) { n.gateway.End() })
 	defer end.Stop()
 	n.entry.Drain(ctx)
 	n.gateway.Abort()
-	n.sleep(context.WithoutCancel(ctx), abortTime)
+	n.timer.Wait(context.WithoutCancel(ctx), abortTime)
 	n.leave(context.WithoutCancel(ctx))
 	n.peers.Leave()
 }
 
-func (n *Node) sleep(ctx context.Context, d time.Duration) {
-	done := make(chan struct{})
-	sub := n.timer.After(d, func(time.Time) { close(done) })
-	defer sub.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 func platformHTTP() *http.Client {
 	return &http.Client{Transport: platformTransport()}
 }
--- a/internal/afquota/record.go
+++ b/internal/afquota/record.go
@@ -91,7 +91,7 @@
 
 // load reads the record and brings the base share in line with it.
 func (s *Service) load(ctx context.Context, a *account) error {
-	ctx, cancel := s.withTimeout(ctx, platformTimeout)
+	ctx, cancel := s.Timer.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	o, err := s.Get(ctx, afobject.Shares, a.name)
 	if afobject.IsKind(err, afobject.NotFound) {
@@ -169,7 +169,7 @@
 }
 
 func (s *Service) put(ctx context.Context, a *account, w aflimit.Write) (int64, error) {
-	ctx, cancel := s.withTimeout(ctx, platformTimeout)
+	ctx, cancel := s.Timer.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	s.counts.writes.Add(1)
 	spec, err := json.Marshal(w.Record)
--- a/internal/afquota/service.go
+++ b/internal/afquota/service.go
@@ -149,9 +149,7 @@
 		s.sleep(d)
 		return
 	}
-	c := make(chan struct{})
-	s.Timer.After(d, func(time.Time) { close(c) })
-	<-c
+	s.Timer.Wait(context.Background(), d)
 }
 
 // signal leaves a token in a channel of size one, unless one is there already.
@@ -173,13 +171,3 @@
 func (s *Service) now() time.Duration {
 	return s.Timer.Now().Sub(s.origin)
 }
-
-// withTimeout returns a context that the timer service ends after d.
-func (s *Service) withTimeout(ctx context.Context, d time.Duration) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	sub := s.Timer.After(d, func(time.Time) { cancel() })
-	return ctx, func() {
-		sub.Stop()
-		cancel()
-	}
-}
--- a/internal/afquota/wire.go
+++ b/internal/afquota/wire.go
@@ -119,7 +119,7 @@
 
 // call sends a message to a peer, bounded by callTimeout.
 func (s *Service) call(ctx context.Context, vm, kind string, message, answer any) error {
-	ctx, cancel := s.withTimeout(ctx, callTimeout)
+	ctx, cancel := s.Timer.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.Call(ctx, vm, kind, message, answer)
 }
--- a/internal/afserve/shutdown.go
+++ b/internal/afserve/shutdown.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Drain)
 	defer cancel()
 	// The balancer learns from the readiness check; until then requests are served as usual.
-	s.sleep(ctx, s.Settings.Settle)
+	s.timer.Wait(ctx, s.Settings.Settle)
 	s.entry.Drain(ctx)
 	leave, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancelLeave()
@@ -31,13 +31,3 @@
 	s.booking.Flush(leave)
 	s.peers.Leave()
 }
-
-func (s *Server) sleep(ctx context.Context, d time.Duration) {
-	done := make(chan struct{})
-	sub := s.timer.After(d, func(time.Time) { close(done) })
-	defer sub.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/pkg/aftimer/wait.go
@@ -0,0 +1,29 @@
+package aftimer
+
+import (
+	"context"
+	"time"
+)
+
+// Wait returns after d, or when ctx ends. It reports whether d has passed.
+func (s *Service) Wait(ctx context.Context, d time.Duration) bool {
+	due := make(chan struct{})
+	sub := s.After(d, func(time.Time) { close(due) })
+	defer sub.Stop()
+	select {
+	case <-due:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// WithTimeout returns a context that ends with ctx or after d. The function releases it.
+func (s *Service) WithTimeout(ctx context.Context, d time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	sub := s.After(d, func(time.Time) { cancel() })
+	return ctx, func() {
+		sub.Stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/pkg/aftimer/wait_test.go
@@ -0,0 +1,31 @@
+package aftimer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestWait guards against a wait that outlives its context, and against one that leaves its subscription behind.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var s Service
+		go s.Run(ctx)
+		begin := time.Now()
+		require.True(t, s.Wait(ctx, time.Second))
+		require.Equal(t, time.Second, time.Since(begin))
+		short, stop := s.WithTimeout(ctx, time.Second)
+		defer stop()
+		require.False(t, s.Wait(short, time.Hour))
+		require.Equal(t, 2*time.Second, time.Since(begin))
+		s.mu.Lock()
+		require.Empty(t, s.queue)
+		s.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
