aflimit: borrow capacity before refunds are cut

Cause of most refusals in TestNoRefusalAtSmallBurst (KNOWN-RED.txt): after the demand has moved to one VM, open reservations fill the capacity that the VM has borrowed. Refunds are cut then although the VM that had the demand before holds more and more idle capacity, and nobody asks for it while tokens are still at hand.

Change: a VM with half of the customer's rate or more whose level and refunds fill nine tenths of its capacity, refunds more than half, asks for a quarter more than it uses. A fetch that brings no capacity is followed by a pause of 100 ms to 12.8 s, doubled each time.

--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -58,7 +58,8 @@
 		if ok {
 			a.apply(c, now)
 		}
-		drains := a.next <= now && a.state.Drains(now)
+		crowded := a.spaceAt <= now && a.state.Crowded(now)
+		drains := a.next <= now && (a.state.Drains(now) || crowded)
 		if drains {
 			a.next = now + callTimeout // One fetch at a time.
 		}
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -19,6 +19,10 @@
 	// may come closer together. VMs that are all short would trade the same few tokens otherwise.
 	roundPeriod = 250 * time.Millisecond
 	roundBurst  = 20
+	// minCrowd and maxCrowd bound the pause after a fetch of capacity that brought none, since VMs that are all crowded
+	// have nothing to lend.
+	minCrowd = 100 * time.Millisecond
+	maxCrowd = 12800 * time.Millisecond
 	// establishTime is how long after a VM has learnt of a customer its requests wait for tokens instead of being
 	// refused: the share record is read, and for a new customer written by up to 8 VMs, one after the other.
 	establishTime = 3 * time.Second
@@ -142,10 +146,19 @@
 func (s *Service) fetch(a *account) {
 	s.counts.rounds.Add(1)
 	lenders := s.lenders(a)
+	a.mu.Lock()
+	before := a.state.Held()
+	a.mu.Unlock()
 	s.ask(a, nil, lenders, len(lenders))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.space(true, s.now())
+	now := s.now()
+	a.crowd = min(max(minCrowd, 2*a.crowd), maxCrowd)
+	if a.state.Held().Minus(before).Burst > 0 {
+		a.crowd = 0
+	}
+	a.spaceAt = now + a.crowd
+	a.space(true, now)
 }
 
 // likely returns the lenders that together should have what the batch is missing, if each gives up to a quarter of its
--- a/pkg/aflimit/borrow.go
+++ b/pkg/aflimit/borrow.go
@@ -13,6 +13,9 @@
 		tokens = min(tokens+scale(rate, int64(aheadTime), int64(time.Second)), a.limit.Burst)
 	}
 	need := Parts{Rate: a.limit.PartsForRate(rate + rate/4)}
+	if a.Crowded(now) {
+		need.Burst = a.limit.PartsForBurst((a.bucket.level + a.bucket.refundable) * 5 / 4)
+	}
 	return tokens, need.Minus(a.Held()).Max(Parts{Burst: a.limit.PartsForBurst(tokens)})
 }
 
@@ -26,6 +29,17 @@
 	return lack > Whole/4 && level < a.bucket.limit.Burst*3/4
 }
 
+// Crowded reports whether open reservations fill the capacity that the VM holds, so that refunds are cut although other
+// VMs have capacity to spare. It should borrow capacity then, before it lacks tokens. VMs that share the demand evenly
+// have none to spare for each other, so that only one with half of the whole rate or more asks.
+func (a *Account) Crowded(now time.Duration) bool {
+	a.Advance(now)
+	_, rate := a.demand.rates(now)
+	capacity := a.bucket.limit.Burst
+	return rate >= a.limit.Rate/2 && a.Held().Burst < Whole && a.bucket.refundable > capacity/2 &&
+		a.bucket.level+a.bucket.refundable > capacity*9/10
+}
+
 // Ask records a request for a loan from the VM and returns the message.
 func (a *Account) Ask(from string, tokens Amount, parts Parts, now time.Duration) Borrow {
 	a.last++
