--- a/pkg/aflimit/borrow.go
+++ b/pkg/aflimit/borrow.go
@@ -2,8 +2,19 @@
 
 import "time"
 
-// aheadTime is how long the tokens that a VM borrows beyond its need would serve its recent demand.
-const aheadTime = 500 * time.Millisecond
+const (
+	// aheadTime is how long the tokens that a VM borrows beyond its need would serve its recent demand.
+	aheadTime = 500 * time.Millisecond
+	// crowdedDemand is the part of the customer's rate, in percent, from which a VM asks for capacity ahead of need. VMs
+	// that share the demand evenly have none to spare for each other.
+	crowdedDemand = 50
+	// crowdedRefunds and crowdedFill are the parts of the capacity, in percent, that refunds, and refunds and level
+	// together, take up when a VM is crowded. Refunds are cut at 100.
+	crowdedRefunds = 50
+	crowdedFill    = 90
+	// crowdedRoom is the capacity that a crowded VM wants, in percent of what it uses.
+	crowdedRoom = 125
+)
 
 // Lack returns what the VM has to borrow for a request of n tokens: the missing tokens and some for the
 // requests to come, and the missing parts for its recent demand.
@@ -14,7 +25,7 @@
 	}
 	need := Parts{Rate: a.limit.PartsForRate(rate + rate/4)}
 	if a.Crowded(now) {
-		need.Burst = a.limit.PartsForBurst((a.bucket.level + a.bucket.refundable) * 5 / 4)
+		need.Burst = a.limit.PartsForBurst(scale(a.bucket.level+a.bucket.refundable, crowdedRoom, 100))
 	}
 	return tokens, need.Minus(a.Held()).Max(Parts{Burst: a.limit.PartsForBurst(tokens)})
 }
@@ -30,14 +41,14 @@
 }
 
 // Crowded reports whether open reservations fill the capacity that the VM holds, so that refunds are cut although other
-// VMs have capacity to spare. It should borrow capacity then, before it lacks tokens. VMs that share the demand evenly
-// have none to spare for each other, so that only one with half of the whole rate or more asks.
+// VMs have capacity to spare. It should borrow capacity then, before it lacks tokens.
 func (a *Account) Crowded(now time.Duration) bool {
 	a.Advance(now)
 	_, rate := a.demand.rates(now)
 	capacity := a.bucket.limit.Burst
-	return rate >= a.limit.Rate/2 && a.Held().Burst < Whole && a.bucket.refundable > capacity/2 &&
-		a.bucket.level+a.bucket.refundable > capacity*9/10
+	return a.Held().Burst < Whole && rate >= scale(a.limit.Rate, crowdedDemand, 100) &&
+		a.bucket.refundable > scale(capacity, crowdedRefunds, 100) &&
+		a.bucket.level+a.bucket.refundable > scale(capacity, crowdedFill, 100)
 }
 
 // Ask records a request for a loan from the VM and returns the message.
