assign: forecast models that wait for the weight store

VMs were told of running loads only, so a request for a model far back in the queue for the weight store waited until its deadline.

Change: the plan also returns the least time until models are loaded that requests wait for and that must wait for the store: their place in the queue times the store's period, and one load. The holder tells all VMs, which refuse requests with less patience at once, with a Retry-After of at most 6 s.

Ruled out: refusing after a fixed wait.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -234,6 +234,9 @@
 const (
 	// firstEvent is the time that an engine needs for the first event of a usual request while it reads others.
 	firstEvent = 400 * time.Millisecond
+	// maxLoadRetry bounds the Retry-After of a model that waits for the weight store. Which models go first changes within
+	// the time of one load, which is about as long.
+	maxLoadRetry = 6 * time.Second
 	// returnSpread is the time over which the callers return that were refused because a model was being loaded.
 	returnSpread = 800 * time.Millisecond
 )
@@ -243,7 +246,7 @@
 	after := loadRetry
 	if at, ok := j.server.soon.at(j.call.Model); ok {
 		// Callers that come back together would wait for each other.
-		after = max(at.Sub(j.server.Timer.Now()), 0) + rejectPause + time.Duration(j.server.Draw()*float64(returnSpread))
+		after = min(max(at.Sub(j.server.Timer.Now()), 0), maxLoadRetry) + rejectPause + time.Duration(j.server.Draw()*float64(returnSpread))
 	}
 	return refuse(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(j.call.Model)+" is not ready in time", after)
 }
--- a/internal/afgateway/demand.go
+++ b/internal/afgateway/demand.go
@@ -87,13 +87,13 @@
 // Wake lets waiting requests go on after a change of the endpoints.
 func (s *Server) Wake() { s.queue.wake() }
 
-// forecast holds when models that no engine holds should be loaded.
+// forecast holds when models that no engine holds should be loaded, or can be at the earliest.
 type forecast struct {
 	mu sync.Mutex
 	m  map[string]time.Time
 }
 
-// SetSoon takes the times until models are loaded.
+// SetSoon takes the times until models are loaded, or can be at the earliest.
 func (s *Server) SetSoon(soon map[string]time.Duration) {
 	now := s.Timer.Now()
 	m := make(map[string]time.Time, len(soon))
@@ -106,7 +106,7 @@
 	s.Wake()
 }
 
-// at returns when a model should be loaded, if a load is in progress.
+// at returns when a model should be loaded at the earliest, if that is known.
 func (f *forecast) at(model string) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -64,7 +64,7 @@
 	Loads map[string]load `msgpack:"loads,omitempty"`
 	// Relay counts the changes of the endpoints that the holder passed on.
 	Relay int64 `msgpack:"relay,omitempty"`
-	// Soon is the time until a model that no engine holds is loaded, in milliseconds.
+	// Soon is the time until a model that no engine holds is loaded, or can be at the earliest, in milliseconds.
 	Soon map[string]int64 `msgpack:"soon,omitempty"`
 }
 
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -29,6 +29,8 @@
 		return
 	}
 	running, wanted := s.collect(now)
+	queued := make(map[string]time.Time)
+	defer func() { s.queued = queued }()
 	for _, service := range table.Services() {
 		if service.Engine == nil {
 			continue
@@ -46,6 +48,9 @@
 		}
 		s.noteBusy(v)
 		d := afassign.Plan(v)
+		for model, wait := range d.Queued {
+			queued[model] = now.Add(wait)
+		}
 		for _, c := range d.Closing {
 			x := s.engines[c.Engine]
 			if !now.Before(x.closing[c.Model]) {
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -118,7 +118,8 @@
 	engines  map[string]*state
 	polls    chan polled
 	orders   chan ordered
-	starts   []time.Duration // starts holds when loads from the store began, by the boot time.
+	starts   []time.Duration      // starts holds when loads from the store began, by the boot time.
+	queued   map[string]time.Time // queued holds when models that wait for the weight store can be loaded at the earliest.
 	ranked   bool
 	often    map[string]bool // often names models that have been busy since the process started.
 	nextPlan time.Time
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -156,7 +156,7 @@
 	return out
 }
 
-// soon returns the times until models that no engine holds are loaded.
+// soon returns the times until models that no engine holds are loaded, or can be loaded at the earliest.
 func (s *Service) soon(now time.Time) map[string]int64 {
 	out := make(map[string]int64)
 	held := make(map[string]bool)
@@ -174,6 +174,11 @@
 			out[x.loading] = ms
 		}
 	}
+	for model, at := range s.queued {
+		if _, loading := out[model]; !loading && !held[model] {
+			out[model] = max(at.Sub(now), 0).Milliseconds()
+		}
+	}
 	return out
 }
 
--- a/internal/afkeeper/view_test.go
+++ b/internal/afkeeper/view_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
 // Guards against a large fleet in which the holder's views come so seldom that every VM takes it for silent.
@@ -18,3 +20,19 @@
 	require.Equal(t, viewPeriod, stretch(viewPeriod, 6))
 	require.LessOrEqual(t, stretch(viewPeriod, 91), time.Second)
 }
+
+// Guards against VMs that let requests wait for a model which the weight store cannot load in time, because the view
+// tells of running loads only, and against an estimate that hides a held model or a running load.
+func TestSoonNamesQueuedModels(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := &Service{
+		engines: map[string]*state{
+			"a": {known: true, report: afengine.Report{Models: []afengine.Held{{Model: "held"}}}},
+			"b": {known: true, loading: "coming", ends: now.Add(2 * time.Second)},
+		},
+		queued: map[string]time.Time{
+			"held": now.Add(9 * time.Second), "coming": now.Add(9 * time.Second), "rare": now.Add(9 * time.Second), "due": now,
+		},
+	}
+	require.Equal(t, map[string]int64{"coming": 2000, "rare": 9000, "due": 0}, s.soon(now))
+}
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -53,6 +53,7 @@
 	reserve  float64         // reserve is the memory that is kept free for adapters.
 	taken    map[string]bool // taken engines got a step or are reserved for one.
 	loads    int             // loads counts those from the store in progress.
+	ahead    int             // ahead counts the models that wait for the store.
 	out      Decision
 }
 
@@ -133,6 +134,7 @@
 func (p *planner) place(model string, reason Reason) {
 	best, ok := p.best(model, reason)
 	if !ok {
+		p.queue(model)
 		return
 	}
 	if n := p.replicas[model]; reason == ForRate && best.store && (p.loads >= rateLoads || p.desired(model) < n+2) {
@@ -146,6 +148,9 @@
 	// An engine that is still at work is kept free for this model, since waiting for it is quicker than another.
 	p.taken[e.ID] = true
 	if e.Busy {
+		if best.store {
+			p.queue(model)
+		}
 		return
 	}
 	if len(best.victims) > 0 {
--- /dev/null
+++ b/pkg/afassign/queue.go
@@ -0,0 +1,26 @@
+package afassign
+
+import "time"
+
+// queue notes that a model which requests wait for must wait for the weight store, behind those that were noted before.
+// The estimate leaves out what may come in between, so that no request is given up that could still be served.
+func (p *planner) queue(model string) {
+	if p.replicas[model] > 0 || p.waiting[model] == 0 || p.onDisk[model] > 0 {
+		return
+	}
+	load := p.Spec.Models[model].Load
+	if p.out.Queued == nil {
+		p.out.Queued = make(map[string]time.Duration)
+	}
+	p.out.Queued[model] = time.Duration(p.ahead)*p.storePeriod(load) + load
+	p.ahead++
+}
+
+// storePeriod returns the time between two loads from the weight store.
+func (p *planner) storePeriod(load time.Duration) time.Duration {
+	period := load / time.Duration(max(p.StoreLoads, 1))
+	if r := p.Spec.LoadsPerSecond; r > 0 {
+		period = max(period, time.Duration(float64(time.Second)/r))
+	}
+	return period
+}
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -115,6 +115,9 @@
 	Steps []Step
 	// Closing names replicas that have to run out before they are unloaded.
 	Closing []Close
+	// Queued holds the least time until models are loaded that requests wait for and that no engine can load yet, since
+	// the weight store has others before them.
+	Queued map[string]time.Duration
 }
 
 // AdapterKey returns the name of an adapter in Running and Coming.
