assign: keep the turn of models whose requests are refused

Change: the holder remembers since when a model is asked for that no engine has held, for 20 s after the last request. That time counts like the longest wait, and after 4 s the model's requests are no longer refused early.

--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -29,6 +29,7 @@
 		return
 	}
 	running, wanted := s.collect(now)
+	s.noteUnserved(wanted, now)
 	queued := make(map[string]time.Time)
 	defer func() { s.queued = queued }()
 	for _, service := range table.Services() {
@@ -37,7 +38,10 @@
 		}
 		v := afassign.View{
 			Spec: *service.Engine, Demand: wanted, StoreLoads: s.StoreLoads, StoreStarts: s.storeStarts(service.Engine),
-			EngineWork: engineWork, Often: s.often,
+			EngineWork: engineWork, Often: s.often, Unserved: make(map[string]time.Duration, len(s.unserved)),
+		}
+		for model, u := range s.unserved {
+			v.Unserved[model] = now.Sub(u.since)
 		}
 		for id, x := range s.engines {
 			if x.entry.Service == service.Name {
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -120,6 +120,7 @@
 	orders   chan ordered
 	starts   []time.Duration      // starts holds when loads from the store began, by the boot time.
 	queued   map[string]time.Time // queued holds when models that wait for the weight store can be loaded at the earliest.
+	unserved map[string]unserved  // unserved holds the models that are asked for and that no engine holds.
 	ranked   bool
 	often    map[string]bool // often names models that have been busy since the process started.
 	nextPlan time.Time
--- a/pkg/afassign/need.go
+++ b/pkg/afassign/need.go
@@ -84,7 +84,7 @@
 		case n == 0 && p.waiting[model] > 0:
 			late := p.waiting[model] - p.fresh[model]
 			weight := float64(p.fresh[model]) + lateWeight*float64(late) + p.rate[model]*expectTime.Seconds() +
-				p.oldest[model].Seconds()*agePerSecond
+				max(p.oldest[model], p.Unserved[model]).Seconds()*agePerSecond
 			out = append(out, need{model: model, reason: ForWaiting, weight: weight})
 		case n < p.desired(model) && p.pressed(model):
 			weight := float64(p.waiting[model])/float64(n+1) + p.rate[model]
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -28,7 +28,8 @@
 	// copies is the number of engines on whose disk a model should lie, so that one of them has room and time for it.
 	copies = 2
 	// expectTime is the time for which further requests for a model count as if they waited, and agePerSecond what a
-	// second of the longest wait counts in requests, so that no model waits forever.
+	// second of the longest wait, or without an engine since the first request, counts in requests, so that no model waits
+	// forever.
 	expectTime   = 2 * time.Second
 	agePerSecond = 0.1
 	// lateWeight is what a request counts that can no longer be answered within its target.
--- a/pkg/afassign/queue.go
+++ b/pkg/afassign/queue.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// refusedTime is for how long requests of a model without an engine may be refused early. After that they wait, so that
+// a model which is asked for now and then gets its turn.
+const refusedTime = 4 * time.Second
+
 // queue notes that a model which requests wait for must wait for the weight store, behind those that were noted before.
 // The estimate leaves out what may come in between, so that no request is given up that could still be served.
 func (p *planner) queue(model string) {
@@ -12,7 +16,9 @@
 	if p.out.Queued == nil {
 		p.out.Queued = make(map[string]time.Duration)
 	}
-	p.out.Queued[model] = time.Duration(p.ahead)*p.storePeriod(load) + load
+	if p.Unserved[model] <= refusedTime {
+		p.out.Queued[model] = time.Duration(p.ahead)*p.storePeriod(load) + load
+	}
 	p.ahead++
 }
 
--- a/pkg/afassign/queue_test.go
+++ b/pkg/afassign/queue_test.go
@@ -31,3 +31,18 @@
 	v.StoreStarts = 10
 	require.NotContains(t, Plan(v).Queued, "m5", "a model whose load begins or may begin at once")
 }
+
+// Guards against a model that never gets its turn because its requests are refused and others are asked for more often.
+func TestUnservedModelsGetTheirTurn(t *testing.T) {
+	v := view(Engine{ID: "a"})
+	v.StoreStarts = 1
+	v.Demand = []Demand{{Model: "m4", Waiting: 1, Fresh: 1}, {Model: "m5", Waiting: 3, Fresh: 3}}
+	require.Equal(t, "m5", Plan(v).Steps[0].Order.Model)
+	v.Unserved = map[string]time.Duration{"m4": 30 * time.Second}
+	d := Plan(v)
+	require.Equal(t, "m4", d.Steps[0].Order.Model)
+	v.StoreStarts = 0
+	d = Plan(v)
+	require.Contains(t, d.Queued, "m5")
+	require.NotContains(t, d.Queued, "m4", "its requests wait for their turn")
+}
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -68,6 +68,8 @@
 	Demand  []Demand
 	// Often names models that have been busy before.
 	Often map[string]bool
+	// Unserved is for how long models have been asked for that no engine has held since.
+	Unserved map[string]time.Duration
 	// StoreLoads is the number of loads from the weight store that may be in progress at once.
 	StoreLoads int
 	// StoreStarts is the number of such loads that may still begin now within the store's rate.
