--- a/cmd/arbutusfork-bench/main.go
+++ b/cmd/arbutusfork-bench/main.go
@@ -28,11 +28,11 @@
 	entry.Flag("procs", "GOMAXPROCS of the processes under measurement.").Default("1").IntVar(&plan.Procs)
 	processFlags(entry, "speed", &plan.Speed)
 	processFlags(entry, "memory", &plan.Memory)
-	way := afbench.GatewayPlan{Out: os.Stdout}
+	gatewayPlan := afbench.GatewayPlan{Out: os.Stdout}
 	gateway := app.Command("gateway", "Measures a gateway process beside direct calls of its endpoints.")
-	gateway.Flag("program", "Binary of the daemon.").Default("bin/arbutusfork").StringVar(&way.Program)
-	gateway.Flag("length", "Time of each measurement of speed.").Default("5s").DurationVar(&way.Length)
-	gateway.Flag("streams", "Number of open streams.").Default("2000").IntVar(&way.Streams)
+	gateway.Flag("program", "Binary of the daemon.").Default("bin/arbutusfork").StringVar(&gatewayPlan.Program)
+	gateway.Flag("length", "Time of each measurement of speed.").Default("5s").DurationVar(&gatewayPlan.Length)
+	gateway.Flag("streams", "Number of open streams.").Default("2000").IntVar(&gatewayPlan.Streams)
 	measure := afmeasure.Config{}
 	policy := app.Command("policy", "Measures placement on a seeded day of each deployment beside its baselines.")
 	policy.Flag("seed", "Seed of the day.").Default("1").Uint64Var(&measure.Seed)
@@ -56,7 +56,7 @@
 	case entry.FullCommand():
 		err = afbench.EntryBench(ctx, plan)
 	case gateway.FullCommand():
-		err = afbench.GatewayBench(ctx, way)
+		err = afbench.GatewayBench(ctx, gatewayPlan)
 	case policy.FullCommand():
 		err = afmeasure.Run(os.Stdout, measure)
 	case limits.FullCommand():
--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -59,8 +59,8 @@
 			a.apply(c, now)
 		}
 		crowded := a.spaceAt <= now && a.state.Crowded(now)
-		drains := a.next <= now && (a.state.Drains(now) || crowded)
-		if drains {
+		short := a.next <= now && (a.state.Drains(now) || crowded)
+		if short {
 			a.next = now + callTimeout // One fetch at a time.
 		}
 		if !a.state.Lent().IsZero() {
@@ -81,7 +81,7 @@
 		}
 		a.mu.Unlock()
 		s.sendBack(a, returned)
-		if drains {
+		if short {
 			s.start(func() { s.fetch(a) })
 		}
 		for _, r := range renewals {
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -19,10 +19,10 @@
 	// may come closer together. VMs that are all short would trade the same few tokens otherwise.
 	roundPeriod = 250 * time.Millisecond
 	roundBurst  = 20
-	// minCrowd and maxCrowd bound the pause after a fetch of capacity that brought none, since VMs that are all crowded
+	// minSpacePause and maxSpacePause bound the pause after a fetch of capacity that brought none, since VMs that are all crowded
 	// have nothing to lend.
-	minCrowd = 100 * time.Millisecond
-	maxCrowd = 12800 * time.Millisecond
+	minSpacePause = 100 * time.Millisecond
+	maxSpacePause = 12800 * time.Millisecond
 	// establishTime is how long after a VM has learnt of a customer its requests wait for tokens instead of being
 	// refused: the share record is read, and for a new customer written by up to 8 VMs, one after the other.
 	establishTime = 3 * time.Second
@@ -153,11 +153,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := s.now()
-	a.crowd = min(max(minCrowd, 2*a.crowd), maxCrowd)
+	a.spacePause = min(max(minSpacePause, 2*a.spacePause), maxSpacePause)
 	if a.state.Held().Minus(before).Burst > 0 {
-		a.crowd = 0
+		a.spacePause = 0
 	}
-	a.spaceAt = now + a.crowd
+	a.spaceAt = now + a.spacePause
 	a.space(true, now)
 }
 
