aflimit: take back borrowing ahead of need

Cause: TestShiftOfDemand fails with in about one of eight runs (in six series of up to 60, the first failure after 0, 6, 7, 8 and 15 passes), in none of 200 runs of the commit before it: a request that uses 97 % of the rate is refused after the demand has moved.

Change: reverted with its names. The gateway does not use these packages.

The next try needs TestShiftOfDemand run many times first.

--- a/internal/afquota/account.go
+++ b/internal/afquota/account.go
@@ -20,16 +20,14 @@
 	rate  int64
 	burst int64
 	// waiting holds the requests that wait for a round of loans, in order of arrival.
-	waiting    []*waiter
-	running    bool                     // running tells that a goroutine carries out rounds.
-	gap        time.Duration            // gap is the pause after the last round.
-	next       time.Duration            // next is the earliest time at which peers are asked again.
-	paid       time.Duration            // paid is the time up to which the rounds so far use up roundPeriod.
-	spaceAt    time.Duration            // spaceAt is the earliest time at which peers are asked for capacity again.
-	spacePause time.Duration            // spacePause is the pause after a fetch of capacity that brought nothing.
-	lender     string                   // lender had all that was asked of it the last time.
-	renewAt    map[uint64]time.Duration // renewAt holds when a loan may be renewed again.
-	idle       map[uint64]time.Duration // idle holds when a loan was first seen as surplus.
+	waiting []*waiter
+	running bool                     // running tells that a goroutine carries out rounds.
+	gap     time.Duration            // gap is the pause after the last round.
+	next    time.Duration            // next is the earliest time at which peers are asked again.
+	paid    time.Duration            // paid is the time up to which the rounds so far use up roundPeriod.
+	lender  string                   // lender had all that was asked of it the last time.
+	renewAt map[uint64]time.Duration // renewAt holds when a loan may be renewed again.
+	idle    map[uint64]time.Duration // idle holds when a loan was first seen as surplus.
 
 	// share is the cached share record. Only the holder of the service's duty lock changes it.
 	share    aflimit.Share
--- a/internal/afquota/loans.go
+++ b/internal/afquota/loans.go
@@ -58,9 +58,8 @@
 		if ok {
 			a.apply(c, now)
 		}
-		crowded := a.spaceAt <= now && a.state.Crowded(now)
-		short := a.next <= now && (a.state.Drains(now) || crowded)
-		if short {
+		drains := a.next <= now && a.state.Drains(now)
+		if drains {
 			a.next = now + callTimeout // One fetch at a time.
 		}
 		if !a.state.Lent().IsZero() {
@@ -81,7 +80,7 @@
 		}
 		a.mu.Unlock()
 		s.sendBack(a, returned)
-		if short {
+		if drains {
 			s.start(func() { s.fetch(a) })
 		}
 		for _, r := range renewals {
--- a/internal/afquota/round.go
+++ b/internal/afquota/round.go
@@ -19,10 +19,6 @@
 	// may come closer together. VMs that are all short would trade the same few tokens otherwise.
 	roundPeriod = 250 * time.Millisecond
 	roundBurst  = 20
-	// minSpacePause and maxSpacePause bound the pause after a fetch of capacity that brought none, since VMs that are all crowded
-	// have nothing to lend.
-	minSpacePause = 100 * time.Millisecond
-	maxSpacePause = 12800 * time.Millisecond
 	// establishTime is how long after a VM has learnt of a customer its requests wait for tokens instead of being
 	// refused: the share record is read, and for a new customer written by up to 8 VMs, one after the other.
 	establishTime = 3 * time.Second
@@ -146,19 +142,10 @@
 func (s *Service) fetch(a *account) {
 	s.counts.rounds.Add(1)
 	lenders := s.lenders(a)
-	a.mu.Lock()
-	before := a.state.Held()
-	a.mu.Unlock()
 	s.ask(a, nil, lenders, len(lenders))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := s.now()
-	a.spacePause = min(max(minSpacePause, 2*a.spacePause), maxSpacePause)
-	if a.state.Held().Minus(before).Burst > 0 {
-		a.spacePause = 0
-	}
-	a.spaceAt = now + a.spacePause
-	a.space(true, now)
+	a.space(true, s.now())
 }
 
 // likely returns the lenders that together should have what the batch is missing, if each gives up to a quarter of its
--- a/pkg/aflimit/borrow.go
+++ b/pkg/aflimit/borrow.go
@@ -2,19 +2,8 @@
 
 import "time"
 
-const (
-	// aheadTime is how long the tokens that a VM borrows beyond its need would serve its recent demand.
-	aheadTime = 500 * time.Millisecond
-	// crowdedDemand is the part of the customer's rate, in percent, from which a VM asks for capacity ahead of need. VMs
-	// that share the demand evenly have none to spare for each other.
-	crowdedDemand = 50
-	// crowdedRefunds and crowdedFill are the parts of the capacity, in percent, that refunds, and refunds and level
-	// together, take up when a VM is crowded. Refunds are cut at 100.
-	crowdedRefunds = 50
-	crowdedFill    = 90
-	// crowdedRoom is the capacity that a crowded VM wants, in percent of what it uses.
-	crowdedRoom = 125
-)
+// aheadTime is how long the tokens that a VM borrows beyond its need would serve its recent demand.
+const aheadTime = 500 * time.Millisecond
 
 // Lack returns what the VM has to borrow for a request of n tokens: the missing tokens and some for the
 // requests to come, and the missing parts for its recent demand.
@@ -24,9 +13,6 @@
 		tokens = min(tokens+scale(rate, int64(aheadTime), int64(time.Second)), a.limit.Burst)
 	}
 	need := Parts{Rate: a.limit.PartsForRate(rate + rate/4)}
-	if a.Crowded(now) {
-		need.Burst = a.limit.PartsForBurst(scale(a.bucket.level+a.bucket.refundable, crowdedRoom, 100))
-	}
 	return tokens, need.Minus(a.Held()).Max(Parts{Burst: a.limit.PartsForBurst(tokens)})
 }
 
@@ -40,17 +26,6 @@
 	return lack > Whole/4 && level < a.bucket.limit.Burst*3/4
 }
 
-// Crowded reports whether open reservations fill the capacity that the VM holds, so that refunds are cut although other
-// VMs have capacity to spare. It should borrow capacity then, before it lacks tokens.
-func (a *Account) Crowded(now time.Duration) bool {
-	a.Advance(now)
-	_, rate := a.demand.rates(now)
-	capacity := a.bucket.limit.Burst
-	return a.Held().Burst < Whole && rate >= scale(a.limit.Rate, crowdedDemand, 100) &&
-		a.bucket.refundable > scale(capacity, crowdedRefunds, 100) &&
-		a.bucket.level+a.bucket.refundable > scale(capacity, crowdedFill, 100)
-}
-
 // Ask records a request for a loan from the VM and returns the message.
 func (a *Account) Ask(from string, tokens Amount, parts Parts, now time.Duration) Borrow {
 	a.last++
