aftimer: one channel of ticks for all duties

Cause: the channel of size one that a periodic subscription fills stood in afkeeper, afnode and twice in afquota, and afbooking kept a method for one call of Wait.

Change: Service.Ticks returns the channel and its subscription; the copies are gone. afnode's cover duty keeps its own subscription, since it does its work in the callback.

--- a/internal/afbooking/commit.go
+++ b/internal/afbooking/commit.go
@@ -37,7 +37,7 @@
 		if b.unanswered {
 			d = s.turn(d)
 		}
-		s.pause(d)
+		s.Timer.Wait(context.Background(), d)
 		failures++
 	}
 }
--- a/internal/afbooking/service.go
+++ b/internal/afbooking/service.go
@@ -123,7 +123,3 @@
 	b.once.Do(func() { b.name = strconv.Itoa(n) })
 	return b
 }
-
-func (s *Service) pause(d time.Duration) {
-	s.Timer.Wait(context.Background(), d)
-}
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -171,13 +171,7 @@
 
 // Run does the duty until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	ticks := make(chan struct{}, 1)
-	sub := s.Timer.Every(tickPeriod, func(time.Time) {
-		select {
-		case ticks <- struct{}{}:
-		default:
-		}
-	})
+	ticks, sub := s.Timer.Ticks(tickPeriod)
 	defer sub.Stop()
 	for {
 		select {
--- a/internal/afnode/reload.go
+++ b/internal/afnode/reload.go
@@ -18,13 +18,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	ticks := make(chan struct{}, 1)
-	sub := n.timer.Every(settingsPeriod, func(time.Time) {
-		select {
-		case ticks <- struct{}{}:
-		default:
-		}
-	})
+	ticks, sub := n.timer.Ticks(settingsPeriod)
 	defer sub.Stop()
 	for {
 		select {
--- a/internal/afquota/leave.go
+++ b/internal/afquota/leave.go
@@ -34,8 +34,7 @@
 			s.recall(ctx, a, l)
 		}
 	}
-	tick := make(chan struct{}, 1)
-	sub := s.Timer.Every(leavePeriod, func(time.Time) { signal(tick) })
+	tick, sub := s.Timer.Ticks(leavePeriod)
 	defer sub.Stop()
 	for !s.release(ctx) {
 		select {
--- a/internal/afquota/service.go
+++ b/internal/afquota/service.go
@@ -120,8 +120,7 @@
 
 // runEvery calls fn each period and when woken. A call that takes longer than the period delays the next one.
 func (s *Service) runEvery(ctx context.Context, period time.Duration, wake <-chan struct{}, fn func(context.Context)) {
-	tick := make(chan struct{}, 1)
-	sub := s.Timer.Every(period, func(time.Time) { signal(tick) })
+	tick, sub := s.Timer.Ticks(period)
 	defer sub.Stop()
 	for {
 		fn(ctx)
--- a/pkg/aftimer/wait.go
+++ b/pkg/aftimer/wait.go
@@ -18,6 +18,18 @@
 	}
 }
 
+// Ticks returns a channel that gets a value each period until the subscription is stopped. A value that nobody has taken
+// yet stands for all that follow.
+func (s *Service) Ticks(period time.Duration) (<-chan struct{}, *Subscription) {
+	ticks := make(chan struct{}, 1)
+	return ticks, s.Every(period, func(time.Time) {
+		select {
+		case ticks <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // WithTimeout returns a context that ends with ctx or after d. The function releases it.
 func (s *Service) WithTimeout(ctx context.Context, d time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/pkg/aftimer/wait_test.go
+++ b/pkg/aftimer/wait_test.go
@@ -29,3 +29,19 @@
 		synctest.Wait()
 	})
 }
+
+// TestTicks guards against a slow reader that holds up the timer service or finds a queue of old ticks.
+func TestTicks(t *testing.T) {
+	var s Service
+	s.Advance(start)
+	ticks, sub := s.Ticks(time.Second)
+	s.Advance(start.Add(5 * time.Second))
+	require.Len(t, ticks, 1)
+	<-ticks
+	s.Advance(start.Add(6 * time.Second))
+	require.Len(t, ticks, 1)
+	<-ticks
+	sub.Stop()
+	s.Advance(start.Add(9 * time.Second))
+	require.Empty(t, ticks)
+}
