keeper: compute the models that engines hold in one place

Ruled out: one watch type for afgateway and afdispatch, whose deadlines differ, and one decoder for pages and changes of the store, whose items differ.

--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -143,10 +143,7 @@
 	}
 	s.mu.Unlock()
 	s.Log.Info("placement lease given up", "epoch", m.Epoch, "ordered_lately", len(m.Orders))
-	for _, vm := range s.Members() {
-		if vm.Name == s.Self.VM {
-			continue
-		}
+	for _, vm := range s.others() {
 		if err := s.Send(vm.Name, KindStop, m); err != nil {
 			s.Log.Debug("stop not sent", "to", vm.Name, "error", err)
 		}
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -29,19 +29,15 @@
 		return
 	}
 	running, wanted := s.collect(now)
-	s.noteUnserved(wanted, now)
-	queued := make(map[string]time.Time)
-	defer func() { s.queued = queued }()
+	unserved := s.noteUnserved(wanted, now)
+	s.queued = make(map[string]time.Time)
 	for _, service := range table.Services() {
 		if service.Engine == nil {
 			continue
 		}
 		v := afassign.View{
 			Spec: *service.Engine, Demand: wanted, StoreLoads: s.StoreLoads, StoreStarts: s.storeStarts(service.Engine),
-			EngineWork: engineWork, Often: s.often, Unserved: make(map[string]time.Duration, len(s.unserved)),
-		}
-		for model, u := range s.unserved {
-			v.Unserved[model] = now.Sub(u.since)
+			EngineWork: engineWork, Often: s.often, Unserved: unserved,
 		}
 		for id, x := range s.engines {
 			if x.entry.Service == service.Name {
@@ -53,7 +49,7 @@
 		s.noteBusy(v)
 		d := afassign.Plan(v)
 		for model, wait := range d.Queued {
-			queued[model] = now.Add(wait)
+			s.queued[model] = now.Add(wait)
 		}
 		for _, c := range d.Closing {
 			x := s.engines[c.Engine]
--- a/internal/afkeeper/relay.go
+++ b/internal/afkeeper/relay.go
@@ -74,10 +74,7 @@
 	for _, e := range changed {
 		m.Entries = append(m.Entries, encodeEntry(e))
 	}
-	for _, vm := range s.Members() {
-		if vm.Name == s.Self.VM {
-			continue
-		}
+	for _, vm := range s.others() {
 		if err := s.Send(vm.Name, KindRelay, m); err != nil {
 			s.Log.Debug("endpoints not passed on", "to", vm.Name, "error", err)
 		}
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -213,6 +214,11 @@
 	s.spread()
 }
 
+// others returns the VMs but this one.
+func (s *Service) others() []arbutusfork.VM {
+	return slices.DeleteFunc(slices.Clone(s.Members()), func(vm arbutusfork.VM) bool { return vm.Name == s.Self.VM })
+}
+
 // planSoon plans now, or as soon as the pause after the last plan is over.
 func (s *Service) planSoon(ctx context.Context, epoch int64) {
 	now := s.Timer.Now()
--- a/internal/afkeeper/unserved.go
+++ b/internal/afkeeper/unserved.go
@@ -15,9 +15,9 @@
 	since, asked time.Time
 }
 
-// noteUnserved remembers since when models are asked for in vain. Requests that are refused do not wait, so that their
-// models would lose their turn otherwise.
-func (s *Service) noteUnserved(wanted []afassign.Demand, now time.Time) {
+// noteUnserved remembers since when models are asked for in vain and returns for how long. Requests that are refused do
+// not wait, so that their models would lose their turn otherwise.
+func (s *Service) noteUnserved(wanted []afassign.Demand, now time.Time) map[string]time.Duration {
 	if s.unserved == nil {
 		s.unserved = make(map[string]unserved)
 	}
@@ -32,14 +32,14 @@
 		u.asked = now
 		s.unserved[d.Model] = u
 	}
-	for _, x := range s.engines {
-		for _, h := range x.held(now) {
-			delete(s.unserved, h.Model)
-		}
-	}
+	held := s.heldModels(now)
+	out := make(map[string]time.Duration, len(s.unserved))
 	for model, u := range s.unserved {
-		if now.Sub(u.asked) > unservedLife {
+		if held[model] || now.Sub(u.asked) > unservedLife {
 			delete(s.unserved, model)
+			continue
 		}
+		out[model] = now.Sub(u.since)
 	}
+	return out
 }
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -156,15 +156,21 @@
 	return out
 }
 
-// soon returns the times until models that no engine holds are loaded, or can be loaded at the earliest.
-func (s *Service) soon(now time.Time) map[string]int64 {
-	out := make(map[string]int64)
+// heldModels returns the models that some engine holds.
+func (s *Service) heldModels(now time.Time) map[string]bool {
 	held := make(map[string]bool)
 	for _, x := range s.engines {
 		for _, h := range x.held(now) {
 			held[h.Model] = true
 		}
 	}
+	return held
+}
+
+// soon returns the times until models that no engine holds are loaded, or can be loaded at the earliest.
+func (s *Service) soon(now time.Time) map[string]int64 {
+	out := make(map[string]int64)
+	held := s.heldModels(now)
 	for _, x := range s.engines {
 		if x.loading == "" || held[x.loading] {
 			continue
--- a/pkg/afroute/table.go
+++ b/pkg/afroute/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -151,12 +152,7 @@
 
 // Customers returns the customers in order of name.
 func (t *Table) Customers() []Customer {
-	out := make([]Customer, 0, len(t.customers))
-	for _, c := range t.customers {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(a, b Customer) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return slices.SortedFunc(maps.Values(t.customers), func(a, b Customer) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // Service returns a service by name.
@@ -167,12 +163,7 @@
 
 // Services returns the services in order of name.
 func (t *Table) Services() []Service {
-	out := make([]Service, 0, len(t.services))
-	for _, s := range t.services {
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return slices.SortedFunc(maps.Values(t.services), func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // Routes returns the number of routes.
