bench: one client and one memory reading for both commands

Change: the client takes the function that makes its requests, and its closed loop returns times and rate, for both commands; resident reads any process.

--- a/internal/afbench/client.go
+++ b/internal/afbench/client.go
@@ -9,40 +9,50 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 )
 
-// client sends requests of one kind to one address.
+// client sends requests of one kind.
 type client struct {
-	address   string
-	body      string
+	// request makes the next request.
+	request   func(ctx context.Context) (*http.Request, error)
 	transport *http.Transport
 }
 
 const clientConns = 1024
 
-func newClient(address, body string) *client {
-	return &client{address: address, body: body, transport: &http.Transport{
+func newClient(request func(ctx context.Context) (*http.Request, error)) *client {
+	return &client{request: request, transport: &http.Transport{
 		MaxIdleConnsPerHost: clientConns, MaxConnsPerHost: clientConns, DisableCompression: true,
 	}}
 }
 
+// chat makes requests to the callers' interface at the address.
+func chat(address, body string) func(context.Context) (*http.Request, error) {
+	return func(ctx context.Context) (*http.Request, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Authorization", "Bearer "+benchKey)
+		return req, nil
+	}
+}
+
 func chatBody(model string, tokens int, stream bool) string {
 	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":%d,"stream":%t}`, model, tokens, stream)
 }
 
 // call sends one request and returns the times to the first byte of the body and to its end.
 func (c *client) call(ctx context.Context) (first, whole time.Duration, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/v1/chat/completions", strings.NewReader(c.body))
+	req, err := c.request(ctx)
 	if err != nil {
 		return 0, 0, err
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+benchKey)
 	start := time.Now()
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
@@ -63,31 +73,38 @@
 	return first, time.Since(start), nil
 }
 
-// closed sends requests one after another on each of n connections and returns how many were answered a second.
-func (c *client) closed(ctx context.Context, n int, length time.Duration) (float64, error) {
+// closed sends requests one after another on each of n connections. It returns the times of those that were answered
+// and how many that were a second.
+func (c *client) closed(ctx context.Context, n int, length time.Duration) (Times, float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
-	var done atomic.Int64
-	var failed atomic.Value
+	t := newTimes()
+	var mu sync.Mutex
+	var failed error
 	var wg sync.WaitGroup
 	start := time.Now()
 	for range n {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				if _, _, err := c.call(ctx); err == nil {
-					done.Add(1)
-				} else if ctx.Err() == nil {
-					failed.Store(err)
+				first, whole, err := c.call(ctx)
+				if err != nil && ctx.Err() != nil {
+					return
+				}
+				mu.Lock()
+				if err != nil {
+					failed = err
+				} else {
+					t.record(first, whole)
+				}
+				mu.Unlock()
+				if err != nil {
 					return
 				}
 			}
 		})
 	}
 	wg.Wait()
-	if err, ok := failed.Load().(error); ok {
-		return 0, err
-	}
-	return float64(done.Load()) / time.Since(start).Seconds(), nil
+	return t, float64(t.Whole.TotalCount()) / time.Since(start).Seconds(), failed
 }
 
 // Times holds the time to the first byte and to the end of answers, in microseconds.
@@ -101,6 +118,12 @@
 	return Times{First: hdrhistogram.New(1, limit, digits), Whole: hdrhistogram.New(1, limit, digits)}
 }
 
+// record adds one answer. Times above the histograms' limit are left out.
+func (t Times) record(first, whole time.Duration) {
+	_ = t.First.RecordValue(first.Microseconds())
+	_ = t.Whole.RecordValue(whole.Microseconds())
+}
+
 // open sends requests at a constant rate without waiting for answers.
 func (c *client) open(ctx context.Context, rate float64, length time.Duration) (Times, error) {
 	t := newTimes()
@@ -119,8 +142,7 @@
 				failed = err
 				return
 			}
-			_ = t.First.RecordValue(first.Microseconds())
-			_ = t.Whole.RecordValue(whole.Microseconds())
+			t.record(first, whole)
 		})
 	}
 	wg.Wait()
--- a/internal/afbench/entry.go
+++ b/internal/afbench/entry.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/afentry"
@@ -131,21 +133,30 @@
 	var r syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
 	_ = json.NewEncoder(w).Encode(EntryStats{
-		Resident: resident(), Live: int64(m.HeapAlloc + m.StackInuse), Goroutines: runtime.NumGoroutine(),
+		Resident: residentSelf(), Live: int64(m.HeapAlloc + m.StackInuse), Goroutines: runtime.NumGoroutine(),
 		Processor: time.Duration(r.Utime.Nano() + r.Stime.Nano()),
 	})
 }
 
-// resident returns the resident memory of this process in bytes.
-func resident() int64 {
-	b, err := os.ReadFile("/proc/self/statm")
+// residentSelf returns the resident memory of this process in bytes, or 0 if the kernel does not tell it.
+func residentSelf() int64 {
+	n, err := resident("self")
+	if err != nil {
+		return 0 // The measuring process prints it as 0 MB.
+	}
+	return n
+}
+
+// resident returns the resident memory of a process in bytes.
+func resident(process string) (int64, error) {
+	b, err := os.ReadFile("/proc/" + process + "/statm")
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	fields := strings.Fields(string(b))
 	if len(fields) < 2 {
-		return 0
+		return 0, errors.New("the kernel does not tell the resident memory of process " + process)
 	}
-	pages, _ := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize())
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), err
 }
--- a/internal/afbench/gateway.go
+++ b/internal/afbench/gateway.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,6 +33,14 @@
 	gatewayGrace = 4 * time.Second
 	// gatewayStart bounds the time until the process serves.
 	gatewayStart = 10 * time.Second
+	// gatewayQuiet is the time between the orders of two holders, of which there is only one here.
+	gatewayQuiet = time.Second
+	// gatewayPoll is the pause between two looks whether the process serves.
+	gatewayPoll = 20 * time.Millisecond
+	// gatewayPatience is longer than any measurement, so that nothing ends by a timeout.
+	gatewayPatience = time.Hour
+	// headTimeout bounds the time for the headers of a request to a stand-in.
+	headTimeout = time.Minute
 	// gatewayFiles is enough for each stream's two connections.
 	gatewayFiles = 4 * benchConns
 )
@@ -102,7 +109,7 @@
 		at    **afplatform.Endpoint
 		model string
 		pause time.Duration
-	}{{&g.plain, "", 0}, {&g.engine, warmModel, 0}, {&g.still, coldModel, time.Hour}} {
+	}{{&g.plain, "", 0}, {&g.engine, warmModel, 0}, {&g.still, coldModel, gatewayPatience}} {
 		x := &afplatform.Endpoint{ID: "e" + e.model, Service: plainName, Centre: "c", Store: store, Events: gatewayEvents, Pause: e.pause}
 		if e.model != "" {
 			x.Service, x.Memory, x.Models = engineName, 1, map[string]float64{warmModel: 1, coldModel: 1}
@@ -115,7 +122,7 @@
 		*e.at = x
 	}
 	raw, err := afplatform.Settings{
-		VM: "vm", IP: gatewayIP, Centre: "c", Store: address, Grace: gatewayGrace, Quiet: time.Second, Descriptors: gatewayFiles,
+		VM: "vm", IP: gatewayIP, Centre: "c", Store: address, Grace: gatewayGrace, Quiet: gatewayQuiet, Descriptors: gatewayFiles,
 	}.File()
 	if err != nil {
 		return err
@@ -131,7 +138,7 @@
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
-	for end := time.Now().Add(gatewayStart); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(gatewayStart); time.Now().Before(end); time.Sleep(gatewayPoll) {
 		if g.serves(ctx, "/look/x", "") && g.serves(ctx, "/talk/x", warmModel) {
 			return nil
 		}
@@ -148,7 +155,7 @@
 	}
 	for _, r := range []struct{ name, kind, service string }{{"look", "safe", plainName}, {"talk", "streaming", engineName}} {
 		c.Routes = append(c.Routes, afplatform.Route{
-			Name: r.name, Host: gatewayHost, Prefix: "/" + r.name + "/", Kind: r.kind, Service: r.service, Attempts: 1, Timeout: time.Hour,
+			Name: r.name, Host: gatewayHost, Prefix: "/" + r.name + "/", Kind: r.kind, Service: r.service, Attempts: 1, Timeout: gatewayPatience,
 		})
 	}
 	return c
@@ -160,7 +167,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
 	go func() { _ = s.Serve(l) }()
 	return l.Addr().String(), nil
 }
@@ -177,30 +184,28 @@
 	}
 	r.Host = gatewayHost
 	id := "b" + strconv.FormatInt(g.ids.Add(1), 10)
-	afplatform.Call{ID: id, Key: benchKey, Model: model, Patience: time.Hour, Prompt: 1, Output: 1}.Write(r.Header)
+	afplatform.Call{ID: id, Key: benchKey, Model: model, Patience: gatewayPatience, Prompt: 1, Output: 1}.Write(r.Header)
 	if direct != nil {
 		direct.Direct(r.Header)
 	}
 	return r, nil
 }
 
+// client sends such requests.
+func (g *gateway) client(path, model string, direct *afplatform.Endpoint) *client {
+	return newClient(func(ctx context.Context) (*http.Request, error) { return g.request(ctx, path, model, direct) })
+}
+
 func (g *gateway) serves(ctx context.Context, path, model string) bool {
-	r, err := g.request(ctx, path, model, nil)
-	if err != nil {
-		return false
-	}
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return err == nil && resp.StatusCode == http.StatusOK
+	c := g.client(path, model, nil)
+	defer c.transport.CloseIdleConnections()
+	_, _, err := c.call(ctx)
+	return err == nil
 }
 
 // speed prints the processor time of a request, and how long it takes beside a direct call.
 func (g *gateway) speed(ctx context.Context, name, path, model string, e *afplatform.Endpoint) error {
-	direct, _, err := g.closed(ctx, path, model, e)
+	direct, _, err := g.client(path, model, e).closed(ctx, gatewayCallers, g.Length)
 	if err != nil {
 		return err
 	}
@@ -208,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	through, n, err := g.closed(ctx, path, model, nil)
+	through, _, err := g.client(path, model, nil).closed(ctx, gatewayCallers, g.Length)
 	if err != nil {
 		return err
 	}
@@ -217,61 +222,12 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(g.Out, "%s: %.0f us of processor each at %d callers; median %.3f ms (%.3f ms direct), p99 %.3f ms (%.3f ms direct)\n",
-		name, float64((after-before).Microseconds())/float64(n), gatewayCallers,
+		name, float64((after-before).Microseconds())/float64(through.Whole.TotalCount()), gatewayCallers,
 		float64(through.Whole.ValueAtQuantile(50))/1000, float64(direct.Whole.ValueAtQuantile(50))/1000,
 		float64(through.Whole.ValueAtQuantile(99))/1000, float64(direct.Whole.ValueAtQuantile(99))/1000)
 	return nil
 }
 
-// closed sends requests one after another from each caller and returns their times and number.
-func (g *gateway) closed(ctx context.Context, path, model string, direct *afplatform.Endpoint) (Times, int, error) {
-	times, n := newTimes(), 0
-	var mu sync.Mutex
-	var failed error
-	var wg sync.WaitGroup
-	tr := &http.Transport{MaxIdleConnsPerHost: gatewayCallers, DisableCompression: true}
-	defer tr.CloseIdleConnections()
-	end := time.Now().Add(g.Length)
-	for range gatewayCallers {
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				took, err := g.call(ctx, tr, path, model, direct)
-				mu.Lock()
-				if err != nil {
-					failed = err
-				} else {
-					n++
-					_ = times.Whole.RecordValue(took.Microseconds())
-				}
-				mu.Unlock()
-				if err != nil {
-					return
-				}
-			}
-		})
-	}
-	wg.Wait()
-	return times, n, failed
-}
-
-func (g *gateway) call(ctx context.Context, tr *http.Transport, path, model string, direct *afplatform.Endpoint) (time.Duration, error) {
-	r, err := g.request(ctx, path, model, direct)
-	if err != nil {
-		return 0, err
-	}
-	start := time.Now()
-	resp, err := tr.RoundTrip(r)
-	if err != nil {
-		return 0, err
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.Errorf("status %d", resp.StatusCode)
-	}
-	return time.Since(start), err
-}
-
 // memory opens streams that stay open and prints the memory that they need.
 func (g *gateway) memory(ctx context.Context) error {
 	before, err := g.resident()
@@ -308,17 +264,8 @@
 
 // resident returns the resident memory of the daemon in MB.
 func (g *gateway) resident() (float64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(raw)) {
-		if f := strings.Fields(line); len(f) == 3 && f[0] == "VmRSS:" {
-			kb, err := strconv.ParseFloat(f[1], 64)
-			return kb / 1024, err
-		}
-	}
-	return 0, errors.New("the kernel does not tell the resident memory")
+	n, err := resident(strconv.Itoa(g.cmd.Process.Pid))
+	return float64(n) / (1 << 20), err
 }
 
 // ticksPerSecond is the unit of the kernel's processor times, which Linux fixes for programs.
--- a/internal/afbench/measure.go
+++ b/internal/afbench/measure.go
@@ -110,12 +110,12 @@
 		{"short", chatBody(warmModel, 1, false)},
 		{"stream", chatBody(warmModel, streamTokens, true)},
 	} {
-		direct, through := newClient(x.Engine, kind.body), newClient(x.Address, kind.body)
+		direct, through := newClient(chat(x.Engine, kind.body)), newClient(chat(x.Address, kind.body))
 		before, err := x.stats()
 		if err != nil {
 			return err
 		}
-		rate, err := through.closed(ctx, conns, p.Length)
+		_, rate, err := through.closed(ctx, conns, p.Length)
 		if err != nil {
 			return err
 		}
