aflease: prove the quiet time of a successor with fixed times

The code itself was ruled out: the property holds for it in every run.

TestSuccessorWaitsQuiet plays one takeover with fixed times and fails with the mutant in every run; the list of mutants names it now.

--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -138,3 +138,26 @@
 	a = a.WithWritten(renewed, 8, time.Second, time.Second)
 	require.True(t, a.Usable(time.Second))
 }
+
+// Guards against a successor that acts within Quiet of the last act of a holder that may still have been using the lease.
+func TestSuccessorWaitsQuiet(t *testing.T) {
+	old := New("a", "vm-a", terms).WithRecord(Record{}, 0, 0)
+	_, r := old.Next(0)
+	old = old.WithWritten(r, 7, 0, 0)
+	lastUse := terms.Use - time.Millisecond
+	require.True(t, old.Usable(lastUse))
+
+	b := New("b", "vm-b", terms).WithRecord(r, 7, 0)
+	taken := terms.Use + terms.Margin
+	action, next := b.Next(taken)
+	require.Equal(t, Write, action)
+	b = b.WithWritten(next, 8, taken, taken)
+	for now := taken; now < lastUse+terms.Quiet; now += 100 * time.Millisecond {
+		require.False(t, b.Usable(now), "at %v, %v after the last act of the holder before", now, now-lastUse)
+		if action, renewed := b.Next(now); action == Write {
+			b = b.WithWritten(renewed, b.Version()+1, now, now)
+		}
+	}
+	begin := terms.Use + terms.Quiet + terms.Margin
+	require.True(t, b.Usable(begin), "the successor may act once Quiet and the margin have passed")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,7 +77,7 @@
 	./pkg/afconfig TestLateChange
 mutant gateway-quiet pkg/aflease/lease.go \
 	'return l.seen + l.terms.Use + l.terms.Quiet + l.terms.Margin' 'return l.seen' \
-	./pkg/aflease TestNoTwoHoldersWithinQuiet
+	./pkg/aflease TestSuccessorWaitsQuiet
 mutant gateway-memory pkg/afassign/option.go \
 	'if room >= 0 {' 'if room >= -p.Spec.Memory {' \
 	./pkg/afassign TestNeverOvercommits
