afbooking: let calls to the platform end before a trial returns

TestCallsNeedGuards ended in some runs with blocked goroutines. A trial returned while a call to the platform, or a commit that waits for its next attempt, was still in progress; the synthetic clock stops with the trial, so that it never ended. A fault of the claims was ruled out: the open calls belong to a dead VM or to a trial that has found its fault.

The trial now waits two minutes of its own clock after the last check, longer than any call, pause or claim.

--- a/internal/afbooking/property_test.go
+++ b/internal/afbooking/property_test.go
@@ -236,6 +236,7 @@
 		f.mu.Unlock()
 		wg.Wait()
 		fault = f.settle()
+		f.finish()
 	})
 	return fault
 }
@@ -263,6 +264,13 @@
 	return ""
 }
 
+// finishTime is longer than any call to the platform, pause between attempts and claim of a trial.
+const finishTime = 2 * time.Minute
+
+// finish lets the calls to the platform and the commits end that are still in progress: the synthetic clock stops when the
+// trial returns. The platform is calm by now, so that each of them ends, those of the dead VM with their next answer.
+func (f *trial) finish() { <-time.After(finishTime) }
+
 // TestCallsRunAtMostOnce guards against two grants of one key and against keys that a refused call leaves claimed.
 func TestCallsRunAtMostOnce(t *testing.T) {
 	for seed := range uint64(300) {
