afassign: models below the hot rate keep no replica

The number of replicas a model asks for was its work divided by an engine's, rounded up, so that a single request made its model a busy one for about 13 s: its replica could not be unloaded, its engine's disk counted as unusable, and the weight store was used in its place.

A model now has to reach hotRate before it keeps a replica; work counts from there on. Two tests failed first.

--- a/pkg/afassign/need.go
+++ b/pkg/afassign/need.go
@@ -34,17 +34,17 @@
 	return n
 }
 
-// desired returns the number of replicas that the rate of a model asks for.
+// desired returns the number of replicas that the rate of a model asks for. A model below hotRate keeps none for itself.
 func (p *planner) desired(model string) int {
 	n := 0
-	if p.EngineWork > 0 {
-		n = int(math.Ceil(p.work[model] / p.EngineWork))
-	}
-	switch r := p.rate[model]; {
-	case r >= pairRate:
-		n = max(n, 2)
-	case r >= hotRate:
-		n = max(n, 1)
+	if r := p.rate[model]; r >= hotRate {
+		n = 1
+		if r >= pairRate {
+			n = 2
+		}
+		if p.EngineWork > 0 {
+			n = max(n, int(math.Ceil(p.work[model]/p.EngineWork)))
+		}
 	}
 	if p.pressed(model) {
 		n = max(n, p.serving[model]+1)
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -295,3 +295,29 @@
 		}
 	})
 }
+
+// Guards against models that were asked for once and then keep their engine: requests for other models on its disk waited for
+// seconds, while the engine was idle.
+func TestFewRequestsKeepNoReplica(t *testing.T) {
+	once := func(model string) Demand { return Demand{Model: model, Rate: 0.25, Work: 400} }
+	v := view(Engine{ID: "a", Held: held("m1", "m2"), Disk: []string{"m1", "m2", "m4"}})
+	v.StoreLoads = 0
+	v.Demand = []Demand{once("m1"), once("m2"), {Model: "m4", Waiting: 1, Fresh: 1, Rate: 0.25, Work: 400}}
+	d := Plan(v)
+	require.Len(t, d.Steps, 1)
+	require.Equal(t, afengine.Order{Unload: true, Model: "m1"}, d.Steps[0].Order)
+	require.Equal(t, "m4", d.Steps[0].For)
+}
+
+// Guards against loads from the weight store of models that lie on a disk whose engine holds models that were asked for once.
+func TestFewRequestsLeaveTheDiskUsable(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1", "m2"), Disk: []string{"m1", "m2", "m4"}}, Engine{ID: "b"})
+	v.Demand = []Demand{
+		{Model: "m1", Rate: 0.25, Work: 400}, {Model: "m2", Rate: 0.25, Work: 400},
+		{Model: "m4", Waiting: 1, Fresh: 1, Rate: 0.25, Work: 400},
+	}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "a", d.Steps[0].Engine)
+	require.True(t, d.Steps[0].Order.Unload)
+}
