gateway: log the longest pause of each stream

Late answers could not be told apart from the logs: a stream counts as late by its first event or by a pause between two events, and only the first was logged. No change of behaviour.

--- a/internal/afexplain/trace.go
+++ b/internal/afexplain/trace.go
@@ -170,5 +170,5 @@
 
 // durations names the fields that hold nanoseconds.
 var durations = map[string]bool{
-	"total": true, "waited": true, "first": true, "retry_after": true, "left": true, "takes": true, "report_age": true, "outage": true,
+	"total": true, "waited": true, "first": true, "pause": true, "retry_after": true, "left": true, "takes": true, "report_age": true, "outage": true,
 }
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -55,13 +55,15 @@
 	sends, runs int
 	waited      time.Duration
 	first       time.Time
-	last        string // last is the endpoint of the last attempt.
-	begun       bool   // begun means that the head of the answer was sent.
-	broken      bool
-	status      int
-	events      int
-	lastEvent   string
-	detail      string
+	// pause is the longest time between two events that were passed on.
+	pause     time.Duration
+	last      string // last is the endpoint of the last attempt.
+	begun     bool   // begun means that the head of the answer was sent.
+	broken    bool
+	status    int
+	events    int
+	lastEvent string
+	detail    string
 }
 
 // run serves the request or returns why it does not.
@@ -245,7 +247,7 @@
 		attrs = append(attrs, slog.String("model", j.call.Model), slog.String("adapter", j.call.Adapter),
 			slog.Int("events", j.events))
 		if !j.first.IsZero() {
-			attrs = append(attrs, slog.Duration("first", j.first.Sub(j.arrived)))
+			attrs = append(attrs, slog.Duration("first", j.first.Sub(j.arrived)), slog.Duration("pause", j.pause))
 		}
 	}
 	if r != nil {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -149,7 +149,7 @@
 		if err != nil {
 			return j.streamEnded(ctx, p, r, err)
 		}
-		w.progress()
+		pause := w.progress()
 		if e.id != "" {
 			if !j.follows(e.id) {
 				p.claim.End(afroster.Bad)
@@ -161,6 +161,8 @@
 			j.start(x)
 			p.claim.Answered()
 			s.sessions.put(j.call, p.ID, s.Timer.Now())
+		} else {
+			j.pause = max(j.pause, pause)
 		}
 		j.events++
 		_, err = j.w.Write(e.raw)
@@ -272,12 +274,16 @@
 	w.cancel(errSilent)
 }
 
-// progress notes an event. From the first one on the pauses between two count.
-func (w *watch) progress() {
+// progress notes an event and returns the time since the one before or the beginning of the attempt. From the first event
+// on the pauses between two count.
+func (w *watch) progress() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last = w.job.server.Timer.Now()
+	now := w.job.server.Timer.Now()
+	pause := now.Sub(w.last)
+	w.last = now
 	w.limit = max(pauseFactor*w.job.route.Pause, minPause)
+	return pause
 }
 
 func (w *watch) stop() {
