afassign: replicas of busy models may come from the weight store

Requests that waited for an engine with many unread prompts also went on only with the next view or end of a request, not when a prompt had been read.

Up to three of the store's four loads may now add replicas, a replica gets 8,000 prompt tokens a second in place of 10,000, and a prompt that was read wakes the waiting requests. Two tests failed first.

--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -19,7 +19,7 @@
 
 // engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
 // read 22 to 26 prompt tokens a millisecond, and reading for more than half of the time delays the events of running streams.
-const engineWork = 10000
+const engineWork = 8000
 
 // plan decides and sends orders for each service of engines.
 func (s *Service) plan(ctx context.Context, epoch int64) {
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -285,8 +285,8 @@
 func (c *Claim) Answered() {
 	r := c.roster
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if c.read || c.ended {
+		r.mu.Unlock()
 		return
 	}
 	c.read = true
@@ -294,6 +294,8 @@
 		e.own.Prompt -= c.load.Prompt
 	}
 	c.load.Prompt = 0
+	r.mu.Unlock()
+	r.notify()
 }
 
 // Verdict says what a request's end tells about its endpoint.
--- a/internal/afroster/roster_test.go
+++ b/internal/afroster/roster_test.go
@@ -35,3 +35,17 @@
 	r.Relist([]afengine.Entry{{ID: "i-2", Service: "llm"}}, nil, true)
 	require.Len(t, r.All(), 1, "a whole list leaves no other endpoint")
 }
+
+// Guards against requests that wait for an engine with many unread prompts until a later event, although it has read one.
+func TestReadPromptWakesWaitingRequests(t *testing.T) {
+	changes := 0
+	r := &Roster{Now: func() time.Time { return time.Unix(0, 0) }, Changed: func() { changes++ }}
+	r.Put(afengine.Entry{ID: "i-1", Service: "llm"})
+	c := r.Begin("i-1", "m1", "", 900, 1000)
+	before := changes
+	c.Answered()
+	require.Equal(t, before+1, changes)
+	require.Equal(t, Load{Requests: 1, Tokens: 1000}, r.Endpoints("llm")[0].Own)
+	c.Answered()
+	require.Equal(t, before+1, changes, "a prompt is read once")
+}
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -15,7 +15,7 @@
 	// leaves one.
 	pairRate = 1.5
 	// rateLoads is the number of loads from the weight store at once that only add a replica of a busy model.
-	rateLoads = 1
+	rateLoads = 3
 	// busyPrefetch is the number of loads at once that bring models to disks while requests come.
 	busyPrefetch = 1
 	// pressedWaiting requests that have waited for pressedTime ask for one more replica than serves them.
@@ -138,7 +138,7 @@
 		p.queue(model)
 		return
 	}
-	if n := p.replicas[model]; reason == ForRate && best.store && (p.loads >= rateLoads || p.desired(model) < n+2) {
+	if reason == ForRate && best.store && p.loads >= rateLoads {
 		return // The store is for models that no engine can load otherwise.
 	}
 	p.commit(best, model, reason)
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -118,6 +118,27 @@
 	require.Equal(t, "m1", d.Steps[0].Order.Model)
 }
 
+// Guards against a busy model that stays on two overloaded engines for the rest of its peak, because no other engine has it
+// on its disk while the weight store is idle.
+func TestBusyModelGetsReplicaFromStore(t *testing.T) {
+	v := view(Engine{ID: "a", Held: held("m1")}, Engine{ID: "b", Held: held("m1")}, Engine{ID: "c"}, Engine{ID: "d"})
+	v.Demand = []Demand{{Model: "m1", Rate: 30, Work: 2.5 * v.EngineWork}}
+	d := Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m1", d.Steps[0].Order.Model)
+	require.True(t, d.Steps[0].FromStore)
+
+	v.StoreLoads = rateLoads + 1
+	v.Demand = append(v.Demand, Demand{Model: "m2", Waiting: 1, Fresh: 1})
+	for i := range rateLoads {
+		v.Engines = append(v.Engines, Engine{ID: "x" + name(i), Busy: true, Loading: name(i + 6), FromStore: true, Free: 3 * time.Second})
+	}
+	d = Plan(v)
+	require.NotEmpty(t, d.Steps)
+	require.Equal(t, "m2", d.Steps[0].Order.Model, "the last place at the store is for models that no engine holds")
+	require.Len(t, d.Steps, 1)
+}
+
 // Guards against two busy models on one engine while another one has less to do.
 func TestBusyModelsDoNotShareAFullEngine(t *testing.T) {
 	v := view(Engine{ID: "a", Held: held("m1"), Disk: []string{"m2"}}, Engine{ID: "b", Disk: []string{"m2"}})
