affeed: back off while new watches bring nothing; wait 20 s when covered

The time until a watch is begun anew doubles up to 4.8 s while it brings nothing, and a VM that hears the holder lets its watches wait 20 s in place of 8. A silent watch is still noticed 0.6 s after another VM's copy is newer. The test failed first.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -22,6 +22,9 @@
 	// behindTime is how long another copy must have been newer before the watch is taken for silent. A change reaches
 	// all VMs within a call and a pause of some hundred milliseconds.
 	behindTime = 600 * time.Millisecond
+	// maxBehind bounds that time, which doubles while new watches bring nothing: a VM that is cut off from the platform would
+	// ask once in behindTime otherwise.
+	maxBehind = 4800 * time.Millisecond
 )
 
 // Mark tells how far a copy is.
@@ -61,8 +64,10 @@
 	mark  Mark
 	names map[string]bool
 	stop  context.CancelFunc // stop ends the running watch. It is nil while there is none.
-	// behind is since when another copy has been newer. It is zero while none is.
+	// behind is since when another copy has been newer, or since the watch was begun anew for that. It is zero while none is.
 	behind time.Time
+	// patience is how long another copy must be newer before the watch is begun anew. Zero means behindTime.
+	patience time.Duration
 
 	lost  time.Time // lost is when the platform was first found unreachable. It is zero while it is reached.
 	pause time.Duration
@@ -106,10 +111,11 @@
 	if f.behind.IsZero() {
 		f.behind = now
 	}
-	if f.stop == nil || now.Sub(f.behind) < behindTime {
+	f.patience = max(f.patience, behindTime)
+	if f.stop == nil || now.Sub(f.behind) < f.patience {
 		return
 	}
-	f.behind = now
+	f.behind, f.patience = now, min(2*f.patience, maxBehind)
 	f.Log.Info("another VM's copy is newer; watching anew", "kind", f.Kind, "version", f.mark.Version, "other", other.Version)
 	f.stop()
 }
@@ -132,9 +138,12 @@
 		f.mark.Version = max(f.mark.Version, o.Version)
 	}
 	f.mark.Count = len(f.names)
-	f.behind = time.Time{}
+	f.caughtUp()
 }
 
+// caughtUp notes news from the platform. The caller holds mu.
+func (f *Feed) caughtUp() { f.behind, f.patience = time.Time{}, 0 }
+
 func (f *Feed) note(e afobject.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,7 +154,7 @@
 		f.names[e.Object.Name] = true
 	}
 	f.mark.Count = len(f.names)
-	f.behind = time.Time{}
+	f.caughtUp()
 }
 
 // watching sets what ends the running watch.
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -152,6 +152,43 @@
 	})
 }
 
+// Guards against a VM that is cut off from the platform and asks it several times a second, because other VMs know more.
+func TestCutOffVMAsksLessAndLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1}
+		s.put("main")
+		got := map[string]int64{}
+		f := newFeed(s, got)
+		f.Wait = func() time.Duration { return time.Minute }
+		run(t, f)
+		pass(time.Second)
+		s.set(func() { s.silent = true })
+		polls := 0
+		s.set(func() { polls = s.polls })
+		compare := func(d time.Duration) {
+			for ; d > 0; d -= behindTime / 6 {
+				f.Compare(Mark{Version: 3, Count: 1})
+				pass(behindTime / 6)
+			}
+		}
+		compare(9 * time.Second)
+		s.set(func() { require.LessOrEqual(t, s.polls-polls, 5, "calls in 9 s") })
+		s.put("main")
+		s.set(func() { s.silent = false })
+		compare(maxBehind + behindTime)
+		require.Equal(t, int64(3), got["main"])
+		s.put("main")
+		s.set(func() { s.silent = true })
+		pass(time.Second)
+		s.set(func() { s.silent = false })
+		f.Compare(Mark{Version: 4, Count: 1})
+		pass(behindTime)
+		f.Compare(Mark{Version: 4, Count: 1})
+		pass(100 * time.Millisecond)
+		require.Equal(t, int64(4), got["main"], "once it has caught up, the next silence is noticed as soon as the first")
+	})
+}
+
 // Guards against a long wait that goes on after the VM has lost the holder that told it about changes.
 func TestRestartEndsSilentWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -21,7 +21,7 @@
 	// force within 2 s although the platform may keep a call waiting in silence. coveredWait is for VMs that hear of
 	// changes from the placement holder several times a second.
 	aloneWait   = 900 * time.Millisecond
-	coveredWait = 8 * time.Second
+	coveredWait = 20 * time.Second
 	// endpointPause and configPause are the times between two calls after a change. Endpoints change with each order, and
 	// one that drains must get no requests after 2 s.
 	// coverPeriod is how often the change between the two is looked for.
