gateway: metrics for waiting requests, repeats, orders and lost dependencies

Orders are counted by action and result, second sends by whether the budget allowed them, the platform by kind of copy; labels are bounded. The log line 'order not accepted' names the result in place of its number. TestMetricsDocumented compares the table of the operators' page with the registered names, as is done for log lines. No change of what is decided.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -69,6 +70,10 @@
 	// patience is how long another copy must be newer before the watch is begun anew. Zero means behindTime.
 	patience time.Duration
 
+	// away is true while the platform is not reached, and losses counts how often that began.
+	away   atomic.Bool
+	losses atomic.Int64
+
 	lost  time.Time // lost is when the platform was first found unreachable. It is zero while it is reached.
 	pause time.Duration
 }
@@ -93,6 +98,9 @@
 
 func (f *Feed) suspended() bool { return f.Suspended != nil && f.Suspended() }
 
+// Away reports whether the platform is not reached, and how often that has begun.
+func (f *Feed) Away() (away bool, losses int64) { return f.away.Load(), f.losses.Load() }
+
 // Mark returns how far the copy is.
 func (f *Feed) Mark() Mark {
 	f.mu.Lock()
@@ -217,6 +225,8 @@
 	}
 	if f.lost.IsZero() {
 		f.lost = f.Timer.Now()
+		f.away.Store(true)
+		f.losses.Add(1)
 		f.Log.Warn("platform lost", "kind", f.Kind, "op", op, "error", err)
 	}
 	f.pause = min(max(2*f.pause, firstRetry), maxRetry)
@@ -231,6 +241,7 @@
 	}
 	outage := f.Timer.Now().Sub(f.lost)
 	f.lost = time.Time{}
+	f.away.Store(false)
 	f.Log.Info("platform regained", "kind", f.Kind, "outage", outage)
 	return outage
 }
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -1,6 +1,8 @@
 package afgateway
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -12,6 +14,7 @@
 	requests *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	sends    prometheus.Counter
+	repeats  *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	waited   prometheus.Histogram
 }
@@ -30,6 +33,9 @@
 		sends: f.NewCounter(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_sends_total", Help: "Requests sent to endpoints, repeats included.",
 		}),
+		repeats: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_repeats_total", Help: "Second sends that the budget allowed or did not.",
+		}, []string{"allowed"}),
 		first: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "arbutusfork_gateway_first_seconds", Help: "Time to the first event of a stream or to a whole answer.", Buckets: buckets,
 		}, []string{"kind"}),
@@ -39,6 +45,26 @@
 	}
 }
 
+// Collect registers what is read when the metrics are asked for.
+func (s *Server) Collect(r prometheus.Registerer) {
+	gauge := func(name, help string, fn func() int) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(fn()) }))
+	}
+	gauge("arbutusfork_gateway_waiting", "Requests that wait for an endpoint.", s.queue.size)
+	gauge("arbutusfork_gateway_running", "Requests in progress, those that wait included.", func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.running)
+	})
+}
+
+// repeat counts a decision on a second send.
+func (m Metrics) repeat(allowed bool) {
+	if m.repeats != nil {
+		m.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
+	}
+}
+
 func (m Metrics) count(j *job, outcome arbutusfork.Outcome, r *arbutusfork.Refusal) {
 	if m.requests == nil {
 		return
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -92,6 +92,13 @@
 	})
 }
 
+// size returns the number of waiting requests.
+func (q *queue) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.tickets)
+}
+
 // waiting counts the waiting requests by what they wait for.
 func (q *queue) waiting(now time.Time) map[demandKey]waitCount {
 	q.mu.Lock()
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -187,7 +187,9 @@
 func (s *Server) mayRepeat(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.window(service).Repeat(s.Timer.Now())
+	allowed := s.window(service).Repeat(s.Timer.Now())
+	s.Metrics.repeat(allowed)
+	return allowed
 }
 
 // refuse returns a refusal of a request that did not run, with the time after which a retry can succeed.
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -127,6 +127,7 @@
 
 // ordered takes the result of an order.
 func (s *Service) ordered(o ordered) {
+	s.Metrics.order(o.step, o.result)
 	x := s.engines[o.id]
 	if x == nil || x.entry.Born != o.born {
 		return
@@ -136,7 +137,7 @@
 	order := o.step.Order
 	if o.result != afengine.Accepted {
 		s.Log.Info("order not accepted", "endpoint", o.id, "model", order.Model, "adapter", order.Adapter,
-			"unload", order.Unload, "expected", order.Expected, "result", int(o.result))
+			"unload", order.Unload, "expected", order.Expected, "result", o.result.String())
 	}
 	switch o.result {
 	case afengine.Accepted:
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -50,6 +50,7 @@
 	Machine string
 	Timer   *aftimer.Service
 	Log     *slog.Logger
+	Metrics Metrics
 	// Terms are the times of the lease.
 	Terms aflease.Terms
 	// Handicap is how long this VM lets others take the lease first, because it has less of a processor or network.
@@ -197,6 +198,7 @@
 	s.mu.Unlock()
 	if held != s.held {
 		s.held = held
+		s.Metrics.change()
 		clear(s.shown)
 		s.Log.Info("placement lease changed", "held", held, "epoch", epoch)
 	}
--- a/internal/afnode/document_test.go
+++ b/internal/afnode/document_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,6 +42,27 @@
 	}
 }
 
+// metricName matches the names that the gateway registers.
+var metricName = regexp.MustCompile(`"(arbutusfork_[a-z_]+)"`)
+
+// TestMetricsDocumented guards against metrics that the operators' page does not explain, and against rows for metrics that
+// no longer exist.
+func TestMetricsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	documented := rows(t, string(page), "metrics")
+	registered := map[string]bool{}
+	for _, name := range sources(t) {
+		text, err := os.ReadFile(name)
+		require.NoError(t, err)
+		for _, m := range metricName.FindAllStringSubmatch(string(text), -1) {
+			registered[m[1]] = true
+		}
+	}
+	require.NotEmpty(t, registered)
+	require.Equal(t, slices.Sorted(maps.Keys(registered)), slices.Sorted(maps.Keys(documented)))
+}
+
 // rows reads a table between two marks of the page: the names in the first and in the second column.
 func rows(t *testing.T, page, mark string) map[string]map[string]bool {
 	t.Helper()
@@ -79,18 +101,27 @@
 func logLines(t *testing.T) map[string]map[string]bool {
 	t.Helper()
 	out := map[string]map[string]bool{}
+	for _, name := range sources(t) {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		require.NoError(t, err)
+		for _, d := range file.Decls {
+			collect(d, out)
+		}
+	}
+	return out
+}
+
+// sources returns the files of the gateway's packages that are not tests.
+func sources(t *testing.T) []string {
+	t.Helper()
+	var out []string
 	for _, dir := range logging {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		require.NoError(t, err)
 		require.NotEmpty(t, files, dir)
 		for _, name := range files {
-			if strings.HasSuffix(name, "_test.go") {
-				continue
-			}
-			file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
-			require.NoError(t, err)
-			for _, d := range file.Decls {
-				collect(d, out)
+			if !strings.HasSuffix(name, "_test.go") {
+				out = append(out, name)
 			}
 		}
 	}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -43,6 +43,7 @@
 		Expired: func() { n.restartFeeds(kind) },
 	}
 	n.feeds[kind] = f
+	n.collectFeed(kind, f)
 	return f
 }
 
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -206,6 +206,7 @@
 		Metrics: afgateway.NewMetrics(n.registry),
 		Repeats: n.Settings.repeats(),
 	}
+	n.gateway.Collect(n.registry)
 	n.entry = &afentry.Server{
 		Forward: n.gateway.Serve, Fresh: func() bool { return true }, Address: n.Settings.Callers, Log: n.log, Timer: n.timer,
 		Registry: n.registry, IdleTimeout: idleTimeout, MaxHead: 64 << 10,
@@ -217,7 +218,8 @@
 
 func (n *Node) buildKeeper() {
 	n.keeper = &afkeeper.Service{
-		Self: n.self, Machine: n.Settings.VM + "@" + n.Settings.Peers, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
+		Metrics: afkeeper.NewMetrics(n.registry),
+		Self:    n.self, Machine: n.Settings.VM + "@" + n.Settings.Peers, Timer: n.timer, Log: n.log, StoreLoads: storeLoads, BootTime: bootTime, Table: n.table.Load,
 		Terms:  aflease.Terms{Use: leaseUse, Renew: leaseRenew, Quiet: n.Settings.Quiet, Margin: leaseMargin},
 		Roster: n.roster, Get: n.client.Get, Create: n.client.Create, Update: n.client.Update,
 		Members: n.peers.Members, Listed: n.listed, Send: n.peers.Send, Call: n.peers.Call,
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"arbutusfork.example/arbutusfork/internal/affeed"
 )
 
 const (
@@ -70,6 +72,25 @@
 	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdle}
 }
 
+// collectFeed registers how the copy of a kind is kept.
+func (n *Node) collectFeed(kind string, f *affeed.Feed) {
+	labels := prometheus.Labels{"kind": kind}
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "arbutusfork_platform_reached", Help: "1 while the copy of the kind is kept, 0 while the platform is not reached.",
+		ConstLabels: labels,
+	}, func() float64 {
+		if away, _ := f.Away(); away {
+			return 0
+		}
+		return 1
+	}), prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "arbutusfork_platform_losses_total", Help: "Times that the platform was lost for the copy of the kind.", ConstLabels: labels,
+	}, func() float64 {
+		_, losses := f.Away()
+		return float64(losses)
+	}))
+}
+
 // collect registers what is read when the metrics are asked for.
 func (n *Node) collect() {
 	gauge := func(name, help string, fn func() float64) {
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -334,7 +334,8 @@
 func TestFewRequestsLeaveTheDiskUsable(t *testing.T) {
 	v := view(Engine{ID: "a", Held: held("m1", "m2"), Disk: []string{"m1", "m2", "m4"}}, Engine{ID: "b"})
 	v.Demand = []Demand{
-		{Model: "m1", Rate: 0.25, Work: 400}, {Model: "m2", Rate: 0.25, Work: 400},
+		{Model: "m1", Rate: 0.25, Work: 400},
+		{Model: "m2", Rate: 0.25, Work: 400},
 		{Model: "m4", Waiting: 1, Fresh: 1, Rate: 0.25, Work: 400},
 	}
 	d := Plan(v)
--- a/pkg/afengine/engine.go
+++ b/pkg/afengine/engine.go
@@ -78,19 +78,21 @@
 	Expected int64
 }
 
+//go:generate stringer -type=Result -linecomment -output=result_string.go
+
 // Result is the outcome of sending an order.
 type Result int
 
 // The results of an order.
 const (
 	// Unclear means that no answer came: the order may be carried out, even seconds later.
-	Unclear Result = iota
+	Unclear Result = iota // unclear
 	// Accepted means that the order is being carried out.
-	Accepted
+	Accepted // accepted
 	// Already means that what was ordered holds already.
-	Already
+	Already // already
 	// Conflict means that another order is in progress or the count differs.
-	Conflict
+	Conflict // conflict
 	// Refused means that the engine does not take the order.
-	Refused
+	Refused // refused
 )
