--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -18,7 +18,7 @@
 }
 
 // engineWork is the prompt tokens a second that one replica of a busy model should get at most. Engines of the users
-// read 22 to 26 prompt tokens a millisecond, and reading for more than half of the time delays the events of running streams.
+// read 22 to 26 prompt tokens a millisecond, and reading for more than a third of the time delays the events of running streams.
 const engineWork = 8000
 
 // plan decides and sends orders for each service of engines.
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -14,7 +14,8 @@
 	// pairRate is the requests a second from which a model gets a second replica, so that the loss of one engine
 	// leaves one.
 	pairRate = 1.5
-	// rateLoads is the number of loads from the weight store at once that only add a replica of a busy model.
+	// rateLoads is the number of loads from the weight store at once that only add a replica of a busy model. It is below
+	// what the store carries at full speed, 4, so that a model that no engine holds finds a place.
 	rateLoads = 3
 	// busyPrefetch is the number of loads at once that bring models to disks while requests come.
 	busyPrefetch = 1
@@ -139,7 +140,7 @@
 		return
 	}
 	if reason == ForRate && best.store && p.loads >= rateLoads {
-		return // The store is for models that no engine can load otherwise.
+		return // The other places at the store are for models that no engine holds.
 	}
 	p.commit(best, model, reason)
 }
