keeper: a deputy answers for a silent holder

Each of 91 VMs then keeps to an equal part of each limit, smaller than one request, and about 300 requests a second of customers within their limit get 429. The successor is a VM with a 10 Mbit/s link, because the order by name (up to 1.2 s) outweighed the second that such VMs wait, and 978 questions to it time out. Ruled out: the limits themselves (8 of 273 refused in the second before); admitting into debt or by chance within the equal part (a window could exceed the limit, or most tokens would stay unused); a home VM for each customer by rendezvous hash, since VMs do not agree on who lives for up to 25 s. Change: views name a deputy, which gives units from its own ledgers while the holder does not answer or has lost the lease, and takes the lease first. VMs use without asking what the holder grants ahead and no more, so that the sum keeps the limit. VMs with small links wait 1.5 s. Tests with the holder cut off or without its lease fail without the change; two mutants are caught by them.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -150,7 +150,7 @@
 			cost = j.call.Prompt + j.call.Output
 		}
 	}
-	short, ok := j.server.limits.take(j.customer, cost, j.server.Listed(), j.server.Timer.Now())
+	short, ok := j.server.limits.take(j.customer, cost, j.server.Ahead()/float64(max(j.server.Listed(), 1)), j.server.Timer.Now())
 	if !ok && j.server.Spend != nil {
 		after, given := j.server.Spend(context.Background(), j.customer.Name, cost)
 		if given {
--- a/internal/afgateway/limit.go
+++ b/internal/afgateway/limit.go
@@ -48,12 +48,11 @@
 	granted time.Duration
 }
 
-// take reserves cost units, or returns why it cannot.
-func (l *limits) take(c afroute.Customer, cost int64, listed int, now time.Time) (shortage, bool) {
+// take reserves cost units, or returns why it cannot. Without fresh grants this VM uses the given part of the limit.
+func (l *limits) take(c afroute.Customer, cost int64, equal float64, now time.Time) (shortage, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(c.Name, now)
-	equal := 1 / float64(max(listed, 1))
 	part, burst := a.part, float64(c.Burst)
 	if part <= 0 || now.Sub(l.granted) > grantLife {
 		part, burst = equal, equal*burst
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -37,6 +37,8 @@
 	Asked func()
 	// Listed returns the number of VMs that may be alive, at least 1.
 	Listed func() int
+	// Ahead returns the part of the customers' limits that all VMs together use while no grants come.
+	Ahead func() float64
 	// Spend takes units of a customer's limit that this VM's grant does not cover, or returns the time after which there
 	// should be enough.
 	Spend func(ctx context.Context, customer string, cost int64) (time.Duration, bool)
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -61,6 +61,12 @@
 
 // rank returns a delay by which this VM follows others in taking the lease.
 func (s *Service) rank() time.Duration {
+	s.mu.Lock()
+	deputy := s.deputy.vm
+	s.mu.Unlock()
+	if deputy == s.Self.VM {
+		return 0
+	}
 	for i, vm := range s.Members() {
 		if vm.Name == s.Self.VM {
 			return time.Duration(min(i, 8))*rankDelay + s.Handicap
@@ -177,8 +183,11 @@
 	return nil, nil
 }
 
-// delay returns a time that differs between VMs, so that one of them takes the lease.
+// delay returns a time that differs between VMs, so that one of them takes the lease. The caller holds mu.
 func (s *Service) delay(key string) time.Duration {
+	if s.deputy.vm == s.Self.VM {
+		return 0
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Self.VM + key)) // A hash never fails.
 	return time.Duration(h.Sum32()%1000)*rankDelay/1000 + s.Handicap
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -30,6 +30,8 @@
 	Marks map[string]affeed.Mark `msgpack:"marks,omitempty"`
 	// Usage is by customer.
 	Usage map[string]use `msgpack:"usage,omitempty"`
+	// Small means that the VM lets others take the lease first.
+	Small bool `msgpack:"small,omitempty"`
 }
 
 type load struct {
@@ -53,6 +55,8 @@
 type view struct {
 	Holder string `msgpack:"holder"`
 	Epoch  int64  `msgpack:"epoch"`
+	// Deputy is the VM that answers for the holder while that is silent.
+	Deputy string `msgpack:"deputy,omitempty"`
 	Beat   int64  `msgpack:"beat"`
 	// Version is the version of the lease's record.
 	Version int64 `msgpack:"version"`
@@ -152,6 +156,7 @@
 	s.viewed = s.Timer.Now()
 	s.mu.Unlock()
 	s.Compare(v.Marks)
+	s.heardHolder(v.Deputy)
 	s.follow(from.VM, v.Epoch, v.Relay)
 	s.adopt(v)
 	return nil, nil
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -99,9 +99,11 @@
 	viewed time.Time
 	// stopping VMs do not take the lease.
 	stopping bool
-	// ledgers holds the customers' limits while this VM holds the lease, and live the part of the VMs that answer.
+	// ledgers holds the customers' limits while this VM holds the lease or answers for a silent holder, and live the part
+	// of the VMs that answer.
 	ledgers map[string]*ledger
 	live    float64
+	deputy  deputy
 	// lastOrders holds when each engine got its last order of any holder, by the boot time, as far as that is known.
 	lastOrders map[string]time.Duration
 	// orderEpochs holds the epoch of this VM's own last order to each engine.
@@ -149,7 +151,6 @@
 	s.engines = make(map[string]*state)
 	s.lastOrders = make(map[string]time.Duration)
 	s.often = make(map[string]bool)
-	s.often = make(map[string]bool)
 	s.shown = make(map[string]int64)
 	s.orderEpochs = make(map[string]int64)
 	s.ledgers = make(map[string]*ledger)
@@ -200,12 +201,14 @@
 		s.held = held
 		s.Metrics.change()
 		clear(s.shown)
+		if !held {
+			s.mu.Lock()
+			clear(s.ledgers)
+			s.mu.Unlock()
+		}
 		s.Log.Info("placement lease changed", "held", held, "epoch", epoch)
 	}
 	if !held {
-		s.mu.Lock()
-		clear(s.ledgers)
-		s.mu.Unlock()
 		s.tell()
 		return
 	}
@@ -258,7 +261,7 @@
 
 func (s *Service) beat(d []afassign.Demand) beat {
 	loads, running := s.Roster.Own()
-	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}, Marks: s.Marks()}
+	b := beat{Loads: make(map[string]load, len(loads)), Running: running, Demand: encodeDemand(d), Usage: map[string]use{}, Marks: s.Marks(), Small: s.Handicap > 0}
 	for id, l := range loads {
 		b.Loads[id] = encodeLoad(l)
 	}
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -46,6 +46,10 @@
 	spent map[arbutusfork.Incarnation]int64
 }
 
+func newLedger(level float64, now time.Time) *ledger {
+	return &ledger{level: level, at: now, spent: make(map[arbutusfork.Incarnation]int64)}
+}
+
 // grant brings the ledgers up to date and divides what is there.
 func (s *Service) grant(beats map[string]beat, starts map[string]int64, members []arbutusfork.VM, now time.Time) map[string]map[string]grant {
 	out := make(map[string]map[string]grant, len(members))
@@ -67,7 +71,7 @@
 		}
 		l := s.ledgers[c.Name]
 		if l == nil {
-			l = &ledger{level: firstLevel * float64(c.Burst), at: now, spent: make(map[arbutusfork.Incarnation]int64)}
+			l = newLedger(firstLevel*float64(c.Burst), now)
 			s.ledgers[c.Name] = l
 		}
 		l.update(c, live, beats, starts, now)
@@ -111,11 +115,7 @@
 	for _, vm := range members {
 		asked += beats[vm.Name].Usage[c.Name].Asked
 	}
-	l.out = max(l.level, 0) * grantPart
-	if len(members) > smallFleet {
-		// In a large fleet most grants would lie unused in parts that are too small for a request.
-		l.out *= float64(smallFleet) / float64(len(members))
-	}
+	l.out = max(l.level, 0) * ahead(len(members))
 	for _, vm := range members {
 		u, asks := beats[vm.Name].Usage[c.Name]
 		if !asks && len(members) > smallFleet {
@@ -137,8 +137,10 @@
 	Cost     int64  `msgpack:"cost"`
 }
 
-// spendAnswer is the holder's answer. After is in milliseconds and counts only if the units were not given.
+// spendAnswer is the answer. Kept means that the VM keeps the customer's ledger, as holder or deputy. After is in
+// milliseconds and counts only if the units were not given.
 type spendAnswer struct {
+	Kept  bool  `msgpack:"kept"`
 	Given bool  `msgpack:"given"`
 	After int64 `msgpack:"after,omitempty"`
 }
@@ -150,40 +152,73 @@
 const spendTimeout = 60 * time.Millisecond
 
 // Spend takes units of a customer's limit that this VM's grant does not cover. It returns false, with the time after
-// which there should be enough, if the limit has not as much or the holder does not answer.
+// which there should be enough, if the limit has not as much or neither the holder nor its deputy answers.
 func (s *Service) Spend(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
+	r := spendRequest{Customer: customer, Cost: cost}
 	s.mu.Lock()
-	to := s.holder
+	holder, deputy, fresh := s.holder, s.deputy.vm, s.Timer.Now().Sub(s.viewed) < s.silence()
 	s.mu.Unlock()
 	if s.Holding() {
-		return s.spend(customer, cost)
+		return s.spend(r).decode()
+	}
+	if deputy == s.Self.VM {
+		return s.answer(r).decode()
+	}
+	if holder != "" && fresh {
+		if a := s.ask(ctx, holder, r, spendTimeout); a.Kept {
+			return a.decode()
+		}
 	}
-	if to == "" || to == s.Self.VM {
+	if deputy == "" {
 		return 0, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	return s.ask(ctx, deputy, r, deputyTimeout).decode()
+}
+
+func (s *Service) ask(ctx context.Context, vm string, r spendRequest, timeout time.Duration) spendAnswer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var a spendAnswer
-	if err := s.Call(ctx, to, KindSpend, spendRequest{Customer: customer, Cost: cost}, &a); err != nil {
-		s.Log.Info("holder not asked for units of a limit", "holder", to, "customer", customer, "error", err)
-		return 0, false
+	if err := s.Call(ctx, vm, KindSpend, r, &a); err != nil {
+		s.Log.Info("units of a limit not asked for", "asked", vm, "customer", r.Customer, "error", err)
+		return spendAnswer{}
 	}
+	return a
+}
+
+func (a spendAnswer) decode() (time.Duration, bool) {
 	return time.Duration(a.After) * time.Millisecond, a.Given
 }
 
-func (s *Service) spend(customer string, cost int64) (time.Duration, bool) {
+// spend gives units as the holder.
+func (s *Service) spend(r spendRequest) spendAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledgers[r.Customer] == nil {
+		return spendAnswer{Kept: true} // The next view brings the ledger.
+	}
+	return s.give(r, s.live)
+}
+
+// give takes units from a customer's ledger, whose level rises by a part of the customer's rate. A new ledger is empty. The
+// caller holds mu.
+func (s *Service) give(r spendRequest, live float64) spendAnswer {
 	table := s.Table()
 	if table == nil {
-		return 0, false
+		return spendAnswer{Kept: true}
 	}
-	c, ok := table.Customer(customer)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.ledgers[customer]
-	if !ok || l == nil || s.live <= 0 || c.Rate <= 0 {
-		return 0, false
+	c, ok := table.Customer(r.Customer)
+	if !ok || live <= 0 || c.Rate <= 0 {
+		return spendAnswer{Kept: true}
 	}
-	return l.spend(c, s.live, cost, s.Timer.Now())
+	now := s.Timer.Now()
+	l := s.ledgers[r.Customer]
+	if l == nil {
+		l = newLedger(0, now)
+		s.ledgers[r.Customer] = l
+	}
+	after, given := l.spend(c, live, r.Cost, now)
+	return spendAnswer{Kept: true, Given: given, After: after.Milliseconds()}
 }
 
 // HandleSpend answers another VM that asks for units.
@@ -192,9 +227,8 @@
 	if err := msgpack.Unmarshal(body, &r); err != nil {
 		return nil, &Error{Op: "spend", Kind: Malformed, Err: err}
 	}
-	if !s.Holding() {
-		return spendAnswer{}, nil
+	if s.Holding() {
+		return s.spend(r), nil
 	}
-	after, ok := s.spend(r.Customer, r.Cost)
-	return spendAnswer{Given: ok, After: after.Milliseconds()}, nil
+	return s.answer(r), nil
 }
--- a/internal/afkeeper/share_test.go
+++ b/internal/afkeeper/share_test.go
@@ -49,7 +49,7 @@
 					level[vm] -= float64(cost)
 					spent[vm] += cost
 					total += float64(cost)
-				} else if _, ok := s.spend("c", cost); ok {
+				} else if _, ok := s.spend(spendRequest{Customer: "c", Cost: cost}).decode(); ok {
 					total += float64(cost)
 				}
 			}
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -70,6 +70,10 @@
 	all := s.describe(now)
 	news := s.news(all)
 	grants := s.grant(beats, starts, members, now)
+	v.Deputy = s.choose(beats, members)
+	s.mu.Lock()
+	s.deputy = deputy{vm: v.Deputy}
+	s.mu.Unlock()
 	v.Engines = news
 	some, err := msgpack.Marshal(v)
 	if err != nil {
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -56,9 +56,10 @@
 	// abortTime is for the answers to requests that did not end within the grace period.
 	abortTime = 100 * time.Millisecond
 	// fullLink is the bandwidth in Mbit/s from which a VM takes the placement duty without letting others go first, since
-	// the holder's messages to a hundred VMs take some Mbit/s. smallHandicap is how long others go first.
+	// the holder's messages to a hundred VMs take some Mbit/s. smallHandicap is how long others go first: longer than
+	// the 1.2 s by which VMs follow each other.
 	fullLink      = 100
-	smallHandicap = time.Second
+	smallHandicap = 1500 * time.Millisecond
 	// callTimeout bounds a call to the platform, which answers in milliseconds.
 	callTimeout = 1500 * time.Millisecond
 	// reservedDescriptors are left for files, peers, endpoints and the platform.
@@ -200,6 +201,7 @@
 	n.gateway = &afgateway.Server{
 		Table: n.table.Load, Roster: n.roster, Wire: n.Platform.Wire, Timer: n.timer, Log: n.log, Centre: n.Settings.Centre,
 		Asked: func() { n.keeper.Wake() }, Listed: n.listed,
+		Ahead: func() float64 { return n.keeper.Ahead() },
 		Spend: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 			return n.keeper.Spend(ctx, customer, cost)
 		},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -87,6 +87,12 @@
 mutant gateway-memory pkg/afassign/option.go \
 	'if room >= 0 {' 'if room >= -p.Spec.Memory {' \
 	./pkg/afassign TestNeverOvercommits
+mutant gateway-deputy internal/afkeeper/deputy.go \
+	'if err == nil && a.Kept {' 'if err == nil {' \
+	./internal/afkeeper TestDeputyGivesForAFormerHolder
+mutant gateway-deputies internal/afkeeper/deputy.go \
+	'if !silent && holder' 'if silent && holder' \
+	./internal/afkeeper TestDeputyAsksTheHolder
 mutant gateway-limit internal/afkeeper/share.go \
 	'(l.level - l.out); short > 0' '(l.level + l.out); short > 0' \
 	./internal/afkeeper TestLedgerKeepsTheLimit
