feeds: one feed asks for all during an outage; entries of VMs are followed more slowly

Ruled out: longer waits for VMs without a holder, since a configuration must be in force within 2 s; waiting for another feed after a single failure, which a lost answer causes too (TestLostAnswerIsAskedForAgain fails with it). Change: the feeds of a VM share an outage and only one asks from its third failure in a row on; above 24 VMs all but the holder pause up to 3 s between changes of VMs' entries; an entry that is in the copy is not written again.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -18,6 +18,9 @@
 	// platform's return neither floods it nor is late for it: entries must be known again within 2 s.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
+	// sharedPause is the pause from which one feed asks for all: the third failure in a row. Single answers can be lost
+	// while the platform is there.
+	sharedPause = 4 * firstRetry
 	// suspendPeriod is how often a suspended feed looks whether it is still.
 	suspendPeriod = 100 * time.Millisecond
 	// behindTime is how long another copy must have been newer before the watch is taken for silent. A change reaches
@@ -48,8 +51,10 @@
 	Poll func(ctx context.Context, kind string, since int64, wait func() time.Duration, fn func(afobject.Event)) error
 	// Wait returns how long one call waits for a change. A call that has gone silent is noticed after that time only.
 	Wait func() time.Duration
-	// Pause is the time between two calls after a change, so that changes that come together cost one call.
-	Pause time.Duration
+	// Pause returns the time between two calls after a change, so that changes that come together cost one call.
+	Pause func() time.Duration
+	// Outage is shared with the other feeds of this VM.
+	Outage *Outage
 	// All is called with each complete list. Outage is the time for which the platform could not be reached before.
 	All func(objects []afobject.Object, outage time.Duration)
 	// Change is called with each change after the list.
@@ -193,7 +198,7 @@
 			}
 			if changed {
 				changed = false
-				f.Timer.Wait(ctx, f.Pause)
+				f.Timer.Wait(ctx, f.Pause())
 			}
 		})
 		f.watching(nil)
@@ -230,7 +235,11 @@
 		f.Log.Warn("platform lost", "kind", f.Kind, "op", op, "error", err)
 	}
 	f.pause = min(max(2*f.pause, firstRetry), maxRetry)
-	f.Timer.Wait(ctx, f.pause)
+	if f.pause < sharedPause {
+		f.Timer.Wait(ctx, f.pause)
+		return
+	}
+	f.Outage.wait(ctx, f, f.Timer, f.pause)
 }
 
 // reached notes an answer and returns for how long there was none.
@@ -242,6 +251,7 @@
 	outage := f.Timer.Now().Sub(f.lost)
 	f.lost = time.Time{}
 	f.away.Store(false)
+	f.Outage.end()
 	f.Log.Info("platform regained", "kind", f.Kind, "outage", outage)
 	return outage
 }
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,6 +104,7 @@
 	take := func(o afobject.Object) { got[o.Name] = o.Version }
 	return &Feed{
 		Kind: "config", List: s.list, Poll: s.poll, Wait: func() time.Duration { return time.Second },
+		Pause: func() time.Duration { return 0 }, Outage: &Outage{},
 		All: func(objects []afobject.Object, _ time.Duration) {
 			for _, o := range objects {
 				take(o)
@@ -240,3 +242,83 @@
 	<-time.After(d)
 	synctest.Wait()
 }
+
+// Guards against VMs that ask a platform that is away with every feed: one asks, and all go on when it is back.
+func TestOneFeedAsksDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1, fail: &afobject.Error{Op: "list", Kind: afobject.Unavailable}}
+		s.put("main")
+		outage := &Outage{}
+		var mu sync.Mutex
+		calls := 0
+		heard := make([]map[string]int64, 3)
+		for i := range heard {
+			heard[i] = map[string]int64{}
+			f := newFeed(s, heard[i])
+			f.Outage = outage
+			f.List = func(ctx context.Context, kind string) ([]afobject.Object, int64, error) {
+				mu.Lock()
+				calls++
+				mu.Unlock()
+				return s.list(ctx, kind)
+			}
+			run(t, f)
+		}
+		const length = 8 * time.Second
+		pass(length)
+		mu.Lock()
+		require.LessOrEqual(t, calls, int(length/maxRetry)+3+6, "one feed's calls and the first three of all")
+		mu.Unlock()
+		s.set(func() { s.fail = nil })
+		pass(maxRetry + 100*time.Millisecond)
+		for _, got := range heard {
+			require.Equal(t, int64(2), got["main"], "all feeds go on within one pause")
+		}
+	})
+}
+
+// Guards against feeds that wait for good because the one that asks is suspended during the outage.
+func TestSuspendedAskerIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{version: 1, fail: &afobject.Error{Op: "list", Kind: afobject.Unavailable}}
+		s.put("main")
+		outage := &Outage{}
+		var suspended atomic.Bool
+		first := newFeed(s, map[string]int64{})
+		first.Outage, first.Suspended = outage, suspended.Load
+		run(t, first)
+		pass(300 * time.Millisecond)
+		got := map[string]int64{}
+		second := newFeed(s, got)
+		second.Outage = outage
+		run(t, second)
+		pass(300 * time.Millisecond)
+		suspended.Store(true)
+		pass(2 * askerLife)
+		s.set(func() { s.fail = nil })
+		pass(maxRetry + 100*time.Millisecond)
+		require.Equal(t, int64(2), got["main"])
+	})
+}
+
+// Guards against a feed that waits for another one after a single lost answer, although the platform is there.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := &store{version: 1, fail: &afobject.Error{Op: "list", Kind: afobject.Unavailable}}
+		outage := &Outage{}
+		other := newFeed(away, map[string]int64{})
+		other.Outage = outage
+		run(t, other)
+		pass(5 * time.Second)
+		s := &store{version: 1, fail: away.fail}
+		s.put("main")
+		got := map[string]int64{}
+		f := newFeed(s, got)
+		f.Outage = outage
+		run(t, f)
+		pass(firstRetry / 2)
+		s.set(func() { s.fail = nil })
+		pass(2 * firstRetry)
+		require.Equal(t, int64(2), got["main"])
+	})
+}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -32,7 +32,8 @@
 
 func (n *Node) feed(kind string) *affeed.Feed {
 	f := &affeed.Feed{
-		Kind: kind, List: n.client.List, Poll: n.client.Poll, Timer: n.timer, Log: n.log, Pause: configPause,
+		Kind: kind, List: n.client.List, Poll: n.client.Poll, Timer: n.timer, Log: n.log, Outage: &n.outage,
+		Pause: func() time.Duration { return configPause },
 		Wait: func() time.Duration {
 			if n.keeper.Covered() {
 				return coveredWait
@@ -140,7 +141,7 @@
 // endpointFeed keeps the endpoints' entries.
 func (n *Node) endpointFeed() *affeed.Feed {
 	f := n.feed(n.Platform.EndpointKind)
-	f.Pause = endpointPause
+	f.Pause = func() time.Duration { return endpointPause }
 	f.Suspended = n.keeper.Relayed
 	known := make(map[string]bool)
 	var back time.Time // back is when the platform was last reached again after an outage.
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -19,8 +19,12 @@
 	// goneAfter is how long a VM must be unreachable before its entry is removed. Until then its part of the
 	// customers' limits stays unused, since it may still serve.
 	goneAfter = 25 * time.Second
-	// memberPause is the time between two calls after a change, so that VMs that start together cost few calls.
-	memberPause = 800 * time.Millisecond
+	// memberPause is the time between two calls after a change, so that VMs that start together cost few calls. It grows
+	// with the fleet up to maxMemberPause but for the placement holder, which tells a new VM of the engines.
+	memberPause    = 800 * time.Millisecond
+	maxMemberPause = 3 * time.Second
+	// smallFleet is the number of VMs up to which the pause does not grow, as in the keeper's periods.
+	smallFleet = 24
 	// sweepPeriod is how often entries of unreachable VMs are looked at.
 	sweepPeriod = 2 * time.Second
 )
@@ -59,6 +63,14 @@
 	return max(len(n.members.listed), 1)
 }
 
+// memberPause returns the time between two calls after a change of the VMs' entries.
+func (n *Node) memberPause() time.Duration {
+	if n.keeper.Holding() {
+		return memberPause
+	}
+	return min(max(memberPause, memberPause*time.Duration(n.listed())/smallFleet), maxMemberPause)
+}
+
 // runMembers writes the own entry and keeps the copy of all entries.
 func (n *Node) runMembers(ctx context.Context, f *affeed.Feed) {
 	go n.join(ctx)
@@ -70,7 +82,7 @@
 func (n *Node) memberFeed() *affeed.Feed {
 	f := n.feed(memberKind)
 	f.Wait = func() time.Duration { return coveredWait }
-	f.Pause = memberPause
+	f.Pause = n.memberPause
 	f.All = func(objects []afobject.Object, _ time.Duration) {
 		n.members.mu.Lock()
 		clear(n.members.listed)
@@ -130,10 +142,12 @@
 // join writes the own entry at the start and whenever it was removed.
 func (n *Node) join(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := n.writeMember(ctx); err != nil {
-			n.log.Info("own entry not written", "error", err)
-			n.timer.Wait(ctx, joinRetry)
-			continue
+		if !n.joined() {
+			if err := n.writeMember(ctx); err != nil {
+				n.log.Info("own entry not written", "error", err)
+				n.timer.Wait(ctx, joinRetry)
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -144,6 +158,13 @@
 	}
 }
 
+// joined reports whether the copy of the entries holds that of this process.
+func (n *Node) joined() bool {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	return n.members.start[n.self.VM] == n.self.Start && n.members.listed[n.self.VM].Name != ""
+}
+
 func (n *Node) writeMember(ctx context.Context) error {
 	spec, err := json.Marshal(memberSpec{Address: n.Settings.Peers, Centre: n.Settings.Centre, Start: n.self.Start})
 	if err != nil {
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -88,7 +88,9 @@
 	members  members
 	// feeds holds the copies of the platform's objects by kind. It does not change after the start.
 	feeds map[string]*affeed.Feed
-	wakes chan struct{}
+	// outage is shared by them.
+	outage affeed.Outage
+	wakes  chan struct{}
 	// ready and metrics are bound before any part runs.
 	ready, metrics net.Listener
 
