feeds: notice the platform's return without a change

Cause, found while reading again: a feed that asks for all during an outage may wait 20 s for a change in a platform that is back, and the others looked only every 1.6 s whether its turn is over, so that a configuration could be more than 2 s late after an outage. Ruled out by the test's first version: the fake store answered at once instead of at the end of the wait, which hid the fault; it now waits as the protocol says, and a call that met a silent store stays unanswered. Change: while it is not known whether the platform is back, calls wait 100 ms for a change; a feed's turn comes as soon as the other one's is over. Before: TestReturnIsNoticedWithoutAChange fails, with the call's wait alone as well as with both. After: it passes; the fake's other tests pass with unchanged checks.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -21,6 +21,8 @@
 	// sharedPause is the pause from which one feed asks for all: the third failure in a row. Single answers can be lost
 	// while the platform is there.
 	sharedPause = 4 * firstRetry
+	// probeWait is how long a call waits for a change while it is not known whether the platform is back.
+	probeWait = 100 * time.Millisecond
 	// suspendPeriod is how often a suspended feed looks whether it is still.
 	suspendPeriod = 100 * time.Millisecond
 	// behindTime is how long another copy must have been newer before the watch is taken for silent. A change reaches
@@ -101,6 +103,14 @@
 	}
 }
 
+// wait returns how long one call waits for a change.
+func (f *Feed) wait() time.Duration {
+	if !f.lost.IsZero() {
+		return probeWait
+	}
+	return f.Wait()
+}
+
 func (f *Feed) suspended() bool { return f.Suspended != nil && f.Suspended() }
 
 // Away reports whether the platform is not reached, and how often that has begun.
@@ -183,7 +193,7 @@
 		watch, stop := context.WithCancel(ctx)
 		f.watching(stop)
 		changed := false
-		err := f.Poll(watch, f.Kind, version, f.Wait, func(e afobject.Event) {
+		err := f.Poll(watch, f.Kind, version, f.wait, func(e afobject.Event) {
 			f.reached()
 			if e.Type != afobject.Bookmark {
 				changed = true
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -40,51 +40,52 @@
 	fn()
 }
 
+// poll answers when there is a change, or with a bookmark alone after the wait. A call that meets a silent store is never
+// answered.
 func (s *store) poll(ctx context.Context, kind string, since int64, wait func() time.Duration, fn func(afobject.Event)) error {
+	const step = 10 * time.Millisecond
 	for {
-		events, err := s.changes(kind, since)
-		if err != nil {
-			return err
-		}
-		for _, e := range events {
-			since = e.Object.Version
-			fn(e)
-		}
-		d := wait()
-		s.set(func() {
-			if s.silent {
-				d += time.Hour // The call is not answered.
+		s.set(func() { s.polls++ })
+		lost := false
+		for end := time.Now().Add(wait()); ; {
+			events, silent, err := s.changes(since)
+			if err != nil {
+				return err
+			}
+			lost = lost || silent
+			if !lost && (len(events) > 0 || !time.Now().Before(end)) {
+				for _, e := range events {
+					since = max(since, e.Object.Version)
+					fn(e)
+				}
+				fn(afobject.Event{Type: afobject.Bookmark, Object: afobject.Object{Kind: kind, Version: since}})
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(step):
 			}
-		})
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(d):
 		}
 	}
 }
 
-func (s *store) changes(kind string, since int64) ([]afobject.Event, error) {
+func (s *store) changes(since int64) (events []afobject.Event, silent bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.polls++
 	if s.fail != nil {
-		return nil, s.fail
+		return nil, false, s.fail
 	}
 	if s.expired {
 		s.expired = false
-		return nil, &afobject.Error{Op: "watch", Kind: afobject.Expired}
-	}
-	var events []afobject.Event
-	if s.silent || s.version <= since {
-		return nil, nil
+		return nil, false, &afobject.Error{Op: "watch", Kind: afobject.Expired}
 	}
 	for _, o := range s.objects {
 		if o.Version > since {
 			events = append(events, afobject.Event{Type: afobject.Modified, Object: o})
 		}
 	}
-	return append(events, afobject.Event{Type: afobject.Bookmark, Object: afobject.Object{Kind: kind, Version: s.version}}), nil
+	return events, s.silent, nil
 }
 
 func (s *store) put(name string) {
@@ -322,3 +323,33 @@
 		require.Equal(t, int64(2), got["main"])
 	})
 }
+
+// Guards against feeds that wait for one whose call waits for a change in a platform that is back: a configuration must be
+// in force within 2 s.
+func TestReturnIsNoticedWithoutAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries, config := &store{version: 1}, &store{version: 1}
+		config.put("main")
+		outage := &Outage{}
+		slow := newFeed(entries, map[string]int64{})
+		slow.Outage, slow.Wait = outage, func() time.Duration { return 20 * time.Second }
+		got := map[string]int64{}
+		f := newFeed(config, got)
+		f.Outage = outage
+		run(t, slow)
+		run(t, f)
+		pass(time.Second)
+		require.Equal(t, int64(2), got["main"])
+		fail := &afobject.Error{Op: "watch", Kind: afobject.Unavailable}
+		entries.set(func() { entries.fail = fail })
+		slow.Restart()
+		pass(3 * time.Second)
+		config.set(func() { config.fail = fail })
+		pass(6 * time.Second)
+		entries.set(func() { entries.fail = nil })
+		config.set(func() { config.fail = nil })
+		config.put("main")
+		pass(maxRetry + 2*probeWait)
+		require.Equal(t, int64(3), got["main"])
+	})
+}
--- a/internal/affeed/outage.go
+++ b/internal/affeed/outage.go
@@ -24,8 +24,8 @@
 // wait returns when the feed should call the platform again after a call that failed.
 func (o *Outage) wait(ctx context.Context, f *Feed, timer *aftimer.Service, pause time.Duration) {
 	for {
-		over, mine := o.ask(f, timer.Now())
-		d := askerLife
+		over, turn := o.ask(f, timer.Now())
+		mine, d := turn <= 0, turn
 		if mine {
 			d = pause
 		}
@@ -42,18 +42,20 @@
 	}
 }
 
-// ask makes the feed the one that asks if no other is.
-func (o *Outage) ask(f *Feed, now time.Time) (over <-chan struct{}, mine bool) {
+// ask makes the feed the one that asks if no other is, or returns the time until it may be.
+func (o *Outage) ask(f *Feed, now time.Time) (over <-chan struct{}, turn time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.over == nil {
 		o.over = make(chan struct{})
 	}
-	mine = o.asker == nil || o.asker == f || now.Sub(o.asked) > askerLife
-	if mine {
+	if o.asker != nil && o.asker != f {
+		turn = askerLife - now.Sub(o.asked)
+	}
+	if turn <= 0 {
 		o.asker, o.asked = f, now
 	}
-	return o.over, mine
+	return o.over, turn
 }
 
 // end lets all feeds call the platform.
