tests: daemons listen on ports that no outgoing connection takes

The test asks the system for a free port, closes it and gives it to the daemon later; the port is one of those that the system gives to outgoing connections too, and one of them took it in between. Ruled out: a daemon that did not stop; each address is drawn anew. The loops of the lease's tests are one function, with the same checks.

--- a/internal/afserve/server_test.go
+++ b/internal/afserve/server_test.go
@@ -24,12 +24,11 @@
 	testModel = "m"
 )
 
-// freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := afstandin.FreeAddress()
 	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
+	return address
 }
 
 // daemon is one VM with its stand-ins.
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -151,6 +151,19 @@
 	require.True(t, a.Usable(time.Second))
 }
 
+// waits renews the lease until Quiet has passed since the last use by another holder, and requires that it may not be used
+// before.
+func waits(t *testing.T, l Lease, from, lastUse time.Duration) Lease {
+	t.Helper()
+	for now := from; now < lastUse+terms.Quiet; now += 100 * time.Millisecond {
+		require.False(t, l.Usable(now), "at %v, %v after the last act of the other holder", now, now-lastUse)
+		if action, renewed := l.Next(now); action == Write {
+			l = l.WithWritten(renewed, l.Version()+1, now, now)
+		}
+	}
+	return l
+}
+
 // Guards against a successor that acts within Quiet of the last act of a holder that may still have been using the lease.
 func TestSuccessorWaitsQuiet(t *testing.T) {
 	old := New("a", "vm-a", terms).WithRecord(Record{}, 0, 0)
@@ -164,12 +177,7 @@
 	action, next := b.Next(taken)
 	require.Equal(t, Write, action)
 	b = b.WithWritten(next, 8, taken, taken)
-	for now := taken; now < lastUse+terms.Quiet; now += 100 * time.Millisecond {
-		require.False(t, b.Usable(now), "at %v, %v after the last act of the holder before", now, now-lastUse)
-		if action, renewed := b.Next(now); action == Write {
-			b = b.WithWritten(renewed, b.Version()+1, now, now)
-		}
-	}
+	b = waits(t, b, taken, lastUse)
 	begin := terms.Use + terms.Quiet + terms.Margin
 	require.True(t, b.Usable(begin), "the successor may act once Quiet and the margin have passed")
 }
@@ -195,12 +203,7 @@
 	action, r := c.Next(stopped)
 	require.Equal(t, Write, action, "the lease itself is free at once")
 	c = c.WithWritten(r, 9, stopped, stopped)
-	for now := stopped; now < lastUse+terms.Quiet; now += 100 * time.Millisecond {
-		require.False(t, c.Usable(now), "at %v, %v after the last act of the first holder", now, now-lastUse)
-		if action, renewed := c.Next(now); action == Write {
-			c = c.WithWritten(renewed, c.Version()+1, now, now)
-		}
-	}
+	c = waits(t, c, stopped, lastUse)
 	require.True(t, c.Usable(b.Handover()))
 }
 
@@ -228,12 +231,7 @@
 		action, r := again.Next(taken)
 		require.Equal(t, Write, action)
 		again = again.WithWritten(r, 9, taken, taken)
-		for now := taken; now < lastUse+terms.Quiet; now += 100 * time.Millisecond {
-			require.False(t, again.Usable(now), "stops %v, at %v, %v after the last act of the first holder", stops, now, now-lastUse)
-			if action, renewed := again.Next(now); action == Write {
-				again = again.WithWritten(renewed, again.Version()+1, now, now)
-			}
-		}
+		again = waits(t, again, taken, lastUse)
 		require.True(t, again.Usable(taken+terms.Quiet+terms.Margin))
 	}
 }
