aflog: keep the queue below its bound when drops are reported

Cause: Write compared the bound with the queue and the line, and then put the line that reports dropped lines in front of it, so that the queue could hold 55 bytes too many. Ruled out: a race of the test, as it takes the writer's lock for the comparison. Change: a line is accepted only if it and two reports fit, the one before it and the one that Close may add. Before: 7 of 100 runs of TestWriterDropsLinesWhenOutputBlocks failed.

--- a/internal/aflog/writer.go
+++ b/internal/aflog/writer.go
@@ -7,8 +7,12 @@
 	"sync/atomic"
 )
 
-// maxQueuedBytes bounds the lines that are queued while the output is slow.
-const maxQueuedBytes = 1 << 20
+const (
+	// maxQueuedBytes bounds the lines that are queued while the output is slow, with the reports of dropped lines.
+	maxQueuedBytes = 1 << 20
+	// maxDropReportBytes bounds the line that reports dropped lines.
+	maxDropReportBytes = 128
+)
 
 // AsyncWriter writes log lines from a queue, so that logging never blocks. When the queue is full, it drops lines and later
 // writes a line with their number.
@@ -35,7 +39,8 @@
 func (w *AsyncWriter) Write(b []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isClosed || len(w.queue)+len(b) > maxQueuedBytes {
+	// A report may precede this line, and another one may follow it when the writer is closed.
+	if w.isClosed || len(w.queue)+len(b)+2*maxDropReportBytes > maxQueuedBytes {
 		w.unreportedDrops++
 		w.droppedTotal.Add(1)
 		return len(b), nil
