afgateway, afdispatch: bound what endpoints in trouble send without end

Cause: http.ReadResponse bounds nothing, a body was buffered up to 8 MiB and an event up to 1 MiB for each answer, and the scan for the end of an event began anew with each packet. Ruled out: the chunk reader of the standard library, which bounds chunk extensions and trailers by itself. Change: one budget for all answers of the process (package afmemory); heads end after 32 KiB with their interim answers; bodies over 64 KiB are relayed as they arrive and broken visibly if they fail; events end after 256 KiB and each byte of them is searched once; only events with an id or data are progress; streams need HTTP/1.1. Answers of engines and of the store get bounds for head, body and list.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -18,7 +18,7 @@
 )
 
 // maxResponseBytes bounds a response that is not a stream, since it is held in memory until it is complete.
-const maxResponseBytes = 16 << 20
+const maxResponseBytes = 8 << 20
 
 var (
 	errDeadlineExceeded = errors.New("no response within the deadline")
@@ -166,8 +166,10 @@
 		a.ResponseTruncated, a.err = true, errNotResumed
 		return
 	}
-	b, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err != nil || len(b) > maxResponseBytes {
+	held := s.AnswerMemory.Hold()
+	defer held.Release()
+	b, isWhole, err := held.ReadBody(body, resp.ContentLength, maxResponseBytes)
+	if err != nil || !isWhole {
 		a.ResponseTruncated = true
 		a.err = err
 		if err == nil {
@@ -189,7 +191,9 @@
 		a.ResponseTruncated, a.err = true, errNotResumed
 		return
 	}
-	events := newEventReader(body)
+	held := s.AnswerMemory.Hold()
+	defer held.Release()
+	events := newEventReader(body, held)
 	sawDone := false
 	for {
 		raw, data, err := events.readEvent()
--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -23,6 +23,8 @@
 	keepAliveInterval = time.Second
 	// keepAliveProbes is the number of unanswered probes that closes the connection.
 	keepAliveProbes = 2
+	// maxHeadBytes bounds the head of a response together with the interim responses before it.
+	maxHeadBytes = 32 << 10
 	// maxIdleConnsPerEndpoint bounds the unused connections to one endpoint.
 	maxIdleConnsPerEndpoint = 256
 )
@@ -113,9 +115,10 @@
 			}
 			return &sealableConn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/afdispatch/event.go
+++ b/internal/afdispatch/event.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 )
 
 const (
@@ -12,7 +14,7 @@
 	// eventBufferBytes is the size of the read buffer of an open stream. An event with one token has about 200 bytes.
 	eventBufferBytes = 2 << 10
 	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 var dataField = []byte("data:")
@@ -20,14 +22,16 @@
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
 	r *bufio.Reader
+	// held reserves the memory of an event of more than afmemory.FreeBytes.
+	held *afmemory.Holder
 	// raw holds the lines of the event as they were received.
 	raw []byte
 	// data is the payload of the event: its data lines without the field name, joined by line feeds.
 	data []byte
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, held *afmemory.Holder) *eventReader {
+	return &eventReader{held: held, r: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
 // readEvent returns the next event: its lines as received, and its payload. The slices are valid until the next call. The
@@ -65,15 +69,29 @@
 func (e *eventReader) readLine() error {
 	for {
 		b, err := e.r.ReadSlice('\n')
-		e.raw = append(e.raw, b...)
-		if len(e.raw) > maxEventBytes {
+		if len(e.raw)+len(b) > maxEventBytes {
 			return errSizeLimit
 		}
+		if need := len(e.raw) + len(b); need > cap(e.raw) && !e.growRaw(need) {
+			return afmemory.ErrExhausted
+		}
+		e.raw = append(e.raw, b...)
 		if err != bufio.ErrBufferFull {
 			return err
 		}
 	}
 }
 
+// growRaw makes room for need bytes in raw. It returns false if the memory for them and for their copy in data cannot be
+// reserved.
+func (e *eventReader) growRaw(need int) bool {
+	capacity := max(2*cap(e.raw), need)
+	if capacity > afmemory.FreeBytes && !e.held.Reserve(2*(capacity-cap(e.raw))) {
+		return false
+	}
+	e.raw = append(make([]byte, 0, capacity), e.raw...)
+	return true
+}
+
 // hasBuffered reports whether more bytes of the stream have already been received.
 func (e *eventReader) hasBuffered() bool { return e.r.Buffered() > 0 }
--- a/internal/afdispatch/send_test.go
+++ b/internal/afdispatch/send_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 )
 
@@ -360,7 +361,7 @@
 	resp, err := http.Get(srv.URL)
 	require.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
-	e := newEventReader(resp.Body)
+	e := newEventReader(resp.Body, new(afmemory.Budget).Hold())
 	for _, want := range []string{"a", "b\nc"} {
 		_, data, err := e.readEvent()
 		require.NoError(t, err)
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 	"arbutusfork.example/arbutusfork/pkg/afqueue"
 	"arbutusfork.example/arbutusfork/pkg/afring"
@@ -55,6 +56,8 @@
 	Centre string
 	Log    *slog.Logger
 	Timer  *aftimer.Service
+	// AnswerMemory bounds the bytes that all answers in progress hold together.
+	AnswerMemory afmemory.Budget
 	// ProgressTimeout is the longest time without a byte from an endpoint after its response has begun. Zero means 10 s.
 	ProgressTimeout time.Duration
 	// ConnCheckDelay is the time without a response after which a reused connection is checked: a request over a new
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -93,7 +93,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(result attemptResult) bool {
-	if p.attempts >= maxTotalAttempts || p.timeLeft() <= 0 {
+	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.timeLeft() <= 0 {
 		return false
 	}
 	return result.notRun && p.possibleRuns == 0 || p.route.IsRepeatable() && p.possibleRuns < p.route.MaxAttempts
--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -13,19 +13,32 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 )
 
 const (
+	// maxHeadBytes bounds the head of a response together with the interim responses before it.
+	maxHeadBytes = 32 << 10
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 8 << 20
+	// maxBufferedBytes bounds the part of such a body that is received before the response to the caller begins. A longer
+	// body is relayed as it arrives.
+	maxBufferedBytes = 64 << 10
+	// relayBufferBytes is the size of the buffer of a body that is relayed as it arrives.
+	relayBufferBytes = 16 << 10
 	// readBufferBytes is the size of the read buffer, which holds a few events or the head of a response.
 	readBufferBytes = 4 << 10
 )
 
+var errResponseTooLong = errors.Errorf("the answer is longer than %d bytes", maxResponseBytes)
+
 // exchange is one request and its response on a new connection. A kept connection could have broken without notice, or
 // could deliver a late response to an earlier request. Opening a connection takes about a millisecond.
 type exchange struct {
-	conn     net.Conn
+	conn net.Conn
+	// head bounds what reader reads from conn before the response has begun.
+	head     afmemory.HeadLimiter
 	reader   *bufio.Reader
 	response *http.Response
 	// stopCancelWatch keeps the end of the context from closing the connection.
@@ -43,7 +56,8 @@
 		return nil, &sendError{err: errors.Wrap(err, "connect")}
 	}
 	ex := &exchange{conn: conn, reader: readerPool.Get().(*bufio.Reader)}
-	ex.reader.Reset(conn)
+	ex.head = afmemory.HeadLimiter{Reader: conn, RemainingBytes: maxHeadBytes}
+	ex.reader.Reset(&ex.head)
 	ex.stopCancelWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := make(chan struct{})
 	// The endpoint may send a response before it has read a long body, so that the request is written in the
@@ -74,6 +88,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			ex.head.IsHeadComplete = true
 			return resp, nil
 		}
 	}
@@ -111,16 +126,13 @@
 	return b.Bytes()
 }
 
-// readBody reads the body of a response that is not a stream.
-func (ex *exchange) readBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ex.response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.Errorf("the answer is longer than %d bytes", maxResponseBytes)
+// readBodyStart reads the body of a response that is not a stream, or its first bytes if the body is longer than
+// maxBufferedBytes or if the holder has no memory for more of it.
+func (ex *exchange) readBodyStart(held *afmemory.Holder) (body []byte, isWhole bool, err error) {
+	if ex.response.ContentLength > maxResponseBytes {
+		return nil, false, errResponseTooLong
 	}
-	return body, nil
+	return held.ReadBody(ex.response.Body, ex.response.ContentLength, maxBufferedBytes)
 }
 
 // readRequestBody reads the body of a caller's request.
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -11,6 +11,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
@@ -70,6 +71,10 @@
 	lastEndpoint string
 	// responseStarted means that the head of the response was sent to the caller.
 	responseStarted bool
+	// isRelayingLong means that a part of a long body was sent to the caller, so that the request cannot be sent again.
+	isRelayingLong bool
+	// held is the request's part of the server's memory budget.
+	held *afmemory.Holder
 	// responseBroken means that the connection to the caller was closed before the response was complete.
 	responseBroken bool
 	// statusCode is the status of the response to the caller.
@@ -123,6 +128,10 @@
 		return arbutusfork.NewRefusal(arbutusfork.CodeUnknownRoute, "no route for this host and path")
 	}
 	p.route = route
+	if isStream(route) && !p.r.ProtoAtLeast(1, 1) {
+		// Without chunks, a stream that breaks off would look complete.
+		return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, "streams need HTTP/1.1")
+	}
 	if table.RequiresKey() && !route.IsPublic {
 		p.customer, p.hasCustomer = table.CustomerByKey(p.headers.Key)
 		if !p.hasCustomer {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
@@ -78,19 +80,25 @@
 		cause = c.Error()
 	}
 	health := afroster.HealthFailure
-	if errors.Is(context.Cause(ctx), errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errIdleTimeout) {
-		health = afroster.HealthUnaffected // The caller disconnected or set a short deadline, which says nothing about the endpoint.
+	if errors.Is(err, afmemory.ErrExhausted) || errors.Is(context.Cause(ctx), errDeadline) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errIdleTimeout) {
+		// The caller disconnected or set a short deadline, or other answers hold the memory, which says nothing about the
+		// endpoint.
+		health = afroster.HealthUnaffected
 	}
 	endpoint.request.End(health)
 	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: errors.Is(context.Cause(ctx), errIdleTimeout), cause: cause}
 }
 
-// relayBuffered relays a response that is not a stream, after it was received in full.
+// relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
+// repeated can be sent to another endpoint if the response breaks off, unless it is long.
 func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange) attemptResult {
-	body, err := ex.readBody()
+	body, isWhole, err := ex.readBodyStart(p.held)
 	if err != nil {
 		return p.classifyFailure(ctx, endpoint, err)
 	}
+	if !isWhole {
+		return p.relayLong(ctx, endpoint, ex, body)
+	}
 	status := ex.response.StatusCode
 	isServerError := status >= http.StatusInternalServerError
 	endpoint.request.End(healthResult(!isServerError))
@@ -106,6 +114,55 @@
 	return attemptResult{responseEnded: true}
 }
 
+// relayLong relays a response whose body is too long to be received in full first. If the body breaks off, the response to
+// the caller is broken too.
+func (p *proxiedRequest) relayLong(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, start []byte) attemptResult {
+	length := ex.response.ContentLength
+	if p.responseStarted || http.StatusText(ex.response.StatusCode) == "" {
+		return p.classifyFailure(ctx, endpoint, errors.Errorf("a long answer with status %d cannot be relayed", ex.response.StatusCode))
+	}
+	if length < 0 && !p.r.ProtoAtLeast(1, 1) {
+		// A caller with HTTP/1.0 could not tell a response that breaks off from a complete one.
+		return p.classifyFailure(ctx, endpoint, errors.New("a long answer of unknown length cannot be relayed by HTTP/1.0"))
+	}
+	p.isRelayingLong = true
+	p.writeHead(ex.response.StatusCode, ex.response.Header, length)
+	part, buffer := start, make([]byte, relayBufferBytes)
+	var readErr error
+	for total := 0; ; {
+		if total += len(part); total > maxResponseBytes {
+			return p.classifyFailure(ctx, endpoint, errResponseTooLong)
+		}
+		if len(part) > 0 && !p.writePart(part) {
+			endpoint.request.End(afroster.HealthUnaffected)
+			return attemptResult{responseEnded: true}
+		}
+		if errors.Is(readErr, io.EOF) {
+			endpoint.request.End(healthResult(ex.response.StatusCode < http.StatusInternalServerError))
+			return attemptResult{responseEnded: true}
+		}
+		if readErr != nil {
+			return p.classifyFailure(ctx, endpoint, errors.Wrapf(readErr, "after %d bytes of the answer", total))
+		}
+		var n int
+		n, readErr = ex.response.Body.Read(buffer)
+		part = buffer[:n]
+	}
+}
+
+// writePart sends a part of a response to the caller. If the caller has disconnected, it breaks the response and returns
+// false.
+func (p *proxiedRequest) writePart(part []byte) bool {
+	_, err := p.w.Write(part)
+	if err == nil {
+		err = p.caller.Flush()
+	}
+	if err != nil {
+		p.breakResponse("caller disconnected: " + err.Error())
+	}
+	return err == nil
+}
+
 // bufferedResponse is a complete response of an endpoint.
 type bufferedResponse struct {
 	status int
@@ -115,20 +172,17 @@
 
 // writeResponse sends a complete response to the caller.
 func (p *proxiedRequest) writeResponse(response bufferedResponse) {
-	p.firstEventAt = p.server.Timer.Now()
-	p.responseStarted, p.statusCode = true, response.status
-	h := p.w.Header()
-	for k, v := range p.server.HeaderCodec.FilterResponse(response.header) {
-		h[k] = v
-	}
-	if p.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(response.body)))
-	}
 	if http.StatusText(response.status) == "" {
+		p.firstEventAt = p.server.Timer.Now()
+		p.responseStarted, p.statusCode = true, response.status
 		p.breakResponse("the endpoint's status " + strconv.Itoa(response.status) + " has no standard text")
 		return
 	}
-	p.w.WriteHeader(response.status)
+	length := int64(len(response.body))
+	if p.r.Method == http.MethodHead {
+		length = -1
+	}
+	p.writeHead(response.status, response.header, length)
 	if p.r.Method != http.MethodHead && len(response.body) > 0 {
 		if _, err := p.w.Write(response.body); err != nil {
 			p.detail = "caller disconnected: " + err.Error()
@@ -136,6 +190,20 @@
 	}
 }
 
+// writeHead sends the head of a response to the caller. A negative length means that the length of the body is unknown.
+func (p *proxiedRequest) writeHead(status int, header http.Header, length int64) {
+	p.firstEventAt = p.server.Timer.Now()
+	p.responseStarted, p.statusCode = true, status
+	h := p.w.Header()
+	for k, v := range p.server.HeaderCodec.FilterResponse(header) {
+		h[k] = v
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	p.w.WriteHeader(status)
+}
+
 // mayRetryServerError reports whether a request may be retried after a response with a server error. The retry budget
 // is checked later, at the retry itself.
 func (p *proxiedRequest) mayRetryServerError() bool {
@@ -147,13 +215,17 @@
 // can still answer if the stream fails before its first event.
 func (p *proxiedRequest) relayStream(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, w *idleWatchdog) attemptResult {
 	s := p.server
-	r := &eventReader{reader: ex.response.Body}
+	r := &eventReader{reader: ex.response.Body, held: p.held}
+	isPromptRead := false
 	for {
 		event, err := r.readEvent()
 		if err != nil {
 			return p.endStream(ctx, endpoint, r, err)
 		}
-		interval := w.recordProgress()
+		interval := time.Duration(0)
+		if event.hasContent {
+			interval = w.recordProgress()
+		}
 		if event.id != "" {
 			if !p.isLaterEvent(event.id) {
 				endpoint.request.End(afroster.HealthFailure)
@@ -162,22 +234,21 @@
 			p.lastEventID = event.id
 		}
 		if !p.responseStarted {
-			p.writeStreamHead(ex)
-			endpoint.request.MarkPromptRead()
+			p.writeHead(ex.response.StatusCode, ex.response.Header, -1)
 			s.sessions.recordEndpoint(p.headers, endpoint.ID, s.Timer.Now())
-		} else {
-			p.maxEventInterval = max(p.maxEventInterval, interval)
 		}
-		p.relayedEvents++
-		_, err = p.w.Write(event.raw)
-		if err == nil {
-			err = p.caller.Flush()
+		if event.hasContent {
+			if !isPromptRead {
+				isPromptRead = true
+				endpoint.request.MarkPromptRead()
+			}
+			if p.relayedEvents > 0 {
+				p.maxEventInterval = max(p.maxEventInterval, interval)
+			}
+			p.relayedEvents++
 		}
-		if err != nil {
+		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
-			p.responseBroken = true
-			p.detail = "caller disconnected: " + err.Error()
-			p.caller.AbortResponse()
 			return attemptResult{responseEnded: true}
 		}
 	}
@@ -197,18 +268,6 @@
 	return errA != nil || errB != nil || b > a
 }
 
-// writeStreamHead sends the head of a stream to the caller.
-func (p *proxiedRequest) writeStreamHead(ex *exchange) {
-	p.responseStarted = true
-	p.firstEventAt = p.server.Timer.Now()
-	p.statusCode = ex.response.StatusCode
-	h := p.w.Header()
-	for k, v := range p.server.HeaderCodec.FilterResponse(ex.response.Header) {
-		h[k] = v
-	}
-	p.w.WriteHeader(p.statusCode)
-}
-
 // endStream ends an attempt whose stream ended with err. The stream is complete only if it ended between two events.
 func (p *proxiedRequest) endStream(ctx context.Context, endpoint acquiredEndpoint, r *eventReader, err error) attemptResult {
 	if errors.Is(err, errStreamEnd) {
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -17,6 +17,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afretry"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
@@ -45,6 +46,8 @@
 	SpendBeyondGrant func(ctx context.Context, customer string, cost int64) (time.Duration, bool)
 	// RetryBudget bounds the retries of each service over all VMs. This VM uses its share of the budget.
 	RetryBudget RetryBudget
+	// AnswerMemory bounds the bytes that all answers in progress hold together.
+	AnswerMemory afmemory.Budget
 	// Metrics counts outcomes. The zero value counts nothing.
 	Metrics Metrics
 	// Random returns a uniform random number in [0, 1). Nil means rand.Float64.
@@ -155,7 +158,8 @@
 // ServeRequest serves one request of a caller.
 func (s *Server) ServeRequest(c *afentry.CallerConn, w http.ResponseWriter, r *http.Request) {
 	s.init()
-	p := &proxiedRequest{server: s, caller: c, w: w, r: r, arrivedAt: s.Timer.Now()}
+	p := &proxiedRequest{server: s, caller: c, w: w, r: r, arrivedAt: s.Timer.Now(), held: s.AnswerMemory.Hold()}
+	defer p.held.Release()
 	refusal := p.serve()
 	if refusal != nil {
 		p.writeRefusal(refusal)
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -67,6 +67,8 @@
 	slowLinkTakeoverDelay = 1500 * time.Millisecond
 	// platformCallTimeout bounds a call to the platform, which normally responds within milliseconds.
 	platformCallTimeout = 1500 * time.Millisecond
+	// platformMaxHeadBytes bounds the head of an answer of the platform.
+	platformMaxHeadBytes = 16 << 10
 	// reservedDescriptors is the number of descriptors reserved for files and for connections to other VMs, endpoints and
 	// the platform.
 	reservedDescriptors = 700
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -76,7 +76,7 @@
 		Timeout:         platformCallTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdleConnTimeout}
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdleConnTimeout, MaxResponseHeaderBytes: platformMaxHeadBytes}
 }
 
 // registerFeedMetrics registers the metrics of the feed of a kind.
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -25,7 +25,9 @@
 	// listed object.
 	metadataListMediaType = "application/json;as=PartialObjectMetadataList;v=v1;g=meta.k8s.io"
 	// maxAnswerBytes limits the body of one answer. A list of 20,000 adapters takes a few MB.
-	maxAnswerBytes = 64 << 20
+	maxAnswerBytes = 16 << 20
+	// maxAnswerHeadBytes limits the head of one answer.
+	maxAnswerHeadBytes = 64 << 10
 	// maxSpecBytes limits the spec of an object that is written.
 	maxSpecBytes = 1 << 20
 )
@@ -279,6 +281,8 @@
 	DialContext:         (&net.Dialer{Timeout: defaultCallTimeout}).DialContext,
 	MaxIdleConnsPerHost: 16,
 	IdleConnTimeout:     30 * time.Second,
+
+	MaxResponseHeaderBytes: maxAnswerHeadBytes,
 }}
 
 func (c *Client) httpClient() *http.Client {
@@ -342,7 +346,10 @@
 		return k.newError(OutcomeUnknown, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return k.statusError(resp.StatusCode, body)
 	}
--- a/pkg/afobject/dialect.go
+++ b/pkg/afobject/dialect.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -16,6 +18,8 @@
 	longPollAnswerMargin = 500 * time.Millisecond
 	// maxListPages limits the pages of one list. 20,000 objects in pages of 500 take 40 pages.
 	maxListPages = 200
+	// maxListBytes limits the pages of one list together. 20,000 objects take a few MB.
+	maxListBytes = 32 << 20
 )
 
 // Dialect adapts Client to a platform whose lists are paged and whose watches are long polls. The functions are all
@@ -73,6 +77,7 @@
 		objects       []Object
 		version       int64
 		nextAfterName string
+		totalBytes    int
 	)
 	for pageIndex := range maxListPages {
 		k := call{op: "list", method: http.MethodGet, kind: kind}
@@ -83,6 +88,9 @@
 		if err := c.doCall(ctx, k, &body); err != nil {
 			return nil, 0, err
 		}
+		if totalBytes += len(body); totalBytes > maxListBytes {
+			return nil, 0, k.newError(InvalidRequest, errors.Errorf("the list is longer than %d bytes", maxListBytes))
+		}
 		page, err := c.Dialect.DecodeListPage(kind, body)
 		if err != nil {
 			return nil, 0, k.newError(InvalidRequest, err)
