afkeeper: keep a customer's units together in large fleets

A quarter of each bucket was cut into shares of 100 to 800 units for 17 VMs, while a request costs 200 to 3,000; units in such shares serve nobody. No grant messages are sent. While nobody answers for the limits, Retry-After is 0.5 s instead of up to 5 s. Measured: TestNoRefusalWithinRateInLargeFleets plays 40 customers over 22 and 295 VMs; it fails on the code before (first refusal: 2,385 units) and passes now.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -23,6 +23,9 @@
 	defaultTimeout = 30 * time.Second
 	// startRetryAfter is the Retry-After before the first configuration is loaded.
 	startRetryAfter = 300 * time.Millisecond
+	// noHolderRetryAfter is the Retry-After while no VM answers for the customers' limits. A new holder does so within
+	// seconds, and the deputy earlier.
+	noHolderRetryAfter = 500 * time.Millisecond
 	// stopRetryAfter is the Retry-After of a VM that is stopping. Other VMs can serve a retry at once.
 	stopRetryAfter = 50 * time.Millisecond
 )
@@ -184,8 +187,11 @@
 			p.chargedUnits = cost
 			return nil
 		}
-		if retryAfter > 0 {
+		switch {
+		case retryAfter > 0:
 			shortage.retryAfter = min(retryAfter, maxLimitRetryAfter)
+		case shortage.unitsPerSecond <= 0:
+			shortage.retryAfter = noHolderRetryAfter
 		}
 	}
 	if !ok {
--- a/internal/afgateway/limit.go
+++ b/internal/afgateway/limit.go
@@ -63,14 +63,18 @@
 	defer l.mu.Unlock()
 	bucket := l.bucket(c.Name, now)
 	share, burst := bucket.grantedShare, float64(c.Burst)
-	if share <= 0 || now.Sub(l.grantedAt) > grantTimeout {
+	isGrantRecent := now.Sub(l.grantedAt) <= grantTimeout
+	if !isGrantRecent {
 		share, burst = fractionWithoutGrant, fractionWithoutGrant*burst
 	}
 	// A request that exceeds the share of one VM must fit into a full bucket, or large requests would never run.
 	burst = max(burst, min(float64(cost), float64(c.Burst)))
 	unitsPerSecond := share * float64(c.RatePerSecond)
 	if bucket.filledAt.IsZero() {
-		bucket.level, bucket.filledAt = startLevelFraction*fractionWithoutGrant*float64(c.Burst), now
+		bucket.filledAt = now
+		if !isGrantRecent {
+			bucket.level = startLevelFraction * fractionWithoutGrant * float64(c.Burst)
+		}
 	}
 	bucket.requested.add(now, float64(cost))
 	bucket.level = min(bucket.level+unitsPerSecond*now.Sub(bucket.filledAt).Seconds(), burst)
@@ -123,8 +127,8 @@
 	return out
 }
 
-// SetGrants sets this VM's shares of the customers' limits. The level of a bucket is reduced by the units spent since
-// the use on which the grant is based.
+// SetGrants sets this VM's shares of the customers' limits. A customer that is not named has no share. The level of a
+// bucket is reduced by the units spent since the use on which the grant is based.
 func (s *Server) SetGrants(grants map[string]afkeeper.LimitGrant) {
 	s.init()
 	l := &s.limits
@@ -132,6 +136,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.grantedAt = now
+	for name, bucket := range l.byCustomer {
+		if _, isGranted := grants[name]; !isGranted {
+			bucket.level, bucket.grantedShare, bucket.filledAt = min(bucket.level, 0), 0, now
+		}
+	}
 	for name, grant := range grants {
 		bucket := l.bucket(name, now)
 		bucket.level = float64(grant.AvailableUnits - (bucket.spentUnits - grant.ReportedSpentUnits))
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -75,6 +75,8 @@
 	Loads map[string]endpointLoad `msgpack:"loads,omitempty"`
 	// EndpointSeq is the sequence number of the holder's last endpointUpdate.
 	EndpointSeq int64 `msgpack:"relay,omitempty"`
+	// WithoutGrants means that VMs get no grants ahead of requests, so that they ask the holder for each request.
+	WithoutGrants bool `msgpack:"asks,omitempty"`
 	// LoadDelaysMs holds the time in milliseconds until a model that no engine holds is loaded, or the minimum of that time if
 	// the load has not started.
 	LoadDelaysMs map[string]int64 `msgpack:"soon,omitempty"`
@@ -169,6 +171,9 @@
 	s.resetDeputy(v.Deputy)
 	s.syncEndpoints(from.VM, v.Epoch, v.EndpointSeq)
 	s.applyView(v)
+	if v.WithoutGrants {
+		s.ApplyGrants(nil)
+	}
 	return nil, nil
 }
 
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -64,8 +64,10 @@
 	}
 	// Unreachable VMs may still serve requests, from the equal share that VMs use when they receive no grants.
 	liveFraction := float64(len(members)) / float64(max(s.ListedVMCount(), len(members), 1))
-	for _, vm := range members {
-		grants[vm.Name] = make(map[string]limitGrantMessage)
+	if grantsInAdvance(len(members)) {
+		for _, vm := range members {
+			grants[vm.Name] = make(map[string]limitGrantMessage)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +82,11 @@
 			s.buckets[c.Name] = bucket
 		}
 		bucket.applyReports(c, liveFraction, reports, starts, now)
-		bucket.divideGrants(c, liveFraction, reports, members, grants)
+		if grantsInAdvance(len(members)) {
+			bucket.divideGrants(c, liveFraction, reports, members, grants)
+		} else {
+			bucket.grantedUnits = 0
+		}
 	}
 	return grants
 }
@@ -118,6 +124,10 @@
 	return 0, true
 }
 
+// grantsInAdvance reports whether the VMs get grants ahead of requests. In a large fleet, the share of each VM is smaller
+// than a request, and units in such shares are lost to the customer. Each VM then asks the holder for each request.
+func grantsInAdvance(vms int) bool { return vms <= smallFleetVMs }
+
 // divideGrants divides the units that are granted ahead of requests among the VMs, partly equally and partly by their
 // requested rates, and adds the grants to the map.
 func (b *customerBucket) divideGrants(c afroute.Customer, liveFraction float64, reports map[string]vmReport, members []arbutusfork.VM, grants map[string]map[string]limitGrantMessage) {
@@ -127,10 +137,7 @@
 	}
 	b.grantedUnits = max(b.availableUnits, 0) * advanceGrantFraction(len(members))
 	for _, vm := range members {
-		usage, isRequesting := reports[vm.Name].CustomerUsage[c.Name]
-		if !isRequesting && len(members) > smallFleetVMs {
-			continue // In a large fleet, a VM sends the holder a spend request for its first request.
-		}
+		usage := reports[vm.Name].CustomerUsage[c.Name]
 		fraction := 1 / float64(len(members))
 		if requestedUnitRate > 0 {
 			fraction = equalShareFraction*fraction + (1-equalShareFraction)*float64(usage.RequestedUnitRate)/float64(requestedUnitRate)
--- a/internal/afkeeper/share_test.go
+++ b/internal/afkeeper/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -71,3 +72,116 @@
 		require.InDelta(t, grantedFraction*2/float64(listed), float64(totalFraction)/millionthsPerUnit, 0.01, fmt.Sprint(listed))
 	}
 }
+
+// Guards against requests that are refused although their customer is within its rate, because its units lie in the shares
+// of many VMs. The load is that of 40 customers, most of them small, over the VMs of a medium and a large fleet: requests of
+// 200 to 3,000 units at changing VMs, as many as one bucket for all VMs admits.
+func TestNoRefusalWithinRateInLargeFleets(t *testing.T) {
+	for _, vms := range []int{22, 295} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			l := newLedgerLoad(vms, 40)
+			for range 3000 { // 30 s
+				l.advance(10 * time.Millisecond)
+				for i, c := range l.customers {
+					cost := int64(200 + l.random.IntN(2800))
+					if l.random.Float64() < 0.01*float64(c.RatePerSecond)/1600*0.95 && l.single[i].take(c, cost, l.now) {
+						require.True(t, l.request(c.Name, cost), "%s was refused %d units", c.Name, cost)
+					}
+				}
+			}
+		})
+	}
+}
+
+// ledgerLoad plays requests of customers at the VMs of a fleet against the holder's ledger, in virtual time.
+type ledgerLoad struct {
+	keeper    *Service
+	random    *rand.Rand
+	members   []arbutusfork.VM
+	starts    map[string]int64
+	customers []afroute.Customer
+	// single holds one bucket for all VMs, by customer.
+	single     []*singleBucket
+	now        time.Time
+	nextViewAt time.Time
+	spent      map[string]map[string]int64
+	available  map[string]map[string]float64
+}
+
+// singleBucket is a token bucket without any division among VMs.
+type singleBucket struct {
+	level    float64
+	filledAt time.Time
+}
+
+func (b *singleBucket) take(c afroute.Customer, cost int64, now time.Time) bool {
+	b.level = min(b.level+float64(c.RatePerSecond)*now.Sub(b.filledAt).Seconds(), float64(c.Burst))
+	b.filledAt = now
+	if b.level < float64(cost) {
+		return false
+	}
+	b.level -= float64(cost)
+	return true
+}
+
+func newLedgerLoad(vms, customers int) *ledgerLoad {
+	l := &ledgerLoad{
+		random: rand.New(rand.NewPCG(1, uint64(vms))), now: time.Unix(100, 0), starts: map[string]int64{},
+		spent: map[string]map[string]int64{}, available: map[string]map[string]float64{},
+	}
+	for i := range customers {
+		rate := int64(5000 + 700*i)
+		l.customers = append(l.customers, afroute.Customer{Name: fmt.Sprint("c", i), RatePerSecond: rate, Burst: rate, CountsTokens: true})
+		l.single = append(l.single, &singleBucket{level: initialLevelFraction * float64(rate), filledAt: l.now})
+	}
+	table := afroute.NewTable(1, afroute.Limits{}, nil, nil, l.customers, nil)
+	for i := range vms {
+		name := fmt.Sprint("vm", i)
+		l.members = append(l.members, arbutusfork.VM{Name: name})
+		l.starts[name], l.spent[name] = 1, map[string]int64{}
+	}
+	timer := &aftimer.Service{}
+	timer.AdvanceTo(l.now)
+	l.keeper = &Service{
+		Timer: timer, Log: slog.New(slog.DiscardHandler), Table: func() *afroute.Table { return table }, ListedVMCount: func() int { return vms },
+		buckets: map[string]*customerBucket{},
+	}
+	l.advance(0)
+	return l
+}
+
+// advance moves the time and applies a view of the holder when one is due.
+func (l *ledgerLoad) advance(d time.Duration) {
+	l.now = l.now.Add(d)
+	l.keeper.Timer.AdvanceTo(l.now)
+	if l.now.Before(l.nextViewAt) {
+		return
+	}
+	l.nextViewAt = l.now.Add(scaleInterval(viewInterval, len(l.members)))
+	reports := map[string]vmReport{}
+	for vm, spent := range l.spent {
+		usage := map[string]customerUsageMessage{}
+		for c, units := range spent {
+			usage[c] = customerUsageMessage{SpentUnits: units, RequestedUnitRate: 300}
+		}
+		reports[vm] = vmReport{CustomerUsage: usage}
+	}
+	for vm, grants := range l.keeper.computeGrants(reports, l.starts, l.members, l.now) {
+		l.available[vm] = map[string]float64{}
+		for c, g := range grants {
+			l.available[vm][c] = float64(g.AvailableUnits)
+		}
+	}
+}
+
+// request plays a request at a random VM and reports whether the ledger admits it.
+func (l *ledgerLoad) request(customer string, cost int64) bool {
+	vm := l.members[l.random.IntN(len(l.members))].Name
+	if l.available[vm][customer] >= float64(cost) {
+		l.available[vm][customer] -= float64(cost)
+		l.spent[vm][customer] += cost
+		return true
+	}
+	_, isGranted := l.keeper.spendAsHolder(spendRequest{Customer: customer, Cost: cost}).decode()
+	return isGranted
+}
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	s.deputy = deputyState{vm: v.Deputy}
 	s.mu.Unlock()
-	v.EngineStatuses = changedStatuses
+	v.EngineStatuses, v.WithoutGrants = changedStatuses, !grantsInAdvance(len(members))
 	changedBody, err := msgpack.Marshal(v)
 	if err != nil {
 		s.Log.Error("placement view not encoded", "error", err)
