affeed: suspend the copy of the VMs' entries while it equals the holder's

Each VM listed the VMs' entries anew every 20 s, since its watch waited as long as the platform keeps its history and then found it expired, and each expiry restarted the watches of the other kinds. Ruled out: suspending the watch of the configuration in the same way: a holder that is cut from the store sends views for up to 1.5 s more, so that a change could be late by that. Change: a VM does not watch the VMs' entries while the holder's views show the same position of the copy; when they differ for longer than the usual delay, it reads the changes since its last answer, or a list if that is older than 8 s. Watches wait 15 s at most. TestFeedInStepIsSuspended plays it.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -33,6 +33,9 @@
 	// maxStaleTimeout bounds the time until the next restart of a stalled watch. The time doubles with each restart that
 	// brings no change. Otherwise a VM that is cut off from the platform would call it once per minStaleTimeout.
 	maxStaleTimeout = 4800 * time.Millisecond
+	// maxResumeAge is how long after the last answer a watch may go on from its version without a new list. The platform keeps
+	// the history of some 20 s.
+	maxResumeAge = 8 * time.Second
 )
 
 // Position identifies the state of a copy, so that VMs can compare their copies.
@@ -49,6 +52,11 @@
 	return other.Version > p.Version || other.Version == p.Version && other.ObjectCount < p.ObjectCount
 }
 
+// differsFrom reports whether the copy at p may lack a change that the copy at other has.
+func (p Position) differsFrom(other Position) bool {
+	return other.Version > p.Version || other.Version == p.Version && other.ObjectCount != p.ObjectCount
+}
+
 // Feed keeps a copy of all objects of one kind. Set the exported fields before Run. The functions are called from the
 // goroutine of Run.
 type Feed struct {
@@ -91,11 +99,20 @@
 	// staleTimeout is how long the copy must be behind before the watch is restarted. Zero means minStaleTimeout.
 	staleTimeout time.Duration
 
+	// isCompared means that the copy was compared with another VM's copy. differsSince is when it was first found to differ
+	// from it, or zero if it did not at the last comparison.
+	isCompared   bool
+	differsSince time.Time
+
 	// isPlatformLost is true while the platform is unreachable.
 	isPlatformLost atomic.Bool
 	// lossCount is the number of times that the platform became unreachable.
 	lossCount atomic.Int64
 
+	// version is the version of the collection up to which changes were received, as of versionAt. versionAt is zero if the next
+	// watch needs a new list.
+	version   int64
+	versionAt time.Time
 	// lostAt is when the platform became unreachable. It is zero while the platform is reachable.
 	lostAt time.Time
 	// retryDelay is the delay after the last failed call. It is zero after a success.
@@ -109,6 +126,10 @@
 			f.Timer.Sleep(ctx, suspendCheckInterval)
 			continue
 		}
+		if f.lostAt.IsZero() && !f.versionAt.IsZero() && f.Timer.Now().Sub(f.versionAt) < maxResumeAge {
+			f.followChanges(ctx)
+			continue
+		}
 		objects, version, err := f.List(ctx, f.Kind)
 		if err != nil {
 			f.handleFailure(ctx, "list", err)
@@ -116,7 +137,7 @@
 		}
 		f.recordList(objects)
 		f.OnList(objects, f.recordReached())
-		f.followChanges(ctx, version)
+		f.version, f.versionAt = version, f.Timer.Now()
 	}
 }
 
@@ -147,10 +168,17 @@
 func (f *Feed) ComparePosition(other Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.Timer.Now()
+	f.isCompared = true
+	switch {
+	case !f.position.differsFrom(other):
+		f.differsSince = time.Time{}
+	case f.differsSince.IsZero():
+		f.differsSince = now
+	}
 	if !f.position.IsBehind(other) {
 		return
 	}
-	now := f.Timer.Now()
 	if f.staleSince.IsZero() {
 		f.staleSince = now
 	}
@@ -186,6 +214,13 @@
 	f.resetStale()
 }
 
+// IsInStep reports whether the copy has not differed from other VMs' copies for maxLag or longer.
+func (f *Feed) IsInStep(maxLag time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isCompared && (f.differsSince.IsZero() || f.Timer.Now().Sub(f.differsSince) < maxLag)
+}
+
 // resetStale clears the mark that the copy is out of date, since the platform has sent data. The caller holds mu.
 func (f *Feed) resetStale() { f.staleSince, f.staleTimeout = time.Time{}, 0 }
 
@@ -210,14 +245,14 @@
 	f.cancelWatch = cancel
 }
 
-// followChanges watches for changes after the version. It returns when the history that the watch needs has expired, the
-// feed is suspended or ctx ends.
-func (f *Feed) followChanges(ctx context.Context, version int64) {
+// followChanges watches for changes after the version of the copy. It returns when the history that the watch needs has
+// expired, the feed is suspended or ctx ends.
+func (f *Feed) followChanges(ctx context.Context) {
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithCancel(ctx)
 		f.setCancelWatch(cancel)
 		hasChanges := false
-		err := f.PollChanges(watchCtx, f.Kind, version, f.currentPollTimeout, func(e afobject.Event) {
+		err := f.PollChanges(watchCtx, f.Kind, f.version, f.currentPollTimeout, func(e afobject.Event) {
 			f.recordReached()
 			if e.Type != afobject.Bookmark {
 				hasChanges = true
@@ -225,7 +260,7 @@
 				f.OnChange(e)
 				return
 			}
-			version = max(version, e.Object.Version)
+			f.version, f.versionAt = max(f.version, e.Object.Version), f.Timer.Now()
 			if f.checkSuspended() {
 				cancel()
 				return
@@ -246,7 +281,8 @@
 			continue
 		}
 		if afobject.IsKind(err, afobject.VersionExpired) {
-			f.Log.Info("watch expired", "kind", f.Kind, "version", version)
+			f.versionAt = time.Time{}
+			f.Log.Info("watch expired", "kind", f.Kind, "version", f.version)
 			if f.OnExpired != nil {
 				f.OnExpired()
 			}
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -356,3 +356,42 @@
 		require.Equal(t, int64(3), got["main"])
 	})
 }
+
+// Guards against a feed that calls the platform although its copy equals that of the placement holder, against one that stays
+// suspended although the holder's copy has changed, and against a list where the history of changes is enough.
+func TestFeedInStepIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakePlatform{version: 1}
+		s.putObject("a")
+		got := map[string]int64{}
+		lists := 0
+		f := newFeed(s, got)
+		f.List = func(ctx context.Context, kind string) ([]afobject.Object, int64, error) {
+			lists++
+			return s.list(ctx, kind)
+		}
+		f.IsSuspended = func() bool { return f.IsInStep(time.Second) }
+		runFeed(t, f)
+		advanceTime(3 * time.Second)
+		f.ComparePosition(Position{Version: 2, ObjectCount: 1})
+		advanceTime(2 * time.Second)
+		calls := 0
+		s.withLock(func() { calls = s.pollCount })
+		advanceTime(4 * time.Second)
+		s.withLock(func() { require.Equal(t, calls, s.pollCount, "the platform was called although the copies are equal") })
+		s.putObject("b")
+		holder := Position{Version: 3, ObjectCount: 2}
+		f.ComparePosition(holder)
+		advanceTime(500 * time.Millisecond)
+		require.NotContains(t, got, "b", "the copies differ for less than the allowed time")
+		f.ComparePosition(holder)
+		advanceTime(time.Second)
+		require.Equal(t, int64(3), got["b"])
+		require.Equal(t, 1, lists, "a list was read although the history is recent")
+		f.ComparePosition(holder)
+		advanceTime(2 * time.Second)
+		s.withLock(func() { calls = s.pollCount })
+		advanceTime(2 * time.Second)
+		s.withLock(func() { require.Equal(t, calls, s.pollCount) })
+	})
+}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -21,8 +21,9 @@
 	// from a placement holder. A configuration must be in force within 2 s even if the connection of a held call has died.
 	pollTimeoutWithoutHolder = 900 * time.Millisecond
 	// pollTimeoutWithHolder is the same for a VM that receives the holder's messages several times a second, which show
-	// whether the copies of this VM are behind.
-	pollTimeoutWithHolder = 20 * time.Second
+	// whether the copies of this VM are behind. It is below the platform's history of 20 s, since a watch from a version that
+	// has expired needs a new list.
+	pollTimeoutWithHolder = 15 * time.Second
 	// holderCheckInterval is the time between two checks whether this VM still receives messages from a holder.
 	holderCheckInterval = 250 * time.Millisecond
 	// endpointPollDelay is the time between two calls after a change of the endpoints. Endpoints change with each order, and
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -92,6 +92,8 @@
 	f := n.newFeed(vmKind)
 	f.PollTimeout = func() time.Duration { return pollTimeoutWithHolder }
 	f.PollDelay = n.vmFeedPollDelay
+	// The holder's views show whether VMs came or went since this copy was read.
+	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
 	f.OnList = func(objects []afobject.Object, _ time.Duration) {
 		n.vmList.mu.Lock()
 		clear(n.vmList.vms)
