afpeer, afkeeper: fewer heartbeats and ticks in large fleets

What an idle VM still spends is mostly wake-ups: heartbeats over 8 links each 0.5 s in both directions, and 20 ticks a second of the placement service. The holder has a link to each other VM. Ruled out: fewer neighbours, which would leave the holder's links as they are. Change: while heartbeats are answered, the time between two grows with the fleet, to 1.5 s at 72 VMs; after one without an answer the next follows after 0.5 s, so that a silent VM is suspected at most a second later. A VM that receives views ticks each 125 ms; a request that waits wakes it at once.

--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -27,6 +27,8 @@
 const (
 	// tickInterval is the time between two runs of the service without any other event.
 	tickInterval = 50 * time.Millisecond
+	// idleTickInterval is the same for a VM that does not hold the lease and receives views.
+	idleTickInterval = 125 * time.Millisecond
 	// maxVMReportAge is how long the report of a VM is used: six report intervals. It is scaled like them.
 	maxVMReportAge = 1500 * time.Millisecond
 	// minPlanInterval is the least time between two plans. Reports of other VMs trigger plans, so it grows with the fleet.
@@ -203,14 +205,18 @@
 
 // Run maintains the lease and runs the duties of the holder or of another VM until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	ticks, subscription := s.Timer.TickChannel(tickInterval)
-	defer subscription.Stop()
+	ticks := make(chan struct{}, 1)
+	scheduleTick := func() {
+		s.Timer.CallAfter(s.currentTickInterval(), func(time.Time) { ticks <- struct{}{} })
+	}
+	scheduleTick()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
 			s.maintainLease(ctx)
+			scheduleTick()
 		case <-s.wakeups:
 		case r := <-s.reportResults:
 			s.handleReport(r)
@@ -221,6 +227,15 @@
 	}
 }
 
+// currentTickInterval returns the time until the next tick. A VM that another VM sends views to needs fewer ticks, since its
+// reports are due less often and a waiting request wakes it.
+func (s *Service) currentTickInterval() time.Duration {
+	if s.ReceivesPlacementViews() && !s.HoldsLease() {
+		return idleTickInterval
+	}
+	return tickInterval
+}
+
 // runDuties does the work that is due: reporting to the holder, or planning and sending views if this VM is the holder.
 func (s *Service) runDuties(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/afpeer/beat.go
+++ b/internal/afpeer/beat.go
@@ -14,6 +14,10 @@
 const (
 	// heartbeatInterval is the time between two heartbeats on a link.
 	heartbeatInterval = 500 * time.Millisecond
+	// smallFleetVMs is the number of VMs from which the time between two heartbeats on a link grows with the fleet, by a factor
+	// of at most maxCalmFactor, while all are answered.
+	smallFleetVMs = 24
+	maxCalmFactor = 3
 	// maxMissedHeartbeats is the number of unanswered heartbeats after which a new connection to the VM is tried.
 	maxMissedHeartbeats = 3
 	// heartbeatsPerPeerRequest is the number of heartbeats on a link of which one requests the VMs that the other VM is
@@ -143,9 +147,17 @@
 	return answer
 }
 
+// calmHeartbeatInterval returns the time between two heartbeats on a link whose heartbeats are answered. The most loaded VM has
+// a link to each other VM, so that its messages would grow with the fleet. After a heartbeat without an answer, the next one
+// follows after heartbeatInterval whatever the size of the fleet.
+func (s *Service) calmHeartbeatInterval() time.Duration {
+	return heartbeatInterval * time.Duration(min(max(len(s.view.PossiblyAliveVMs())/smallFleetVMs, 1), maxCalmFactor))
+}
+
 // requestHeartbeat sends a heartbeat request over the peer's link. The request counts as missed until its answer arrives.
 func (s *Service) requestHeartbeat(p *peer) {
 	l, requestedAt := p.link, s.Timer.Now()
+	p.nextHeartbeatAt = requestedAt.Add(s.calmHeartbeatInterval() - heartbeatInterval/2)
 	request := heartbeatRequest{
 		Leaving: s.isLeaving.Load(), Peers: p.linkHeartbeats%heartbeatsPerPeerRequest == 0 && s.needsMorePeers(),
 	}
--- a/internal/afpeer/peer.go
+++ b/internal/afpeer/peer.go
@@ -38,6 +38,8 @@
 	missedHeartbeats int
 	// linkHeartbeats counts the heartbeats requested on the current link.
 	linkHeartbeats int
+	// nextHeartbeatAt is when the next heartbeat is due if the last one was answered.
+	nextHeartbeatAt time.Time
 	// isAlive means that the VM opened a link or answered, and has not been suspected since.
 	isAlive bool
 	// isSuspected means that the VM missed too many heartbeats and that a new connection failed.
@@ -100,7 +102,9 @@
 		s.publishSnapshot()
 	}
 	if p.link != nil && p.missedHeartbeats < maxMissedHeartbeats {
-		s.requestHeartbeat(p)
+		if p.missedHeartbeats > 0 || !s.Timer.Now().Before(p.nextHeartbeatAt) {
+			s.requestHeartbeat(p)
+		}
 		return
 	}
 	if p.link == nil {
