afobject, platform: tests for what went wrong at others, one guard

The store's connections are kept, and an answer carries no id of its call: a second copy of an answer that arrives after the next call was sent would be taken for its answer. TestAnswerAboutAnotherObjectIsLost failed on the code before. Change: an answer about another object than that of the call counts as lost (unknown for a write), and the idle connections are closed. Lists and watches name no object; a second copy of a list of another kind is not detected (open).

--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -120,13 +120,31 @@
 		if err != nil {
 			return Object{}, k.lostAnswerError(err)
 		}
-		return o, nil
+		return c.checkAnswer(k, o)
 	}
 	var w wireObject
 	if err := c.doCall(ctx, k, &w); err != nil {
 		return Object{}, err
 	}
-	return convertObject(k.op, k.kind, w)
+	o, err := convertObject(k.op, k.kind, w)
+	if err != nil {
+		return Object{}, err
+	}
+	return c.checkAnswer(k, o)
+}
+
+// checkAnswer returns the object of an answer if it is the object of the call. The answer to another call can arrive on a kept
+// connection on which the platform sent it twice; the answer to this call is lost then, and so are those that follow.
+func (c *Client) checkAnswer(k call, o Object) (Object, error) {
+	name := k.name
+	if name == "" {
+		name = k.bodyObjectName
+	}
+	if o.Name == "" || o.Name == name {
+		return o, nil
+	}
+	c.httpClient().CloseIdleConnections()
+	return Object{}, k.lostAnswerError(errors.Errorf("the answer is about the object %q", o.Name))
 }
 
 // List returns the objects of a kind and the version of the collection. An empty kind lists the objects of all
--- a/pkg/afobject/client_test.go
+++ b/pkg/afobject/client_test.go
@@ -159,3 +159,19 @@
 		require.True(t, afobject.IsKind(err, afobject.VersionExpired), err)
 	})
 }
+
+// Guards against the answer to another call that is taken for the answer to this one, after the platform sent it a second time
+// on a connection that was in use again.
+func TestAnswerAboutAnotherObjectIsLost(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"kind":"customers","metadata":{"name":"b","resourceVersion":"7"},"spec":{}}`)
+	}))
+	defer server.Close()
+	c := &afobject.Client{BaseURL: server.URL}
+	_, err := c.Get(t.Context(), afobject.KindCustomers, "a")
+	require.True(t, afobject.IsKind(err, afobject.PlatformUnavailable), err)
+	_, err = c.Update(t.Context(), afobject.Object{Kind: afobject.KindCustomers, Name: "a", Version: 3, Spec: []byte("{}")})
+	require.True(t, afobject.IsKind(err, afobject.OutcomeUnknown), err)
+	_, err = c.Create(t.Context(), afobject.Object{Kind: afobject.KindCustomers, Name: "b", Spec: []byte("{}")})
+	require.NoError(t, err)
+}
