afsoak: endpoints that send without end, and endpoints that drip

Need: the faults of endpoints in trouble were played by focused tests only. Change: two more faults of the proxy in front of an endpoint: new connections get a head without end until the gateway closes them, or the endpoint's bytes arrive one by one with 20 ms between.

--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -1,6 +1,7 @@
 package afsoak
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -17,11 +18,15 @@
 	DropServerData                    // DropServerData drops the data that the server sends.
 	RefuseConnections                 // RefuseConnections resets open and new connections.
 	DropOpenConnectionData            // DropOpenConnectionData drops the data of the connections that are open now and serves new connections.
+	SendWithoutEnd                    // SendWithoutEnd sends bytes that are no answer on new connections until the client closes.
+	DripServerData                    // DripServerData forwards single bytes of the server with pauses between them.
 )
 
 const (
 	proxyDelay      = 150 * time.Millisecond
 	proxyBufferSize = 16 << 10
+	// dripPause is the time between two bytes of DripServerData.
+	dripPause = 20 * time.Millisecond
 )
 
 // proxy forwards TCP connections to a target address on loopback and applies a fault to them.
@@ -71,6 +76,10 @@
 		resetConnection(client)
 		return
 	}
+	if fault == SendWithoutEnd {
+		p.sendNoise(client)
+		return
+	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		resetConnection(client)
@@ -89,6 +98,35 @@
 	p.mu.Unlock()
 }
 
+// sendNoise sends bytes that are no answer until the client closes the connection or the fault ends.
+func (p *proxy) sendNoise(client net.Conn) {
+	noise := bytes.Repeat([]byte("X-Noise: noise\r\n"), proxyBufferSize/16)
+	_, err := client.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	for err == nil && p.currentFault() == SendWithoutEnd {
+		_, err = client.Write(noise)
+	}
+	resetConnection(client)
+}
+
+// writeDripping writes bytes one by one until the fault ends, and then the rest.
+func (p *proxy) writeDripping(to net.Conn, b []byte) error {
+	for len(b) > 0 && p.currentFault() == DripServerData {
+		if _, err := to.Write(b[:1]); err != nil {
+			return err
+		}
+		b = b[1:]
+		time.Sleep(dripPause)
+	}
+	_, err := to.Write(b)
+	return err
+}
+
+func (p *proxy) currentFault() ProxyFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
 // copyData forwards data in one direction and applies the fault. isFromServer reports that from is the connection to the
 // server.
 func (p *proxy) copyData(conn *proxyConnection, from, to net.Conn, isFromServer bool) {
@@ -102,7 +140,11 @@
 			if fault == DelayData {
 				time.Sleep(proxyDelay)
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
+			if fault == DripServerData && isFromServer {
+				if p.writeDripping(to, buf[:n]) != nil {
+					break
+				}
+			} else if _, err := to.Write(buf[:n]); err != nil {
 				break
 			}
 		}
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -47,11 +47,13 @@
 	CallerCount int
 	Output      io.Writer
 
-	mu             sync.Mutex
-	violations     []string
-	fleet          *fleet
-	callers        *callers
-	random         *rand.Rand
+	mu         sync.Mutex
+	violations []string
+	fleet      *fleet
+	callers    *callers
+	random     *rand.Rand
+	// endlessRandom chooses the endpoints that send without end or drip.
+	endlessRandom  *rand.Rand
 	recoveries     sync.WaitGroup // recoveries counts the faults that still have to end and the VMs to restart.
 	keyWithdrawals []period       // keyWithdrawals holds the periods in which revokedKey was withdrawn.
 	plannedStops   []plannedStop
@@ -82,6 +84,7 @@
 		return nil, err
 	}
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
+	s.endlessRandom = rand.New(rand.NewPCG(s.Seed, 2))
 	f, err := newFleet(s.DaemonPath, s.OutputDir, s.Seed, s.VMCount, 3, 2, s.reportViolation)
 	if err != nil {
 		return nil, err
@@ -166,6 +169,10 @@
 	case 7:
 		e := s.pickEndpoint(s.random.IntN(2) == 0)
 		fault := []ProxyFault{DelayData, DropAllData, RefuseConnections, DropOpenConnectionData}[s.random.IntN(4)]
+		// A random source of its own keeps the other faults of a seed as they were.
+		if n := s.endlessRandom.IntN(4); n < 2 {
+			fault = []ProxyFault{SendWithoutEnd, DripServerData}[n]
+		}
 		s.logEvent("endpoint %s: harm %d", e.ID, fault)
 		e.proxy.setFault(fault)
 		s.scheduleRecovery(500*time.Millisecond, 3*time.Second, func() { e.proxy.setFault(NoFault) })
