afroster, afgateway: choose among the endpoints that hold the model

Cause: each choice of an endpoint copied and sorted all usable endpoints of the service, 160 on the large site, of which three hold an average model; each waiting request chooses again at each change of the load, and asks twice more whether its model is loaded. Ruled out: keeping a sorted copy, since the loads in it change with each request. Change: Candidates copies only the endpoints that can serve the model and counts the others, which the rule for mostly ejected services needs. The choice is the same: TestCandidatesAreTheUsableEndpointsWithTheModel compares it with the filtered list, and the tests of the choice are unchanged but for the type of their argument.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -263,18 +263,21 @@
 // queue, so that each choice includes the requests of the previous ones.
 func (p *proxiedRequest) pickEndpoint(excluded map[string]bool) (acquiredEndpoint, bool) {
 	s := p.server
-	endpoints := s.Roster.UsableEndpoints(p.service.Name)
+	candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
+	if len(candidates.Endpoints) == 0 {
+		return acquiredEndpoint{}, false
+	}
 	needs := requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
 		now: s.Timer.Now(),
 	}
-	endpoint, ok := chooseEndpoint(endpoints, needs)
+	endpoint, ok := chooseEndpoint(candidates, needs)
 	if !ok && len(excluded) > 0 {
 		// An endpoint whose previous attempt failed is better than none, since no other endpoint may load the model or
 		// adapter. An endpoint that timed out is overloaded and stays excluded.
 		needs.excluded = p.timedOutEndpoints
-		endpoint, ok = chooseEndpoint(endpoints, needs)
+		endpoint, ok = chooseEndpoint(candidates, needs)
 	}
 	if !ok {
 		return acquiredEndpoint{}, false
@@ -309,10 +312,5 @@
 // isModelLoaded reports whether an endpoint of the service has loaded the model and the adapter and accepts new
 // requests for the model.
 func (s *Server) isModelLoaded(service, model, adapter string) bool {
-	for _, e := range s.Roster.UsableEndpoints(service) {
-		if servesModel(e, model, adapter) {
-			return true
-		}
-	}
-	return false
+	return len(s.Roster.Candidates(service, acceptsModel(model, adapter)).Endpoints) > 0
 }
--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -47,20 +47,37 @@
 	now    time.Time
 }
 
+// acceptsModel returns a function that reports whether an endpoint with the loaded and closing models has loaded the model and
+// the adapter and accepts new requests for the model.
+func acceptsModel(model, adapter string) func(models []afengine.LoadedModel, closing []string) bool {
+	return func(models []afengine.LoadedModel, closing []string) bool {
+		return afengine.IsLoaded(models, model, adapter) && !slices.Contains(closing, model)
+	}
+}
+
 // servesModel reports whether the endpoint has loaded the model and the adapter and accepts new requests for the model.
 func servesModel(e afroster.Endpoint, model, adapter string) bool {
-	return afengine.IsLoaded(e.Models, model, adapter) && !slices.Contains(e.ClosingModels, model)
+	return acceptsModel(model, adapter)(e.Models, e.ClosingModels)
+}
+
+// findCandidates returns the endpoints of a service that can serve the model. Services without model engines have no models.
+func (s *Server) findCandidates(service afroute.Service, model, adapter string) afroster.Candidates {
+	if service.Engine == nil {
+		return s.Roster.Candidates(service.Name, func([]afengine.LoadedModel, []string) bool { return true })
+	}
+	return s.Roster.Candidates(service.Name, acceptsModel(model, adapter))
 }
 
 // chooseEndpoint returns the endpoint with capacity that should send the first event or response soonest. An ejected
-// endpoint is only chosen if no other has capacity and at least half of all endpoints are ejected.
-func chooseEndpoint(endpoints []afroster.Endpoint, needs requirements) (afroster.Endpoint, bool) {
+// endpoint is only chosen if no other has capacity and at least half of all endpoints of the service are ejected. A cause
+// outside the endpoints is then likely.
+func chooseEndpoint(candidates afroster.Candidates, needs requirements) (afroster.Endpoint, bool) {
 	var (
 		best, bestEjected         afroster.Endpoint
 		bestCost, bestEjectedCost int64
 		found, foundEjected       bool
 	)
-	for _, e := range endpoints {
+	for _, e := range candidates.Endpoints {
 		if needs.excluded[e.ID] || !hasCapacity(e, needs) {
 			continue
 		}
@@ -80,24 +97,12 @@
 			best, bestCost, found = e, estimate, true
 		}
 	}
-	if !found && foundEjected && areMostEjected(endpoints, needs.now) {
+	if !found && foundEjected && 2*candidates.EjectedCount >= candidates.UsableCount {
 		return bestEjected, true
 	}
 	return best, found
 }
 
-// areMostEjected reports whether at least half of the endpoints are ejected. A cause outside the endpoints is then
-// likely.
-func areMostEjected(endpoints []afroster.Endpoint, now time.Time) bool {
-	ejected := 0
-	for _, e := range endpoints {
-		if e.Health.IsEjected(now) {
-			ejected++
-		}
-	}
-	return 2*ejected >= len(endpoints)
-}
-
 // hasCapacity reports whether the endpoint can accept the request now.
 func hasCapacity(e afroster.Endpoint, needs requirements) bool {
 	load := e.OwnLoad.Add(e.OtherVMsLoad)
--- a/internal/afgateway/choose_test.go
+++ b/internal/afgateway/choose_test.go
@@ -32,18 +32,29 @@
 	return tracker
 }
 
+// candidatesOf returns the endpoints as all usable endpoints of a service.
+func candidatesOf(endpoints ...afroster.Endpoint) afroster.Candidates {
+	candidates := afroster.Candidates{Endpoints: endpoints, UsableCount: len(endpoints)}
+	for _, e := range endpoints {
+		if e.Health.IsEjected(testTime) {
+			candidates.EjectedCount++
+		}
+	}
+	return candidates
+}
+
 // Guards against an engine that gets so many unread prompts that the first events of all their requests are late.
 func TestUnreadPromptsAreBounded(t *testing.T) {
 	needs := requirements{model: "m1", promptTokens: 3000, totalTokens: 3200, centre: "z1", engine: &afroute.EngineSpec{Slots: 64, CacheTokens: 100000}, now: testTime}
 	full := newEngineEndpoint("i-1", afroster.Load{Requests: 1, UnreadPromptTokens: 3000}, afroster.Load{Requests: 2, UnreadPromptTokens: 3000})
-	_, ok := chooseEndpoint([]afroster.Endpoint{full}, needs)
+	_, ok := chooseEndpoint(candidatesOf(full), needs)
 	require.False(t, ok)
 	free := newEngineEndpoint("i-2", afroster.Load{Requests: 3}, afroster.Load{Requests: 9})
-	e, ok := chooseEndpoint([]afroster.Endpoint{full, free}, needs)
+	e, ok := chooseEndpoint(candidatesOf(full, free), needs)
 	require.True(t, ok)
 	require.Equal(t, "i-2", e.ID)
 	needs.promptTokens = 50000
-	_, ok = chooseEndpoint([]afroster.Endpoint{free}, needs)
+	_, ok = chooseEndpoint(candidatesOf(free), needs)
 	require.True(t, ok, "a prompt above the bound goes to an engine without unread prompts")
 }
 
@@ -52,13 +63,13 @@
 func TestOnlyEnginesWithModelAreChosen(t *testing.T) {
 	e := newEngineEndpoint("i-1", afroster.Load{}, afroster.Load{})
 	needs := requirements{model: "m1", adapter: "a1", centre: "z1", engine: &afroute.EngineSpec{Slots: 64}, now: testTime}
-	_, ok := chooseEndpoint([]afroster.Endpoint{e}, needs)
+	_, ok := chooseEndpoint(candidatesOf(e), needs)
 	require.True(t, ok)
 	needs.adapter = "a2"
-	_, ok = chooseEndpoint([]afroster.Endpoint{e}, needs)
+	_, ok = chooseEndpoint(candidatesOf(e), needs)
 	require.False(t, ok)
 	needs.adapter, e.ClosingModels = "", []string{"m1"}
-	_, ok = chooseEndpoint([]afroster.Endpoint{e}, needs)
+	_, ok = chooseEndpoint(candidatesOf(e), needs)
 	require.False(t, ok)
 }
 
@@ -69,10 +80,10 @@
 	alsoWorking := newEngineEndpoint("i-3", afroster.Load{Requests: 6}, afroster.Load{})
 	failing.Health = newFailedTracker(3)
 	needs := requirements{centre: "z1", now: testTime}
-	e, ok := chooseEndpoint([]afroster.Endpoint{failing, working, alsoWorking}, needs)
+	e, ok := chooseEndpoint(candidatesOf(failing, working, alsoWorking), needs)
 	require.True(t, ok)
 	require.Equal(t, "i-2", e.ID)
 	working.Health, alsoWorking.Health = newFailedTracker(3), newFailedTracker(3)
-	_, ok = chooseEndpoint([]afroster.Endpoint{failing, working, alsoWorking}, needs)
+	_, ok = chooseEndpoint(candidatesOf(failing, working, alsoWorking), needs)
 	require.True(t, ok, "no endpoint is chosen although all of them fail")
 }
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -366,8 +366,8 @@
 // hasOtherEndpoint reports whether another endpoint can serve the request.
 func (w *idleWatchdog) hasOtherEndpoint() bool {
 	p := w.request
-	for _, e := range p.server.Roster.UsableEndpoints(p.service.Name) {
-		if e.ID != w.endpointID && (p.service.Engine == nil || servesModel(e, p.headers.Model, p.headers.Adapter)) {
+	for _, e := range p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints {
+		if e.ID != w.endpointID {
 			return true
 		}
 	}
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -199,10 +199,25 @@
 // UsableEndpoints returns the endpoints of a service that may get requests, sorted by ID. Endpoints that drain and endpoints
 // whose entries have been lapsed for longer than lapsedEntryTimeout are left out.
 func (r *Roster) UsableEndpoints(service string) []Endpoint {
+	return r.Candidates(service, func([]afengine.LoadedModel, []string) bool { return true }).Endpoints
+}
+
+// Candidates are the endpoints from which one is chosen for a request.
+type Candidates struct {
+	// Endpoints are the usable endpoints that can serve the request's model, sorted by ID.
+	Endpoints []Endpoint
+	// UsableCount is the number of all usable endpoints of the service, and EjectedCount that of the ejected ones among them.
+	UsableCount, EjectedCount int
+}
+
+// Candidates returns the usable endpoints of a service whose loaded and closing models the function accepts. The others are
+// only counted: a service may have hundreds of endpoints of which few hold a model, and each choice needs the candidates.
+func (r *Roster) Candidates(service string, accepts func(models []afengine.LoadedModel, closing []string) bool) Candidates {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
-	var out []Endpoint
+	isViewRecent := now.Sub(r.viewReceivedAt) < viewTimeout
+	var candidates Candidates
 	for _, e := range r.endpoints {
 		if e.Service != service || e.State != afengine.StateReady {
 			continue
@@ -210,16 +225,25 @@
 		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) > lapsedEntryTimeout {
 			continue
 		}
-		endpoint := Endpoint{EndpointEntry: e.EndpointEntry, OwnLoad: e.ownLoad, Health: e.healthTracker}
-		if now.Sub(r.viewReceivedAt) < viewTimeout {
+		candidates.UsableCount++
+		if e.healthTracker.IsEjected(now) {
+			candidates.EjectedCount++
+		}
+		models, closing := e.Models, []string(nil)
+		if isViewRecent && e.engineStatus != nil {
+			models, closing = e.engineStatus.Models, e.engineStatus.ClosingModels
+		}
+		if !accepts(models, closing) {
+			continue
+		}
+		endpoint := Endpoint{EndpointEntry: e.EndpointEntry, OwnLoad: e.ownLoad, Health: e.healthTracker, ClosingModels: closing}
+		endpoint.Models = models
+		if isViewRecent {
 			endpoint.OtherVMsLoad = e.otherVMsLoad
-			if e.engineStatus != nil {
-				endpoint.Models, endpoint.ClosingModels = e.engineStatus.Models, e.engineStatus.ClosingModels
-			}
 		}
-		out = append(out, endpoint)
+		candidates.Endpoints = append(candidates.Endpoints, endpoint)
 	}
-	slices.SortFunc(out, func(a, b Endpoint) int {
+	slices.SortFunc(candidates.Endpoints, func(a, b Endpoint) int {
 		switch {
 		case a.ID < b.ID:
 			return -1
@@ -228,7 +252,7 @@
 		}
 		return 0
 	})
-	return out
+	return candidates
 }
 
 // Entry returns the entry of the endpoint with an ID.
--- a/internal/afroster/roster_test.go
+++ b/internal/afroster/roster_test.go
@@ -1,6 +1,7 @@
 package afroster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,58 @@
 	c.MarkPromptRead()
 	require.Equal(t, before+1, changes, "a prompt is marked as read only once")
 }
+
+// Guards against candidates that differ from the usable endpoints that hold the model, and against ejected endpoints that are
+// only counted among the candidates.
+func TestCandidatesAreTheUsableEndpointsWithTheModel(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	for i := range 40 {
+		e := afengine.EndpointEntry{ID: fmt.Sprintf("i-%02d", i), Service: "llm", Models: []afengine.LoadedModel{{Model: fmt.Sprint("m", i%4)}}}
+		if i%10 == 9 {
+			e.State = afengine.StateDraining
+		}
+		r.PutEntry(e)
+		if i < 12 {
+			for range 3 {
+				r.BeginRequest(e.ID, "", "", 0, 0).End(HealthFailure)
+			}
+		}
+	}
+	accepts := func(models []afengine.LoadedModel, _ []string) bool { return models[0].Model == "m1" }
+	var want []Endpoint
+	ejected := 0
+	usable := r.UsableEndpoints("llm")
+	for _, e := range usable {
+		if accepts(e.Models, e.ClosingModels) {
+			want = append(want, e)
+		}
+		if e.Health.IsEjected(now) {
+			ejected++
+		}
+	}
+	got := r.Candidates("llm", accepts)
+	require.NotEmpty(t, want)
+	require.Positive(t, ejected)
+	require.Equal(t, Candidates{Endpoints: want, UsableCount: len(usable), EjectedCount: ejected}, got)
+}
+
+// BenchmarkCandidates measures one choice among 160 endpoints of which three hold the model, which each waiting request makes at
+// each change of the load.
+func BenchmarkCandidates(b *testing.B) {
+	now := time.Unix(1000, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	for i := range 160 {
+		r.PutEntry(afengine.EndpointEntry{ID: fmt.Sprintf("i-%03d", i), Service: "llm", Models: []afengine.LoadedModel{{Model: fmt.Sprint("m", i%53)}}})
+	}
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			r.UsableEndpoints("llm")
+		}
+	})
+	b.Run("model", func(b *testing.B) {
+		for b.Loop() {
+			r.Candidates("llm", func(models []afengine.LoadedModel, _ []string) bool { return models[0].Model == "m1" })
+		}
+	})
+}
