afkeeper: wait for the holder's answer about a limit, and only once

Ruled out: shares of VMs (level and rate are 0 now, every refusal comes from a failed question). Change: a question waits up to 250 ms, the deputy's for the holder up to 300 ms, and neither longer than the request has left. After one without an answer, a VM asks the deputy until the holder's next view, so that requests do not each wait for a holder that is gone. TestSilentHolderIsAskedOnceForEachView failed before (the holder was asked five times of five).

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -182,7 +182,9 @@
 	p.cost = cost
 	shortage, ok := p.server.limits.takeUnits(p.customer, cost, p.server.FractionUsableWithoutGrants()/float64(max(p.server.ListedVMCount(), 1)), p.server.Timer.Now())
 	if !ok && p.server.SpendBeyondGrant != nil {
-		retryAfter, granted := p.server.SpendBeyondGrant(context.Background(), p.customer.Name, cost)
+		ctx, cancel := p.server.Timer.WithTimeout(context.Background(), max(p.timeLeft(), 0))
+		retryAfter, granted := p.server.SpendBeyondGrant(ctx, p.customer.Name, cost)
+		cancel()
 		if granted {
 			p.chargedUnits = cost
 			return nil
--- a/internal/afkeeper/deputy.go
+++ b/internal/afkeeper/deputy.go
@@ -12,7 +12,7 @@
 	deputyTimeout = forwardTimeout + spendTimeout
 	// forwardTimeout is how long the deputy waits for the holder's answer before it treats the holder as silent. It is above
 	// spendTimeout, so that a holder that answers other VMs in time also answers the deputy in time.
-	forwardTimeout = 150 * time.Millisecond
+	forwardTimeout = 300 * time.Millisecond
 )
 
 // deputyState is what this VM knows about the deputy: the VM that grants units of the customers' limits while the holder is
@@ -20,8 +20,8 @@
 type deputyState struct {
 	// vm is the name of the deputy, or empty if there is none.
 	vm string
-	// isHolderSilent is used if this VM is the deputy. It means that the holder failed to answer a forwarded spend request
-	// from its buckets since its last view.
+	// isHolderSilent means that the holder failed to answer a spend request of this VM from its buckets since its last view, or
+	// one that this VM forwarded as deputy.
 	isHolderSilent bool
 }
 
@@ -91,15 +91,23 @@
 
 // markHolderSilent makes the deputy answer spend requests itself until the holder's next view.
 func (s *Service) markHolderSilent(holder string, err error) {
-	s.mu.Lock()
-	wasSilent := s.deputy.isHolderSilent
-	s.deputy.isHolderSilent = true
-	s.mu.Unlock()
-	if !wasSilent {
+	if s.setHolderSilent(holder) {
 		s.Log.Info("deputy took over customer limits from silent holder", "holder", holder, "error", err)
 	}
 }
 
+// setHolderSilent records that the holder failed to answer a spend request. It returns false if that is known, or if another VM
+// has become the holder meanwhile.
+func (s *Service) setHolderSilent(holder string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isNew := !s.deputy.isHolderSilent && s.holder == holder
+	if s.holder == holder {
+		s.deputy.isHolderSilent = true
+	}
+	return isNew
+}
+
 // resetDeputy sets the deputy named in a view. It discards the buckets, since the holder keeps them while it sends views.
 func (s *Service) resetDeputy(deputy string) {
 	s.mu.Lock()
--- a/internal/afkeeper/deputy_test.go
+++ b/internal/afkeeper/deputy_test.go
@@ -144,3 +144,23 @@
 	require.NoError(t, err)
 	require.False(t, a.(spendAnswer).IsGranted, "a VM that is neither holder nor deputy must not grant units")
 }
+
+// Guards against requests that each wait for a holder that does not answer, and against a VM that never asks the holder again.
+func TestSilentHolderIsAskedOnceForEachView(t *testing.T) {
+	f := newDeputyFleet(91)
+	f.unreachable["vm-00"] = true
+	vm := f.vms[7]
+	asked := map[string]int{}
+	call := vm.CallVM
+	vm.CallVM = func(ctx context.Context, to, kind string, message, answer any) error {
+		asked[to]++
+		return call(ctx, to, kind, message, answer)
+	}
+	for range 5 {
+		vm.SpendUnits(context.Background(), "c", 10)
+	}
+	require.Equal(t, map[string]int{"vm-00": 1, "vm-04": 5}, asked)
+	vm.resetDeputy("vm-04") // The holder's next view.
+	vm.SpendUnits(context.Background(), "c", 10)
+	require.Equal(t, 2, asked["vm-00"])
+}
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -167,15 +167,17 @@
 // KindSpendRequest is the kind of the message by which a VM requests units that its grant does not cover.
 const KindSpendRequest = "spend"
 
-// spendTimeout bounds a spend request to the holder. It is several times the round-trip time.
-const spendTimeout = 60 * time.Millisecond
+// spendTimeout bounds a spend request to the holder. A round trip takes some milliseconds, but a VM whose processor time is a
+// quota may pause for a tenth of a second on either side, and a refusal costs the caller more than the wait.
+const spendTimeout = 250 * time.Millisecond
 
 // SpendUnits takes units of a customer's limit that this VM's grant does not cover. It returns false if the limit has too few
 // units, with the time until there should be enough, or if neither the holder nor the deputy answers.
 func (s *Service) SpendUnits(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 	r := spendRequest{Customer: customer, Cost: cost}
 	s.mu.Lock()
-	holder, deputy, isHolderActive := s.holder, s.deputy.vm, s.Timer.Now().Sub(s.viewReceivedAt) < s.holderSilenceTimeout()
+	holder, deputy := s.holder, s.deputy.vm
+	isHolderActive := s.Timer.Now().Sub(s.viewReceivedAt) < s.holderSilenceTimeout() && !s.deputy.isHolderSilent
 	s.mu.Unlock()
 	if s.HoldsLease() {
 		return s.spendAsHolder(r).decode()
@@ -187,6 +189,8 @@
 		if a := s.requestUnits(ctx, holder, r, spendTimeout); a.KeepsBucket {
 			return a.decode()
 		}
+		// The following requests need not wait for the holder, too.
+		s.setHolderSilent(holder)
 	}
 	if deputy == "" {
 		return 0, false
