afkeeper: say what the fraction without grants is now

Comment only: since large fleets get no grants ahead of requests, the fraction is what VMs use by themselves while the holder is silent.

--- a/internal/afkeeper/deputy.go
+++ b/internal/afkeeper/deputy.go
@@ -45,8 +45,9 @@
 	return best
 }
 
-// advanceGrantFraction returns the fraction of the customers' limits that is granted to the VMs ahead of requests. It is
-// small in a large fleet, where most of it would stay unused in shares that are smaller than a request.
+// advanceGrantFraction returns the fraction of the customers' limits that the VMs of a small fleet are granted ahead of
+// requests. In a larger one, it is what all VMs together use by themselves while the holder is silent; it is small there, since
+// most of it stays unused in shares that are smaller than a request.
 func advanceGrantFraction(vms int) float64 {
 	return grantedFraction * min(1, float64(smallFleetVMs)/float64(max(vms, 1)))
 }
