afgateway: log prompt parts and the progress of failed answers

Need: three causes are possible: no memory of what a request did, repeats of the same request, memory that stays on one VM. The log named neither the parts of a prompt nor how far an answer had come, so it could not tell them apart.

Change: "attempt failed" has progress and parts, "request ended" has parts, arbutusfork_gateway_failed_sends_total counts failed sends by progress. No decision changes.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -31,6 +31,8 @@
 	notRun bool
 	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
 	timedOut bool
+	// progress is how far the endpoint's answer had come.
+	progress answerProgress
 	// cause is the cause of a failed attempt.
 	cause string
 }
@@ -71,7 +73,8 @@
 		}
 		cause = result.cause
 		s.Log.Info("attempt failed", "request", p.headers.RequestID, "endpoint", endpoint.ID, "attempt", p.attempts, "cause", result.cause,
-			"not_run", result.notRun, "events", p.relayedEvents, "left", p.timeLeft())
+			"not_run", result.notRun, "progress", result.progress.String(), "events", p.relayedEvents, "parts", formatSharedParts(p.headers), "left", p.timeLeft())
+		s.Metrics.countFailedAttempt(result)
 		if !result.notRun {
 			p.possibleRuns++
 		}
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -280,7 +280,7 @@
 	}
 	if p.headers.Model != "" {
 		attrs = append(attrs, slog.String("model", p.headers.Model), slog.String("adapter", p.headers.Adapter),
-			slog.Int("events", p.relayedEvents))
+			slog.Int("events", p.relayedEvents), slog.String("parts", formatSharedParts(p.headers)))
 		if !p.firstEventAt.IsZero() {
 			attrs = append(attrs, slog.Duration("first", p.firstEventAt.Sub(p.arrivedAt)), slog.Duration("pause", p.maxEventInterval))
 		}
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -16,6 +16,7 @@
 	refusals       *prometheus.CounterVec
 	attempts       prometheus.Counter
 	retries        *prometheus.CounterVec
+	failedAttempts *prometheus.CounterVec
 	firstEventTime *prometheus.HistogramVec
 	waitTime       prometheus.Histogram
 }
@@ -37,6 +38,9 @@
 		retries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_repeats_total", Help: "Second sends that the budget allowed or did not.",
 		}, []string{"allowed"}),
+		failedAttempts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_failed_sends_total", Help: "Sends that may have run and got no whole answer, by the part of the answer that had arrived.",
+		}, []string{"progress"}),
 		firstEventTime: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "arbutusfork_gateway_first_seconds", Help: "Time to the first event of a stream or to a whole answer.", Buckets: buckets,
 		}, []string{"kind"}),
@@ -66,6 +70,13 @@
 	}
 }
 
+// countFailedAttempt counts an attempt that may have run and got no whole answer.
+func (m Metrics) countFailedAttempt(result attemptResult) {
+	if m.failedAttempts != nil && !result.notRun {
+		m.failedAttempts.WithLabelValues(result.progress.String()).Inc()
+	}
+}
+
 // countRequest counts the outcome of a request and observes its times.
 func (m Metrics) countRequest(p *proxiedRequest, outcome arbutusfork.Outcome, refusal *arbutusfork.Refusal) {
 	if m.requests == nil {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -70,7 +70,9 @@
 		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
-	return p.relayBuffered(ctx, endpoint, ex)
+	result := p.relayBuffered(ctx, endpoint, ex)
+	result.progress = max(result.progress, progressHead)
+	return result
 }
 
 // classifyFailure ends an attempt without a complete response and returns its result.
@@ -220,7 +222,12 @@
 	for {
 		event, err := r.readEvent()
 		if err != nil {
-			return p.endStream(ctx, endpoint, r, err)
+			result := p.endStream(ctx, endpoint, r, err)
+			result.progress = progressHead
+			if isPromptRead {
+				result.progress = progressBody
+			}
+			return result
 		}
 		interval := time.Duration(0)
 		if event.hasContent {
