--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	headerSigned   = "X-Arbutusfork-Server-Signature"
 	headerCustomer = "X-Arbutusfork-Tenant"
 	headerAfter    = "Last-Event-Id"
+	headerParts    = "X-Arbutusfork-Prompt-Prefix"
 )
 
 // KindEndpoints is the kind of the endpoints' entries.
@@ -62,6 +64,11 @@
 	// OnExecute is called for each request that runs. It must not block.
 	OnExecute func(ExecutedRequest)
 
+	// CrashPart is the ID of a part of prompts on which the engine crashes when it begins to answer. Empty means none.
+	CrashPart string
+	// OnCrash is called when the engine crashes. It closes all connections to the engine.
+	OnCrash func()
+
 	// Faults are switched while the endpoint runs.
 	IsFull, TruncatesAnswers atomic.Bool
 
@@ -91,6 +98,14 @@
 	e.Store.PutObject(KindEndpoints, e.ID, spec)
 }
 
+// Restart begins another run of the endpoint with the models and writes its entry.
+func (e *Endpoint) Restart(models ...string) {
+	e.mu.Lock()
+	e.born, e.seq, e.busy, e.held = time.Now().UnixMilli(), 0, false, models
+	e.mu.Unlock()
+	e.WriteEntry("ready")
+}
+
 // describe is called with the lock held.
 func (e *Endpoint) describe() map[string]any {
 	models := []map[string]any{}
@@ -230,6 +245,12 @@
 	if !ok {
 		return
 	}
+	if e.CrashPart != "" && strings.Contains(r.Header.Get(headerParts), e.CrashPart+":") {
+		w.WriteHeader(http.StatusOK)
+		flusher.Flush()
+		e.OnCrash()
+		panic(http.ErrAbortHandler)
+	}
 	for i := from + 1; i <= e.StreamEvents; i++ {
 		text := StreamEvent(id, i)
 		if e.TruncatesAnswers.Load() && i == e.StreamEvents/2+1 {
