afquarantine, afcrash: refuse prompt parts that crash endpoints

Cause: nothing in the system relates a request to the crash of the engine that ran it. The health of endpoints is tracked, that of prompts is not, so each new request with the part is sent; and what could be learnt lies on six VMs. The class: a fault that travels with the request, where every defence is tied to the endpoint.

Change: pkg/afquarantine decides, from crashes with their suspects and from answered requests, which sets of parts are refused. A part is blamed only for crashes since it was last in an answered request; parts that the evidence does not tell apart are refused only together; parts that were answered before need more crashes, spread over time. internal/afcrash spreads new facts to the heartbeat peers (8 at most), compares digests with one of them a second while anything is known, and keeps quarantines in the record of the placement lease, which is written anyway. Neither needs the store. A crash is one only if the endpoint refuses connections after its answer broke off, so that lost answers and endpoints that leave do not count. A request whose answer two endpoints broke off as it began is not sent again.

--- /dev/null
+++ b/internal/afcrash/note.go
@@ -0,0 +1,59 @@
+package afcrash
+
+import (
+	"encoding/json"
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afquarantine"
+)
+
+// maxNoteQuarantines is the largest number of quarantines in a note, so that the record that contains it stays small.
+const maxNoteQuarantines = 16
+
+// noteEntry is one quarantine in a note.
+type noteEntry struct {
+	Service string   `json:"service"`
+	Parts   []string `json:"parts"`
+	// Until is in seconds since the Unix epoch, by the clock of the VM that wrote the note.
+	Until    int64 `json:"until"`
+	Renewals int   `json:"renewals,omitempty"`
+}
+
+// Note returns the quarantines in the form in which they are stored, or an empty string if there are none.
+func (s *Service) Note() string {
+	now, wall := s.Timer.Now(), time.Now()
+	var entries []noteEntry
+	for _, q := range s.State().Quarantines() {
+		if len(entries) < maxNoteQuarantines {
+			entries = append(entries, noteEntry{Service: q.Service, Parts: q.Parts, Until: wall.Add(q.Until.Sub(now)).Unix(), Renewals: q.Renewals})
+		}
+	}
+	if len(entries) == 0 {
+		return ""
+	}
+	note, err := json.Marshal(entries)
+	if err != nil {
+		return "" // This cannot happen: the entries contain only strings and numbers.
+	}
+	return string(note)
+}
+
+// ApplyNote adds the quarantines of a stored note. It fails with MalformedMessage.
+func (s *Service) ApplyNote(note string) error {
+	if note == "" {
+		return nil
+	}
+	var entries []noteEntry
+	if err := json.Unmarshal([]byte(note), &entries); err != nil {
+		return &Error{Op: "note", Kind: MalformedMessage, Err: err}
+	}
+	now, wall := s.Timer.Now(), time.Now()
+	var facts pendingFacts
+	for _, e := range entries {
+		facts.quarantines = append(facts.quarantines, afquarantine.Quarantine{
+			Service: e.Service, Parts: e.Parts, Since: now, Until: now.Add(time.Unix(e.Until, 0).Sub(wall)), Renewals: e.Renewals,
+		})
+	}
+	s.learn(facts)
+	return nil
+}
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -31,6 +31,8 @@
 	notRun bool
 	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
 	timedOut bool
+	// brokenOff means that the endpoint ended the connection before its answer was complete.
+	brokenOff bool
 	// progress is how far the endpoint's answer had come.
 	progress answerProgress
 	// cause is the cause of a failed attempt.
@@ -58,6 +60,10 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.endCancelled(ctx)
 		}
+		if refusal := p.refuseQuarantined(); refusal != nil {
+			endpoint.request.End(afroster.HealthUnaffected)
+			return p.refuseWithoutEndpoint(refusal, cause)
+		}
 		if p.attempts > 0 && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
@@ -78,6 +84,12 @@
 		if !result.notRun {
 			p.possibleRuns++
 		}
+		if result.brokenOff {
+			p.checkCrash(endpoint.Endpoint, result.progress)
+			if result.progress == progressHead {
+				p.breaksAtBegin++
+			}
+		}
 		if !p.mayRetry(result) {
 			return p.refuseAfterAttempt(result)
 		}
@@ -96,7 +108,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(result attemptResult) bool {
-	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.timeLeft() <= 0 {
+	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
 		return false
 	}
 	return result.notRun && p.possibleRuns == 0 || p.route.IsRepeatable() && p.possibleRuns < p.route.MaxAttempts
@@ -179,6 +191,9 @@
 		acquired:     make(chan acquiredEndpoint, 1),
 		pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickEndpoint(excluded) },
 		isUnservable: func() bool {
+			if p.refuseQuarantined() != nil {
+				return true
+			}
 			loadedAt, ok := s.loadDelays.loadedAt(p.headers.Model)
 			return ok && loadedAt.Sub(s.Timer.Now()) > p.maxWait() && !s.isModelLoaded(p.service.Name, p.headers.Model, "")
 		},
@@ -191,7 +206,7 @@
 		if e, ok := s.queue.remove(waiting); ok {
 			return e, nil
 		}
-		return acquiredEndpoint{}, p.refuseModelNotReady()
+		return acquiredEndpoint{}, p.refuseUnservable()
 	}
 	defer func() { p.waitTime += s.Timer.Now().Sub(startedAt) }()
 	s.Log.Debug("request waits", "request", p.headers.RequestID, "model", p.headers.Model, "adapter", p.headers.Adapter)
@@ -207,7 +222,7 @@
 	case <-ctx.Done():
 	case <-maxWaitOver:
 	case <-waiting.unservable:
-		return acquiredEndpoint{}, p.refuseModelNotReady()
+		return acquiredEndpoint{}, p.refuseUnservable()
 	case <-s.waitingRefused:
 		if e, ok := s.queue.remove(waiting); ok {
 			return e, nil
@@ -251,6 +266,14 @@
 	retryAfterSpread = 800 * time.Millisecond
 )
 
+// refuseUnservable returns the refusal of a request that cannot be served in time.
+func (p *proxiedRequest) refuseUnservable() *arbutusfork.Refusal {
+	if refusal := p.refuseQuarantined(); refusal != nil {
+		return refusal
+	}
+	return p.refuseModelNotReady()
+}
+
 // refuseModelNotReady returns the refusal of a request whose model is not loaded in time. Its Retry-After is the
 // expected time until the model is loaded.
 func (p *proxiedRequest) refuseModelNotReady() *arbutusfork.Refusal {
--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -95,6 +95,12 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body of the response, so that a body that was
+// broken off may look complete.
+func (ex *exchange) endsWithConnection() bool {
+	return ex.response.ContentLength < 0 && len(ex.response.TransferEncoding) == 0
+}
+
 // close closes the connection and returns the reader to the pool.
 func (ex *exchange) close() {
 	ex.stopCancelWatch()
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -39,7 +39,9 @@
 	// arrivedAt is the time at which the gateway received the request.
 	arrivedAt time.Time
 
-	headers     RequestHeaders
+	headers RequestHeaders
+	// partIDs are the IDs of the parts of the prompt.
+	partIDs     []string
 	route       afroute.Route
 	service     afroute.Service
 	customer    afroute.Customer
@@ -76,6 +78,8 @@
 	lastEndpoint string
 	// responseStarted means that the head of the response was sent to the caller.
 	responseStarted bool
+	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
+	breaksAtBegin int
 	// isRelayingLong means that a part of a long body was sent to the caller, so that the request cannot be sent again.
 	isRelayingLong bool
 	// held is the request's part of the server's memory budget.
@@ -95,7 +99,7 @@
 func (p *proxiedRequest) serve() *arbutusfork.Refusal {
 	s := p.server
 	headers, err := s.HeaderCodec.ParseRequest(p.r.Header)
-	p.headers = headers
+	p.headers, p.partIDs = headers, partIDs(headers)
 	if err != nil {
 		return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, err.Error())
 	}
@@ -164,6 +168,9 @@
 			return newRefusal(arbutusfork.CodeNoCapacity, "the service does not offer model "+strconv.Quote(p.headers.Model), time.Second)
 		}
 	}
+	if refusal := p.refuseQuarantined(); refusal != nil {
+		return refusal
+	}
 	return p.chargeLimit()
 }
 
--- a/internal/afgateway/progress.go
+++ b/internal/afgateway/progress.go
@@ -10,23 +10,31 @@
 const (
 	// progressNone means that no byte of the answer has arrived.
 	progressNone answerProgress = iota // none
-	// progressHead means that the head of the answer has arrived, but no complete event and no body.
+	// progressHead means that the head of the answer has arrived, and no more of its content than one event.
 	progressHead // head
-	// progressBody means that a part of the answer's content has arrived.
+	// progressBody means that more of the answer's content has arrived.
 	progressBody // body
 )
 
-// sharedParts returns the parts of a prompt that other sessions may share: all but the last one.
-func sharedParts(headers RequestHeaders) []PromptPart {
-	return headers.PromptParts[:max(len(headers.PromptParts)-1, 0)]
+// streamProgress returns the progress of a stream after a number of events.
+func streamProgress(events int) answerProgress {
+	if events > 1 {
+		return progressBody
+	}
+	return progressHead
 }
 
-// formatSharedParts returns the IDs of the shared parts of a prompt for the log.
-func formatSharedParts(headers RequestHeaders) string {
-	parts := sharedParts(headers)
-	ids := make([]string, len(parts))
-	for i, part := range parts {
+// partIDs returns the IDs of the parts of a prompt.
+func partIDs(headers RequestHeaders) []string {
+	ids := make([]string, len(headers.PromptParts))
+	for i, part := range headers.PromptParts {
 		ids[i] = part.ID
 	}
-	return strings.Join(ids, ",")
+	return ids
+}
+
+// formatSharedParts returns the IDs of the parts of a prompt that other sessions may share, which are all but the last one.
+func formatSharedParts(headers RequestHeaders) string {
+	ids := partIDs(headers)
+	return strings.Join(ids[:max(len(ids)-1, 0)], ",")
 }
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -88,7 +88,8 @@
 		health = afroster.HealthUnaffected
 	}
 	endpoint.request.End(health)
-	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: errors.Is(context.Cause(ctx), errIdleTimeout), cause: cause}
+	timedOut := errors.Is(context.Cause(ctx), errIdleTimeout)
+	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: timedOut, brokenOff: health == afroster.HealthFailure && !timedOut && mayHaveReachedEndpoint(err), cause: cause}
 }
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
@@ -104,6 +105,9 @@
 	status := ex.response.StatusCode
 	isServerError := status >= http.StatusInternalServerError
 	endpoint.request.End(healthResult(!isServerError))
+	if !isServerError {
+		p.recordAnswer(p.server.Timer.Now())
+	}
 	response := bufferedResponse{status, ex.response.Header, body}
 	if isServerError && p.mayRetryServerError() {
 		p.endpointError = &response
@@ -218,15 +222,15 @@
 func (p *proxiedRequest) relayStream(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, w *idleWatchdog) attemptResult {
 	s := p.server
 	r := &eventReader{reader: ex.response.Body, held: p.held}
-	isPromptRead := false
+	events, beganAt := 0, time.Time{}
 	for {
 		event, err := r.readEvent()
 		if err != nil {
-			result := p.endStream(ctx, endpoint, r, err)
-			result.progress = progressHead
-			if isPromptRead {
-				result.progress = progressBody
+			if events > 0 && events < answeredEvents && errors.Is(err, errStreamEnd) && !ex.endsWithConnection() {
+				p.recordAnswer(beganAt)
 			}
+			result := p.endStream(ctx, endpoint, r, err)
+			result.progress = streamProgress(events)
 			return result
 		}
 		interval := time.Duration(0)
@@ -245,9 +249,12 @@
 			s.sessions.recordEndpoint(p.headers, endpoint.ID, s.Timer.Now())
 		}
 		if event.hasContent {
-			if !isPromptRead {
-				isPromptRead = true
+			switch events++; events {
+			case 1:
+				beganAt = s.Timer.Now()
 				endpoint.request.MarkPromptRead()
+			case answeredEvents:
+				p.recordAnswer(beganAt)
 			}
 			if p.relayedEvents > 0 {
 				p.maxEventInterval = max(p.maxEventInterval, interval)
@@ -280,7 +287,7 @@
 	if errors.Is(err, errStreamEnd) {
 		endpoint.request.End(afroster.HealthSuccess)
 		if !p.responseStarted {
-			return attemptResult{cause: "stream without an event"}
+			return attemptResult{brokenOff: true, cause: "stream without an event"}
 		}
 		return attemptResult{responseEnded: true}
 	}
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -48,6 +48,8 @@
 	RetryBudget RetryBudget
 	// AnswerMemory bounds the bytes that all answers in progress hold together.
 	AnswerMemory afmemory.Budget
+	// CrashWatch keeps prompts that crash endpoints from being sent.
+	CrashWatch CrashWatch
 	// Metrics counts outcomes. The zero value counts nothing.
 	Metrics Metrics
 	// Random returns a uniform random number in [0, 1). Nil means rand.Float64.
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -101,6 +101,11 @@
 	s.mu.Lock()
 	s.lease = s.lease.WithReadRecord(r, o.Version, s.BootTime())
 	s.mu.Unlock()
+	if s.ApplyLeaseNote != nil {
+		if err := s.ApplyLeaseNote(r.Note); err != nil {
+			s.Log.Warn("malformed note in the placement lease", "version", o.Version, "error", err)
+		}
+	}
 }
 
 // writeLease writes the record if its stored version is as given, and applies the outcome to the lease.
@@ -122,6 +127,9 @@
 func (s *Service) writeRecord(ctx context.Context, r aflease.Record, version int64) (afobject.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if s.LeaseNote != nil {
+		r.Note = s.LeaseNote()
+	}
 	spec, err := json.Marshal(r)
 	if err != nil {
 		return afobject.Object{}, err
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -70,6 +70,10 @@
 	CreateObject func(ctx context.Context, o afobject.Object) (afobject.Object, error)
 	// UpdateObject replaces an object on the platform if its version is unchanged.
 	UpdateObject func(ctx context.Context, o afobject.Object) (afobject.Object, error)
+	// LeaseNote returns what is stored in the record of the lease. ApplyLeaseNote is called with what was read there. Nil
+	// functions store and apply nothing.
+	LeaseNote      func() string
+	ApplyLeaseNote func(note string) error
 	// LiveVMs returns the live VMs, including this one.
 	LiveVMs func() []arbutusfork.VM
 	// ListedVMCount returns the number of VMs that may be alive.
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afentry"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afgateway"
@@ -94,6 +95,7 @@
 	roster         *afroster.Roster
 	peers          *afpeer.Service
 	keeper         *afkeeper.Service
+	crashes        *afcrash.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -183,6 +185,7 @@
 		{"endpoints", withoutError(endpoints.Run)},
 		{"members", withoutError(func(ctx context.Context) { n.runVMEntries(ctx, vms) })},
 		{"keeper", withoutError(n.keeper.Run)},
+		{"crashes", withoutError(n.crashes.Run)},
 		{"entry", n.entryServer.Run},
 		{"reload", withoutError(n.runReload)},
 		{"wake", withoutError(n.runRechecks)},
@@ -210,11 +213,22 @@
 	n.peers = &afpeer.Service{
 		Self: n.self, ListenAddress: n.Settings.PeerAddress, Centre: n.Settings.Centre, Timer: n.timer, Log: n.log,
 	}
+	n.createCrashes()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
 }
 
+// createCrashes creates the service that shares which prompts crash endpoints.
+func (n *Node) createCrashes() {
+	n.crashes = &afcrash.Service{
+		Timer: n.timer, Log: n.log, Metrics: afcrash.NewMetrics(n.registry), OnQuarantine: n.requestRecheck,
+		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
+	}
+	n.peers.Handle(afcrash.KindFacts, n.crashes.HandleFacts)
+	n.peers.Handle(afcrash.KindDigest, n.crashes.HandleDigest)
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
@@ -224,6 +238,7 @@
 		SpendBeyondGrant: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 			return n.keeper.SpendUnits(ctx, customer, cost)
 		},
+		CrashWatch:  afgateway.CrashWatch{FindQuarantine: n.crashes.FindQuarantine, RecordCrash: n.crashes.RecordCrash, RecordAnswer: n.crashes.RecordAnswer},
 		Metrics:     afgateway.NewMetrics(n.registry),
 		RetryBudget: n.Settings.retryBudget(),
 	}
@@ -247,6 +262,7 @@
 		LiveVMs: n.peers.LiveMembers, ListedVMCount: n.countListedVMs, SendToVM: n.peers.Send, CallVM: n.peers.Call,
 		OwnDemand: n.gateway.Demand, OwnUsage: n.gateway.Usage, ApplyGrants: n.gateway.SetGrants, ApplyLoadDelays: n.gateway.SetLoadDelays,
 		FeedPositions: n.feedPositions, CompareFeedPositions: n.comparePositions, ApplyEndpoints: n.applyRelayedEndpoints, KnowsAllEndpoints: n.hasListedEndpoints.Load, TakeoverDelay: n.takeoverDelay(),
+		LeaseNote: n.crashes.Note, ApplyLeaseNote: n.crashes.ApplyNote,
 		FetchReport: n.Platform.FetchReport, SendOrder: n.Platform.SendOrder,
 	}
 	n.keeper.Init()
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -21,6 +21,8 @@
 	// IsQuietPeriodOver means that, when the record was written, QuietPeriod had passed since the last use of the lease by a
 	// holder on another machine.
 	IsQuietPeriodOver bool `json:"settled,omitempty"`
+	// Note is what the holder keeps with the lease. It does not influence the lease.
+	Note string `json:"note,omitempty"`
 }
 
 // Timing holds the durations of a lease.
--- a/refusal.go
+++ b/refusal.go
@@ -33,6 +33,7 @@
 	CodeMethodNotAllowed                        // method_not_allowed
 	CodeHeadersTooLarge                         // headers_too_large
 	CodeOutcomeUnknown                          // outcome_unknown
+	CodePromptQuarantined                       // prompt_quarantined
 )
 
 var httpStatusByCode = map[RefusalCode]int{
@@ -57,6 +58,7 @@
 	CodeMethodNotAllowed:     http.StatusMethodNotAllowed,
 	CodeHeadersTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
 	CodeOutcomeUnknown:       http.StatusConflict,
+	CodePromptQuarantined:    http.StatusServiceUnavailable,
 }
 
 // Refusal describes to a caller why its request got no answer of an endpoint and whether the request may have run.
--- a/refusal_string.go
+++ b/refusal_string.go
@@ -29,11 +29,12 @@
 	_ = x[CodeMethodNotAllowed-18]
 	_ = x[CodeHeadersTooLarge-19]
 	_ = x[CodeOutcomeUnknown-20]
+	_ = x[CodePromptQuarantined-21]
 }
 
-const _RefusalCode_name = "bad_requestmissing_keyinvalid_keynot_allowedunknown_routeunknown_modeltoo_largerate_limiteddeadline_exceededno_capacityconfiguration_staleshutting_downclaim_unavailablecall_in_progressidempotency_key_reusedendpoint_failedkey_withdrawnrequest_timeoutmethod_not_allowedheaders_too_largeoutcome_unknown"
+const _RefusalCode_name = "bad_requestmissing_keyinvalid_keynot_allowedunknown_routeunknown_modeltoo_largerate_limiteddeadline_exceededno_capacityconfiguration_staleshutting_downclaim_unavailablecall_in_progressidempotency_key_reusedendpoint_failedkey_withdrawnrequest_timeoutmethod_not_allowedheaders_too_largeoutcome_unknownprompt_quarantined"
 
-var _RefusalCode_index = [...]uint16{0, 11, 22, 33, 44, 57, 70, 79, 91, 108, 119, 138, 151, 168, 184, 206, 221, 234, 249, 267, 284, 299}
+var _RefusalCode_index = [...]uint16{0, 11, 22, 33, 44, 57, 70, 79, 91, 108, 119, 138, 151, 168, 184, 206, 221, 234, 249, 267, 284, 299, 317}
 
 func (i RefusalCode) String() string {
 	idx := int(i) - 0
