--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -226,7 +226,7 @@
 	for {
 		event, err := r.readEvent()
 		if err != nil {
-			if events > 0 && events < answeredEvents && errors.Is(err, errStreamEnd) && !ex.endsWithConnection() {
+			if events > 0 && events < answeredEvents && errors.Is(err, errStreamEnd) && (events > 1 || !ex.endsWithConnection()) {
 				p.recordAnswer(beganAt)
 			}
 			result := p.endStream(ctx, endpoint, r, err)
