afgateway: log the limits that endpoints name

Change: 'request ended' has limit where the answer named one, and arbutusfork_gateway_limited_answers_total counts such answers. No decision changes.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -80,6 +80,8 @@
 	responseStarted bool
 	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
 	breaksAtBegin int
+	// namedLimit is the limit that the endpoint of the latest attempt named, in requests a second, or 0.
+	namedLimit float64
 	// isRelayingLong means that a part of a long body was sent to the caller, so that the request cannot be sent again.
 	isRelayingLong bool
 	// held is the request's part of the server's memory budget.
@@ -296,6 +298,9 @@
 		attrs = append(attrs, slog.String("code", refusal.Code.String()), slog.String("cause", refusal.Message),
 			slog.Duration("retry_after", refusal.RetryAfter))
 	}
+	if p.namedLimit > 0 {
+		attrs = append(attrs, slog.Float64("limit", p.namedLimit))
+	}
 	if p.responseBroken {
 		attrs = append(attrs, slog.Bool("broken", true))
 	}
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -17,6 +17,7 @@
 	attempts       prometheus.Counter
 	retries        *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
+	limitedAnswers prometheus.Counter
 	firstEventTime *prometheus.HistogramVec
 	waitTime       prometheus.Histogram
 }
@@ -41,6 +42,9 @@
 		failedAttempts: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_failed_sends_total", Help: "Sends that may have run and got no whole answer, by the part of the answer that had arrived.",
 		}, []string{"progress"}),
+		limitedAnswers: f.NewCounter(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_limited_answers_total", Help: "Answers in which an endpoint named a limit of its requests.",
+		}),
 		firstEventTime: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "arbutusfork_gateway_first_seconds", Help: "Time to the first event of a stream or to a whole answer.", Buckets: buckets,
 		}, []string{"kind"}),
@@ -77,6 +81,13 @@
 	}
 }
 
+// countLimit counts an answer in which the endpoint named a limit.
+func (m Metrics) countLimit(limit float64) {
+	if m.limitedAnswers != nil && limit > 0 {
+		m.limitedAnswers.Inc()
+	}
+}
+
 // countRequest counts the outcome of a request and observes its times.
 func (m Metrics) countRequest(p *proxiedRequest, outcome arbutusfork.Outcome, refusal *arbutusfork.Refusal) {
 	if m.requests == nil {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -59,10 +59,13 @@
 	}
 	defer ex.close()
 	headers := s.HeaderCodec.ParseResponse(ex.response.StatusCode, ex.response.Header)
-	switch {
-	case headers.RequestID != "" && headers.RequestID != p.headers.RequestID:
+	if headers.RequestID != "" && headers.RequestID != p.headers.RequestID {
 		endpoint.request.End(afroster.HealthFailure)
 		return attemptResult{cause: "answer to another request"}
+	}
+	p.namedLimit = headers.Limit
+	s.Metrics.countLimit(headers.Limit)
+	switch {
 	case headers.NotRun:
 		endpoint.request.End(afroster.HealthUnaffected)
 		return attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run"}
--- a/internal/afgateway/wire.go
+++ b/internal/afgateway/wire.go
@@ -72,4 +72,6 @@
 	RequestID string
 	// NotRun means that the endpoint reported that it did not run the request.
 	NotRun bool
+	// Limit is the number of requests a second that the endpoint takes from all VMs together. Zero means that it named none.
+	Limit float64
 }
