--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -22,6 +22,7 @@
 	headerCustomer = "X-Arbutusfork-Tenant"
 	headerAfter    = "Last-Event-Id"
 	headerParts    = "X-Arbutusfork-Prompt-Prefix"
+	headerLimit    = "Server-Limit"
 )
 
 // KindEndpoints is the kind of the endpoints' entries.
@@ -64,6 +65,8 @@
 	// OnExecute is called for each request that runs. It must not block.
 	OnExecute func(ExecutedRequest)
 
+	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Empty means none.
+	NamedLimit string
 	// CrashPart is the ID of a part of prompts on which the engine crashes when it begins to answer. Empty means none.
 	CrashPart string
 	// OnCrash is called when the engine crashes. It closes all connections to the engine.
@@ -199,6 +202,9 @@
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
+	if e.NamedLimit != "" {
+		w.Header().Set(headerLimit, e.NamedLimit)
+	}
 	refuse := func(status int) {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(status)
