afpace, afpermit: keep the limit that an endpoint names

Cause: no VM acts on the limit; the header goes to the caller like any other. The class: a bound on a quantity that all VMs use together, met by no VM. Evidence: with limits in the log, every VM is told within 5.7 s, and three engines with limits of 2.4, 2.2 and 1.8 still answer 5.8, 4.4 and 3.6 requests a second. Ruled out: that VMs act alone or forget at a restart; they do not act at all. A limit kept by each VM alone would allow six times as much, an equal part of it less than one request in 2 s at six VMs and none at 295.

Change: what an answer says about a limit spreads to the heartbeat peers. Before each send to a limited endpoint a VM asks the endpoint's home VM for a slot (pkg/afpace, internal/afpermit); while that does not answer, the VM that ranks next gives out slots at half the rate. A VM that begins to give out slots does so at half the rate for 3 s, since its predecessor may go on. So two givers never exceed one and a half times the limit, without a store or an election. An endpoint whose slots are far ahead has a higher cost, or no capacity; requests that wait for slots count as demand, so that the model is loaded elsewhere. A request that gets no slot is refused as not run, with the time until one may be free.

TestSlotsStayWithinOneAndAHalfLimits and TestLimitHoldsWhileVMsRestart play the change of the giver, also at 380 VMs, without a network.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afpace"
 )
 
 const (
@@ -64,6 +65,18 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
+		switch p.waitForSlot(ctx, endpoint.Endpoint) {
+		case slotAborted:
+			endpoint.request.End(afroster.HealthUnaffected)
+			return p.endCancelled(ctx)
+		case slotDenied:
+			endpoint.request.End(afroster.HealthUnaffected)
+			if p.slotDenials++; p.slotDenials >= maxSlotDenials || p.maxWait() <= 0 {
+				return p.refuseWithoutEndpoint(p.refuseWithoutSlot(endpoint.Endpoint), cause)
+			}
+			continue
+		case slotTaken:
+		}
 		if p.attempts > 0 && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
@@ -296,7 +309,7 @@
 	needs := requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(),
+		now: s.Timer.Now(), slotWait: s.expectedSlotWait, maxSlotWait: min(p.maxWait(), afpace.MaxAhead),
 	}
 	endpoint, ok := chooseEndpoint(candidates, needs)
 	if !ok && len(excluded) > 0 {
@@ -308,6 +321,9 @@
 	if !ok {
 		return acquiredEndpoint{}, false
 	}
+	if s.EndpointLimits.ExpectRequest != nil {
+		s.EndpointLimits.ExpectRequest(endpointStart(endpoint))
+	}
 	return acquiredEndpoint{endpoint, s.Roster.BeginRequest(endpoint.ID, p.headers.Model, p.headers.Adapter, p.headers.PromptTokens, p.headers.PromptTokens+p.headers.MaxOutputTokens)}, true
 }
 
--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -45,6 +45,18 @@
 	// engine is nil for services without model engines.
 	engine *afroute.EngineSpec
 	now    time.Time
+	// slotWait returns how long a request to an endpoint probably waits for a slot. Nil means not at all. Endpoints with a longer
+	// wait than maxSlotWait have no capacity.
+	slotWait    func(e afroster.Endpoint) time.Duration
+	maxSlotWait time.Duration
+}
+
+// slotWaitFor returns how long a request to the endpoint probably waits for a slot.
+func (needs requirements) slotWaitFor(e afroster.Endpoint) time.Duration {
+	if needs.slotWait == nil {
+		return 0
+	}
+	return needs.slotWait(e)
 }
 
 // acceptsModel returns a function that reports whether an endpoint with the loaded and closing models has loaded the model and
@@ -81,7 +93,11 @@
 		if needs.excluded[e.ID] || !hasCapacity(e, needs) {
 			continue
 		}
-		estimate := estimateCost(e, needs)
+		slotWait := needs.slotWaitFor(e)
+		if slotWait > needs.maxSlotWait {
+			continue
+		}
+		estimate := estimateCost(e, needs) + slotWait.Milliseconds()*slotWaitCostTokens
 		if e.Health.IsEjected(needs.now) {
 			if !foundEjected || estimate < bestEjectedCost {
 				bestEjected, bestEjectedCost, foundEjected = e, estimate, true
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -80,6 +80,8 @@
 	responseStarted bool
 	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
 	breaksAtBegin int
+	// slotDenials is the number of times that a limited endpoint had no slot for the request.
+	slotDenials int
 	// namedLimit is the limit that the endpoint of the latest attempt named, in requests a second, or 0.
 	namedLimit float64
 	// isRelayingLong means that a part of a long body was sent to the caller, so that the request cannot be sent again.
--- /dev/null
+++ b/internal/afgateway/permit.go
@@ -0,0 +1,84 @@
+package afgateway
+
+import (
+	"context"
+	"time"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afpace"
+)
+
+// EndpointLimits connects the gateway to the limits that endpoints name. Without its functions, no limit is kept.
+type EndpointLimits struct {
+	// RecordAnswer is called with the limit that an endpoint named in an answer, in requests a second, or 0 if it named none. It
+	// must not block.
+	RecordAnswer func(e afpace.EndpointStart, perSecond float64)
+	// ExpectedWait returns how long a request to the endpoint probably waits for a slot, and ExpectRequest counts a request for
+	// which the endpoint was chosen. They must not block.
+	ExpectedWait  func(e afpace.EndpointStart) time.Duration
+	ExpectRequest func(e afpace.EndpointStart)
+	// TakeSlot returns after which time a request may be sent to the endpoint, or false if that is not within maxWait.
+	TakeSlot func(ctx context.Context, e afpace.EndpointStart, maxWait time.Duration) (time.Duration, bool)
+}
+
+const (
+	// slotWaitCostTokens is the cost of a millisecond of waiting for a slot, in prompt tokens that an engine reads meanwhile.
+	slotWaitCostTokens = 25
+	// maxSlotDenials bounds how often a request is denied a slot before it is refused.
+	maxSlotDenials = 8
+)
+
+// endpointStart returns the identity of an endpoint from its start to its end.
+func endpointStart(e afroster.Endpoint) afpace.EndpointStart {
+	return afpace.EndpointStart{Endpoint: e.ID, StartUnixMs: e.StartUnixMs}
+}
+
+// expectedSlotWait returns how long a request to the endpoint probably waits for a slot.
+func (s *Server) expectedSlotWait(e afroster.Endpoint) time.Duration {
+	if s.EndpointLimits.ExpectedWait == nil {
+		return 0
+	}
+	return s.EndpointLimits.ExpectedWait(endpointStart(e))
+}
+
+// slotResult is the result of waiting for a slot.
+type slotResult int
+
+const (
+	// slotTaken means that the request may be sent now.
+	slotTaken slotResult = iota
+	// slotDenied means that another endpoint must be chosen, since no slot is free in time or the endpoint drains.
+	slotDenied
+	// slotAborted means that the context ended.
+	slotAborted
+)
+
+// waitForSlot takes a slot of the endpoint, if the endpoint is limited, and waits for it.
+func (p *proxiedRequest) waitForSlot(ctx context.Context, endpoint afroster.Endpoint) slotResult {
+	s := p.server
+	if s.EndpointLimits.TakeSlot == nil {
+		return slotTaken
+	}
+	wait, isGranted := s.EndpointLimits.TakeSlot(ctx, endpointStart(endpoint), p.maxWait())
+	if !isGranted {
+		return slotDenied
+	}
+	if wait <= 0 {
+		return slotTaken
+	}
+	p.waitTime += wait
+	defer s.queue.addSlotWaiter(&waitingRequest{model: p.headers.Model, adapter: p.headers.Adapter, arrivedAt: p.arrivedAt, targetLatency: p.route.TargetLatency})()
+	if !s.Timer.Sleep(ctx, wait) {
+		return slotAborted
+	}
+	if !s.isServing(endpoint) {
+		return slotDenied
+	}
+	return slotTaken
+}
+
+// refuseWithoutSlot returns the refusal of a request for which no slot was free, with the time until one may be free.
+func (p *proxiedRequest) refuseWithoutSlot(endpoint afroster.Endpoint) *arbutusfork.Refusal {
+	return newRefusal(arbutusfork.CodeNoCapacity, "every endpoint is at the limit that it named", max(p.server.expectedSlotWait(endpoint), busyRetryAfter))
+}
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -37,6 +37,23 @@
 type waitingQueue struct {
 	mu       sync.Mutex
 	requests []*waitingRequest
+	// slotWaiters are requests that wait for a slot of the endpoint that was chosen for them.
+	slotWaiters map[*waitingRequest]bool
+}
+
+// addSlotWaiter adds a request that waits for a slot to those that countByModel counts, until the returned function is called.
+func (q *waitingQueue) addSlotWaiter(request *waitingRequest) (remove func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.slotWaiters == nil {
+		q.slotWaiters = make(map[*waitingRequest]bool)
+	}
+	q.slotWaiters[request] = true
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.slotWaiters, request)
+	}
 }
 
 // acquireOrAdd returns an endpoint that can serve the request now, or adds the request to the queue.
@@ -107,9 +124,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := make(map[demandKey]waitCounts)
-	for _, request := range q.requests {
+	add := func(request *waitingRequest) {
 		if request.model == "" {
-			continue
+			return
 		}
 		k := demandKey{request.model, request.adapter}
 		counts := out[k]
@@ -120,6 +137,12 @@
 		counts.oldestAge = max(counts.oldestAge, now.Sub(request.arrivedAt))
 		out[k] = counts
 	}
+	for _, request := range q.requests {
+		add(request)
+	}
+	for request := range q.slotWaiters {
+		add(request)
+	}
 	return out
 }
 
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -65,6 +65,9 @@
 	}
 	p.namedLimit = headers.Limit
 	s.Metrics.countLimit(headers.Limit)
+	if s.EndpointLimits.RecordAnswer != nil {
+		s.EndpointLimits.RecordAnswer(endpointStart(endpoint.Endpoint), headers.Limit)
+	}
 	switch {
 	case headers.NotRun:
 		endpoint.request.End(afroster.HealthUnaffected)
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -50,6 +50,8 @@
 	AnswerMemory afmemory.Budget
 	// CrashWatch keeps prompts that crash endpoints from being sent.
 	CrashWatch CrashWatch
+	// EndpointLimits keeps the limits that endpoints name.
+	EndpointLimits EndpointLimits
 	// Metrics counts outcomes. The zero value counts nothing.
 	Metrics Metrics
 	// Random returns a uniform random number in [0, 1). Nil means rand.Float64.
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -25,6 +25,7 @@
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
 	"arbutusfork.example/arbutusfork/internal/aflog"
 	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/internal/afpermit"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/aflease"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -96,6 +97,7 @@
 	peers          *afpeer.Service
 	keeper         *afkeeper.Service
 	crashes        *afcrash.Service
+	permits        *afpermit.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -214,6 +216,7 @@
 		Self: n.self, ListenAddress: n.Settings.PeerAddress, Centre: n.Settings.Centre, Timer: n.timer, Log: n.log,
 	}
 	n.createCrashes()
+	n.createPermits()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
@@ -229,6 +232,17 @@
 	n.peers.Handle(afcrash.KindDigest, n.crashes.HandleDigest)
 }
 
+// createPermits creates the service that keeps the limits that endpoints name.
+func (n *Node) createPermits() {
+	n.permits = &afpermit.Service{
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: afpermit.NewMetrics(n.registry), OnSlotFree: n.requestRecheck,
+		LiveVMs: n.peers.LiveMembers, HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() },
+		SendToVM: n.peers.Send, CallVM: n.peers.Call,
+	}
+	n.peers.Handle(afpermit.KindLimits, n.permits.HandleLimits)
+	n.peers.Handle(afpermit.KindSlot, n.permits.HandleSlot)
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
@@ -238,7 +252,10 @@
 		SpendBeyondGrant: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 			return n.keeper.SpendUnits(ctx, customer, cost)
 		},
-		CrashWatch:  afgateway.CrashWatch{FindQuarantine: n.crashes.FindQuarantine, RecordCrash: n.crashes.RecordCrash, RecordAnswer: n.crashes.RecordAnswer},
+		CrashWatch: afgateway.CrashWatch{FindQuarantine: n.crashes.FindQuarantine, RecordCrash: n.crashes.RecordCrash, RecordAnswer: n.crashes.RecordAnswer},
+		EndpointLimits: afgateway.EndpointLimits{
+			RecordAnswer: n.permits.RecordAnswer, ExpectedWait: n.permits.ExpectedWait, ExpectRequest: n.permits.ExpectRequest, TakeSlot: n.permits.TakeSlot,
+		},
 		Metrics:     afgateway.NewMetrics(n.registry),
 		RetryBudget: n.Settings.retryBudget(),
 	}
--- /dev/null
+++ b/internal/afpermit/service.go
@@ -0,0 +1,261 @@
+// Package afpermit keeps the requests of all VMs to an endpoint within the limit that the endpoint names. What one VM learns
+// from an answer spreads to the others over the heartbeat peers. Before a VM sends a request to a limited endpoint, it asks
+// the endpoint's home VM for a slot (package afpace), or the VM that ranks next while the home VM does not answer. Neither
+// needs the platform.
+package afpermit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afpace"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	// spreadInterval is the time between two messages with limits to a VM.
+	spreadInterval = 100 * time.Millisecond
+	// askTimeout bounds a request for a slot. A round trip takes some milliseconds, but a VM whose processor time is a quota may
+	// pause for a tenth of a second on either side.
+	askTimeout = 250 * time.Millisecond
+	// silenceTime is how long a VM that did not answer is not asked again.
+	silenceTime = time.Second
+	// minClosedTime is the least time for which an endpoint without a free slot gets no requests of this VM.
+	minClosedTime = 50 * time.Millisecond
+	// maxKnownSlots bounds the endpoints for which the time of the next slot is kept.
+	maxKnownSlots = 4096
+)
+
+// Service keeps the limits on one VM. Set the exported fields before the first call.
+type Service struct {
+	// Self is the name of this VM.
+	Self  string
+	Timer *aftimer.Service
+	Log   *slog.Logger
+	// LiveVMs returns the VMs that take work, including this one unless it is leaving.
+	LiveVMs func() []arbutusfork.VM
+	// HeartbeatPeers returns the VMs to which new limits are sent.
+	HeartbeatPeers func() []arbutusfork.VM
+	// SendToVM sends a message to a VM. It must not block.
+	SendToVM func(vm, kind string, message any) error
+	// CallVM sends a message to a VM and waits for the answer.
+	CallVM func(ctx context.Context, vm, kind string, message, answer any) error
+	// OnSlotFree is called when waiting requests should be checked again. It must not block.
+	OnSlotFree func()
+	// Metrics counts slots. The zero value counts nothing.
+	Metrics Metrics
+
+	limits atomic.Pointer[afpace.Limits]
+
+	// mu serializes changes of the limits and guards the fields below.
+	mu    sync.Mutex
+	pacer afpace.Pacer
+	// nextSlotAt holds when this VM expects the next free slot of an endpoint.
+	nextSlotAt map[afpace.EndpointStart]time.Time
+	// silentUntil holds the time until which a VM that did not answer is not asked.
+	silentUntil map[string]time.Time
+	// pending holds the limits that were not sent to the heartbeat peers yet.
+	pending map[afpace.EndpointStart]afpace.Limit
+}
+
+// Metrics counts requests for slots by result.
+type Metrics struct {
+	slots *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics and returns them.
+func NewMetrics(r prometheus.Registerer) Metrics {
+	return Metrics{slots: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutusfork_permit_slots_total", Help: "Slots of limited endpoints that this VM asked for, by whether one was granted.",
+	}, []string{"granted"})}
+}
+
+// Limits returns the known limits.
+func (s *Service) Limits() afpace.Limits {
+	if limits := s.limits.Load(); limits != nil {
+		return *limits
+	}
+	return afpace.Limits{}
+}
+
+// RecordAnswer records the limit that an endpoint named in an answer. Zero means that it named none.
+func (s *Service) RecordAnswer(e afpace.EndpointStart, perSecond float64) {
+	if perSecond == 0 && !s.Limits().Knows(e) {
+		return
+	}
+	s.learn(map[afpace.EndpointStart]afpace.Limit{e: {PerSecond: perSecond, NamedAt: s.Timer.Now()}})
+}
+
+// learn adds limits, and schedules the sending of those that are new.
+func (s *Service) learn(named map[afpace.EndpointStart]afpace.Limit) {
+	s.mu.Lock()
+	limits, wasPending, isLifted := s.Limits(), len(s.pending) > 0, false
+	for e, limit := range named {
+		var isNews bool
+		if limits, isNews = limits.WithAnswer(e, limit); !isNews {
+			continue
+		}
+		if s.pending == nil {
+			s.pending = make(map[afpace.EndpointStart]afpace.Limit)
+		}
+		s.pending[e] = limit
+		if limit.PerSecond == 0 {
+			isLifted = true
+			delete(s.nextSlotAt, e)
+		}
+		s.Log.Info("endpoint limit changed", "endpoint", e.Endpoint, "limit", limit.PerSecond)
+	}
+	s.limits.Store(&limits)
+	if !wasPending && len(s.pending) > 0 {
+		s.Timer.CallAfter(spreadInterval, s.spread)
+	}
+	s.mu.Unlock()
+	if isLifted && s.OnSlotFree != nil {
+		s.OnSlotFree()
+	}
+}
+
+// spread sends the new limits to the heartbeat peers. A limit that is lost on the way is named again in later answers.
+func (s *Service) spread(now time.Time) {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	message := encodeLimits(pending, now)
+	for _, vm := range s.HeartbeatPeers() {
+		if err := s.SendToVM(vm.Name, KindLimits, message); err != nil {
+			s.Log.Debug("endpoint limits not sent", "to", vm.Name, "error", err)
+		}
+	}
+}
+
+// ExpectedWait returns how long a request to the endpoint probably waits for a slot. It is zero for endpoints without a limit.
+func (s *Service) ExpectedWait(e afpace.EndpointStart) time.Duration {
+	now := s.Timer.Now()
+	if _, isLimited := s.Limits().Limit(e, now); !isLimited {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.nextSlotAt[e].Sub(now), 0)
+}
+
+// ExpectRequest counts a request that is about to take a slot, so that ExpectedWait grows before the slot is taken.
+func (s *Service) ExpectRequest(e afpace.EndpointStart) {
+	now := s.Timer.Now()
+	limit, isLimited := s.Limits().Limit(e, now)
+	if !isLimited {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.nextSlotAt[e]
+	if next.Before(now) {
+		next = now
+	}
+	s.setNextSlot(e, next.Add(limit.Interval()))
+}
+
+// setNextSlot sets when this VM expects the next free slot of an endpoint. The caller holds mu.
+func (s *Service) setNextSlot(e afpace.EndpointStart, at time.Time) {
+	if s.nextSlotAt == nil || len(s.nextSlotAt) >= maxKnownSlots {
+		s.nextSlotAt = make(map[afpace.EndpointStart]time.Time)
+	}
+	s.nextSlotAt[e] = at
+}
+
+// TakeSlot takes a slot of the endpoint, if the endpoint is limited. The request may be sent after the returned time. It
+// returns false if no slot is free within maxWait.
+func (s *Service) TakeSlot(ctx context.Context, e afpace.EndpointStart, maxWait time.Duration) (time.Duration, bool) {
+	limit, isLimited := s.Limits().Limit(e, s.Timer.Now())
+	if !isLimited {
+		return 0, true
+	}
+	slot := s.requestSlot(ctx, afpace.Request{Endpoint: e, PerSecond: limit.PerSecond, MaxWait: maxWait})
+	now := s.Timer.Now()
+	s.Metrics.countSlot(slot.IsGranted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slot.IsGranted {
+		s.setNextSlot(e, now.Add(slot.Wait+limit.Interval()))
+		return slot.Wait, true
+	}
+	closedTime := max(slot.Wait-afpace.MaxAhead/2, minClosedTime)
+	s.setNextSlot(e, now.Add(max(slot.Wait, closedTime)))
+	s.Timer.CallAfter(closedTime, func(time.Time) {
+		if s.OnSlotFree != nil {
+			s.OnSlotFree()
+		}
+	})
+	return 0, false
+}
+
+func (m Metrics) countSlot(isGranted bool) {
+	if m.slots == nil {
+		return
+	}
+	label := "false"
+	if isGranted {
+		label = "true"
+	}
+	m.slots.WithLabelValues(label).Inc()
+}
+
+// requestSlot asks the home VM of the endpoint for a slot, or the VM that ranks next. If neither answers, this VM takes its part
+// of the rate of a substitute.
+func (s *Service) requestSlot(ctx context.Context, r afpace.Request) afpace.Slot {
+	live := s.LiveVMs()
+	for i, vm := range afmember.HighestRanked(live, "limit/"+r.Endpoint.Endpoint, 2) {
+		r.IsSubstitute = i > 0
+		if vm.Name == s.Self {
+			return s.takeOwnSlot(r)
+		}
+		if slot, ok := s.askVM(ctx, vm.Name, r); ok {
+			return slot
+		}
+	}
+	r.IsSubstitute = true
+	r.PerSecond /= float64(max(len(live), 1))
+	return s.takeOwnSlot(r)
+}
+
+// takeOwnSlot takes a slot that this VM gives out.
+func (s *Service) takeOwnSlot(r afpace.Request) afpace.Slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacer.TakeSlot(r, s.Timer.Now())
+}
+
+// askVM asks a VM for a slot. It returns false if the VM does not answer, or did not a short time ago.
+func (s *Service) askVM(ctx context.Context, vm string, r afpace.Request) (afpace.Slot, bool) {
+	s.mu.Lock()
+	isSilent := s.Timer.Now().Before(s.silentUntil[vm])
+	s.mu.Unlock()
+	if isSilent {
+		return afpace.Slot{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var answer slotMessage
+	err := s.CallVM(ctx, vm, KindSlot, encodeRequest(r), &answer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.Log.Info("slot request failed", "asked", vm, "endpoint", r.Endpoint.Endpoint, "error", err)
+		if s.silentUntil == nil || len(s.silentUntil) >= maxKnownSlots {
+			s.silentUntil = make(map[string]time.Time)
+		}
+		s.silentUntil[vm] = s.Timer.Now().Add(silenceTime)
+		return afpace.Slot{}, false
+	}
+	delete(s.silentUntil, vm)
+	return answer.decode(), true
+}
--- /dev/null
+++ b/internal/afpermit/service_test.go
@@ -0,0 +1,183 @@
+package afpermit
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afpace"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// fleet is a set of services that exchange messages without a network. Each VM has its own view of which VMs live.
+type fleet struct {
+	timer    *aftimer.Service
+	now      time.Time
+	random   *rand.Rand
+	vms      []arbutusfork.VM
+	services map[string]*Service
+	// isDown names VMs that answer nothing, and isKnownDown those of them that the others have noticed.
+	isDown, isKnownDown map[string]bool
+	messages            int
+	sentAt              []time.Time
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{
+		timer: &aftimer.Service{}, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 0)),
+		services: map[string]*Service{}, isDown: map[string]bool{}, isKnownDown: map[string]bool{},
+	}
+	f.timer.AdvanceTo(f.now)
+	for i := range n {
+		f.vms = append(f.vms, arbutusfork.VM{Name: fmt.Sprintf("vm-%03d", i)})
+	}
+	for _, vm := range f.vms {
+		f.restart(vm)
+	}
+	return f
+}
+
+func (f *fleet) restart(vm arbutusfork.VM) {
+	peers := afmember.NewView(vm).WithList(f.vms).HeartbeatPeers()
+	f.services[vm.Name] = &Service{
+		Self: vm.Name, Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
+		LiveVMs: func() []arbutusfork.VM {
+			live := make([]arbutusfork.VM, 0, len(f.vms))
+			for _, vm := range f.vms {
+				if !f.isKnownDown[vm.Name] {
+					live = append(live, vm)
+				}
+			}
+			return live
+		},
+		SendToVM: func(to, _ string, message any) error {
+			body, err := msgpack.Marshal(message)
+			f.messages++
+			if err == nil && !f.isDown[to] {
+				f.timer.CallAfter(3*time.Millisecond, func(time.Time) { _, _ = f.services[to].HandleLimits(arbutusfork.Incarnation{}, body) })
+			}
+			return err
+		},
+		CallVM: func(_ context.Context, to, _ string, message, answer any) error {
+			f.messages++
+			if f.isDown[to] {
+				return errors.New("no answer")
+			}
+			body, err := msgpack.Marshal(message)
+			if err != nil {
+				return err
+			}
+			reply, err := f.services[to].HandleSlot(arbutusfork.Incarnation{}, body)
+			if err != nil {
+				return err
+			}
+			encoded, err := msgpack.Marshal(reply)
+			if err != nil {
+				return err
+			}
+			return msgpack.Unmarshal(encoded, answer)
+		},
+	}
+}
+
+// run offers requests to random VMs for a time and records when they are sent to the endpoint.
+func (f *fleet) run(t *testing.T, d time.Duration, e afpace.EndpointStart, perSecond, offered float64) {
+	t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.timer.AdvanceTo(f.now)
+		if f.random.Float64() > offered/100 {
+			continue
+		}
+		vm := f.vms[f.random.IntN(len(f.vms))].Name
+		if f.isDown[vm] {
+			continue
+		}
+		s := f.services[vm]
+		if wait, ok := s.TakeSlot(t.Context(), e, time.Second); ok {
+			f.sentAt = append(f.sentAt, f.now.Add(wait))
+			f.timer.CallAfter(wait+20*time.Millisecond, func(time.Time) { s.RecordAnswer(e, perSecond) })
+		}
+	}
+}
+
+// maxInWindow returns the largest number of requests that were sent within 4 s, from a time on.
+func (f *fleet) maxInWindow(from time.Time) int {
+	most := 0
+	for _, begin := range f.sentAt {
+		n := 0
+		for _, at := range f.sentAt {
+			if !at.Before(begin) && at.Before(begin.Add(4*time.Second)) {
+				n++
+			}
+		}
+		if !begin.Before(from) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// Guards against a named limit that is exceeded while VMs restart, the VM that gives out slots dies unnoticed, and a new one
+// takes over.
+func TestLimitHoldsWhileVMsRestart(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, vms := range []int{6, 380} {
+			if vms > 6 && seed%5 > 0 {
+				continue // A large fleet takes long to play.
+			}
+			f := newFleet(vms, seed)
+			e, perSecond := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 1+float64(seed)
+			f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
+			f.run(t, 3*time.Second, e, perSecond, 60)
+			from := f.now
+			home := afmember.HighestRanked(f.vms, "limit/"+e.Endpoint, 1)[0]
+			f.run(t, 4*time.Second, e, perSecond, 60)
+			f.isDown[home.Name] = true
+			f.run(t, 2*time.Second, e, perSecond, 60)
+			f.isKnownDown[home.Name] = true
+			f.run(t, 3*time.Second, e, perSecond, 60)
+			f.isDown[home.Name] = false
+			f.restart(home)
+			f.isKnownDown[home.Name] = false
+			f.run(t, 6*time.Second, e, perSecond, 60)
+			require.LessOrEqual(t, float64(f.maxInWindow(from)), 6*perSecond+5, "seed %d, %d VMs", seed, vms)
+			used := 0
+			for _, at := range f.sentAt {
+				if at.After(from) {
+					used++
+				}
+			}
+			require.Greater(t, float64(used), 0.6*perSecond*f.now.Sub(from).Seconds(), "seed %d, %d VMs", seed, vms)
+		}
+	}
+}
+
+// Guards against limits that reach the other VMs of a large fleet late, and against messages that grow with its square.
+func TestLimitsReachLargeFleet(t *testing.T) {
+	const vms, endpoints = 380, 100
+	f := newFleet(vms, 1)
+	for i := range endpoints {
+		f.services[f.vms[i].Name].RecordAnswer(afpace.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, 2)
+	}
+	for range 100 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.timer.AdvanceTo(f.now)
+	}
+	for _, s := range f.services {
+		for i := range endpoints {
+			_, isLimited := s.Limits().Limit(afpace.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, f.now)
+			require.True(t, isLimited, "endpoint %d", i)
+		}
+	}
+	require.LessOrEqual(t, f.messages, vms*afmember.MaxHeartbeatPeers*int(time.Second/spreadInterval))
+}
--- /dev/null
+++ b/pkg/afpace/limit.go
@@ -0,0 +1,108 @@
+// Package afpace keeps the requests that all VMs send to an endpoint within a limit that the endpoint names in its answers.
+//
+// One VM paces the requests to an endpoint: it gives out slots, which are instants at which one request may be sent. Others
+// ask it for a slot before they send. While it does not answer, a substitute gives out slots at half the rate, so that both
+// together, should they work at the same time, stay within one and a half times the limit.
+package afpace
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// maxLimits bounds the endpoints whose limits are known. The limits that were named longest ago are dropped first.
+	maxLimits = 4096
+	// limitTimeout is how long a limit holds without another answer of the endpoint. A limited endpoint still gets requests,
+	// so that it says in time that the limit holds or is lifted.
+	limitTimeout = 30 * time.Second
+	// relevantChange is the fraction by which a limit must change to be a new fact for other VMs, and refreshInterval is the
+	// time after which an unchanged limit is one.
+	relevantChange  = 0.1
+	refreshInterval = 10 * time.Second
+)
+
+// EndpointStart identifies an endpoint from its start to its end.
+type EndpointStart struct {
+	Endpoint string
+	// StartUnixMs is the start of the endpoint in Unix milliseconds by its own clock.
+	StartUnixMs int64
+}
+
+// Limit is what an endpoint said about its limit in its latest answer.
+type Limit struct {
+	// PerSecond is the number of requests a second that the endpoint takes. Zero means that the limit was lifted.
+	PerSecond float64
+	// NamedAt is when the answer arrived.
+	NamedAt time.Time
+}
+
+// Interval returns the time between two requests at the limit.
+func (l Limit) Interval() time.Duration { return interval(l.PerSecond) }
+
+// interval returns the time between two requests at a rate, at most a minute.
+func interval(perSecond float64) time.Duration {
+	return time.Duration(min(float64(time.Second)/max(perSecond, 1e-9), float64(time.Minute)))
+}
+
+// Limits holds the limits of all endpoints that named one. It is immutable; the With methods return changed copies.
+type Limits struct {
+	byEndpoint map[EndpointStart]Limit
+}
+
+// Limit returns the limit of an endpoint. It returns false if there is none.
+func (l Limits) Limit(e EndpointStart, now time.Time) (Limit, bool) {
+	limit, ok := l.byEndpoint[e]
+	return limit, ok && limit.PerSecond > 0 && now.Sub(limit.NamedAt) < limitTimeout
+}
+
+// Knows reports whether the endpoint named a limit lately, which may have been lifted.
+func (l Limits) Knows(e EndpointStart) bool {
+	_, ok := l.byEndpoint[e]
+	return ok
+}
+
+// WithAnswer returns the limits after an answer of an endpoint that named a limit, or none if perSecond is zero. Answers may
+// be reported in any order. IsNews means that other VMs should learn of it.
+func (l Limits) WithAnswer(e EndpointStart, limit Limit) (changed Limits, isNews bool) {
+	known, isKnown := l.byEndpoint[e]
+	switch {
+	case !isKnown && limit.PerSecond == 0:
+		return l, false
+	case isKnown && !limit.NamedAt.After(known.NamedAt):
+		return l, false
+	}
+	isNews = !isKnown || isRelevant(known.PerSecond, limit.PerSecond) || limit.PerSecond > 0 && limit.NamedAt.Sub(known.NamedAt) >= refreshInterval
+	if !isNews {
+		return l, false
+	}
+	l.byEndpoint = maps.Clone(l.byEndpoint)
+	if l.byEndpoint == nil {
+		l.byEndpoint = make(map[EndpointStart]Limit)
+	}
+	l.byEndpoint[e] = limit
+	l.dropOldest(limit.NamedAt)
+	return l, true
+}
+
+// isRelevant reports whether two limits differ by more than relevantChange.
+func isRelevant(a, b float64) bool {
+	return (a == 0) != (b == 0) || max(a, b)-min(a, b) > relevantChange*max(a, b)
+}
+
+// dropOldest removes the limits that have expired, and the oldest one if there are too many. The map must not be shared.
+func (l Limits) dropOldest(now time.Time) {
+	oldest, found := EndpointStart{}, false
+	for e, limit := range l.byEndpoint {
+		if now.Sub(limit.NamedAt) >= limitTimeout {
+			delete(l.byEndpoint, e)
+			continue
+		}
+		if !found || limit.NamedAt.Before(l.byEndpoint[oldest].NamedAt) {
+			oldest, found = e, true
+		}
+	}
+	if len(l.byEndpoint) > maxLimits {
+		delete(l.byEndpoint, oldest)
+	}
+}
--- /dev/null
+++ b/pkg/afpace/pacer_test.go
@@ -0,0 +1,105 @@
+package afpace
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var testEndpoint = EndpointStart{"i-1", 1}
+
+// Guards against more requests than one and a half times the limit and five in any 4 s, while the pacing VM is replaced and a
+// substitute gives out slots beside it.
+func TestSlotsStayWithinOneAndAHalfLimits(t *testing.T) {
+	const window = 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.2, 50).Draw(t, "limit")
+		first, second, substitute := &Pacer{}, &Pacer{}, &Pacer{}
+		now := time.Unix(1000, 0)
+		end := now.Add(20 * time.Second)
+		replacedAt := now.Add(time.Duration(rapid.IntRange(4000, 12000).Draw(t, "replaced at")) * time.Millisecond)
+		var sentAt []time.Time
+		ask := func(p *Pacer, isSubstitute bool) {
+			r := Request{Endpoint: testEndpoint, PerSecond: perSecond, IsSubstitute: isSubstitute, MaxWait: time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond}
+			if slot := p.TakeSlot(r, now); slot.IsGranted {
+				sentAt = append(sentAt, now.Add(slot.Wait))
+			}
+		}
+		for now.Before(end) {
+			if now.Before(replacedAt) {
+				ask(first, false)
+			} else {
+				ask(second, false)
+			}
+			// Either VMs that do not know of the replacement go on with the first, or the first is gone and some ask a substitute.
+			if now.After(replacedAt) && now.Before(replacedAt.Add(startTime)) {
+				ask(first, false)
+			} else {
+				ask(substitute, true)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(5, 400).Draw(t, "pause")) * time.Millisecond)
+		}
+		for _, begin := range sentAt {
+			n := 0
+			for _, at := range sentAt {
+				if !at.Before(begin) && at.Before(begin.Add(window)) {
+					n++
+				}
+			}
+			require.LessOrEqual(t, float64(n), 1.5*perSecond*window.Seconds()+5, "from %s", begin)
+		}
+	})
+}
+
+// Guards against a limit that is kept by sending next to nothing.
+func TestSlotsUseTheLimit(t *testing.T) {
+	p, now, granted := &Pacer{}, time.Unix(1000, 0), 0
+	for range 2000 {
+		if p.TakeSlot(Request{Endpoint: testEndpoint, PerSecond: 5, MaxWait: time.Second}, now).IsGranted {
+			granted++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, granted, 90, "slots in 20 s at 5 a second")
+	denied := p.TakeSlot(Request{Endpoint: testEndpoint, PerSecond: 5}, now)
+	require.False(t, denied.IsGranted)
+	require.Positive(t, denied.Wait)
+}
+
+// Guards against memory that grows with the number of endpoints that ever named a limit.
+func TestStateStaysBounded(t *testing.T) {
+	p, limits, now := &Pacer{}, Limits{}, time.Unix(1000, 0)
+	for i := range 3 * maxPaces / 2 {
+		e := EndpointStart{strconv.Itoa(i), 1}
+		p.TakeSlot(Request{Endpoint: e, PerSecond: 1}, now)
+		if i%8 == 0 {
+			limits, _ = limits.WithAnswer(e, Limit{PerSecond: 1, NamedAt: now})
+		}
+		now = now.Add(time.Millisecond)
+	}
+	require.LessOrEqual(t, len(p.paces), maxPaces)
+	limits, _ = limits.WithAnswer(testEndpoint, Limit{PerSecond: 1, NamedAt: now.Add(2 * limitTimeout)})
+	require.Len(t, limits.byEndpoint, 1, "expired limits are dropped")
+}
+
+// Guards against a lifted limit that an older answer brings back, and against a limit that a restarted endpoint did not name.
+func TestLimitFollowsLatestAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l, isNews := Limits{}.WithAnswer(testEndpoint, Limit{NamedAt: now})
+	require.False(t, isNews, "no limit was named")
+	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now})
+	require.True(t, isNews)
+	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2.1, NamedAt: now.Add(time.Second)})
+	require.False(t, isNews, "nearly the same limit")
+	l, isNews = l.WithAnswer(testEndpoint, Limit{NamedAt: now.Add(2 * time.Second)})
+	require.True(t, isNews)
+	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now.Add(time.Second)})
+	require.False(t, isNews, "an answer from before the limit was lifted")
+	_, isLimited := l.Limit(testEndpoint, now.Add(3*time.Second))
+	require.False(t, isLimited)
+	_, isLimited = l.Limit(EndpointStart{"i-1", 2}, now)
+	require.False(t, isLimited)
+}
