afdispatch: refuse messages that crash engines, in serve

Nothing in serve related a call to the crash of the engine that ran it: a model call is idempotent, so it goes to another engine after a crash, and each new call with the message is sent at every VM.

Change: the parts of a prompt are its messages, or the whole prompt if it is no list of messages. The dispatcher records suspects and answers and refuses quarantined prompts; afcrash and afquarantine are the same as at the gateway. The routing table does not tell when an endpoint started, so that a crash is identified by its second.

Not done: serve stores quarantines nowhere, so that a restart of all VMs at once forgets them.

--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -83,7 +83,7 @@
 	var lastRefusal *arbutusfork.Refusal
 	isResponseStarted := false
 	for n := 1; ; n++ {
-		lease, refusal := s.AcquireLease(ctx, r)
+		lease, refusal := s.acquireUnlessQuarantined(ctx, r)
 		if refusal != nil {
 			if isResponseStarted && lastRefusal != nil {
 				refusal = lastRefusal
@@ -97,6 +97,7 @@
 			if lease.hadFailures {
 				s.postEvent(event{kind: eventEndpointRecovered, endpoint: lease.Replica.Endpoint})
 			}
+			s.recordAnswer(r)
 			return Result{Outcome: outcome, IsResponseStarted: isResponseStarted}
 		}
 		worstOutcome = max(worstOutcome, outcome)
@@ -119,6 +120,23 @@
 	}
 }
 
+// acquireUnlessQuarantined acquires a lease for the request, or refuses the request if its prompt is quarantined, also while it
+// waited for the lease.
+func (s *Service) acquireUnlessQuarantined(ctx context.Context, r Request) (*Lease, *arbutusfork.Refusal) {
+	if refusal := s.refuseQuarantined(r); refusal != nil {
+		return nil, refusal
+	}
+	lease, refusal := s.AcquireLease(ctx, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := s.refuseQuarantined(r); refusal != nil {
+		lease.Release(0)
+		return nil, refusal
+	}
+	return lease, nil
+}
+
 // sendOverLease sends the call once and releases the lease, also if a function of the sink panics.
 func (s *Service) sendOverLease(ctx context.Context, l *Lease, c Call, sink Sink) attemptResult {
 	defer func() { l.Release(sink.TokensUsed()) }()
@@ -127,6 +145,7 @@
 
 // recordFailure logs a failed attempt and updates the state of its endpoint.
 func (s *Service) recordFailure(r Request, l *Lease, a attemptResult, outcome arbutusfork.Outcome) {
+	s.checkCrash(r, l, a)
 	switch {
 	case a.isDraining:
 		s.postEvent(event{kind: eventEndpointDraining, endpoint: l.Replica.Endpoint})
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -56,6 +56,8 @@
 	Centre string
 	Log    *slog.Logger
 	Timer  *aftimer.Service
+	// CrashWatch keeps prompts that crash endpoints from being sent.
+	CrashWatch CrashWatch
 	// AnswerMemory bounds the bytes that all answers in progress hold together.
 	AnswerMemory afmemory.Budget
 	// ProgressTimeout is the longest time without a byte from an endpoint after its response has begun. Zero means 10 s.
@@ -101,6 +103,8 @@
 	MemoryBytes int64
 	// PrefixHash is the result of HashPrefix for the prompt, or zero.
 	PrefixHash uint64
+	// PromptParts is the result of PromptParts for the prompt, or empty.
+	PromptParts []string
 	// IsDetached means that an attempt, once sent, continues after the caller's context has ended.
 	IsDetached bool
 	// ArrivedAt is when the request arrived.
--- a/internal/afentry/job.go
+++ b/internal/afentry/job.go
@@ -138,6 +138,7 @@
 	if x.inference != nil {
 		r.Model = x.inference.model
 		r.PrefixHash = afdispatch.HashPrefix(x.inference.prompt)
+		r.PromptParts = afdispatch.PromptParts(x.inference.prompt)
 	}
 	return r
 }
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -7,6 +7,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afbooking"
 	"arbutusfork.example/arbutusfork/internal/afcontrol"
+	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/afentry"
 	"arbutusfork.example/arbutusfork/internal/afoperator"
@@ -36,6 +37,16 @@
 	}
 }
 
+// buildCrashes builds the service that shares which prompts crash endpoints.
+func (s *Server) buildCrashes() {
+	s.crashes = &afcrash.Service{
+		Timer: s.timer, Log: s.log, Metrics: afcrash.NewMetrics(s.registry),
+		HeartbeatPeers: func() []arbutusfork.VM { return s.peers.Membership().HeartbeatPeers() }, SendToVM: s.peers.Send,
+	}
+	s.peers.Handle(afcrash.KindFacts, s.crashes.HandleFacts)
+	s.peers.Handle(afcrash.KindDigest, s.crashes.HandleDigest)
+}
+
 // buildLimits builds the services that enforce customers' rate limits and store the claims of calls.
 func (s *Server) buildLimits() {
 	s.quota = &afquota.Service{
@@ -101,6 +112,7 @@
 		ProgressTimeout:    s.Settings.StreamProgressTimeout,
 		MaxWaitingRequests: s.Settings.MaxWaitingRequests,
 		MaxWaitingBytes:    s.Settings.MaxWaitingBytes,
+		CrashWatch:         afdispatch.CrashWatch{FindQuarantine: s.crashes.FindQuarantine, RecordCrash: s.crashes.RecordCrash, RecordAnswer: s.crashes.RecordAnswer},
 	}
 }
 
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -16,6 +16,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afbooking"
 	"arbutusfork.example/arbutusfork/internal/afcontrol"
+	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/afentry"
 	"arbutusfork.example/arbutusfork/internal/afexplain"
@@ -50,6 +51,7 @@
 	quota          *afquota.Service
 	booking        *afbooking.Service
 	control        *afcontrol.Service
+	crashes        *afcrash.Service
 	dispatch       *afdispatch.Service
 	entry          *afentry.Server
 	operator       *afoperator.Server
@@ -121,6 +123,7 @@
 		{"peers", s.peers.Run},
 		{"sync", s.sync.Run},
 		{"quota", withoutError(s.quota.Run)},
+		{"crashes", withoutError(s.crashes.Run)},
 		{"control", withoutError(s.control.Run)},
 		{"dispatch", s.dispatch.Run},
 		{"entry", s.entry.Run},
@@ -140,6 +143,7 @@
 	s.registry = prometheus.NewRegistry()
 	s.platformClient = &afobject.Client{BaseURL: s.Settings.PlatformURL, Timeout: s.Settings.PlatformCallTimeout}
 	s.buildPeers()
+	s.buildCrashes()
 	s.buildLimits()
 	s.buildPlacement()
 	s.buildEntry()
