afcrash: store since when a quarantine holds

What callers would see: a part that an answered request has cleared is refused again for ten minutes.

Cause: a VM that reads the record of the placement lease within half a second of the clearing took the stored quarantine for a new one, newer than the answer, and spread it.

Change: the note has the time of the first crash, so that the answer counts. TestOldNoteDoesNotBringBackClearedPart failed before (two of two VMs refused the part again).

--- a/internal/afcrash/note.go
+++ b/internal/afcrash/note.go
@@ -14,7 +14,8 @@
 type noteEntry struct {
 	Service string   `json:"service"`
 	Parts   []string `json:"parts"`
-	// Until is in seconds since the Unix epoch, by the clock of the VM that wrote the note.
+	// Since and Until are in seconds since the Unix epoch, by the clock of the VM that wrote the note.
+	Since    int64 `json:"since"`
 	Until    int64 `json:"until"`
 	Renewals int   `json:"renewals,omitempty"`
 }
@@ -25,7 +26,9 @@
 	var entries []noteEntry
 	for _, q := range s.State().Quarantines() {
 		if len(entries) < maxNoteQuarantines {
-			entries = append(entries, noteEntry{Service: q.Service, Parts: q.Parts, Until: wall.Add(q.Until.Sub(now)).Unix(), Renewals: q.Renewals})
+			entries = append(entries, noteEntry{
+				Service: q.Service, Parts: q.Parts, Since: wall.Add(q.Since.Sub(now)).Unix(), Until: wall.Add(q.Until.Sub(now)).Unix(), Renewals: q.Renewals,
+			})
 		}
 	}
 	if len(entries) == 0 {
@@ -48,10 +51,11 @@
 		return &Error{Op: "note", Kind: MalformedMessage, Err: err}
 	}
 	now, wall := s.Timer.Now(), time.Now()
+	timeOf := func(unix int64) time.Time { return now.Add(time.Unix(unix, 0).Sub(wall)) }
 	var facts pendingFacts
 	for _, e := range entries {
 		facts.quarantines = append(facts.quarantines, afquarantine.Quarantine{
-			Service: e.Service, Parts: e.Parts, Since: now, Until: now.Add(time.Unix(e.Until, 0).Sub(wall)), Renewals: e.Renewals,
+			Service: e.Service, Parts: e.Parts, Since: timeOf(e.Since), Until: timeOf(e.Until), Renewals: e.Renewals,
 		})
 	}
 	s.learn(facts)
--- a/internal/afcrash/service_test.go
+++ b/internal/afcrash/service_test.go
@@ -211,3 +211,20 @@
 		require.Empty(t, s.State().Quarantines())
 	}
 }
+
+// Guards against a stored quarantine that comes back after an answered request has cleared the part.
+func TestOldNoteDoesNotBringBackClearedPart(t *testing.T) {
+	f := newFleet(2, 1)
+	for n := range 3 {
+		f.crash(n)
+		f.advance(300 * time.Millisecond)
+	}
+	f.advance(time.Second)
+	note := f.services[0].Note()
+	f.services[0].RecordAnswer("llm", []string{"all", "dead"}, f.now)
+	f.advance(2 * time.Second)
+	require.Zero(t, f.countProtected())
+	require.NoError(t, f.services[0].ApplyNote(note))
+	f.advance(2 * time.Second)
+	require.Zero(t, f.countProtected())
+}
