--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -87,6 +87,15 @@
 mutant gateway-memory pkg/afassign/option.go \
  'if room >= 0 {' 'if room >= -p.EngineSpec.MemoryMB {' \
 	./pkg/afassign TestNeverOvercommits
+mutant gateway-answered pkg/afquarantine/decide.go \
+	'!c.At.After(answeredAt)' '!c.At.After(answeredAt) && c.At.IsZero()' \
+	./pkg/afquarantine TestOrdinaryCrashesQuarantineNothing
+mutant gateway-spread internal/afcrash/message.go \
+	'if m.Digest != s.State().Digest() {' 'if m.Digest == 1 {' \
+	./internal/afcrash TestRestartedVMLearnsQuarantines
+mutant gateway-slots pkg/afpace/pacer.go \
+	'if r.IsSubstitute || age < startTime {' 'if r.IsSubstitute && age < 0 {' \
+	./pkg/afpace TestSlotsStayWithinOneAndAHalfLimits
 mutant gateway-deputy internal/afkeeper/deputy.go \
 	'if err == nil && a.KeepsBucket {' 'if err == nil {' \
 	./internal/afkeeper TestDeputyGivesForAFormerHolder
