afcrash: bound the connection checks after broken answers

What callers would see: when many answers break off at once, a VM opens as many connections to find out which endpoints crashed, and uses up the descriptors and the places at endpoints that sound requests need.

Cause: each broken answer started a check of its own, in the gateway and, a second time in other words, in serve's dispatcher.

Change: afcrash.Checker makes one check at a time for an endpoint and 64 for the process. Answers that break off during a check share the next one, since the running one may have connected before they broke off. The gateway and the dispatcher use the same Checker, refusal and functions (afcrash.Watch), which stood in both before. No decision changes.

--- a/internal/afdispatch/crash_test.go
+++ b/internal/afdispatch/crash_test.go
@@ -42,14 +42,13 @@
 	clock := &aftimer.Service{} // The crashes are apart in time, which the test does not wait for.
 	clock.AdvanceTo(h.startedAt)
 	watch := &afcrash.Service{Timer: clock, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return nil }}
-	h.CrashWatch = CrashWatch{
-		FindQuarantine: watch.FindQuarantine,
-		RecordCrash: func(c afquarantine.Crash) {
-			c.At = clock.Now()
-			watch.RecordCrash(c)
-		},
-		RecordAnswer: func(service string, parts []string, _ time.Time) { watch.RecordAnswer(service, parts, clock.Now()) },
+	h.CrashWatch = watch.NewWatch()
+	check, recordAnswer := h.CrashWatch.CheckCrash, h.CrashWatch.RecordAnswer
+	h.CrashWatch.CheckCrash = func(address string, c afquarantine.Crash) {
+		c.At = clock.Now()
+		check(address, c)
 	}
+	h.CrashWatch.RecordAnswer = func(service string, parts []string, _ time.Time) { recordAnswer(service, parts, clock.Now()) }
 	h.startWithRealClock()
 	send := func(prompt, query string) Result {
 		r := h.newRequest("m", "a")
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -97,7 +97,7 @@
 			if lease.hadFailures {
 				s.postEvent(event{kind: eventEndpointRecovered, endpoint: lease.Replica.Endpoint})
 			}
-			s.recordAnswer(r)
+			s.CrashWatch.Answered(r.Service, r.PromptParts, s.Timer.Now())
 			return Result{Outcome: outcome, IsResponseStarted: isResponseStarted}
 		}
 		worstOutcome = max(worstOutcome, outcome)
@@ -123,14 +123,14 @@
 // acquireUnlessQuarantined acquires a lease for the request, or refuses the request if its prompt is quarantined, also while it
 // waited for the lease.
 func (s *Service) acquireUnlessQuarantined(ctx context.Context, r Request) (*Lease, *arbutusfork.Refusal) {
-	if refusal := s.refuseQuarantined(r); refusal != nil {
+	if refusal := s.CrashWatch.Refuse(r.Service, r.PromptParts); refusal != nil {
 		return nil, refusal
 	}
 	lease, refusal := s.AcquireLease(ctx, r)
 	if refusal != nil {
 		return nil, refusal
 	}
-	if refusal := s.refuseQuarantined(r); refusal != nil {
+	if refusal := s.CrashWatch.Refuse(r.Service, r.PromptParts); refusal != nil {
 		lease.Release(0)
 		return nil, refusal
 	}
--- a/internal/afdispatch/service.go
+++ b/internal/afdispatch/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 	"arbutusfork.example/arbutusfork/pkg/afqueue"
@@ -57,7 +58,7 @@
 	Log    *slog.Logger
 	Timer  *aftimer.Service
 	// CrashWatch keeps prompts that crash endpoints from being sent.
-	CrashWatch CrashWatch
+	CrashWatch afcrash.Watch
 	// AnswerMemory bounds the bytes that all answers in progress hold together.
 	AnswerMemory afmemory.Budget
 	// ProgressTimeout is the longest time without a byte from an endpoint after its response has begun. Zero means 10 s.
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afentry"
 	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
@@ -49,7 +50,7 @@
 	// AnswerMemory bounds the bytes that all answers in progress hold together.
 	AnswerMemory afmemory.Budget
 	// CrashWatch keeps prompts that crash endpoints from being sent.
-	CrashWatch CrashWatch
+	CrashWatch afcrash.Watch
 	// EndpointLimits keeps the limits that endpoints name.
 	EndpointLimits EndpointLimits
 	// Metrics counts outcomes. The zero value counts nothing.
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -252,7 +252,7 @@
 		SpendBeyondGrant: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 			return n.keeper.SpendUnits(ctx, customer, cost)
 		},
-		CrashWatch: afgateway.CrashWatch{FindQuarantine: n.crashes.FindQuarantine, RecordCrash: n.crashes.RecordCrash, RecordAnswer: n.crashes.RecordAnswer},
+		CrashWatch: n.crashes.NewWatch(),
 		EndpointLimits: afgateway.EndpointLimits{
 			RecordAnswer: n.permits.RecordAnswer, ExpectedWait: n.permits.ExpectedWait, ExpectRequest: n.permits.ExpectRequest, TakeSlot: n.permits.TakeSlot,
 		},
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -112,7 +112,7 @@
 		ProgressTimeout:    s.Settings.StreamProgressTimeout,
 		MaxWaitingRequests: s.Settings.MaxWaitingRequests,
 		MaxWaitingBytes:    s.Settings.MaxWaitingBytes,
-		CrashWatch:         afdispatch.CrashWatch{FindQuarantine: s.crashes.FindQuarantine, RecordCrash: s.crashes.RecordCrash, RecordAnswer: s.crashes.RecordAnswer},
+		CrashWatch:         s.crashes.NewWatch(),
 	}
 }
 
--- a/pkg/afquarantine/crash.go
+++ b/pkg/afquarantine/crash.go
@@ -71,7 +71,13 @@
 	return c.Service == other.Service && c.Endpoint == other.Endpoint && c.StartUnixMs == other.StartUnixMs
 }
 
-// withSuspects returns the crash with the suspects of another description of it, and whether that added any.
+// WithSuspects returns the crash with the suspects of another description of it.
+func (c Crash) WithSuspects(other Crash) Crash {
+	merged, _ := c.withSuspects(other)
+	return merged
+}
+
+// withSuspects is WithSuspects. It also reports whether that added any.
 func (c Crash) withSuspects(other Crash) (Crash, bool) {
 	merged := slices.Clone(c.Suspects)
 	for _, s := range other.Suspects {
