afpace, afpermit: keep the limit while another VM begins to give slots

Also, an endpoint that first named a limit got half of it for 3 s, so that callers waited without need.

Cause: the design allowed one and a half times the limit for the rates of two VMs, but not for what comes on top while one replaces the other: the bursts of both and of a substitute (4 + 4 + 1, 5 allowed), and slots up to a second ahead, which are used after the VM has stopped giving. A VM that gave slots again after another VM had done so went on at the full rate. The class: a bound that holds for each giver and not for a change of givers.

Ruled out: an error of the test's bound, which is the one of the platform's rule.

Change: bursts are 3, and 1 for a VM that has begun and for a substitute. Both give no slot within the second in which their predecessor's last slots are used. A VM has begun when the set of live VMs last changed and it was not the home VM before, so that the first limit of an endpoint is used in full at once while the VMs stay the same (afpermit.HandleMembership).

Why it works: at each moment the givers' rates sum to 1.5 limits at most, and their bursts to 5.

--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -239,6 +239,7 @@
 		LiveVMs: n.peers.LiveMembers, HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() },
 		SendToVM: n.peers.Send, CallVM: n.peers.Call,
 	}
+	n.peers.OnMembershipChange = n.permits.HandleMembership
 	n.peers.Handle(afpermit.KindLimits, n.permits.HandleLimits)
 	n.peers.Handle(afpermit.KindSlot, n.permits.HandleSlot)
 }
--- a/internal/afpermit/service.go
+++ b/internal/afpermit/service.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,9 @@
 	pacer afpace.Pacer
 	// nextSlotAt holds when this VM expects the next free slot of an endpoint.
 	nextSlotAt map[afpace.EndpointStart]time.Time
+	// liveNames are the names of the live VMs, and liveSince is since when they are the same.
+	liveNames []string
+	liveSince time.Time
 	// silentUntil holds the time until which a VM that did not answer is not asked.
 	silentUntil map[string]time.Time
 	// pending holds the limits that were not sent to the heartbeat peers yet.
@@ -213,7 +217,7 @@
 // of the rate of a substitute.
 func (s *Service) requestSlot(ctx context.Context, r afpace.Request) afpace.Slot {
 	live := s.LiveVMs()
-	for i, vm := range afmember.HighestRanked(live, "limit/"+r.Endpoint.Endpoint, 2) {
+	for i, vm := range rankVMs(live, r.Endpoint, 2) {
 		r.IsSubstitute = i > 0
 		if vm.Name == s.Self {
 			return s.takeOwnSlot(r)
@@ -227,10 +231,40 @@
 	return s.takeOwnSlot(r)
 }
 
+// rankVMs returns the home VM of an endpoint and the VMs that rank next, k in all.
+func rankVMs(live []arbutusfork.VM, e afpace.EndpointStart, k int) []arbutusfork.VM {
+	return afmember.HighestRanked(live, "limit/"+e.Endpoint, k)
+}
+
+// isHome reports whether a VM is the home VM of an endpoint.
+func isHome(live []arbutusfork.VM, e afpace.EndpointStart, vm string) bool {
+	first := rankVMs(live, e, 1)
+	return len(first) > 0 && first[0].Name == vm
+}
+
+// HandleMembership notes since when the VMs are the same, and forgets the slots of endpoints that another VM paces now.
+func (s *Service) HandleMembership(v afmember.View) {
+	live := v.LiveVMs()
+	names := make([]string, len(live))
+	for i, vm := range live {
+		names[i] = vm.Name
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(names, s.liveNames) {
+		return
+	}
+	s.liveNames, s.liveSince = names, s.Timer.Now()
+	s.pacer.DropPaces(func(e afpace.EndpointStart) bool { return isHome(live, e, s.Self) })
+}
+
 // takeOwnSlot takes a slot that this VM gives out.
 func (s *Service) takeOwnSlot(r afpace.Request) afpace.Slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.HomeSince = s.liveSince; s.liveNames == nil {
+		r.HomeSince = s.Timer.Now()
+	}
 	return s.pacer.TakeSlot(r, s.Timer.Now())
 }
 
--- a/internal/afpermit/service_test.go
+++ b/internal/afpermit/service_test.go
@@ -50,15 +50,7 @@
 	peers := afmember.NewView(vm).WithList(f.vms).HeartbeatPeers()
 	f.services[vm.Name] = &Service{
 		Self: vm.Name, Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
-		LiveVMs: func() []arbutusfork.VM {
-			live := make([]arbutusfork.VM, 0, len(f.vms))
-			for _, vm := range f.vms {
-				if !f.isKnownDown[vm.Name] {
-					live = append(live, vm)
-				}
-			}
-			return live
-		},
+		LiveVMs: f.liveVMs,
 		SendToVM: func(to, _ string, message any) error {
 			body, err := msgpack.Marshal(message)
 			f.messages++
@@ -89,6 +81,25 @@
 	}
 }
 
+// liveVMs returns the VMs that are not known to be down.
+func (f *fleet) liveVMs() []arbutusfork.VM {
+	live := make([]arbutusfork.VM, 0, len(f.vms))
+	for _, vm := range f.vms {
+		if !f.isKnownDown[vm.Name] {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
+
+// setKnownDown makes all VMs learn that a VM is down or is back.
+func (f *fleet) setKnownDown(vm string, isDown bool) {
+	f.isKnownDown[vm] = isDown
+	for _, s := range f.services {
+		s.HandleMembership(afmember.NewView(arbutusfork.VM{Name: s.Self}).WithList(f.liveVMs()))
+	}
+}
+
 // run offers requests to random VMs for a time and records when they are sent to the endpoint.
 func (f *fleet) run(t *testing.T, d time.Duration, e afpace.EndpointStart, perSecond, offered float64) {
 	t.Helper()
@@ -144,11 +155,11 @@
 			f.run(t, 4*time.Second, e, perSecond, 60)
 			f.isDown[home.Name] = true
 			f.run(t, 2*time.Second, e, perSecond, 60)
-			f.isKnownDown[home.Name] = true
+			f.setKnownDown(home.Name, true)
 			f.run(t, 3*time.Second, e, perSecond, 60)
 			f.isDown[home.Name] = false
 			f.restart(home)
-			f.isKnownDown[home.Name] = false
+			f.setKnownDown(home.Name, false)
 			f.run(t, 6*time.Second, e, perSecond, 60)
 			require.LessOrEqual(t, float64(f.maxInWindow(from)), 6*perSecond+5, "seed %d, %d VMs", seed, vms)
 			used := 0
@@ -162,6 +173,26 @@
 	}
 }
 
+// Guards against a VM that goes on at the full rate when it gives out slots again after another VM did.
+func TestVMThatGivesSlotsAgainWaitsForItsPredecessor(t *testing.T) {
+	f := newFleet(6, 1)
+	e, perSecond := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}, 10.0
+	ranked := rankVMs(f.vms, e, 2)
+	first, second := ranked[0].Name, f.services[ranked[1].Name]
+	second.RecordAnswer(e, perSecond)
+	f.setKnownDown(first, true)
+	f.isDown[first] = true
+	f.run(t, 8*time.Second, e, perSecond, 5)
+	wait, isGranted := second.TakeSlot(t.Context(), e, time.Second)
+	require.True(t, isGranted)
+	require.Zero(t, wait)
+	f.setKnownDown(first, false)
+	f.setKnownDown(first, true)
+	wait, isGranted = second.TakeSlot(t.Context(), e, time.Second)
+	require.True(t, isGranted)
+	require.Equal(t, afpace.MaxAhead, wait)
+}
+
 // Guards against limits that reach the other VMs of a large fleet late, and against messages that grow with its square.
 func TestLimitsReachLargeFleet(t *testing.T) {
 	const vms, endpoints = 380, 100
--- a/pkg/afpace/pacer.go
+++ b/pkg/afpace/pacer.go
@@ -6,13 +6,14 @@
 	// MaxAhead is how far ahead a slot may be. A slot cannot be taken back, so that this also bounds what a pacer that is
 	// replaced has already given out.
 	MaxAhead = time.Second
-	// startTime is how long a new pace gives out slots at half the rate, since another VM may have paced the endpoint until
-	// now and go on for VMs that do not know of the change.
-	startTime = 3 * time.Second
-	// burst is the number of requests that may be sent at once after a pause, and substituteBurst the same for the slots of a
-	// substitute.
-	burst           = 4
-	substituteBurst = 1
+	// maxUnaware is how long some VMs may not know that another VM paces an endpoint now.
+	maxUnaware = 3 * time.Second
+	// startTime is how long a VM that begins to pace an endpoint gives out slots at half the rate and without bursts, since another
+	// VM may have paced the endpoint until then. The last slots of that VM are used MaxAhead after the last VM knows of the change.
+	startTime = maxUnaware + MaxAhead
+	// burst is the number of requests that may be sent at once after a pause. While a pacer is replaced, the bursts of both and
+	// of a substitute add up.
+	burst = 3
 	// maxPaces bounds the endpoints that a Pacer paces, and paceTimeout is the time without a request after which an endpoint
 	// is not paced any more.
 	maxPaces    = 4096
@@ -26,6 +27,8 @@
 	PerSecond float64
 	// IsSubstitute means that the VM that should pace the endpoint does not answer.
 	IsSubstitute bool
+	// HomeSince is since when the giving VM paces the endpoint. It matters only for the first request of an endpoint.
+	HomeSince time.Time
 	// MaxWait is how long the asking VM can wait for the slot.
 	MaxWait time.Duration
 }
@@ -51,7 +54,8 @@
 
 // pace is the sequence of slots of one endpoint.
 type pace struct {
-	startedAt time.Time
+	// homeSince is since when this VM paces the endpoint.
+	homeSince time.Time
 	// nextAt is when the next slot begins if the slots follow each other without a burst.
 	nextAt time.Time
 	usedAt time.Time
@@ -61,13 +65,13 @@
 func (p *Pacer) TakeSlot(r Request, now time.Time) Slot {
 	key := paceKey{r.Endpoint, r.IsSubstitute}
 	current, ok := p.paces[key]
-	if !ok {
+	if !ok || r.IsSubstitute && now.Sub(current.usedAt) > MaxAhead {
 		p.makeRoom(now)
-		current = pace{startedAt: now, nextAt: now} // A new pace begins without a burst.
+		current = r.newPace(now)
 	}
-	interval := slotInterval(r, now.Sub(current.startedAt))
+	interval, burst := r.rate(now.Sub(current.homeSince))
 	current.usedAt = now
-	earliest := now.Add(-time.Duration(burstOf(r)-1) * interval)
+	earliest := now.Add(-time.Duration(burst-1) * interval)
 	if current.nextAt.Before(earliest) {
 		current.nextAt = earliest
 	}
@@ -80,20 +84,34 @@
 	return slot
 }
 
-// burstOf returns the number of requests that may be sent at once after a pause.
-func burstOf(r Request) int {
-	if r.IsSubstitute {
-		return substituteBurst
+// newPace returns a pace that begins without a burst, and when the slots that another pacer has given out are used.
+func (r Request) newPace(now time.Time) pace {
+	begin := now
+	if !r.IsSubstitute {
+		begin = r.HomeSince
 	}
-	return burst
+	p := pace{homeSince: r.HomeSince, nextAt: begin.Add(MaxAhead)}
+	if p.nextAt.Before(now) {
+		p.nextAt = now
+	}
+	return p
 }
 
-// slotInterval returns the time between two slots of a pace of an age.
-func slotInterval(r Request, age time.Duration) time.Duration {
+// rate returns the time between two slots of a pace of an age, and the number of slots that may be used at once after a pause.
+func (r Request) rate(age time.Duration) (slotInterval time.Duration, slots int) {
 	if r.IsSubstitute || age < startTime {
-		return interval(r.PerSecond / 2)
+		return interval(r.PerSecond / 2), 1
+	}
+	return interval(r.PerSecond), burst
+}
+
+// DropPaces removes the paces of the endpoints that this VM no longer paces in its own right.
+func (p *Pacer) DropPaces(isHome func(EndpointStart) bool) {
+	for key := range p.paces {
+		if !key.isSubstitute && !isHome(key.endpoint) {
+			delete(p.paces, key)
+		}
 	}
-	return interval(r.PerSecond)
 }
 
 // makeRoom removes the paces that are not used any more, and all if too many remain.
--- a/pkg/afpace/pacer_test.go
+++ b/pkg/afpace/pacer_test.go
@@ -1,6 +1,7 @@
 package afpace
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -24,6 +25,9 @@
 		var sentAt []time.Time
 		ask := func(p *Pacer, isSubstitute bool) {
 			r := Request{Endpoint: testEndpoint, PerSecond: perSecond, IsSubstitute: isSubstitute, MaxWait: time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond}
+			if p == second {
+				r.HomeSince = replacedAt
+			}
 			if slot := p.TakeSlot(r, now); slot.IsGranted {
 				sentAt = append(sentAt, now.Add(slot.Wait))
 			}
@@ -35,7 +39,7 @@
 				ask(second, false)
 			}
 			// Either VMs that do not know of the replacement go on with the first, or the first is gone and some ask a substitute.
-			if now.After(replacedAt) && now.Before(replacedAt.Add(startTime)) {
+			if now.After(replacedAt) && now.Before(replacedAt.Add(maxUnaware)) {
 				ask(first, false)
 			} else {
 				ask(substitute, true)
@@ -54,6 +58,67 @@
 	})
 }
 
+// Guards against VMs that take the slots of both pacing VMs, one after the other idle, in a rush while the second replaces the first.
+func TestRushDuringReplacementStaysWithinLimit(t *testing.T) {
+	const window, step = 4 * time.Second, 10 * time.Millisecond
+	begin := time.Unix(1000, 0)
+	replacedAt := begin.Add(6 * time.Second)
+	for _, perSecond := range []float64{0.5, 1, 2, 6, 20, 50} {
+		for rushAfter := -2 * time.Second; rushAfter <= 5*time.Second; rushAfter += 250 * time.Millisecond {
+			for waits := range 8 { // Each bit is a pacer whose slots are taken as far ahead as possible.
+				first, second, substitute := &Pacer{}, &Pacer{}, &Pacer{}
+				var sentAt []time.Time
+				ask := func(p *Pacer, n int, isSubstitute bool, now time.Time) {
+					r := Request{Endpoint: testEndpoint, PerSecond: perSecond, IsSubstitute: isSubstitute}
+					if p == second {
+						r.HomeSince = replacedAt
+					}
+					if waits&(1<<n) != 0 {
+						r.MaxWait = 2 * MaxAhead
+					}
+					if slot := p.TakeSlot(r, now); slot.IsGranted {
+						sentAt = append(sentAt, now.Add(slot.Wait))
+					}
+				}
+				for now := begin; now.Before(replacedAt.Add(12 * time.Second)); now = now.Add(step) {
+					isRush := !now.Before(replacedAt.Add(rushAfter))
+					if !isRush && now.Sub(begin)%(400*time.Millisecond) != 0 {
+						continue
+					}
+					if now.Before(replacedAt.Add(maxUnaware)) {
+						ask(first, 0, false, now)
+					}
+					if !now.Before(replacedAt) {
+						ask(second, 1, false, now)
+					}
+					if now.Before(replacedAt) || !now.Before(replacedAt.Add(maxUnaware)) {
+						ask(substitute, 2, true, now)
+					}
+				}
+				slices.SortFunc(sentAt, time.Time.Compare)
+				for i, end := 0, 0; i < len(sentAt); i++ {
+					for end < len(sentAt) && sentAt[end].Before(sentAt[i].Add(window)) {
+						end++
+					}
+					require.LessOrEqual(t, float64(end-i), 1.5*perSecond*window.Seconds()+5, "limit %g, rush %s after the replacement, waits %03b, from %s", perSecond, rushAfter, waits, sentAt[i].Sub(replacedAt))
+				}
+			}
+		}
+	}
+}
+
+// Guards against a VM that has given out slots all the time and uses half of a limit after the endpoint first names it.
+func TestNewLimitIsUsedInFull(t *testing.T) {
+	p, now, granted := &Pacer{}, time.Unix(1000, 0), 0
+	for range 400 {
+		if p.TakeSlot(Request{Endpoint: testEndpoint, PerSecond: 5, HomeSince: now.Add(-time.Minute)}, now).IsGranted {
+			granted++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, granted, 20, "slots in 4 s at 5 a second")
+}
+
 // Guards against a limit that is kept by sending next to nothing.
 func TestSlotsUseTheLimit(t *testing.T) {
 	p, now, granted := &Pacer{}, time.Unix(1000, 0), 0
