afpermit: let the VM that gives a slot say whether it is the home VM

Cause: the asking VM said whether it asked the home VM or its substitute. In a fleet above nine VMs each VM exchanges heartbeats with eight only, so that these may take a home VM behind a lossy link for dead for a long time while all others go on with it: both give out slots at the full rate.

Ruled out: a longer start at half the rate, since the disagreement has no bound.

Change: the asked VM decides by its own view. It gives slots at the full rate only if it knows of no other home VM. Requests that it gets in both roles share one pace, so that it never gives one and a half limits alone.

--- a/internal/afpermit/message.go
+++ b/internal/afpermit/message.go
@@ -27,15 +27,14 @@
 	AgeMs       int64
 }
 
-// slotRequestMessage is the encoded form of afpace.Request.
+// slotRequestMessage asks for a slot. Whether the asked VM is the home VM is for itself to say.
 type slotRequestMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
-	Endpoint     string
-	StartUnixMs  int64
-	PerSecond    float64
-	IsSubstitute bool
-	MaxWaitMs    int64
+	Endpoint    string
+	StartUnixMs int64
+	PerSecond   float64
+	MaxWaitMs   int64
 }
 
 // slotMessage is the encoded form of afpace.Slot.
@@ -52,7 +51,7 @@
 
 func encodeRequest(r afpace.Request) slotRequestMessage {
 	return slotRequestMessage{
-		Endpoint: r.Endpoint.Endpoint, StartUnixMs: r.Endpoint.StartUnixMs, PerSecond: r.PerSecond, IsSubstitute: r.IsSubstitute, MaxWaitMs: r.MaxWait.Milliseconds(),
+		Endpoint: r.Endpoint.Endpoint, StartUnixMs: r.Endpoint.StartUnixMs, PerSecond: r.PerSecond, MaxWaitMs: r.MaxWait.Milliseconds(),
 	}
 }
 
@@ -88,7 +87,7 @@
 		return nil, &Error{Op: "slot", Kind: MalformedMessage, Err: err}
 	}
 	slot := s.takeOwnSlot(afpace.Request{
-		Endpoint: afpace.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}, PerSecond: m.PerSecond, IsSubstitute: m.IsSubstitute,
+		Endpoint: afpace.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}, PerSecond: m.PerSecond,
 		MaxWait: time.Duration(m.MaxWaitMs) * time.Millisecond,
 	})
 	return slotMessage{IsGranted: slot.IsGranted, WaitMicros: slot.Wait.Microseconds()}, nil
--- a/internal/afpermit/service.go
+++ b/internal/afpermit/service.go
@@ -217,8 +217,7 @@
 // of the rate of a substitute.
 func (s *Service) requestSlot(ctx context.Context, r afpace.Request) afpace.Slot {
 	live := s.LiveVMs()
-	for i, vm := range rankVMs(live, r.Endpoint, 2) {
-		r.IsSubstitute = i > 0
+	for _, vm := range rankVMs(live, r.Endpoint, 2) {
 		if vm.Name == s.Self {
 			return s.takeOwnSlot(r)
 		}
@@ -226,7 +225,6 @@
 			return slot
 		}
 	}
-	r.IsSubstitute = true
 	r.PerSecond /= float64(max(len(live), 1))
 	return s.takeOwnSlot(r)
 }
@@ -258,8 +256,10 @@
 	s.pacer.DropPaces(func(e afpace.EndpointStart) bool { return isHome(live, e, s.Self) })
 }
 
-// takeOwnSlot takes a slot that this VM gives out.
+// takeOwnSlot takes a slot that this VM gives out. A VM that other VMs take for the home VM is a substitute as long as it knows of
+// a home VM that lives, since that one may give out slots too.
 func (s *Service) takeOwnSlot(r afpace.Request) afpace.Slot {
+	r.IsSubstitute = !isHome(s.LiveVMs(), r.Endpoint, s.Self)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.HomeSince = s.liveSince; s.liveNames == nil {
--- a/internal/afpermit/service_test.go
+++ b/internal/afpermit/service_test.go
@@ -27,14 +27,16 @@
 	services map[string]*Service
 	// isDown names VMs that answer nothing, and isKnownDown those of them that the others have noticed.
 	isDown, isKnownDown map[string]bool
-	messages            int
-	sentAt              []time.Time
+	// suspectedBy names, by the name of a VM, those that take it for down although it is not.
+	suspectedBy map[string]map[string]bool
+	messages    int
+	sentAt      []time.Time
 }
 
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{
 		timer: &aftimer.Service{}, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 0)),
-		services: map[string]*Service{}, isDown: map[string]bool{}, isKnownDown: map[string]bool{},
+		services: map[string]*Service{}, isDown: map[string]bool{}, isKnownDown: map[string]bool{}, suspectedBy: map[string]map[string]bool{},
 	}
 	f.timer.AdvanceTo(f.now)
 	for i := range n {
@@ -50,7 +52,7 @@
 	peers := afmember.NewView(vm).WithList(f.vms).HeartbeatPeers()
 	f.services[vm.Name] = &Service{
 		Self: vm.Name, Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
-		LiveVMs: f.liveVMs,
+		LiveVMs: func() []arbutusfork.VM { return f.liveVMs(vm.Name) },
 		SendToVM: func(to, _ string, message any) error {
 			body, err := msgpack.Marshal(message)
 			f.messages++
@@ -81,11 +83,11 @@
 	}
 }
 
-// liveVMs returns the VMs that are not known to be down.
-func (f *fleet) liveVMs() []arbutusfork.VM {
+// liveVMs returns the VMs that a VM takes for live.
+func (f *fleet) liveVMs(self string) []arbutusfork.VM {
 	live := make([]arbutusfork.VM, 0, len(f.vms))
 	for _, vm := range f.vms {
-		if !f.isKnownDown[vm.Name] {
+		if !f.isKnownDown[vm.Name] && !f.suspectedBy[vm.Name][self] {
 			live = append(live, vm)
 		}
 	}
@@ -95,8 +97,13 @@
 // setKnownDown makes all VMs learn that a VM is down or is back.
 func (f *fleet) setKnownDown(vm string, isDown bool) {
 	f.isKnownDown[vm] = isDown
+	f.announceMembership()
+}
+
+// announceMembership tells each VM which VMs it takes for live.
+func (f *fleet) announceMembership() {
 	for _, s := range f.services {
-		s.HandleMembership(afmember.NewView(arbutusfork.VM{Name: s.Self}).WithList(f.liveVMs()))
+		s.HandleMembership(afmember.NewView(arbutusfork.VM{Name: s.Self}).WithList(f.liveVMs(s.Self)))
 	}
 }
 
@@ -173,6 +180,29 @@
 	}
 }
 
+// Guards against a limit that is used twice because some VMs take the VM that gives out its slots for dead for a long time.
+func TestLimitHoldsWhileVMsDisagree(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(40, seed)
+		e, perSecond := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 2+float64(seed)
+		f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
+		f.announceMembership()
+		f.run(t, 5*time.Second, e, perSecond, 80)
+		from := f.now
+		ranked := rankVMs(f.vms, e, 2)
+		suspecting := map[string]bool{}
+		for _, vm := range f.vms {
+			if vm != ranked[0] && vm != ranked[1] && f.random.IntN(2) == 0 {
+				suspecting[vm.Name] = true
+			}
+		}
+		f.suspectedBy[ranked[0].Name] = suspecting
+		f.announceMembership()
+		f.run(t, 12*time.Second, e, perSecond, 80)
+		require.LessOrEqual(t, float64(f.maxInWindow(from)), 6*perSecond+5, "seed %d", seed)
+	}
+}
+
 // Guards against a VM that goes on at the full rate when it gives out slots again after another VM did.
 func TestVMThatGivesSlotsAgainWaitsForItsPredecessor(t *testing.T) {
 	f := newFleet(6, 1)
