afpermit: grant no slot while neither VM that may give one answers

Cause: a VM that got no answer took a part of the rate for itself, and each part began with a slot. Parts longer than a minute were cut to a minute, so that 380 VMs together sent six requests a second whatever the limit.

Evidence: TestLimitHoldsWhileNoVMGivesSlots. 380 VMs send 267 requests in 4 s at a limit of 1 a second, 11 allowed. Ruled out: a random begin of each part, since a part of a small limit in a large fleet is less than one slot in the time that a request waits, so that it would serve nobody either.

Change: no slot is granted until one of the two answers or is known to be down, which makes another VM the home VM. Requests go to other endpoints or are refused as not run.

--- a/internal/afpermit/service.go
+++ b/internal/afpermit/service.go
@@ -213,11 +213,10 @@
 	m.slots.WithLabelValues(label).Inc()
 }
 
-// requestSlot asks the home VM of the endpoint for a slot, or the VM that ranks next. If neither answers, this VM takes its part
-// of the rate of a substitute.
+// requestSlot asks the home VM of the endpoint for a slot, or the VM that ranks next. While neither answers, no slot is granted:
+// a single request of each VM of a large fleet would exceed most limits.
 func (s *Service) requestSlot(ctx context.Context, r afpace.Request) afpace.Slot {
-	live := s.LiveVMs()
-	for _, vm := range rankVMs(live, r.Endpoint, 2) {
+	for _, vm := range rankVMs(s.LiveVMs(), r.Endpoint, 2) {
 		if vm.Name == s.Self {
 			return s.takeOwnSlot(r)
 		}
@@ -225,8 +224,7 @@
 			return slot
 		}
 	}
-	r.PerSecond /= float64(max(len(live), 1))
-	return s.takeOwnSlot(r)
+	return afpace.Slot{Wait: silenceTime}
 }
 
 // rankVMs returns the home VM of an endpoint and the VMs that rank next, k in all.
--- a/internal/afpermit/service_test.go
+++ b/internal/afpermit/service_test.go
@@ -203,6 +203,32 @@
 	}
 }
 
+// Guards against one request of each VM at the same moment when neither the VM that gives out slots nor its substitute answers.
+func TestLimitHoldsWhileNoVMGivesSlots(t *testing.T) {
+	for _, vms := range []int{6, 380} {
+		for _, perSecond := range []float64{1, 2, 5} {
+			f := newFleet(vms, 1)
+			e := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+			f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
+			f.announceMembership()
+			f.run(t, 5*time.Second, e, perSecond, 80)
+			from := f.now
+			for _, vm := range rankVMs(f.vms, e, 2) {
+				f.isDown[vm.Name] = true
+			}
+			f.run(t, 6*time.Second, e, perSecond, 80)
+			require.LessOrEqual(t, float64(f.maxInWindow(from)), 6*perSecond+5, "%d VMs, limit %g", vms, perSecond)
+			for _, vm := range rankVMs(f.vms, e, 2) {
+				f.setKnownDown(vm.Name, true)
+			}
+			f.run(t, 2*time.Second, e, perSecond, 80)
+			back := f.now
+			f.run(t, 4*time.Second, e, perSecond, 80)
+			require.Positive(t, f.maxInWindow(back), "%d VMs, limit %g: the next VM gives out slots", vms, perSecond)
+		}
+	}
+}
+
 // Guards against a VM that goes on at the full rate when it gives out slots again after another VM did.
 func TestVMThatGivesSlotsAgainWaitsForItsPredecessor(t *testing.T) {
 	f := newFleet(6, 1)
