afslot: one word for slots of limited endpoints

The package that hands out slots was called afpermit and its metric arbutusfork_permit_slots_total, although what it gives is called a slot everywhere else.

--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -25,8 +25,8 @@
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
 	"arbutusfork.example/arbutusfork/internal/aflog"
 	"arbutusfork.example/arbutusfork/internal/afpeer"
-	"arbutusfork.example/arbutusfork/internal/afpermit"
 	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/internal/afslot"
 	"arbutusfork.example/arbutusfork/pkg/aflease"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
@@ -97,7 +97,7 @@
 	peers          *afpeer.Service
 	keeper         *afkeeper.Service
 	crashes        *afcrash.Service
-	permits        *afpermit.Service
+	slots          *afslot.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -216,7 +216,7 @@
 		Self: n.self, ListenAddress: n.Settings.PeerAddress, Centre: n.Settings.Centre, Timer: n.timer, Log: n.log,
 	}
 	n.createCrashes()
-	n.createPermits()
+	n.createSlots()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
@@ -232,16 +232,16 @@
 	n.peers.Handle(afcrash.KindDigest, n.crashes.HandleDigest)
 }
 
-// createPermits creates the service that keeps the limits that endpoints name.
-func (n *Node) createPermits() {
-	n.permits = &afpermit.Service{
-		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: afpermit.NewMetrics(n.registry), OnSlotFree: n.requestRecheck,
+// createSlots creates the service that keeps the limits that endpoints name.
+func (n *Node) createSlots() {
+	n.slots = &afslot.Service{
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: afslot.NewMetrics(n.registry), OnSlotFree: n.requestRecheck,
 		LiveVMs: n.peers.LiveMembers, HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() },
 		SendToVM: n.peers.Send, CallVM: n.peers.Call,
 	}
-	n.peers.OnMembershipChange = n.permits.HandleMembership
-	n.peers.Handle(afpermit.KindLimits, n.permits.HandleLimits)
-	n.peers.Handle(afpermit.KindSlot, n.permits.HandleSlot)
+	n.peers.OnMembershipChange = n.slots.HandleMembership
+	n.peers.Handle(afslot.KindLimits, n.slots.HandleLimits)
+	n.peers.Handle(afslot.KindSlot, n.slots.HandleSlot)
 }
 
 // createGateway creates the gateway and the server that accepts the callers' connections.
@@ -255,7 +255,7 @@
 		},
 		CrashWatch: n.crashes.NewWatch(),
 		EndpointLimits: afgateway.EndpointLimits{
-			RecordAnswer: n.permits.RecordAnswer, ExpectedWait: n.permits.ExpectedWait, ExpectRequest: n.permits.ExpectRequest, TakeSlot: n.permits.TakeSlot,
+			RecordAnswer: n.slots.RecordAnswer, ExpectedWait: n.slots.ExpectedWait, ExpectRequest: n.slots.ExpectRequest, TakeSlot: n.slots.TakeSlot,
 		},
 		Metrics:     afgateway.NewMetrics(n.registry),
 		RetryBudget: n.Settings.retryBudget(),
--- a/internal/afpermit/error.go
+++ b/internal/afslot/error.go
@@ -1,4 +1,4 @@
-package afpermit
+package afslot
 
 //go:generate stringer -type=ErrorKind -linecomment -output=error_string.go
 
@@ -21,7 +21,7 @@
 
 // Error returns the operation, the kind and the cause.
 func (e *Error) Error() string {
-	return "permit " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
+	return "slot " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
--- a/internal/afpermit/service.go
+++ b/internal/afslot/service.go
@@ -1,8 +1,8 @@
-// Package afpermit keeps the requests of all VMs to an endpoint within the limit that the endpoint names. What one VM learns
+// Package afslot keeps the requests of all VMs to an endpoint within the limit that the endpoint names. What one VM learns
 // from an answer spreads to the others over the heartbeat peers. Before a VM sends a request to a limited endpoint, it asks
 // the endpoint's home VM for a slot (package afpace), or the VM that ranks next while the home VM does not answer. Neither
 // needs the platform.
-package afpermit
+package afslot
 
 import (
 	"context"
@@ -78,7 +78,7 @@
 // NewMetrics registers the metrics and returns them.
 func NewMetrics(r prometheus.Registerer) Metrics {
 	return Metrics{slots: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
-		Name: "arbutusfork_permit_slots_total", Help: "Slots of limited endpoints that this VM asked for, by whether one was granted.",
+		Name: "arbutusfork_slot_requests_total", Help: "Requests of this VM for slots of limited endpoints, by whether one was granted.",
 	}, []string{"granted"})}
 }
 
--- a/internal/afpermit/service_test.go
+++ b/internal/afslot/service_test.go
@@ -1,4 +1,4 @@
-package afpermit
+package afslot
 
 import (
 	"context"
