afpace: use the whole rate as soon as the slots allow it

Cause: the distance of two slots followed from the time at which a slot was asked for. While more requests wait than the limit allows, slots are given a second ahead, so that the last ones at half the rate were used a second after that was necessary.

Change: the distance follows from the time at which the slot is used.

--- a/pkg/afpace/pacer.go
+++ b/pkg/afpace/pacer.go
@@ -78,6 +78,7 @@
 	wait := max(current.nextAt.Sub(now), 0)
 	slot := Slot{IsGranted: wait <= min(r.MaxWait, MaxAhead), Wait: wait}
 	if slot.IsGranted {
+		interval, _ = r.rate(now.Add(wait).Sub(current.homeSince)) // The slot may be used at a higher rate than now.
 		current.nextAt = current.nextAt.Add(interval)
 	}
 	p.paces[key] = current
@@ -97,7 +98,7 @@
 	return p
 }
 
-// rate returns the time between two slots of a pace of an age, and the number of slots that may be used at once after a pause.
+// rate returns the time between two slots when a pace has an age, and the number of slots that may be used at once after a pause.
 func (r Request) rate(age time.Duration) (slotInterval time.Duration, slots int) {
 	if r.IsSubstitute || age < startTime {
 		return interval(r.PerSecond / 2), 1
