afmember: rank the VMs of a key without sorting all of them

What callers would see: nothing at six VMs.

Cause: HighestRanked put all weights into a map and sorted all VMs to return one or two.

The order is the same, so that VMs of both versions agree: TestHighestRankedOrdersByHash compares it with the sorted hashes, and passes on the code before as well.

--- a/pkg/afmember/view.go
+++ b/pkg/afmember/view.go
@@ -202,25 +202,44 @@
 // HighestRanked returns up to k VMs with the highest rendezvous weights for a key, in descending order. When a VM joins
 // or leaves, only choices that include this VM change.
 func HighestRanked(vms []arbutusfork.VM, key string, k int) []arbutusfork.VM {
-	weights := make(map[string]uint64, len(vms))
+	top := make([]rankedVM, 0, min(k, len(vms)))
+	keyHash := hashRankKey(key)
 	for _, vm := range vms {
-		weights[vm.Name] = rendezvousWeight(key, vm.Name)
-	}
-	out := slices.Clone(vms)
-	slices.SortFunc(out, func(a, b arbutusfork.VM) int {
-		if c := cmp.Compare(weights[b.Name], weights[a.Name]); c != 0 {
-			return c
+		candidate := rankedVM{vm, rendezvousWeight(keyHash, vm.Name)}
+		i, _ := slices.BinarySearchFunc(top, candidate, rankedVM.compare)
+		if i >= k {
+			continue
 		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	return out[:min(k, len(out))]
+		top = slices.Insert(top[:min(len(top), k-1)], i, candidate)
+	}
+	out := make([]arbutusfork.VM, len(top))
+	for i, r := range top {
+		out[i] = r.vm
+	}
+	return out
 }
 
-// rendezvousWeight returns the VM's weight for the key in rendezvous hashing.
-func rendezvousWeight(key, name string) uint64 {
+// rankedVM is a VM with its weight for a key.
+type rankedVM struct {
+	vm     arbutusfork.VM
+	weight uint64
+}
+
+// compare orders VMs by descending weight, and by name if two weights are equal.
+func (r rankedVM) compare(other rankedVM) int {
+	return cmp.Or(cmp.Compare(other.weight, r.weight), strings.Compare(r.vm.Name, other.vm.Name))
+}
+
+// hashRankKey returns the state of a hash after a key, so that the key is hashed once for all VMs.
+func hashRankKey(key string) xxhash.Digest {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(key) // Writes to a hash never fail.
 	_, _ = hash.Write([]byte{0})
-	_, _ = hash.WriteString(name)
-	return hash.Sum64()
+	return *hash
+}
+
+// rendezvousWeight returns the VM's weight for a hashed key in rendezvous hashing.
+func rendezvousWeight(keyHash xxhash.Digest, name string) uint64 {
+	_, _ = keyHash.WriteString(name)
+	return keyHash.Sum64()
 }
--- a/pkg/afmember/view_test.go
+++ b/pkg/afmember/view_test.go
@@ -1,10 +1,13 @@
 package afmember
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -20,6 +23,23 @@
 	return out
 }
 
+// Guards against VMs of different versions that rank the VMs of a key differently.
+func TestHighestRankedOrdersByHash(t *testing.T) {
+	vms := make([]arbutusfork.VM, 380)
+	for i := range vms {
+		vms[i] = arbutusfork.VM{Name: "vm" + strconv.Itoa(i)}
+	}
+	for _, key := range []string{"", "limit/i-1", "watch/c1"} {
+		sorted := slices.Clone(vms)
+		slices.SortFunc(sorted, func(a, b arbutusfork.VM) int {
+			return cmp.Compare(xxhash.Sum64String(key+"\x00"+b.Name), xxhash.Sum64String(key+"\x00"+a.Name))
+		})
+		for _, k := range []int{0, 1, 2, 8, 380, 400} {
+			require.Equal(t, sorted[:min(k, len(sorted))], HighestRanked(vms, key, k))
+		}
+	}
+}
+
 // TestHighestRanked guards against needless moves: when one VM leaves, only keys that it had may move.
 func TestHighestRanked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
