afgateway: refuse prompts that are quarantined during the wait for a slot

Cause: the quarantine was checked before the wait for a slot, and not after it. Class: a check that is separated from the act by a wait. Looked for elsewhere: the wait in the queue and the pause before a repeat are followed by the check; serve checks after it has its lease.

Change: the check comes after the wait, directly before the send. A slot that is taken by a request that is refused then stays unused.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -61,10 +61,6 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.endCancelled(ctx)
 		}
-		if refusal := p.refuseQuarantined(); refusal != nil {
-			endpoint.request.End(afroster.HealthUnaffected)
-			return p.refuseWithoutEndpoint(refusal, cause)
-		}
 		switch p.waitForSlot(ctx, endpoint.Endpoint) {
 		case slotAborted:
 			endpoint.request.End(afroster.HealthUnaffected)
@@ -77,6 +73,11 @@
 			continue
 		case slotTaken:
 		}
+		// The prompt may have been quarantined during the waits above.
+		if refusal := p.refuseQuarantined(); refusal != nil {
+			endpoint.request.End(afroster.HealthUnaffected)
+			return p.refuseWithoutEndpoint(refusal, cause)
+		}
 		if p.attempts > 0 && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
