afgateway: let only successful answers clear parts of prompts

Cause: each answer below 500 counted as evidence that the endpoint can answer the prompt, and an answer that is relayed as it arrives never did.

Change: an answer counts if its status is 2xx, whole or long. Streams are unchanged: they count from their eighth event or their end on, and have status 200.

--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -105,15 +105,16 @@
 	if err != nil {
 		return p.classifyFailure(ctx, endpoint, err)
 	}
+	status := ex.response.StatusCode
+	if status/100 == http.StatusOK/100 {
+		// Other answers do not show that the endpoint can answer the prompt.
+		p.recordAnswer(p.server.Timer.Now())
+	}
 	if !isWhole {
 		return p.relayLong(ctx, endpoint, ex, body)
 	}
-	status := ex.response.StatusCode
 	isServerError := status >= http.StatusInternalServerError
 	endpoint.request.End(healthResult(!isServerError))
-	if !isServerError {
-		p.recordAnswer(p.server.Timer.Now())
-	}
 	response := bufferedResponse{status, ex.response.Header, body}
 	if isServerError && p.mayRetryServerError() {
 		p.endpointError = &response
