afquarantine: find parts that crash endpoints every few minutes

Cause: a crash counted as evidence for two minutes only. Nothing needs that: the evidence is bounded by its 64 crashes, and each answered request with a part clears the part of earlier crashes, however old they are.

Evidence: TestRarePartIsQuarantined, crashes ten minutes apart: none of five requests was refused before, the fourth is refused now.

Ruled out: evidence without end, since then the quarantine of a part that endpoints have learnt to answer would have to be told from new evidence for longer than its probation.

Change: a crash counts for an hour. A quarantine of ten minutes now ends while its crashes are still known. So that an unrelated crash does not bring it back at once, a crash counts as explained if a quarantine was in force, be it ended now or not (TestQuarantineEndsAndOneCrashRenewsIt fails without that).

--- a/pkg/afquarantine/decide.go
+++ b/pkg/afquarantine/decide.go
@@ -27,7 +27,7 @@
 // accusation is the evidence against one part.
 type accusation struct {
 	key PartKey
-	// explained and unexplained are the weights of the crashes that a quarantine explains and of the others.
+	// explained and unexplained are the weights of the crashes that a quarantine explains, in force or ended, and of the others.
 	explained, unexplained float64
 	// explainedRequest is the last part of the prompts in the explained crashes, which belongs to one request or session.
 	explainedRequest string
@@ -163,7 +163,7 @@
 		if now.Sub(c.At) < SettleDelay {
 			continue
 		}
-		isExplained := slices.ContainsFunc(s.quarantines, func(q Quarantine) bool { return now.Before(q.Until) && q.explains(c) })
+		isExplained := slices.ContainsFunc(s.quarantines, func(q Quarantine) bool { return c.At.Before(q.Until) && q.explains(c) })
 		counted := make(map[PartKey]bool)
 		for _, suspect := range c.Suspects {
 			for _, part := range suspect.Parts {
--- a/pkg/afquarantine/decide_test.go
+++ b/pkg/afquarantine/decide_test.go
@@ -77,6 +77,23 @@
 	require.Len(t, s.Quarantines(), 1)
 }
 
+// Guards against a part that is requested every few minutes and crashes an endpoint each time, for ever.
+func TestRarePartIsQuarantined(t *testing.T) {
+	s := State{}
+	for n := range 5 {
+		now := at(n * int(10*time.Minute/time.Millisecond))
+		s = s.WithoutExpired(now)
+		if _, found := s.Match("llm", []string{"all", "dead", "new"}, now); found {
+			return
+		}
+		c := crash(n, 0, []string{"all", "dead", "r" + strconv.Itoa(n)})
+		c.At = now
+		s, _ = decideAfter(s, c)
+		s = answered(s, "all", now.Add(time.Second))
+	}
+	require.Fail(t, "five endpoints crashed")
+}
+
 // Guards against the quarantine of a part that every prompt shares when a rack of endpoints fails, again and again.
 func TestFailuresOfManyEndpointsDoNotQuarantineSharedParts(t *testing.T) {
 	s := answered(State{}, "all", at(-500))
@@ -139,9 +156,14 @@
 	end := q.Until
 	_, found := s.Match("llm", []string{"dead", "d"}, end)
 	require.False(t, found)
+	other := crash(5, 0, []string{"sound", "e"})
+	other.At = end.Add(time.Second)
+	_, decided := decideAfter(s, other)
+	require.Empty(t, decided, "the crashes before the end count no more")
 	c := crash(4, 0, []string{"dead", "d"})
 	c.At = end.Add(time.Second)
-	renewed, decided := decideAfter(s, c)
+	var renewed State
+	renewed, decided = decideAfter(s, c)
 	require.Len(t, decided, 1)
 	require.Greater(t, decided[0].Until.Sub(c.At), minQuarantine)
 	_, found = renewed.Match("llm", []string{"dead", "e"}, c.At.Add(time.Second))
--- a/pkg/afquarantine/state.go
+++ b/pkg/afquarantine/state.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// crashMemory is how long a crash counts as evidence.
-	crashMemory = 2 * time.Minute
+	// crashMemory is how long a crash counts as evidence. A part may be requested a few times an hour only.
+	crashMemory = time.Hour
 	// maxCrashes, maxQuarantines and maxAnswers bound what a State holds. The oldest are dropped first.
 	maxCrashes     = 64
 	maxQuarantines = 64
