afslot: compare the known limits with other VMs

Cause: news about limits were sent once to the heartbeat peers, and nothing made up for a message that a VM missed.

Evidence: TestRestartedVMLearnsLimits without the comparison: the VM that was cut off does not know the limit 3 s after it is back, and gets to know it only if the endpoint answers one of its own requests.

Ruled out: asking for the limits on each change of the membership, which in a large fleet costs more the more VMs come and go.

Change: each VM sends one heartbeat peer a digest of the endpoints that it knows as limited, in turn, once a second while it knows any and in the first 5 s after its start. A VM with another digest sends what it knows, and gets what the first one knows. The digest names endpoints, not rates, since VMs keep slightly different rates. VMs that know the same exchange one message a second each.

--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -188,6 +188,7 @@
 		{"members", withoutError(func(ctx context.Context) { n.runVMEntries(ctx, vms) })},
 		{"keeper", withoutError(n.keeper.Run)},
 		{"crashes", withoutError(n.crashes.Run)},
+		{"slots", withoutError(n.slots.Run)},
 		{"entry", n.entryServer.Run},
 		{"reload", withoutError(n.runReload)},
 		{"wake", withoutError(n.runRechecks)},
@@ -241,6 +242,7 @@
 	}
 	n.peers.OnMembershipChange = n.slots.HandleMembership
 	n.peers.Handle(afslot.KindLimits, n.slots.HandleLimits)
+	n.peers.Handle(afslot.KindDigest, n.slots.HandleDigest)
 	n.peers.Handle(afslot.KindSlot, n.slots.HandleSlot)
 }
 
--- a/internal/afslot/message.go
+++ b/internal/afslot/message.go
@@ -13,10 +13,24 @@
 const (
 	// KindLimits carries limits that endpoints named.
 	KindLimits = "limits"
+	// KindDigest carries the digest of the limits that a VM knows.
+	KindDigest = "limitsdigest"
 	// KindSlot asks for a slot.
 	KindSlot = "slot"
 )
 
+// limitsMessage carries limits.
+type limitsMessage struct {
+	Limits []limitMessage `msgpack:"limits"`
+	// WantsReply means that the receiver answers with the limits that it knows.
+	WantsReply bool `msgpack:"reply,omitempty"`
+}
+
+// digestMessage asks the receiver to send the limits that it knows if their digest is another one.
+type digestMessage struct {
+	Digest uint64 `msgpack:"digest"`
+}
+
 // limitMessage is one limit. Times are ages, since VMs do not compare their clocks.
 type limitMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
@@ -55,23 +69,26 @@
 	}
 }
 
-func encodeLimits(limits map[afpace.EndpointStart]afpace.Limit, now time.Time) []limitMessage {
-	out := make([]limitMessage, 0, len(limits))
+func encodeLimits(limits map[afpace.EndpointStart]afpace.Limit, now time.Time) limitsMessage {
+	out := limitsMessage{Limits: make([]limitMessage, 0, len(limits))}
 	for e, limit := range limits {
-		out = append(out, limitMessage{Endpoint: e.Endpoint, StartUnixMs: e.StartUnixMs, PerSecond: limit.PerSecond, AgeMs: now.Sub(limit.NamedAt).Milliseconds()})
+		out.Limits = append(out.Limits, limitMessage{Endpoint: e.Endpoint, StartUnixMs: e.StartUnixMs, PerSecond: limit.PerSecond, AgeMs: now.Sub(limit.NamedAt).Milliseconds()})
 	}
 	return out
 }
 
 // HandleLimits adds the limits that another VM learnt of.
-func (s *Service) HandleLimits(_ arbutusfork.Incarnation, body []byte) (any, error) {
-	var messages []limitMessage
-	if err := msgpack.Unmarshal(body, &messages); err != nil {
+func (s *Service) HandleLimits(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var message limitsMessage
+	if err := msgpack.Unmarshal(body, &message); err != nil {
 		return nil, &Error{Op: "limits", Kind: MalformedMessage, Err: err}
 	}
 	now := s.Timer.Now()
-	named := make(map[afpace.EndpointStart]afpace.Limit, len(messages))
-	for _, m := range messages {
+	if message.WantsReply {
+		s.send(from.VM, KindLimits, encodeLimits(s.Limits().ByEndpoint(), now))
+	}
+	named := make(map[afpace.EndpointStart]afpace.Limit, len(message.Limits))
+	for _, m := range message.Limits {
 		named[afpace.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = afpace.Limit{
 			PerSecond: max(m.PerSecond, 0), NamedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond),
 		}
@@ -80,6 +97,22 @@
 	return nil, nil
 }
 
+// HandleDigest sends the known limits to a VM whose digest is another one.
+func (s *Service) HandleDigest(from arbutusfork.Incarnation, body []byte) (any, error) {
+	var message digestMessage
+	if err := msgpack.Unmarshal(body, &message); err != nil {
+		return nil, &Error{Op: "digest", Kind: MalformedMessage, Err: err}
+	}
+	now := s.Timer.Now()
+	limits := s.Limits()
+	if message.Digest != limits.Digest(now) {
+		known := encodeLimits(limits.ByEndpoint(), now)
+		known.WantsReply = true
+		s.send(from.VM, KindLimits, known)
+	}
+	return nil, nil
+}
+
 // HandleSlot gives another VM a slot.
 func (s *Service) HandleSlot(_ arbutusfork.Incarnation, body []byte) (any, error) {
 	var m slotRequestMessage
--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -1,5 +1,5 @@
 // Package afslot keeps the requests of all VMs to an endpoint within the limit that the endpoint names. What one VM learns
-// from an answer spreads to the others over the heartbeat peers. Before a VM sends a request to a limited endpoint, it asks
+// from an answer spreads to the others over the heartbeat peers, and VMs compare digests of what they know. Before a VM sends a request to a limited endpoint, it asks
 // the endpoint's home VM for a slot (package afpace), or the VM that ranks next while the home VM does not answer. Neither
 // needs the platform.
 package afslot
@@ -22,8 +22,12 @@
 )
 
 const (
-	// spreadInterval is the time between two messages with limits to a VM.
+	// spreadInterval is the time between two messages with new limits to a VM.
 	spreadInterval = 100 * time.Millisecond
+	// compareInterval is the time between two comparisons of digests with some VM.
+	compareInterval = time.Second
+	// startInterval is the time after the start in which this VM compares digests although it knows no limit.
+	startInterval = 5 * time.Second
 	// askTimeout bounds a request for a slot. A round trip takes some milliseconds, but a VM whose processor time is a quota may
 	// pause for a tenth of a second on either side.
 	askTimeout = 250 * time.Millisecond
@@ -67,7 +71,10 @@
 	// silentUntil holds the time until which a VM that did not answer is not asked.
 	silentUntil map[string]time.Time
 	// pending holds the limits that were not sent to the heartbeat peers yet.
-	pending map[afpace.EndpointStart]afpace.Limit
+	pending   map[afpace.EndpointStart]afpace.Limit
+	startedAt time.Time
+	// nextPeer is the position of the heartbeat peer of the next comparison.
+	nextPeer int
 }
 
 // Metrics counts requests for slots by result.
@@ -82,6 +89,16 @@
 	}, []string{"granted"})}
 }
 
+// Run compares the known limits with other VMs until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.startedAt = s.Timer.Now()
+	s.mu.Unlock()
+	comparisons := s.Timer.CallEvery(compareInterval, s.compareWithPeer)
+	defer comparisons.Stop()
+	<-ctx.Done()
+}
+
 // Limits returns the known limits.
 func (s *Service) Limits() afpace.Limits {
 	if limits := s.limits.Load(); limits != nil {
@@ -127,7 +144,7 @@
 	}
 }
 
-// spread sends the new limits to the heartbeat peers. A limit that is lost on the way is named again in later answers.
+// spread sends the new limits to the heartbeat peers.
 func (s *Service) spread(now time.Time) {
 	s.mu.Lock()
 	pending := s.pending
@@ -135,9 +152,30 @@
 	s.mu.Unlock()
 	message := encodeLimits(pending, now)
 	for _, vm := range s.HeartbeatPeers() {
-		if err := s.SendToVM(vm.Name, KindLimits, message); err != nil {
-			s.Log.Debug("endpoint limits not sent", "to", vm.Name, "error", err)
-		}
+		s.send(vm.Name, KindLimits, message)
+	}
+}
+
+// compareWithPeer sends a digest of the known limits to the next heartbeat peer, so that a VM that has restarted or was
+// unreachable learns what it missed. It sends nothing while no limit is known, except soon after the start.
+func (s *Service) compareWithPeer(now time.Time) {
+	s.mu.Lock()
+	isStart := now.Sub(s.startedAt) < startInterval
+	s.nextPeer++
+	next := s.nextPeer
+	s.mu.Unlock()
+	peers := s.HeartbeatPeers()
+	digest := s.Limits().Digest(now)
+	if len(peers) == 0 || digest == 0 && !isStart {
+		return
+	}
+	s.send(peers[next%len(peers)].Name, KindDigest, digestMessage{Digest: digest})
+}
+
+// send sends a message to a VM. A message that is lost is made up for by the next comparison.
+func (s *Service) send(vm, kind string, message any) {
+	if err := s.SendToVM(vm, kind, message); err != nil {
+		s.Log.Debug("endpoint limits not sent", "to", vm, "kind", kind, "error", err)
 	}
 }
 
--- a/internal/afslot/service_test.go
+++ b/internal/afslot/service_test.go
@@ -29,8 +29,10 @@
 	isDown, isKnownDown map[string]bool
 	// suspectedBy names, by the name of a VM, those that take it for down although it is not.
 	suspectedBy map[string]map[string]bool
-	messages    int
-	sentAt      []time.Time
+	// messages and bytes count what all VMs sent.
+	messages, bytes int
+	// sentAt holds when requests were sent to the endpoint.
+	sentAt []time.Time
 }
 
 func newFleet(n int, seed uint64) *fleet {
@@ -50,17 +52,10 @@
 
 func (f *fleet) restart(vm arbutusfork.VM) {
 	peers := afmember.NewView(vm).WithList(f.vms).HeartbeatPeers()
-	f.services[vm.Name] = &Service{
+	s := &Service{
 		Self: vm.Name, Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
-		LiveVMs: func() []arbutusfork.VM { return f.liveVMs(vm.Name) },
-		SendToVM: func(to, _ string, message any) error {
-			body, err := msgpack.Marshal(message)
-			f.messages++
-			if err == nil && !f.isDown[to] {
-				f.timer.CallAfter(3*time.Millisecond, func(time.Time) { _, _ = f.services[to].HandleLimits(arbutusfork.Incarnation{}, body) })
-			}
-			return err
-		},
+		LiveVMs:  func() []arbutusfork.VM { return f.liveVMs(vm.Name) },
+		SendToVM: func(to, kind string, message any) error { return f.send(vm.Name, to, kind, message) },
 		CallVM: func(_ context.Context, to, _ string, message, answer any) error {
 			f.messages++
 			if f.isDown[to] {
@@ -81,6 +76,53 @@
 			return msgpack.Unmarshal(encoded, answer)
 		},
 	}
+	s.startedAt = f.now
+	f.services[vm.Name] = s
+	f.timer.CallEvery(compareInterval, func(now time.Time) {
+		if f.services[vm.Name] == s {
+			s.compareWithPeer(now)
+		}
+	})
+}
+
+// send delivers a message after some milliseconds, unless one of both VMs is down.
+func (f *fleet) send(from, to, kind string, message any) error {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return err
+	}
+	f.messages++
+	f.bytes += len(body)
+	if f.isDown[from] || f.isDown[to] {
+		return nil
+	}
+	f.timer.CallAfter(3*time.Millisecond, func(time.Time) {
+		handle := f.services[to].HandleLimits
+		if kind == KindDigest {
+			handle = f.services[to].HandleDigest
+		}
+		_, _ = handle(arbutusfork.Incarnation{VM: from}, body) // The messages are well formed.
+	})
+	return nil
+}
+
+// advance lets time pass without requests.
+func (f *fleet) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.timer.AdvanceTo(f.now)
+	}
+}
+
+// countLimited returns the number of VMs that know a limit of the endpoint.
+func (f *fleet) countLimited(e afpace.EndpointStart) int {
+	n := 0
+	for _, s := range f.services {
+		if _, isLimited := s.Limits().Limit(e, f.now); isLimited {
+			n++
+		}
+	}
+	return n
 }
 
 // liveVMs returns the VMs that a VM takes for live.
@@ -249,6 +291,29 @@
 	require.Equal(t, afpace.MaxAhead, wait)
 }
 
+// Guards against a VM that does not know a limit after it has restarted or was cut off, until it has got an answer of its own.
+func TestRestartedVMLearnsLimits(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(6, seed)
+		e := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+		f.isDown[f.vms[3].Name] = true
+		f.services[f.vms[0].Name].RecordAnswer(e, 2)
+		f.advance(2 * time.Second)
+		require.Equal(t, 5, f.countLimited(e))
+		f.isDown[f.vms[3].Name] = false
+		f.advance(3 * time.Second)
+		require.Equal(t, 6, f.countLimited(e), "a VM was cut off")
+		for _, vm := range f.vms {
+			f.restart(vm)
+			f.advance(3 * time.Second)
+			require.Equal(t, 6, f.countLimited(e), "%s has restarted", vm.Name)
+		}
+		f.messages = 0
+		f.advance(10 * time.Second)
+		require.LessOrEqual(t, f.messages, 6*10, "messages of VMs that know the same")
+	}
+}
+
 // Guards against limits that reach the other VMs of a large fleet late, and against messages that grow with its square.
 func TestLimitsReachLargeFleet(t *testing.T) {
 	const vms, endpoints = 380, 100
--- a/pkg/afpace/limit.go
+++ b/pkg/afpace/limit.go
@@ -7,7 +7,10 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -56,6 +59,21 @@
 	return limit, ok && limit.PerSecond > 0 && now.Sub(limit.NamedAt) < limitTimeout
 }
 
+// ByEndpoint returns what the endpoints named latest, including limits that were lifted. The caller must not change the map.
+func (l Limits) ByEndpoint() map[EndpointStart]Limit { return l.byEndpoint }
+
+// Digest returns a hash of the endpoints that have a limit. It does not depend on the limits themselves, of which VMs may
+// know slightly different values. It is 0 if no endpoint has a limit.
+func (l Limits) Digest(now time.Time) uint64 {
+	sum := uint64(0)
+	for e := range l.byEndpoint {
+		if _, isLimited := l.Limit(e, now); isLimited {
+			sum += xxhash.Sum64String(e.Endpoint + "\x00" + strconv.FormatInt(e.StartUnixMs, 10))
+		}
+	}
+	return sum
+}
+
 // Knows reports whether the endpoint named a limit lately, which may have been lifted.
 func (l Limits) Knows(e EndpointStart) bool {
 	_, ok := l.byEndpoint[e]
