afpace: keep the limit of an endpoint that gets no requests

Cause: a limit was forgotten 30 s after the latest answer that named it, although nothing said that it was lifted. "For as long as it says so" ends with an answer that does not say so, or with the endpoint.

Evidence: TestLimitHoldsWithoutRequests, a limit five minutes after it was named, fails before.

Ruled out: no timeout at all, since the limits of endpoints that are gone would stay until 4,096 others were named.

Change: ten minutes. An endpoint that has lifted its limit meanwhile gets at least the requests that its old limit allows, and the answer to the first of them lifts it on all VMs.

--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -1,7 +1,7 @@
 // Package afslot keeps the requests of all VMs to an endpoint within the limit that the endpoint names. What one VM learns
-// from an answer spreads to the others over the heartbeat peers, and VMs compare digests of what they know. Before a VM sends a request to a limited endpoint, it asks
-// the endpoint's home VM for a slot (package afpace), or the VM that ranks next while the home VM does not answer. Neither
-// needs the platform.
+// from an answer spreads to the others over the heartbeat peers, and VMs compare digests of what they know. Before a VM sends
+// a request to a limited endpoint, it asks the endpoint's home VM for a slot (package afpace), or the VM that ranks next while
+// the home VM does not answer. Neither needs the platform.
 package afslot
 
 import (
--- a/pkg/afpace/limit.go
+++ b/pkg/afpace/limit.go
@@ -16,9 +16,9 @@
 const (
 	// maxLimits bounds the endpoints whose limits are known. The limits that were named longest ago are dropped first.
 	maxLimits = 4096
-	// limitTimeout is how long a limit holds without another answer of the endpoint. A limited endpoint still gets requests,
-	// so that it says in time that the limit holds or is lifted.
-	limitTimeout = 30 * time.Second
+	// limitTimeout is how long a limit holds without another answer of the endpoint. A rarely used endpoint may get no request
+	// for minutes. An endpoint that has lifted its limit says so in its next answer, since it still gets requests.
+	limitTimeout = 10 * time.Minute
 	// relevantChange is the fraction by which a limit must change to be a new fact for other VMs, and refreshInterval is the
 	// time after which an unchanged limit is one.
 	relevantChange  = 0.1
--- a/pkg/afpace/pacer_test.go
+++ b/pkg/afpace/pacer_test.go
@@ -168,3 +168,11 @@
 	_, isLimited = l.Limit(EndpointStart{"i-1", 2}, now)
 	require.False(t, isLimited)
 }
+
+// Guards against a rush to an endpoint whose limit was forgotten because no request was sent to it for a while.
+func TestLimitHoldsWithoutRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l, _ := Limits{}.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now})
+	_, isLimited := l.Limit(testEndpoint, now.Add(5*time.Minute))
+	require.True(t, isLimited)
+}
