afcrash: take the time of notes from a clock that tests can set

What callers saw: nothing.

Cause: a note of quarantines carries the time of day, which was that of the machine, while the rest of the test runs on a timer that the test advances. On a VM both clocks go on together, so that no part comes back there: traced from the stored and the restored time.

Change: a function field for the time of day, nil for the machine's. The test sets it to the time of its timer; its check is as it was.

--- a/internal/afcrash/note.go
+++ b/internal/afcrash/note.go
@@ -22,7 +22,7 @@
 
 // Note returns the quarantines in the form in which they are stored, or an empty string if there are none.
 func (s *Service) Note() string {
-	now, wall := s.Timer.Now(), time.Now()
+	now, wall := s.Timer.Now(), s.wallClock()
 	var entries []noteEntry
 	for _, q := range s.State().Quarantines() {
 		if len(entries) < maxNoteQuarantines {
@@ -41,6 +41,13 @@
 	return string(note)
 }
 
+func (s *Service) wallClock() time.Time {
+	if s.WallClock != nil {
+		return s.WallClock()
+	}
+	return time.Now()
+}
+
 // ApplyNote adds the quarantines of a stored note. It fails with MalformedMessage.
 func (s *Service) ApplyNote(note string) error {
 	if note == "" {
@@ -50,7 +57,7 @@
 	if err := json.Unmarshal([]byte(note), &entries); err != nil {
 		return &Error{Op: "note", Kind: MalformedMessage, Err: err}
 	}
-	now, wall := s.Timer.Now(), time.Now()
+	now, wall := s.Timer.Now(), s.wallClock()
 	timeOf := func(unix int64) time.Time { return now.Add(time.Unix(unix, 0).Sub(wall)) }
 	var facts pendingFacts
 	for _, e := range entries {
--- a/internal/afcrash/service.go
+++ b/internal/afcrash/service.go
@@ -41,6 +41,8 @@
 	SendToVM func(vm, kind string, message any) error
 	// OnQuarantine is called after the quarantines changed. It must not block.
 	OnQuarantine func()
+	// WallClock returns the time of day for notes, which outlive the process. Nil means time.Now.
+	WallClock func() time.Time
 	// Metrics counts crashes and quarantines. The zero value counts nothing.
 	Metrics Metrics
 
--- a/internal/afcrash/service_test.go
+++ b/internal/afcrash/service_test.go
@@ -53,7 +53,8 @@
 	peers := afmember.NewView(self).WithList(f.vms).HeartbeatPeers()
 	s := &Service{
 		Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
-		SendToVM: func(vm, kind string, message any) error { return f.send(self.Name, vm, kind, message) },
+		SendToVM:  func(vm, kind string, message any) error { return f.send(self.Name, vm, kind, message) },
+		WallClock: func() time.Time { return f.now },
 	}
 	s.startedAt = f.now
 	f.services[i] = s
