afquarantine: blame the part in the most crashes before that of repeats

Only at 8.6 s a quarantine follows, and it holds the last part of the repeated request, so that it refuses nothing else. The next request with the part crashes an engine at 12.1 s.

Cause: among the parts with sufficient evidence the one with the fewest requests for each crash was blamed first. Repeats of one request fit that best: three crashes, one request each. The part itself was in four crashes and five requests. After that decision its crashes counted as explained, and at most as one, since two requests were in progress at one of them. Class: evidence that one event repeats outweighs independent evidence.

Ruled out: lost messages (all four VMs in touch knew all crashes and decided the same), suspects that were dropped (at most six a crash here), the time for which a crash settles.

Change: of two parts that were in no answered request, the one in more crashes is blamed first; parts that were answered before are compared as before, since many prompts share them. Two requests in progress at one crash no longer count as two explained requests, unless the quarantine explains both.

--- a/pkg/afquarantine/decide.go
+++ b/pkg/afquarantine/decide.go
@@ -1,7 +1,9 @@
 package afquarantine
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 // accusation is the evidence against one part.
 type accusation struct {
 	key PartKey
+	// wasAnswered means that a request with the part was answered before the blamed crashes.
+	wasAnswered bool
 	// explained and unexplained are the weights of the crashes that a quarantine explains, in force or ended, and of the others.
 	explained, unexplained float64
 	// explainedRequest is the last part of the prompts in the explained crashes, which belongs to one request or session.
@@ -66,7 +70,8 @@
 	return a
 }
 
-// withSuspect returns the accusation with a request that contains the part.
+// withSuspect returns the accusation with a request that contains the part. IsExplained means that the request contains all
+// parts of a quarantine.
 func (a accusation) withSuspect(suspect Suspect, isExplained bool) accusation {
 	if a.suspects++; a.suspects == 1 {
 		a.common = suspect.Parts
@@ -121,7 +126,7 @@
 func (s State) nextQuarantine(now time.Time) (Quarantine, bool) {
 	best, found := accusation{}, false
 	for _, a := range s.accusations(now) {
-		if a.isSufficient(s) && (!found || a.isStronger(best)) {
+		if a.isSufficient() && (!found || a.isStronger(best)) {
 			best, found = a, true
 		}
 	}
@@ -134,26 +139,29 @@
 }
 
 // isSufficient reports whether the evidence suffices for a quarantine.
-func (a accusation) isSufficient(s State) bool {
+func (a accusation) isSufficient() bool {
 	if a.unexplained == 0 || a.score() < minScore {
 		return false
 	}
-	if _, wasAnswered := s.answers[a.key]; wasAnswered {
+	if a.wasAnswered {
 		return a.score() >= minAnsweredScore && a.last.Sub(a.first) >= minAnsweredSpan
 	}
 	return true
 }
 
-// isStronger reports whether the accusation fits its crashes better than another one. A part that only the cause of each
-// crash contains is in one request for each crash, a part that many prompts share in more.
+// isStronger reports whether the accusation fits the crashes better than another one.
 func (a accusation) isStronger(b accusation) bool {
-	if x, y := a.suspects-a.crashes, b.suspects-b.crashes; x != y {
-		return x < y
+	if a.wasAnswered != b.wasAnswered {
+		return !a.wasAnswered
 	}
-	if x, y := a.score(), b.score(); x != y {
-		return x > y
+	// A part that only the cause of each crash contains is in one request for each crash, a part that many prompts share in more.
+	spread := cmp.Compare(a.suspects-a.crashes, b.suspects-b.crashes)
+	score := cmp.Compare(b.score(), a.score())
+	if a.wasAnswered {
+		return cmp.Or(spread, score, strings.Compare(a.key.Part, b.key.Part)) < 0
 	}
-	return a.key.Part < b.key.Part
+	// The parts that only repeats of one request share do not explain the crashes under other requests.
+	return cmp.Or(score, spread, strings.Compare(a.key.Part, b.key.Part)) < 0
 }
 
 // accusations returns the evidence against each part, by service and part.
@@ -163,29 +171,40 @@
 		if now.Sub(c.At) < SettleDelay {
 			continue
 		}
-		isExplained := slices.ContainsFunc(s.quarantines, func(q Quarantine) bool { return c.At.Before(q.Until) && q.explains(c) })
+		explanation, isExplained := s.findExplanation(c)
 		counted := make(map[PartKey]bool)
 		for _, suspect := range c.Suspects {
 			for _, part := range suspect.Parts {
 				key := PartKey{c.Service, part}
-				if answeredAt, ok := s.answers[key]; ok && !c.At.After(answeredAt) {
+				answeredAt, wasAnswered := s.answers[key]
+				if wasAnswered && !c.At.After(answeredAt) {
 					continue
 				}
 				a, isKnown := out[key]
 				if !isKnown {
-					a = accusation{key: key, first: c.At}
+					a = accusation{key: key, wasAnswered: wasAnswered, first: c.At}
 				}
 				if !counted[key] {
 					counted[key] = true
 					a = a.withCrash(c, isExplained)
 				}
-				out[key] = a.withSuspect(suspect, isExplained)
+				out[key] = a.withSuspect(suspect, isExplained && suspect.holds(explanation.Parts))
 			}
 		}
 	}
 	return out
 }
 
+// findExplanation returns a quarantine, in force or ended, that explains a crash before its end.
+func (s State) findExplanation(c Crash) (Quarantine, bool) {
+	for _, q := range s.quarantines {
+		if c.At.Before(q.Until) && q.explains(c) {
+			return q, true
+		}
+	}
+	return Quarantine{}, false
+}
+
 // SuspectedParts returns the parts against which one more crash would suffice, and those of quarantines. Whether requests
 // with them are answered decides about them.
 func (s State) SuspectedParts(now time.Time) map[PartKey]bool {
--- a/pkg/afquarantine/decide_test.go
+++ b/pkg/afquarantine/decide_test.go
@@ -77,6 +77,28 @@
 	require.Len(t, s.Quarantines(), 1)
 }
 
+// Guards against a part that stays hidden because repeats of one request fit the crashes better, beside other requests with the part.
+func TestRepeatsBesideOtherRequestsDoNotHideThePart(t *testing.T) {
+	request := func(own string) []string { return []string{"all", "doc", "dead", own} }
+	for _, repeats := range []int{2, 3} {
+		s := answered(State{}, "all", at(-100))
+		crashes := []Crash{
+			crash(1, 0, request("a")), crash(2, 120, request("a")),
+			crash(3, 470, request("a"), request("b")), crash(4, 580, request("c")),
+		}
+		if repeats < 3 {
+			crashes[2] = crash(3, 470, request("d"), request("b"))
+		}
+		for _, c := range crashes {
+			s, _, _ = s.WithCrash(c)
+		}
+		s = answered(s, "all", at(700))
+		s, _ = s.WithDecisions(at(900))
+		_, found := s.Match("llm", request("e"), at(1000))
+		require.True(t, found, "%d crashes of one request, %v", repeats, s.Quarantines())
+	}
+}
+
 // Guards against a part that is requested every few minutes and crashes an endpoint each time, for ever.
 func TestRarePartIsQuarantined(t *testing.T) {
 	s := State{}
