afquarantine: keep the most suspicious requests of a crash

More engines crash until one with fewer requests does.

Cause: at most eight suspects are kept for a crash, and those were the first by the names of their parts. Requests of which one event had arrived counted as much as those without an event; and with names as the order, the same prompts were left out at each crash.

TestMostSuspiciousRequestIsKept fails before: the cause is left out beside 24 others.

Ruled out: more suspects for each crash, which costs messages and only moves the bound; leaving out requests with an event, since an engine may send one before it crashes.

Change: requests of which no event has arrived come first, then a hash of the endpoint and the parts decides, so that all VMs keep the same ones and each crash leaves out others. "attempt failed" and the metric of failed sends tell apart a head and one event (progress=event).

--- a/internal/afcrash/message.go
+++ b/internal/afcrash/message.go
@@ -39,8 +39,8 @@
 type suspectMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
-	Parts    []string
-	HasBegun bool
+	Parts              []string
+	HasBegun, HasEvent bool
 }
 
 // answerMessage tells how long ago a request with the part was answered.
@@ -72,7 +72,7 @@
 	for _, c := range facts.crashes {
 		encoded := crashMessage{Service: c.Service, Endpoint: c.Endpoint, StartUnixMs: c.StartUnixMs, AgeMs: now.Sub(c.At).Milliseconds()}
 		for _, suspect := range c.Suspects {
-			encoded.Suspects = append(encoded.Suspects, suspectMessage{Parts: suspect.Parts, HasBegun: suspect.HasBegun})
+			encoded.Suspects = append(encoded.Suspects, suspectMessage{Parts: suspect.Parts, HasBegun: suspect.HasBegun, HasEvent: suspect.HasEvent})
 		}
 		m.Crashes = append(m.Crashes, encoded)
 	}
@@ -94,7 +94,7 @@
 	for _, c := range m.Crashes {
 		decoded := afquarantine.Crash{Service: c.Service, Endpoint: c.Endpoint, StartUnixMs: c.StartUnixMs, At: before(c.AgeMs)}
 		for _, suspect := range c.Suspects {
-			decoded.Suspects = append(decoded.Suspects, afquarantine.NewSuspect(suspect.Parts, suspect.HasBegun))
+			decoded.Suspects = append(decoded.Suspects, afquarantine.Suspect{Parts: suspect.Parts, HasBegun: suspect.HasBegun, HasEvent: suspect.HasEvent})
 		}
 		facts.crashes = append(facts.crashes, decoded)
 	}
--- a/internal/afdispatch/crash.go
+++ b/internal/afdispatch/crash.go
@@ -33,10 +33,14 @@
 	if len(r.PromptParts) == 0 || !a.RequestWritten || a.eventCount > 1 || !a.isEndpointFault() || a.isDraining || !isListed {
 		return
 	}
+	suspect := afquarantine.NewSuspect(r.PromptParts, a.StatusCode != 0)
+	if a.eventCount > 0 {
+		suspect = suspect.WithFirstEvent()
+	}
 	at := s.Timer.Now()
 	// An endpoint that restarts keeps its name, and takes longer than a second to restart.
 	s.CrashWatch.Suspect(l.Replica.Address, afquarantine.Crash{
 		Service: r.Service, Endpoint: l.Replica.Endpoint, StartUnixMs: at.Unix() * 1000, At: at,
-		Suspects: []afquarantine.Suspect{afquarantine.NewSuspect(r.PromptParts, a.StatusCode != 0)},
+		Suspects: []afquarantine.Suspect{suspect},
 	})
 }
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -100,7 +100,7 @@
 		}
 		if result.brokenOff {
 			p.checkCrash(endpoint.Endpoint, result.progress)
-			if result.progress == progressHead {
+			if result.progress.isBeginning() {
 				p.breaksAtBegin++
 			}
 		}
--- a/internal/afgateway/progress_string.go
+++ b/internal/afgateway/progress_string.go
@@ -10,12 +10,13 @@
 	var x [1]struct{}
 	_ = x[progressNone-0]
 	_ = x[progressHead-1]
-	_ = x[progressBody-2]
+	_ = x[progressEvent-2]
+	_ = x[progressBody-3]
 }
 
-const _answerProgress_name = "noneheadbody"
+const _answerProgress_name = "noneheadeventbody"
 
-var _answerProgress_index = [...]uint8{0, 4, 8, 12}
+var _answerProgress_index = [...]uint8{0, 4, 8, 13, 17}
 
 func (i answerProgress) String() string {
 	idx := int(i) - 0
--- a/internal/afgateway/quarantine.go
+++ b/internal/afgateway/quarantine.go
@@ -38,9 +38,13 @@
 	if len(p.partIDs) == 0 || progress == progressBody || !s.isServing(endpoint) {
 		return
 	}
+	suspect := afquarantine.NewSuspect(p.partIDs, progress.isBeginning())
+	if progress == progressEvent {
+		suspect = suspect.WithFirstEvent()
+	}
 	s.CrashWatch.Suspect(endpoint.Address, afquarantine.Crash{
 		Service: p.service.Name, Endpoint: endpoint.ID, StartUnixMs: endpoint.StartUnixMs, At: s.Timer.Now(),
-		Suspects: []afquarantine.Suspect{afquarantine.NewSuspect(p.partIDs, progress == progressHead)},
+		Suspects: []afquarantine.Suspect{suspect},
 	})
 }
 
--- a/pkg/afquarantine/crash.go
+++ b/pkg/afquarantine/crash.go
@@ -6,9 +6,12 @@
 package afquarantine
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -25,7 +28,8 @@
 	StartUnixMs int64
 	// At is when the crash was first noticed.
 	At time.Time
-	// Suspects holds at most maxSuspects requests: those whose answers had begun, or all if there are none.
+	// Suspects holds at most maxSuspects requests: those whose answers had begun, or all if there are none. Those without an
+	// event of their answers come first.
 	Suspects []Suspect
 }
 
@@ -35,6 +39,8 @@
 	Parts []string
 	// HasBegun means that the endpoint had begun to answer. Other suspects are blamed only if no answer had begun.
 	HasBegun bool
+	// HasEvent means that an event of the answer had arrived. An endpoint that crashes as it begins to answer rarely sends one.
+	HasEvent bool
 }
 
 // NewSuspect returns a suspect with at most MaxParts parts.
@@ -42,15 +48,28 @@
 	return Suspect{Parts: parts[:min(len(parts), MaxParts)], HasBegun: hasBegun}
 }
 
-// compare orders suspects whose answers had begun before others, and then by their parts.
-func (s Suspect) compare(other Suspect) int {
-	if s.HasBegun != other.HasBegun {
-		if s.HasBegun {
-			return -1
-		}
+// WithFirstEvent returns the suspect with an event of its answer.
+func (s Suspect) WithFirstEvent() Suspect {
+	s.HasEvent = true
+	return s
+}
+
+// rank orders suspects, the most suspicious first.
+func (s Suspect) rank() int {
+	switch {
+	case !s.HasBegun:
+		return 2
+	case s.HasEvent:
 		return 1
 	}
-	return slices.Compare(s.Parts, other.Parts)
+	return 0
+}
+
+// compareSuspects orders the suspects of the crash by rank, and then by a hash, so that all VMs keep the same ones, and the same
+// part is not left out at each crash.
+func (c Crash) compareSuspects(a, b Suspect) int {
+	hash := func(s Suspect) uint64 { return xxhash.Sum64String(c.Endpoint + "\x00" + strings.Join(s.Parts, "\x00")) }
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(hash(a), hash(b)), slices.Compare(a.Parts, b.Parts))
 }
 
 // holds reports whether the suspect's prompt contains all the parts.
@@ -84,17 +103,18 @@
 		i := slices.IndexFunc(merged, func(known Suspect) bool { return slices.Equal(known.Parts, s.Parts) })
 		switch {
 		case i < 0:
-			merged = append(merged, NewSuspect(s.Parts, s.HasBegun))
-		case s.HasBegun:
-			merged[i].HasBegun = true
+			s.Parts = s.Parts[:min(len(s.Parts), MaxParts)]
+			merged = append(merged, s)
+		case s.rank() < merged[i].rank():
+			merged[i].HasBegun, merged[i].HasEvent = s.HasBegun, s.HasEvent
 		}
 	}
 	if slices.ContainsFunc(merged, func(s Suspect) bool { return s.HasBegun }) {
 		merged = slices.DeleteFunc(merged, func(s Suspect) bool { return !s.HasBegun })
 	}
-	slices.SortFunc(merged, Suspect.compare)
+	slices.SortFunc(merged, c.compareSuspects)
 	merged = merged[:min(len(merged), maxSuspects)]
-	if slices.EqualFunc(merged, c.Suspects, func(a, b Suspect) bool { return a.compare(b) == 0 }) {
+	if slices.EqualFunc(merged, c.Suspects, func(a, b Suspect) bool { return c.compareSuspects(a, b) == 0 }) {
 		return c, false
 	}
 	c.Suspects = merged
--- a/pkg/afquarantine/decide_test.go
+++ b/pkg/afquarantine/decide_test.go
@@ -99,6 +99,19 @@
 	}
 }
 
+// Guards against a crash whose cause is left out, since more requests were in progress than are kept.
+func TestMostSuspiciousRequestIsKept(t *testing.T) {
+	c, culprit := crash(1, 0), NewSuspect([]string{"zz", "dead", "r"}, true)
+	for i := range 3 * maxSuspects {
+		c.Suspects = append(c.Suspects, NewSuspect([]string{"all", strconv.Itoa(i)}, true).WithFirstEvent())
+	}
+	s, _, _ := State{}.WithCrash(c)
+	c.Suspects = []Suspect{culprit}
+	s, _, _ = s.WithCrash(c)
+	require.Len(t, s.Crashes()[0].Suspects, maxSuspects)
+	require.Equal(t, culprit, s.Crashes()[0].Suspects[0])
+}
+
 // Guards against a part that is requested every few minutes and crashes an endpoint each time, for ever.
 func TestRarePartIsQuarantined(t *testing.T) {
 	s := State{}
@@ -205,6 +218,7 @@
 			id := rapid.IntRange(0, 80).Draw(t, "crash")
 			facts[i] = crash(id, 10*id, []string{"p" + strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "part")), "r" + strconv.Itoa(i)})
 			facts[i].Suspects[0].HasBegun = rapid.Bool().Draw(t, "begun")
+			facts[i].Suspects[0].HasEvent = rapid.Bool().Draw(t, "event")
 		}
 		var a, b State
 		for i := range facts {
