afpace, afslot: confirm limits to other VMs once a minute

What callers see: nothing.

Cause: a limit counted as news if the one known was named ten seconds before, which its timeout of 30 s asked for. Each VM passes news on to eight others.

Change: a minute. The limits of one message are learnt together, with one copy of what is known instead of one for each limit, and limits that have expired or do not fit are not passed on: with the old order VMs that drop the oldest of more than 4,096 limits would have told each other of them without end.

--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -118,12 +118,9 @@
 // learn adds limits, and schedules the sending of those that are new.
 func (s *Service) learn(named map[afpace.EndpointStart]afpace.Limit) {
 	s.mu.Lock()
-	limits, wasPending, isLifted := s.Limits(), len(s.pending) > 0, false
-	for e, limit := range named {
-		var isNews bool
-		if limits, isNews = limits.WithAnswer(e, limit); !isNews {
-			continue
-		}
+	limits, news := s.Limits().WithAnswers(named, s.Timer.Now())
+	wasPending, isLifted := len(s.pending) > 0, false
+	for e, limit := range news {
 		if s.pending == nil {
 			s.pending = make(map[afpace.EndpointStart]afpace.Limit)
 		}
--- a/internal/afslot/service_test.go
+++ b/internal/afslot/service_test.go
@@ -333,3 +333,27 @@
 	}
 	require.LessOrEqual(t, f.messages, vms*afmember.MaxHeartbeatPeers*int(time.Second/spreadInterval))
 }
+
+// Guards against control traffic beyond its target while all endpoints of the largest deployment are limited. What a VM sends
+// does not depend on the number of VMs, of which the test has fewer.
+func TestConfirmedLimitsStayWithinControlTraffic(t *testing.T) {
+	const vms, endpoints, seconds = 80, 750, 70
+	const targetBytes, otherBytes = 18_000, 7_100 // Links, membership and configuration send otherBytes a second.
+	f := newFleet(vms, 1)
+	answerAll := func() {
+		for i := range endpoints {
+			e := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%010d", i), StartUnixMs: 1_790_000_000_000 + int64(i)}
+			f.services[f.vms[f.random.IntN(vms)].Name].RecordAnswer(e, 2)
+		}
+	}
+	answerAll()
+	f.advance(startInterval + time.Second)
+	f.bytes = 0
+	for second := range seconds {
+		if second%5 == 0 {
+			answerAll()
+		}
+		f.advance(time.Second)
+	}
+	require.LessOrEqual(t, f.bytes/vms/seconds, targetBytes-otherBytes, "bytes a second from each VM")
+}
--- a/pkg/afpace/limit.go
+++ b/pkg/afpace/limit.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,7 +23,7 @@
 	// relevantChange is the fraction by which a limit must change to be a new fact for other VMs, and refreshInterval is the
 	// time after which an unchanged limit is one.
 	relevantChange  = 0.1
-	refreshInterval = 10 * time.Second
+	refreshInterval = time.Minute
 )
 
 // EndpointStart identifies an endpoint from its start to its end.
@@ -80,27 +81,37 @@
 	return ok
 }
 
-// WithAnswer returns the limits after an answer of an endpoint that named a limit, or none if perSecond is zero. Answers may
-// be reported in any order. IsNews means that other VMs should learn of it.
-func (l Limits) WithAnswer(e EndpointStart, limit Limit) (changed Limits, isNews bool) {
-	known, isKnown := l.byEndpoint[e]
-	switch {
-	case !isKnown && limit.PerSecond == 0:
-		return l, false
-	case isKnown && !limit.NamedAt.After(known.NamedAt):
-		return l, false
+// WithAnswers returns the limits after answers of endpoints that named a limit, or none if PerSecond is zero. Answers may be
+// reported in any order. It also returns those of which other VMs should learn.
+func (l Limits) WithAnswers(named map[EndpointStart]Limit, now time.Time) (changed Limits, news map[EndpointStart]Limit) {
+	news = make(map[EndpointStart]Limit)
+	for e, limit := range named {
+		if now.Sub(limit.NamedAt) < limitTimeout && l.isNews(e, limit) {
+			news[e] = limit
+		}
 	}
-	isNews = !isKnown || isRelevant(known.PerSecond, limit.PerSecond) || limit.PerSecond > 0 && limit.NamedAt.Sub(known.NamedAt) >= refreshInterval
-	if !isNews {
-		return l, false
+	if len(news) == 0 {
+		return l, nil
 	}
-	l.byEndpoint = maps.Clone(l.byEndpoint)
-	if l.byEndpoint == nil {
-		l.byEndpoint = make(map[EndpointStart]Limit)
+	changed.byEndpoint = make(map[EndpointStart]Limit, len(l.byEndpoint)+len(news))
+	maps.Copy(changed.byEndpoint, l.byEndpoint)
+	maps.Copy(changed.byEndpoint, news)
+	changed.dropOldest(now)
+	// VMs that pass on what they do not keep would do so for ever.
+	maps.DeleteFunc(news, func(e EndpointStart, _ Limit) bool { return !changed.Knows(e) })
+	return changed, news
+}
+
+// isNews reports whether other VMs should learn of an answer of an endpoint.
+func (l Limits) isNews(e EndpointStart, limit Limit) bool {
+	known, isKnown := l.byEndpoint[e]
+	switch {
+	case !isKnown:
+		return limit.PerSecond > 0
+	case !limit.NamedAt.After(known.NamedAt):
+		return false
 	}
-	l.byEndpoint[e] = limit
-	l.dropOldest(limit.NamedAt)
-	return l, true
+	return isRelevant(known.PerSecond, limit.PerSecond) || limit.PerSecond > 0 && limit.NamedAt.Sub(known.NamedAt) >= refreshInterval
 }
 
 // isRelevant reports whether two limits differ by more than relevantChange.
@@ -108,19 +119,16 @@
 	return (a == 0) != (b == 0) || max(a, b)-min(a, b) > relevantChange*max(a, b)
 }
 
-// dropOldest removes the limits that have expired, and the oldest one if there are too many. The map must not be shared.
+// dropOldest removes the limits that have expired, and the oldest ones if there are too many. The map must not be shared.
 func (l Limits) dropOldest(now time.Time) {
-	oldest, found := EndpointStart{}, false
-	for e, limit := range l.byEndpoint {
-		if now.Sub(limit.NamedAt) >= limitTimeout {
-			delete(l.byEndpoint, e)
-			continue
-		}
-		if !found || limit.NamedAt.Before(l.byEndpoint[oldest].NamedAt) {
-			oldest, found = e, true
-		}
+	maps.DeleteFunc(l.byEndpoint, func(_ EndpointStart, limit Limit) bool { return now.Sub(limit.NamedAt) >= limitTimeout })
+	if len(l.byEndpoint) <= maxLimits {
+		return
 	}
-	if len(l.byEndpoint) > maxLimits {
-		delete(l.byEndpoint, oldest)
+	oldestFirst := slices.SortedFunc(maps.Keys(l.byEndpoint), func(a, b EndpointStart) int {
+		return l.byEndpoint[a].NamedAt.Compare(l.byEndpoint[b].NamedAt)
+	})
+	for _, e := range oldestFirst[:len(oldestFirst)-maxLimits] {
+		delete(l.byEndpoint, e)
 	}
 }
--- a/pkg/afpace/pacer_test.go
+++ b/pkg/afpace/pacer_test.go
@@ -134,6 +134,12 @@
 	require.Positive(t, denied.Wait)
 }
 
+// withAnswer returns the limits after one answer of an endpoint, and whether other VMs should learn of it.
+func withAnswer(l Limits, e EndpointStart, limit Limit) (changed Limits, isNews bool) {
+	changed, news := l.WithAnswers(map[EndpointStart]Limit{e: limit}, limit.NamedAt)
+	return changed, len(news) > 0
+}
+
 // Guards against memory that grows with the number of endpoints that ever named a limit.
 func TestStateStaysBounded(t *testing.T) {
 	p, limits, now := &Pacer{}, Limits{}, time.Unix(1000, 0)
@@ -141,27 +147,27 @@
 		e := EndpointStart{strconv.Itoa(i), 1}
 		p.TakeSlot(Request{Endpoint: e, PerSecond: 1}, now)
 		if i%8 == 0 {
-			limits, _ = limits.WithAnswer(e, Limit{PerSecond: 1, NamedAt: now})
+			limits, _ = withAnswer(limits, e, Limit{PerSecond: 1, NamedAt: now})
 		}
 		now = now.Add(time.Millisecond)
 	}
 	require.LessOrEqual(t, len(p.paces), maxPaces)
-	limits, _ = limits.WithAnswer(testEndpoint, Limit{PerSecond: 1, NamedAt: now.Add(2 * limitTimeout)})
+	limits, _ = withAnswer(limits, testEndpoint, Limit{PerSecond: 1, NamedAt: now.Add(2 * limitTimeout)})
 	require.Len(t, limits.byEndpoint, 1, "expired limits are dropped")
 }
 
 // Guards against a lifted limit that an older answer brings back, and against a limit that a restarted endpoint did not name.
 func TestLimitFollowsLatestAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
-	l, isNews := Limits{}.WithAnswer(testEndpoint, Limit{NamedAt: now})
+	l, isNews := withAnswer(Limits{}, testEndpoint, Limit{NamedAt: now})
 	require.False(t, isNews, "no limit was named")
-	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now})
+	l, isNews = withAnswer(l, testEndpoint, Limit{PerSecond: 2, NamedAt: now})
 	require.True(t, isNews)
-	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2.1, NamedAt: now.Add(time.Second)})
+	l, isNews = withAnswer(l, testEndpoint, Limit{PerSecond: 2.1, NamedAt: now.Add(time.Second)})
 	require.False(t, isNews, "nearly the same limit")
-	l, isNews = l.WithAnswer(testEndpoint, Limit{NamedAt: now.Add(2 * time.Second)})
+	l, isNews = withAnswer(l, testEndpoint, Limit{NamedAt: now.Add(2 * time.Second)})
 	require.True(t, isNews)
-	l, isNews = l.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now.Add(time.Second)})
+	l, isNews = withAnswer(l, testEndpoint, Limit{PerSecond: 2, NamedAt: now.Add(time.Second)})
 	require.False(t, isNews, "an answer from before the limit was lifted")
 	_, isLimited := l.Limit(testEndpoint, now.Add(3*time.Second))
 	require.False(t, isLimited)
@@ -172,7 +178,7 @@
 // Guards against a rush to an endpoint whose limit was forgotten because no request was sent to it for a while.
 func TestLimitHoldsWithoutRequests(t *testing.T) {
 	now := time.Unix(1000, 0)
-	l, _ := Limits{}.WithAnswer(testEndpoint, Limit{PerSecond: 2, NamedAt: now})
+	l, _ := withAnswer(Limits{}, testEndpoint, Limit{PerSecond: 2, NamedAt: now})
 	_, isLimited := l.Limit(testEndpoint, now.Add(5*time.Minute))
 	require.True(t, isLimited)
 }
