afsoak: excuse requests during which a fault hits their VM

Trace: vm1 is stopped at 07.860, the request is sent at 07.96 and read, and the soak kills vm1 at 08.570 while the request is in progress; the process writes no further line. The caller sees the kill, not the stop.

The rule counts requests "with no unplanned disruption from contact-ms before the request to its end". The check looked at the time before the request only. It now also asks whether a fault was injected into the VM before the request ended; everything else about it stays, a planned stop alone excuses nothing.

--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -29,6 +29,8 @@
 	// vmFaultFreeTime is the time from the end of the last fault injected into the VM until the request was sent. It is 0
 	// if a fault lasted when the request was sent.
 	vmFaultFreeTime time.Duration
+	// hadFault means that a fault was injected into the VM while the request was in progress.
+	hadFault bool
 	// vmStartCount identifies the process of the VM that received the request.
 	vmStartCount int
 	status       int
@@ -106,7 +108,7 @@
 			c.fleet.reportViolation("MIXED", "request %s: success without a signature", req.id)
 		}
 	}
-	req.endedAt = time.Now()
+	req.endedAt, req.hadFault = time.Now(), v.hadFaultSince(req.sentAt)
 	c.checkAnswer(req)
 	c.mu.Lock()
 	c.calls = append(c.calls, req)
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -58,6 +58,8 @@
 	// faultFreeSince is the later of the start of the process and the end of the last fault injected into the VM. It is
 	// zero while a fault lasts.
 	faultFreeSince time.Time
+	// faultAt is when the last fault was injected into the VM.
+	faultAt time.Time
 	// startCount is the number of processes that were started for the VM.
 	startCount int
 	// isStopping is set when a planned stop is attempted and cleared when the next process starts.
@@ -248,9 +250,10 @@
 func (v *vm) setFaulty(isFaulty bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.faultFreeSince = time.Time{}
-	if !isFaulty {
-		v.faultFreeSince = time.Now()
+	now := time.Now()
+	v.faultFreeSince = now
+	if isFaulty {
+		v.faultFreeSince, v.faultAt = time.Time{}, now
 	}
 }
 
@@ -264,6 +267,13 @@
 	return now.Sub(v.faultFreeSince)
 }
 
+// hadFaultSince returns whether a fault was injected into the VM after a time.
+func (v *vm) hadFaultSince(at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faultAt.After(at)
+}
+
 // close stops all processes, endpoints, proxies and the store.
 func (f *fleet) close() {
 	for _, v := range f.vms {
--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -65,10 +65,11 @@
 	}
 }
 
-// checkPlannedStops checks that a planned stop aborts no request that the process had read. A request counts as read if
+// checkPlannedStops checks that a planned stop aborts no request that the process had read, unless a fault follows before the
+// request ends. A request counts as read if
 // its connection failed more than requestTransferTime after the request was sent.
 func (s *Soak) checkPlannedStops(req call) {
-	if req.status != 0 || req.err == nil || strings.Contains(req.err.Error(), "refused") {
+	if req.status != 0 || req.err == nil || req.hadFault || strings.Contains(req.err.Error(), "refused") {
 		return
 	}
 	for _, stop := range s.plannedStops {
