afsoak: crash engines on a part of prompts, and check how often

Change: prompts have parts. From a random time on, a tenth of them contain one on which each engine crashes as it begins to answer: it refuses connections and is back after a second without models. The check is the rule's: at most three requests with the part run later than 3 s after the fifth crash, from VMs without a fault in the last 3 s. The parts have a random source of their own, so that the other faults of a seed stay. A crash of an engine whose network is disturbed does not count towards the five, since VMs cannot tell it from the disturbance.

--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,8 @@
 	hadFault bool
 	// vmStartCount identifies the process of the VM that received the request.
 	vmStartCount int
+	// hasCrashPart means that the prompt contains crashPart.
+	hasCrashPart bool
 	status       int
 	body         string
 	// isComplete reports whether the response body was read to its end without an error.
@@ -46,6 +49,9 @@
 	fleet *fleet
 	seed  uint64
 
+	// crashPartSince is the time from which on some prompts contain crashPart.
+	crashPartSince time.Time
+
 	mu        sync.Mutex
 	calls     []call
 	callCount int
@@ -54,10 +60,11 @@
 // sendRequests sends the requests of one caller, one after another, until ctx ends.
 func (c *callers) sendRequests(ctx context.Context, callerIndex int) {
 	random := rand.New(rand.NewPCG(c.seed, uint64(callerIndex)+100))
+	partRandom := rand.New(rand.NewPCG(c.seed, uint64(callerIndex)+1000))
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
 	v := c.fleet.vms[callerIndex%len(c.fleet.vms)]
 	for ctx.Err() == nil {
-		c.sendRequest(random, client, v)
+		c.sendRequest(random, partRandom, client, v)
 		pause := time.Duration(10+random.IntN(60)) * time.Millisecond
 		select {
 		case <-ctx.Done():
@@ -66,8 +73,8 @@
 	}
 }
 
-// sendRequest sends one random request to v, checks the answer and records the call.
-func (c *callers) sendRequest(random *rand.Rand, client *http.Client, v *vm) {
+// sendRequest sends one random request to v, checks the answer and records the call. PartRandom chooses the parts of its prompt.
+func (c *callers) sendRequest(random, partRandom *rand.Rand, client *http.Client, v *vm) {
 	c.mu.Lock()
 	c.callCount++
 	req := call{id: fmt.Sprintf("r%05d", c.callCount), vm: v}
@@ -90,6 +97,10 @@
 	headers := afplatform.RequestHeaders{RequestID: req.id, APIKey: req.key, Timeout: streamRouteTimeout, PromptTokens: requestTokens * 2 / 3, OutputTokens: requestTokens / 3}
 	if strings.HasPrefix(req.path, "/talk/") || strings.HasPrefix(req.path, "/note/") {
 		headers.Model = modelNames[random.IntN(len(modelNames))]
+		headers.PromptParts = []string{"system", "document" + strconv.Itoa(partRandom.IntN(20)), req.id}
+		if partRandom.IntN(10) == 0 && time.Now().After(c.crashPartSince) {
+			headers.PromptParts[1], req.hasCrashPart = crashPart, true
+		}
 	}
 	headers.SetOn(r.Header)
 	req.sentAt = time.Now()
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -36,6 +36,10 @@
 	limitedBurstTokens     = 4000
 	// requestTokens is the size of every request: the tokens of its prompt and of its answer together.
 	requestTokens = 120
+	// crashPart is the part of prompts that crashes the engines that begin to answer it.
+	crashPart = "dead"
+	// crashDelay lets the head of an answer arrive before the engine crashes, and crashedTime is how long the engine is gone.
+	crashDelay, crashedTime = 20 * time.Millisecond, time.Second
 	// firstSubnet is the third byte of the first loopback subnet, 127.0.10.0/24. The seed selects the subnet of a run, so
 	// that runs with different seeds can share a machine.
 	firstSubnet = 10
@@ -80,7 +84,12 @@
 	configVersion      int64
 	customerByKey      map[string]string // customerByKey maps the API keys in force to their customers.
 	executions         map[string][]afplatform.ExecutedRequest
-	reportViolation    func(rule, format string, args ...any)
+	// crashedAt holds when engines crashed that callers could reach until then.
+	crashedAt []time.Time
+	// restarts counts the engines that will start again, unless closing is closed before.
+	restarts        sync.WaitGroup
+	closing         chan struct{}
+	reportViolation func(rule, format string, args ...any)
 }
 
 // endpoint is a simulated endpoint and the proxy through which the VMs reach it.
@@ -89,6 +98,7 @@
 	proxy     *proxy
 	server    *http.Server
 	isRemoved bool
+	isCrashed bool
 }
 
 // recordExecution stores a request that an endpoint executed and checks that the API key was not forwarded.
@@ -116,11 +126,12 @@
 		return err
 	}
 	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
-		ID: id, Service: service, Centre: "z1", Address: p.address(), Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
+		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
 		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
 	}}
 	if models != nil {
 		e.ModelSizes, e.ResponseDelay = modelSizes(), streamEventDelay
+		e.CrashPart, e.OnCrash = crashPart, func() { f.crashEndpoint(e) }
 	}
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
@@ -155,6 +166,39 @@
 	f.store.RemoveObject(afplatform.KindEndpoints, e.ID)
 }
 
+// crashEndpoint ends an engine without notice, and starts it again without models after crashedTime.
+func (f *fleet) crashEndpoint(e *endpoint) {
+	time.Sleep(crashDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.isRemoved || e.isCrashed {
+		return
+	}
+	e.isCrashed = true
+	if e.proxy.currentFault() == NoFault {
+		f.crashedAt = append(f.crashedAt, time.Now())
+	}
+	e.proxy.stopListening()
+	f.restarts.Go(func() {
+		select {
+		case <-f.closing:
+			return
+		case <-time.After(crashedTime):
+		}
+		f.mu.Lock()
+		e.isCrashed = false
+		isRemoved := e.isRemoved
+		f.mu.Unlock()
+		if isRemoved {
+			return
+		}
+		if err := e.proxy.startListening(); err != nil {
+			f.reportViolation("SOAK", "endpoint %s not started again: %v", e.ID, err)
+		}
+		e.Restart()
+	})
+}
+
 // writeConfig writes a configuration of a higher version, with the API keys in force, to the store.
 func (f *fleet) writeConfig() {
 	f.mu.Lock()
@@ -201,7 +245,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address(), GracePeriod: gracePeriod, LeaseDuration: leaseDuration}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: leaseDuration}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -276,6 +320,8 @@
 
 // close stops all processes, endpoints, proxies and the store.
 func (f *fleet) close() {
+	close(f.closing)
+	f.restarts.Wait()
 	for _, v := range f.vms {
 		v.signalProcess(syscall.SIGCONT)
 		v.signalProcess(syscall.SIGKILL)
@@ -293,7 +339,7 @@
 // newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
 func newFleet(daemonPath, outputDir string, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1,
+		daemonPath: daemonPath, outputDir: outputDir, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -15,6 +15,8 @@
 	quotaWindow = 8 * time.Second
 	// quotaTolerance is the factor by which the platform allows a customer to exceed its limit.
 	quotaTolerance = 1.1
+	// maxLateCrashRequests is the number of requests with crashPart that may reach engines long after the fifth crash.
+	maxLateCrashRequests = 3
 	// quotaSlackTokens is the number of tokens that the platform allows beyond quotaTolerance.
 	quotaSlackTokens = 2000
 )
@@ -49,6 +51,7 @@
 		countByOutcome[outcome]++
 	}
 	s.checkCustomerLimit()
+	s.checkCrashPart()
 	s.checkOrders()
 	s.logEvent("%d requests: %v", len(s.callers.calls), countByOutcome)
 }
@@ -104,6 +107,25 @@
 	}
 }
 
+// checkCrashPart checks that VMs without a recent fault send few requests with crashPart to engines after the fifth crash.
+func (s *Soak) checkCrashPart() {
+	s.logEvent("%d crashes of engines under a part of prompts", len(s.fleet.crashedAt))
+	if len(s.fleet.crashedAt) < 5 {
+		return
+	}
+	late := 0
+	for _, req := range s.callers.calls {
+		for _, r := range s.fleet.executions[req.id] {
+			if req.hasCrashPart && req.vmFaultFreeTime >= minFaultFreeTime && r.ExecutedAt.Sub(s.fleet.crashedAt[4]) > minFaultFreeTime {
+				late++
+			}
+		}
+	}
+	if late > maxLateCrashRequests {
+		s.reportViolation("BUDGET", "%d requests with the part that crashes engines ran later than %v after the fifth of %d crashes", late, minFaultFreeTime, len(s.fleet.crashedAt))
+	}
+}
+
 // checkOrders checks the placement orders that each engine received: memory is never overcommitted, each epoch has one
 // holder, epochs never decrease, and at least leaseDuration passes between the orders of holders on different VMs.
 func (s *Soak) checkOrders() {
--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -31,10 +31,11 @@
 
 // proxy forwards TCP connections to a target address on loopback and applies a fault to them.
 type proxy struct {
-	target   string
-	listener net.Listener
+	target, address string
 
 	mu          sync.Mutex
+	listener    net.Listener
+	isClosed    bool
 	fault       ProxyFault
 	connections map[*proxyConnection]struct{}
 }
@@ -46,20 +47,37 @@
 }
 
 func newProxy(listen, target string) (*proxy, error) {
-	l, err := net.Listen("tcp", listen)
+	p := &proxy{target: target, address: listen, connections: make(map[*proxyConnection]struct{})}
+	return p, p.startListening()
+}
+
+// startListening accepts connections at the address, unless the proxy was closed.
+func (p *proxy) startListening() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isClosed {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{target: target, listener: l, connections: make(map[*proxyConnection]struct{})}
-	go p.acceptConnections()
-	return p, nil
+	p.listener, p.address = l, l.Addr().String()
+	go p.acceptConnections(l)
+	return nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// stopListening resets open connections, and new ones are refused until startListening is called.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close() // It may be closed already.
+	p.resetConnections()
+}
 
-func (p *proxy) acceptConnections() {
+func (p *proxy) acceptConnections(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -173,10 +191,15 @@
 	}
 	p.fault = fault
 	if fault == RefuseConnections {
-		for conn := range p.connections {
-			resetConnection(conn.client)
-			resetConnection(conn.server)
-		}
+		p.resetConnections()
+	}
+}
+
+// resetConnections resets the open connections. The caller holds mu.
+func (p *proxy) resetConnections() {
+	for conn := range p.connections {
+		resetConnection(conn.client)
+		resetConnection(conn.server)
 	}
 }
 
@@ -190,6 +213,9 @@
 
 // close stops accepting connections and resets the open ones.
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.isClosed = true
+	p.mu.Unlock()
+	p.stopListening()
 	p.setFault(RefuseConnections)
 }
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -91,7 +91,9 @@
 	}
 	s.fleet = f
 	defer f.close()
-	s.callers = &callers{fleet: f, seed: s.Seed}
+	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
+	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
+	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
 	if s.Ctx == nil {
 		s.Ctx = context.Background()
 	}
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -103,6 +104,8 @@
 	RequestID, APIKey, Model   string
 	Timeout                    time.Duration
 	PromptTokens, OutputTokens int
+	// PromptParts are the IDs of the parts of the prompt, or empty.
+	PromptParts []string
 }
 
 // SetOn sets the headers.
@@ -113,6 +116,11 @@
 	if c.Model != "" {
 		h.Set(headerModel, c.Model)
 		h.Set("X-Arbutusfork-Token-Usage", strconv.Itoa(c.PromptTokens)+","+strconv.Itoa(c.OutputTokens))
+		parts := make([]string, len(c.PromptParts))
+		for i, id := range c.PromptParts {
+			parts[i] = id + ":" + strconv.Itoa(c.PromptTokens/len(parts))
+		}
+		h.Set(headerParts, strings.Join(parts, ","))
 	}
 }
 
