afsoak: let endpoints name limits, and check what they get

Change: beside the other faults an engine or a plain endpoint names a limit of 1 to 3 requests a second for 5 to 9 s, chosen by a random source of its own. The check is the rule's: in no 4 s more than one and a half times the limit and five requests, from 3 s after the limit was named, counting VMs half a second after they passed on an answer with it; VMs with a fault in the last 3 s are excused. The stand-in's limit can change while it runs.

--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -52,6 +52,7 @@
 	}
 	s.checkCustomerLimit()
 	s.checkCrashPart()
+	s.checkNamedLimits()
 	s.checkOrders()
 	s.logEvent("%d requests: %v", len(s.callers.calls), countByOutcome)
 }
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -56,7 +56,10 @@
 	endlessRandom  *rand.Rand
 	recoveries     sync.WaitGroup // recoveries counts the faults that still have to end and the VMs to restart.
 	keyWithdrawals []period       // keyWithdrawals holds the periods in which revokedKey was withdrawn.
-	plannedStops   []plannedStop
+	// limitRandom chooses the endpoints that name a limit.
+	limitRandom  *rand.Rand
+	limits       []limitPeriod
+	plannedStops []plannedStop
 }
 
 // period is a period of time. A zero endedAt means that the period has not ended.
@@ -91,6 +94,7 @@
 	}
 	s.fleet = f
 	defer f.close()
+	s.limitRandom = rand.New(rand.NewPCG(s.Seed, 4))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -107,6 +111,9 @@
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.injectFault()
+		if s.limitRandom.IntN(5) == 0 {
+			s.limitEndpoint()
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.recoveries.Wait()
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -65,8 +65,6 @@
 	// OnExecute is called for each request that runs. It must not block.
 	OnExecute func(ExecutedRequest)
 
-	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Empty means none.
-	NamedLimit string
 	// CrashPart is the ID of a part of prompts on which the engine crashes when it begins to answer. Empty means none.
 	CrashPart string
 	// OnCrash is called when the engine crashes. It closes all connections to the engine.
@@ -74,6 +72,8 @@
 
 	// Faults are switched while the endpoint runs.
 	IsFull, TruncatesAnswers atomic.Bool
+	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Zero means none.
+	NamedLimit atomic.Int64
 
 	mu     sync.Mutex
 	born   int64
@@ -202,8 +202,8 @@
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
-	if e.NamedLimit != "" {
-		w.Header().Set(headerLimit, e.NamedLimit)
+	if limit := e.NamedLimit.Load(); limit > 0 {
+		w.Header().Set(headerLimit, strconv.FormatInt(limit, 10))
 	}
 	refuse := func(status int) {
 		w.Header().Set(headerNotRun, "1")
