--- a/pkg/afquarantine/decide.go
+++ b/pkg/afquarantine/decide.go
@@ -155,13 +155,13 @@
 		return !a.wasAnswered
 	}
 	// A part that only the cause of each crash contains is in one request for each crash, a part that many prompts share in more.
-	spread := cmp.Compare(a.suspects-a.crashes, b.suspects-b.crashes)
-	score := cmp.Compare(b.score(), a.score())
+	byExtraSuspects := cmp.Compare(a.suspects-a.crashes, b.suspects-b.crashes)
+	byScore := cmp.Compare(b.score(), a.score())
 	if a.wasAnswered {
-		return cmp.Or(spread, score, strings.Compare(a.key.Part, b.key.Part)) < 0
+		return cmp.Or(byExtraSuspects, byScore, strings.Compare(a.key.Part, b.key.Part)) < 0
 	}
 	// The parts that only repeats of one request share do not explain the crashes under other requests.
-	return cmp.Or(score, spread, strings.Compare(a.key.Part, b.key.Part)) < 0
+	return cmp.Or(byScore, byExtraSuspects, strings.Compare(a.key.Part, b.key.Part)) < 0
 }
 
 // accusations returns the evidence against each part, by service and part.
