afobject: give out versions that rise when the store goes back

The platform's store may come back from a copy some seconds old. Its revisions go back then and are given out again with another meaning, so that a watch or a conditional write from a revision of before is accepted and means something else. Nothing read the era that each answer names.

A version now holds the era above the revision (package afversion), for both daemons. A watch, an update or a deletion from a version of an earlier era fails without a call, or when the answer names a later era; such a write may have taken effect, so that it counts as unknown and must be read back. Pages of two eras are no list. An answer of an earlier era, or with a missing or malformed one after a sound one, is ignored, and reported once per change. A store without eras works as before.

No call is added.

--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -53,6 +55,11 @@
 	WriteCount atomic.Int64
 	// WatchCount is the number of watch requests. Each request of a long-poll watch also counts as a read.
 	WatchCount atomic.Int64
+	// OnEraChange is called when the platform's store has come back from an older copy, and when the era in its answers becomes
+	// unsound or sound again. It must not block. Nil means that nothing is called.
+	OnEraChange func(EraChange)
+
+	eras eraTracker
 
 	watchClientOnce   sync.Once
 	cachedWatchClient *http.Client
@@ -94,6 +101,15 @@
 	return strconv.ParseInt(s, 10, 64)
 }
 
+// parseVersionInEra parses a resource version of that era.
+func parseVersionInEra(era int64, s string) (int64, error) {
+	revision, err := parseVersion(s)
+	if err != nil {
+		return 0, err
+	}
+	return afversion.Join(era, revision)
+}
+
 // encodeObject encodes an object in the default dialect. A version of zero is left out.
 func encodeObject(o Object) ([]byte, error) {
 	w := wireObject{Kind: o.Kind, Metadata: wireMetadata{Name: o.Name}, Spec: o.Spec}
@@ -104,35 +120,45 @@
 }
 
 // Get returns the object of that kind and name. It fails with ObjectNotFound if there is none and with
-// PlatformUnavailable if no complete answer arrives.
+// PlatformUnavailable if no complete answer arrives. With ObjectNotFound, the version of the returned object is the era of the
+// store with a revision of zero.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	return c.callForObject(ctx, call{op: "get", method: http.MethodGet, kind: kind, name: name})
 }
 
 // callForObject sends a call and decodes its answer as one object.
 func (c *Client) callForObject(ctx context.Context, k call) (Object, error) {
-	if c.Dialect.DecodeObject != nil {
-		var body json.RawMessage
-		if err := c.doCall(ctx, k, &body); err != nil {
-			return Object{}, err
-		}
-		o, err := c.Dialect.DecodeObject(k.kind, body)
-		if err != nil {
-			return Object{}, k.lostAnswerError(err)
+	var body json.RawMessage
+	era, err := c.doCall(ctx, k, &body)
+	if err != nil {
+		o := Object{Kind: k.kind, Name: k.name}
+		if IsKind(err, ObjectNotFound) {
+			o, _ = withEra(o, era) // A revision of zero is always in range.
 		}
-		return c.checkAnswer(k, o)
+		return o, err
 	}
-	var w wireObject
-	if err := c.doCall(ctx, k, &w); err != nil {
-		return Object{}, err
+	o, err := c.decodeObject(k.kind, body)
+	if err == nil {
+		o, err = withEra(o, era)
 	}
-	o, err := convertObject(k.op, k.kind, w)
 	if err != nil {
-		return Object{}, err
+		return Object{}, k.lostAnswerError(err)
 	}
 	return c.checkAnswer(k, o)
 }
 
+// decodeObject decodes the answer to a request for one object. Its version is the store's revision.
+func (c *Client) decodeObject(kind string, body []byte) (Object, error) {
+	if c.Dialect.DecodeObject != nil {
+		return c.Dialect.DecodeObject(kind, body)
+	}
+	var w wireObject
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Object{}, err
+	}
+	return w.toObject(kind)
+}
+
 // checkAnswer returns the object of an answer if it is the object of the call. The answer to another call can arrive on a kept
 // connection on which the platform sent it twice; the answer to this call is lost then, and so are those that follow.
 func (c *Client) checkAnswer(k call, o Object) (Object, error) {
@@ -154,18 +180,22 @@
 		return c.listPages(ctx, kind)
 	}
 	var w wireList
-	if err := c.doCall(ctx, call{op: "list", method: http.MethodGet, kind: kind}, &w); err != nil {
+	era, err := c.doCall(ctx, call{op: "list", method: http.MethodGet, kind: kind}, &w)
+	if err != nil {
 		return nil, 0, err
 	}
-	version, err := parseVersion(w.Metadata.ResourceVersion)
+	version, err := parseVersionInEra(era, w.Metadata.ResourceVersion)
 	if err != nil {
 		return nil, 0, &Error{Op: "list", Object: kind, Kind: InvalidRequest, Err: err}
 	}
 	objects := make([]Object, 0, len(w.Items))
 	for _, item := range w.Items {
-		o, err := convertObject("list", kind, item)
+		o, err := item.toObject(kind)
+		if err == nil {
+			o, err = withEra(o, era)
+		}
 		if err != nil {
-			return nil, 0, err
+			return nil, 0, &Error{Op: "list", Object: kind + "/" + item.Metadata.Name, Kind: InvalidRequest, Err: err}
 		}
 		objects = append(objects, o)
 	}
@@ -177,10 +207,11 @@
 func (c *Client) ConfigurationVersion(ctx context.Context) (int64, error) {
 	var w wireList
 	versionCall := call{op: "probe", method: http.MethodGet, query: url.Values{"limit": {"1"}}, accept: metadataListMediaType}
-	if err := c.doCall(ctx, versionCall, &w); err != nil {
+	era, err := c.doCall(ctx, versionCall, &w)
+	if err != nil {
 		return 0, err
 	}
-	version, err := parseVersion(w.Metadata.ResourceVersion)
+	version, err := parseVersionInEra(era, w.Metadata.ResourceVersion)
 	if err != nil {
 		return 0, &Error{Op: "probe", Kind: InvalidRequest, Err: err}
 	}
@@ -197,14 +228,15 @@
 // Update replaces the stored object if its version equals o.Version, and returns it with its new version. It fails
 // with VersionConflict if the versions differ and with OutcomeUnknown if the answer was lost.
 func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
-	return c.writeObject(ctx, call{op: "update", method: http.MethodPut, kind: o.Kind, name: o.Name}, o)
+	return c.writeObject(ctx, call{op: "update", method: http.MethodPut, kind: o.Kind, name: o.Name, basis: o.Version}, o)
 }
 
 // Delete deletes the stored object if its version equals the argument. It fails with VersionConflict if the versions
 // differ and with OutcomeUnknown if the answer was lost.
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	query := url.Values{c.Dialect.versionParameterOrDefault(): {strconv.FormatInt(version, 10)}}
-	return c.doCall(ctx, call{op: "delete", method: http.MethodDelete, kind: kind, name: name, query: query}, nil)
+	query := url.Values{c.Dialect.versionParameterOrDefault(): {strconv.FormatInt(afversion.Revision(version), 10)}}
+	_, err := c.doCall(ctx, call{op: "delete", method: http.MethodDelete, kind: kind, name: name, query: query, basis: version}, nil)
+	return err
 }
 
 // writeObject encodes o as the body of the call k, sends the call and returns the object in the answer.
@@ -217,6 +249,7 @@
 	if c.Dialect.EncodeObject != nil {
 		encode = c.Dialect.EncodeObject
 	}
+	o.Version = afversion.Revision(o.Version)
 	body, err := encode(o)
 	if err != nil {
 		return Object{}, &Error{Op: k.op, Object: k.String(), Kind: InvalidRequest, Err: err}
@@ -225,15 +258,6 @@
 	return c.callForObject(ctx, k)
 }
 
-// convertObject converts the JSON form of an object in the answer of the operation op.
-func convertObject(op, kind string, w wireObject) (Object, error) {
-	o, err := w.toObject(kind)
-	if err != nil {
-		return Object{}, &Error{Op: op, Object: kind + "/" + w.Metadata.Name, Kind: InvalidRequest, Err: err}
-	}
-	return o, nil
-}
-
 // call describes one request to the platform.
 type call struct {
 	op             string // op is the name of the operation in errors.
@@ -245,6 +269,7 @@
 	accept         string // accept is the value of the Accept header. Empty sends none.
 	body           []byte
 	timeout        time.Duration // timeout overrides Client.Timeout unless it is zero.
+	basis          int64         // basis is the version on which the call depends, or zero.
 }
 
 // String returns the kind and name of the call's object for error messages.
@@ -325,9 +350,12 @@
 	return c.cachedWatchClient
 }
 
-// doCall sends a call and decodes the JSON answer into out unless out is nil. Only a write that the platform may have
-// executed fails with OutcomeUnknown.
-func (c *Client) doCall(ctx context.Context, k call, out any) error {
+// doCall sends a call and decodes the JSON answer into out unless out is nil. It returns the era of the answer, also with an
+// error that the answer states. Only a write that the platform may have executed fails with OutcomeUnknown.
+func (c *Client) doCall(ctx context.Context, k call, out any) (era int64, err error) {
+	if err := c.checkBasis(k); err != nil {
+		return 0, err
+	}
 	timeout := c.Timeout
 	if timeout <= 0 {
 		timeout = defaultCallTimeout
@@ -349,7 +377,7 @@
 	})
 	req, err := c.newRequest(traceCtx, k)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	resp, err := c.httpClient().Do(req)
 	if err != nil {
@@ -359,25 +387,32 @@
 		}
 		// No byte of the request was sent if the HTTP client obtained no connection.
 		if !k.isWrite() || (connectionRequested.Load() && !connectionObtained.Load()) {
-			return k.newError(PlatformUnavailable, err)
+			return 0, k.newError(PlatformUnavailable, err)
 		}
-		return k.newError(OutcomeUnknown, err)
+		return 0, k.newError(OutcomeUnknown, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errors.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
+	era, eraErr := c.recordEra(resp.StatusCode, resp.Header)
+	if eraErr != nil {
+		return era, k.lostAnswerError(eraErr)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return k.statusError(resp.StatusCode, body)
+		return era, k.statusError(resp.StatusCode, body)
+	}
+	if err := k.checkAnswerEra(era); err != nil {
+		return era, err
 	}
 	if err == nil && out != nil {
 		err = json.Unmarshal(body, out)
 	}
 	if err != nil {
-		return k.lostAnswerError(err)
+		return era, k.lostAnswerError(err)
 	}
-	return nil
+	return era, nil
 }
 
 // lostAnswerError returns the error of a call that the platform may have executed but whose answer is missing,
--- a/pkg/afobject/dialect.go
+++ b/pkg/afobject/dialect.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -30,6 +32,8 @@
 	// VersionParameter is the name of the query parameter with the version that a deletion requires. Empty means
 	// resourceVersion.
 	VersionParameter string
+	// EraHeader is the name of the header with the era of the store. Empty means Store-Era.
+	EraHeader string
 	// EncodeObject encodes an object as the body of a write request.
 	EncodeObject func(o Object) ([]byte, error)
 	// DecodeObject decodes the answer to a request for one object.
@@ -70,6 +74,33 @@
 	return d.VersionParameter
 }
 
+func (d Dialect) eraHeaderOrDefault() string {
+	if d.EraHeader == "" {
+		return defaultEraHeader
+	}
+	return d.EraHeader
+}
+
+// withEra returns the page with its revisions replaced by their versions in the era.
+func (p AnswerPage) withEra(era int64) (AnswerPage, error) {
+	version, err := afversion.Join(era, p.Version)
+	if err != nil {
+		return p, err
+	}
+	p.Version = version
+	for i, o := range p.Objects {
+		if p.Objects[i], err = withEra(o, era); err != nil {
+			return p, err
+		}
+	}
+	for i, e := range p.Events {
+		if p.Events[i].Object, err = withEra(e.Object, era); err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
 // listPages lists a collection page by page. It returns the version of the first page, so that a watch from that
 // version reports every change made while the later pages were read.
 func (c *Client) listPages(ctx context.Context, kind string) ([]Object, int64, error) {
@@ -85,13 +116,20 @@
 			k.query = c.Dialect.NextPageQuery(nextAfterName)
 		}
 		var body json.RawMessage
-		if err := c.doCall(ctx, k, &body); err != nil {
+		era, err := c.doCall(ctx, k, &body)
+		if err != nil {
 			return nil, 0, err
 		}
+		if pageIndex > 0 && era != afversion.Era(version) {
+			return nil, 0, k.newError(PlatformUnavailable, errors.Errorf("page %d is of era %d, the first page of era %d", pageIndex, era, afversion.Era(version)))
+		}
 		if totalBytes += len(body); totalBytes > maxListBytes {
 			return nil, 0, k.newError(InvalidRequest, errors.Errorf("the list is longer than %d bytes", maxListBytes))
 		}
 		page, err := c.Dialect.DecodeListPage(kind, body)
+		if err == nil {
+			page, err = page.withEra(era)
+		}
 		if err != nil {
 			return nil, 0, k.newError(InvalidRequest, err)
 		}
@@ -115,14 +153,18 @@
 		c.WatchCount.Add(1)
 		pollWait := wait()
 		k := call{
-			op: "watch", method: http.MethodGet, kind: kind, query: c.Dialect.ChangesQuery(since, pollWait),
-			timeout: pollWait + longPollAnswerMargin,
+			op: "watch", method: http.MethodGet, kind: kind, query: c.Dialect.ChangesQuery(afversion.Revision(since), pollWait),
+			timeout: pollWait + longPollAnswerMargin, basis: since,
 		}
 		var body json.RawMessage
-		if err := c.doCall(ctx, k, &body); err != nil {
+		era, err := c.doCall(ctx, k, &body)
+		if err != nil {
 			return err
 		}
 		page, err := c.Dialect.DecodeChanges(kind, body)
+		if err == nil {
+			page, err = page.withEra(era)
+		}
 		if err != nil {
 			return k.newError(InvalidRequest, err)
 		}
--- a/pkg/afobject/watch.go
+++ b/pkg/afobject/watch.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -50,11 +52,14 @@
 	idleTimer := time.AfterFunc(idleTimeout, func() { cancel(errors.New("no line within the watch idle timeout")) })
 	defer idleTimer.Stop()
 
-	k := call{op: "watch", method: http.MethodGet, kind: kind, query: url.Values{
+	k := call{op: "watch", method: http.MethodGet, kind: kind, basis: since, query: url.Values{
 		"watch":               {"true"},
 		"allowWatchBookmarks": {"true"},
-		"resourceVersion":     {strconv.FormatInt(since, 10)},
+		"resourceVersion":     {strconv.FormatInt(afversion.Revision(since), 10)},
 	}}
+	if err := c.checkBasis(k); err != nil {
+		return err
+	}
 	req, err := c.newRequest(ctx, k)
 	if err != nil {
 		return err
@@ -64,10 +69,17 @@
 		return k.newError(PlatformUnavailable, contextCauseOr(ctx, err))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	era, err := c.recordEra(resp.StatusCode, resp.Header)
+	if err != nil {
+		return k.lostAnswerError(err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxWatchLineBytes)) // The status determines the error.
 		return k.statusError(resp.StatusCode, body)
 	}
+	if err := k.checkAnswerEra(era); err != nil {
+		return err
+	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxWatchLineBytes)
 	for lines.Scan() {
@@ -76,6 +88,9 @@
 		if err != nil {
 			return err
 		}
+		if event.Object, err = withEra(event.Object, era); err != nil {
+			return k.newError(InvalidRequest, err)
+		}
 		fn(event)
 	}
 	if lines.Err() != nil {
--- a/pkg/afobject/write.go
+++ b/pkg/afobject/write.go
@@ -7,6 +7,8 @@
 	"reflect"
 
 	"github.com/go-faster/errors"
+
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 // maxWriteAttempts limits how often WriteWithReadback and DeleteWithReadback send the same conditional write.
@@ -41,6 +43,9 @@
 		}
 		current, readErr := c.Get(ctx, o.Kind, o.Name)
 		switch {
+		case readErr == nil && o.Version != 0 && afversion.Era(current.Version) != afversion.Era(o.Version):
+			// The write may have replaced an object that the caller has not read.
+			return Object{}, &Error{Op: "write", Object: o.Kind + "/" + o.Name, Kind: VersionConflict}
 		case readErr == nil && current.Version > o.Version && equalSpecs(current.Spec, o.Spec):
 			return current, nil
 		case readErr == nil && current.Version != o.Version,
