afroster, afnode: keep departures in force when the store goes back

An endpoint that had said that it drains, or whose entry was removed, would be listed as ready by a store that came back from a copy of before, and would get requests again: a VM that has learnt of a departure is bound by it.

One that drains never becomes ready again. An entry that is missing from the copy is used a moment longer, as after an outage, since its endpoint writes it again.

TestDepartedEndpointStaysOutWhenStoreGoesBack fails without RecordStoreWentBack and without WithDeparture.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -11,6 +11,7 @@
 
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -57,6 +58,17 @@
 	return other.Version > p.Version || other.Version == p.Version && other.ObjectCount != p.ObjectCount
 }
 
+// Gap is what may be missing from a list although it existed a moment before.
+type Gap struct {
+	// Outage is how long the platform had been unreachable before the list, or zero. Entries may have expired meanwhile.
+	Outage time.Duration
+	// WentBack means that the store came back from an older copy since the previous list.
+	WentBack bool
+}
+
+// MayLackEntries reports whether entries may be missing whose writers are alive and will write them again.
+func (g Gap) MayLackEntries() bool { return g.Outage > 0 || g.WentBack }
+
 // Feed keeps a copy of all objects of one kind. Set the exported fields before Run. The functions are called from the
 // goroutine of Run.
 type Feed struct {
@@ -73,9 +85,8 @@
 	PollDelay func() time.Duration
 	// Coordinator is shared by all feeds of this VM.
 	Coordinator *RetryCoordinator
-	// OnList is called with each complete list. The argument outage is how long the platform had been unreachable before,
-	// or zero.
-	OnList func(objects []afobject.Object, outage time.Duration)
+	// OnList is called with each complete list.
+	OnList func(objects []afobject.Object, gap Gap)
 	// OnChange is called with each change after a list.
 	OnChange func(afobject.Event)
 	// IsSuspended reports whether this VM receives the changes from another VM, so that the feed need not call the
@@ -99,6 +110,8 @@
 	// staleTimeout is how long the copy must be behind before the watch is restarted. Zero means minStaleTimeout.
 	staleTimeout time.Duration
 
+	// isListRequested means that the next step is a new list instead of a watch.
+	isListRequested bool
 	// isCompared means that the copy was compared with another VM's copy. differsSince is when it was first found to differ
 	// from it, or zero if it did not at the last comparison.
 	isCompared   bool
@@ -113,6 +126,8 @@
 	// watch needs a new list.
 	version   int64
 	versionAt time.Time
+	// hasListed means that there was a list.
+	hasListed bool
 	// lostAt is when the platform became unreachable. It is zero while the platform is reachable.
 	lostAt time.Time
 	// retryDelay is the delay after the last failed call. It is zero after a success.
@@ -126,7 +141,8 @@
 			f.Timer.Sleep(ctx, suspendCheckInterval)
 			continue
 		}
-		if f.lostAt.IsZero() && !f.versionAt.IsZero() && f.Timer.Now().Sub(f.versionAt) < maxResumeAge {
+		isListRequested := f.takeListRequest()
+		if !isListRequested && f.lostAt.IsZero() && !f.versionAt.IsZero() && f.Timer.Now().Sub(f.versionAt) < maxResumeAge {
 			f.followChanges(ctx)
 			continue
 		}
@@ -136,8 +152,8 @@
 			continue
 		}
 		f.recordList(objects)
-		f.OnList(objects, f.recordReached())
-		f.version, f.versionAt = version, f.Timer.Now()
+		f.OnList(objects, Gap{Outage: f.recordReached(), WentBack: f.hasListed && afversion.Era(version) > afversion.Era(f.version)})
+		f.version, f.versionAt, f.hasListed = version, f.Timer.Now(), true
 	}
 }
 
@@ -201,6 +217,30 @@
 	}
 }
 
+// RequestList makes the feed list the objects again instead of following the changes.
+func (f *Feed) RequestList() {
+	f.mu.Lock()
+	f.isListRequested = true
+	f.mu.Unlock()
+	f.RestartWatch()
+}
+
+// takeListRequest returns and clears the request for a new list.
+func (f *Feed) takeListRequest() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	isRequested := f.isListRequested
+	f.isListRequested = false
+	return isRequested
+}
+
+// hasListRequest reports whether a new list was requested.
+func (f *Feed) hasListRequest() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isListRequested
+}
+
 // recordList updates the position with a complete list.
 func (f *Feed) recordList(objects []afobject.Object) {
 	f.mu.Lock()
@@ -248,7 +288,7 @@
 // followChanges watches for changes after the version of the copy. It returns when the history that the watch needs has
 // expired, the feed is suspended or ctx ends.
 func (f *Feed) followChanges(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.hasListRequest() {
 		watchCtx, cancel := context.WithCancel(ctx)
 		f.setCancelWatch(cancel)
 		hasChanges := false
--- a/internal/affeed/feed_test.go
+++ b/internal/affeed/feed_test.go
@@ -106,7 +106,7 @@
 	return &Feed{
 		Kind: "config", List: s.list, PollChanges: s.poll, PollTimeout: func() time.Duration { return time.Second },
 		PollDelay: func() time.Duration { return 0 }, Coordinator: &RetryCoordinator{},
-		OnList: func(objects []afobject.Object, _ time.Duration) {
+		OnList: func(objects []afobject.Object, _ Gap) {
 			for _, o := range objects {
 				recordVersion(o)
 			}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -80,6 +80,7 @@
 // removeExpiredEndpoints removes the endpoints whose entries were not written again after an outage and relays their
 // removal to the other VMs.
 func (n *Node) removeExpiredEndpoints() {
+	n.recheckDoubtful()
 	removed := n.roster.RemoveLapsedEntries()
 	if len(removed) == 0 {
 		return
@@ -109,7 +110,7 @@
 // newConfigFeed creates the feed of the configuration.
 func (n *Node) newConfigFeed() *affeed.Feed {
 	f := n.newFeed(n.Platform.ConfigKind)
-	f.OnList = func(objects []afobject.Object, _ time.Duration) {
+	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
 		for _, o := range objects {
 			n.applyConfig(o)
 		}
@@ -152,8 +153,8 @@
 	f.IsSuspended = n.keeper.ReceivesEndpoints
 	listedIDs := make(map[string]bool)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
-	f.OnList = func(objects []afobject.Object, outage time.Duration) {
-		if outage > 0 {
+	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
+		if gap.MayLackEntries() {
 			recoveredAt = n.timer.Now()
 		}
 		seenIDs := make(map[string]bool, len(objects))
@@ -181,8 +182,8 @@
 		}
 		for id := range listedIDs {
 			if !seenIDs[id] {
-				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", outage, "missing", missingCount)
-				isHeld := outage > 0 && missingCount >= minMissingToHold
+				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -230,6 +231,11 @@
 		n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
 		return e, false, false
 	}
+	if n.roster.IsDoubtful(e) {
+		n.holdDoubtful(e)
+		return e, false, false
+	}
+	e = n.roster.WithDeparture(e)
 	isChanged = n.roster.PutEntry(e)
 	if isChanged {
 		n.logEndpoint(e, "platform")
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -94,7 +94,7 @@
 	f.PollDelay = n.vmFeedPollDelay
 	// The holder's views show whether VMs came or went since this copy was read.
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
-	f.OnList = func(objects []afobject.Object, _ time.Duration) {
+	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
 		n.vmList.mu.Lock()
 		clear(n.vmList.vms)
 		clear(n.vmList.versions)
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -101,6 +101,7 @@
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
+	doubtful       doubtfulEntries
 	// feeds holds the feeds of the platform's objects by kind. It does not change after the start.
 	feeds map[string]*affeed.Feed
 	// retryCoordinator is shared by all feeds.
@@ -209,7 +210,7 @@
 	n.log = slog.New(slog.NewJSONHandler(n.logWriter, nil)).With("vm", n.Settings.VM)
 	aflog.RouteEngineLog(n.log)
 	n.registry = prometheus.NewRegistry()
-	n.platformClient = &afobject.Client{BaseURL: n.Settings.PlatformURL, Timeout: platformCallTimeout, Dialect: n.Platform.Dialect, HTTPClient: newPlatformHTTPClient()}
+	n.platformClient = &afobject.Client{BaseURL: n.Settings.PlatformURL, Timeout: platformCallTimeout, Dialect: n.Platform.Dialect, HTTPClient: newPlatformHTTPClient(), OnEraChange: n.handleEraChange}
 	n.roster = &afroster.Roster{Now: n.timer.Now, OnChange: n.requestRecheck}
 	n.vmList.initMaps()
 	n.feeds = make(map[string]*affeed.Feed)
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -120,6 +120,7 @@
 	})
 	gauge("arbutusfork_vms", "VMs that answer, this one included.", func() float64 { return float64(len(n.peers.LiveMembers())) })
 	gauge("arbutusfork_endpoints", "Endpoints that are listed.", func() float64 { return float64(len(n.roster.Entries())) })
+	gauge("arbutusfork_platform_era", "Era of the platform's store, which rises when it comes back from an older copy.", func() float64 { return float64(n.platformClient.Era()) })
 	counter("arbutusfork_platform_reads_total", "Reads of the platform.", func() float64 { return float64(n.platformClient.ReadCount.Load()) })
 	counter("arbutusfork_platform_writes_total", "Writes to the platform.", func() float64 { return float64(n.platformClient.WriteCount.Load()) })
 	counter("arbutusfork_log_dropped_total", "Log lines left out because the reader was slow.", func() float64 { return float64(n.logWriter.DroppedLines()) })
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -70,6 +70,10 @@
 	endpoints map[string]*endpointState
 	// viewReceivedAt is the time at which the placement holder's latest view arrived.
 	viewReceivedAt time.Time
+	// departures holds the endpoint processes that drain or were removed, by endpoint ID.
+	departures map[string]departure
+	// doubtEndsAt is until when entries of departed processes may be old copies.
+	doubtEndsAt time.Time
 	// runningByEndpoint counts this VM's requests by endpoint and by model or model/adapter.
 	runningByEndpoint map[string]map[string]int
 }
@@ -104,8 +108,10 @@
 // PutEntry adds or replaces the entry of an endpoint. It reports whether the endpoint is new, has restarted, was lapsed, or
 // has another state or address.
 func (r *Roster) PutEntry(e afengine.EndpointEntry) (changed bool) {
+	e = r.WithDeparture(e)
 	r.mu.Lock()
 	r.initMaps()
+	r.recordEntry(e)
 	old := r.endpoints[e.ID]
 	updated := &endpointState{EndpointEntry: e, changedAt: r.Now()}
 	changed = true
@@ -131,6 +137,10 @@
 		if mayReturn {
 			e.lapsedAt = r.Now()
 		} else {
+			// Soon after the store went back, the entry may be missing because its endpoint has not written it again.
+			if !r.Now().Before(r.doubtEndsAt) {
+				r.recordDeparture(e.EndpointEntry, true)
+			}
 			delete(r.endpoints, id)
 		}
 	}
@@ -175,6 +185,9 @@
 func (r *Roster) ApplyRelayedEntries(entries []afengine.EndpointEntry, removed []string, isComplete bool) (changed []afengine.EndpointEntry) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if r.IsDoubtful(e) {
+			continue
+		}
 		listed[e.ID] = true
 		if old, ok := r.Entry(e.ID); ok && old.StartUnixMs == e.StartUnixMs {
 			e.Models, e.ModelsInMemory, e.ModelsOnDisk, e.AcceptedOrders = old.Models, old.ModelsInMemory, old.ModelsOnDisk, old.AcceptedOrders
--- a/internal/afroster/roster_test.go
+++ b/internal/afroster/roster_test.go
@@ -25,6 +25,49 @@
 	require.Len(t, r.Entries(), 1)
 }
 
+// Guards against requests to a departed endpoint after the platform's store came back from a copy that shows it as ready.
+func TestDepartedEndpointStaysOutWhenStoreGoesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	draining := afengine.EndpointEntry{ID: "i-1", Service: "app", StartUnixMs: 7, State: afengine.StateDraining}
+	removed := afengine.EndpointEntry{ID: "i-2", Service: "app", StartUnixMs: 8}
+	r.PutEntry(draining)
+	r.PutEntry(removed)
+	r.RemoveEntry("i-1", false)
+	r.RemoveEntry("i-2", false)
+	require.False(t, r.IsDoubtful(removed), "an entry that was removed by mistake may return")
+	r.RecordStoreWentBack()
+
+	ready := draining
+	ready.State = afengine.StateReady
+	require.True(t, r.IsDoubtful(removed))
+	r.ApplyRelayedEntries([]afengine.EndpointEntry{ready, removed}, nil, false)
+	require.Empty(t, r.UsableEndpoints("app"))
+	restarted := ready
+	restarted.StartUnixMs++
+	require.False(t, r.IsDoubtful(restarted))
+	r.PutEntry(restarted)
+	require.Len(t, r.UsableEndpoints("app"), 1, "another process with the ID is another endpoint")
+
+	now = now.Add(departureDoubtTime)
+	require.False(t, r.IsDoubtful(removed))
+	r.ApplyRelayedEntries([]afengine.EndpointEntry{removed}, nil, false)
+	require.Len(t, r.UsableEndpoints("app"), 2)
+}
+
+// Guards against memory that grows with each endpoint that has ever departed.
+func TestDeparturesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Roster{Now: func() time.Time { now = now.Add(time.Millisecond); return now }}
+	for i := range maxDepartures + 10 {
+		id := fmt.Sprint(i)
+		r.PutEntry(afengine.EndpointEntry{ID: id, StartUnixMs: 1})
+		r.RemoveEntry(id, false)
+	}
+	require.Len(t, r.departures, maxDepartures)
+	require.NotContains(t, r.departures, "9")
+}
+
 // Guards against the loss of an engine's models when a relayed entry, which contains no models, replaces its entry.
 func TestRelayedEntryKeepsModels(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/pkg/afobject/era.go
+++ b/pkg/afobject/era.go
@@ -83,6 +83,9 @@
 	return era, nil
 }
 
+// Era returns the highest era of the platform's store that an answer named, or zero.
+func (c *Client) Era() int64 { return c.eras.current() }
+
 // recordEra applies the era of an answer with that status and returns it. It fails if the answer must be ignored.
 func (c *Client) recordEra(status int, h http.Header) (int64, error) {
 	values := h.Values(c.Dialect.eraHeaderOrDefault())
