aftable: take the newest configuration among the VMs

A VM that starts after the store came back from an older copy would serve an older configuration, with withdrawn keys and without new routes, until the operator has written the newer one again. What any VM holds was confirmed once, so that it goes before what the store shows.

Ruled out: waiting for the peers before the first configuration is used, which would delay each start by half a second; a VM is judged on its configuration only seconds after its start.

No call to the store is added.

--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -123,27 +123,11 @@
 	return f
 }
 
-// applyConfig puts the configuration of the object in force unless it is malformed or not newer than the one in force.
+// applyConfig puts the configuration of the object in force if it is the one that this VM serves and newer.
 func (n *Node) applyConfig(o afobject.Object) {
-	if o.Name != n.Platform.ConfigName {
-		return
-	}
-	t, err := n.Platform.DecodeTable(o.Spec)
-	if err != nil {
-		n.log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
-		return
-	}
-	old := n.routeTable.Load()
-	if old != nil && t.Version <= old.Version {
-		if t.Version < old.Version {
-			n.log.Warn("older configuration ignored", "version", t.Version, "in_force", old.Version)
-		}
-		return
+	if o.Name == n.Platform.ConfigName {
+		n.tables.Apply(o)
 	}
-	n.routeTable.Store(t)
-	n.log.Info("configuration in force", "version", t.Version, "object_version", o.Version, "routes", t.RouteCount(),
-		"services", len(t.Services()), "customers", len(t.Customers()))
-	n.requestRecheck()
 }
 
 // newEndpointFeed creates the feed of the endpoints' entries. It updates the roster and relays changes to the other VMs.
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -27,9 +27,9 @@
 	"arbutusfork.example/arbutusfork/internal/afpeer"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/internal/afslot"
+	"arbutusfork.example/arbutusfork/internal/aftable"
 	"arbutusfork.example/arbutusfork/pkg/aflease"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
-	"arbutusfork.example/arbutusfork/pkg/afroute"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
@@ -98,6 +98,7 @@
 	keeper         *afkeeper.Service
 	crashes        *afcrash.Service
 	slots          *afslot.Service
+	tables         *aftable.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -111,8 +112,6 @@
 	// readyListener and metricsListener are bound before any part of the node runs.
 	readyListener, metricsListener net.Listener
 
-	// routeTable is the configuration in force, or nil.
-	routeTable atomic.Pointer[afroute.Table]
 	// hasListedEndpoints means that the endpoints have been listed by the platform at least once.
 	hasListedEndpoints atomic.Bool
 	isStopping         atomic.Bool
@@ -190,6 +189,7 @@
 		{"keeper", withoutError(n.keeper.Run)},
 		{"crashes", withoutError(n.crashes.Run)},
 		{"slots", withoutError(n.slots.Run)},
+		{"tables", withoutError(n.tables.Run)},
 		{"entry", n.entryServer.Run},
 		{"reload", withoutError(n.runReload)},
 		{"wake", withoutError(n.runRechecks)},
@@ -219,6 +219,7 @@
 	}
 	n.createCrashes()
 	n.createSlots()
+	n.createTables()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
@@ -247,10 +248,20 @@
 	n.peers.Handle(afslot.KindSlot, n.slots.HandleSlot)
 }
 
+// createTables creates the service that keeps the configuration in force.
+func (n *Node) createTables() {
+	n.tables = &aftable.Service{
+		Timer: n.timer, Log: n.log, Decode: n.Platform.DecodeTable, OnChange: n.requestRecheck,
+		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send, CallVM: n.peers.Call,
+	}
+	n.peers.Handle(aftable.KindVersion, n.tables.HandleVersion)
+	n.peers.Handle(aftable.KindFetch, n.tables.HandleFetch)
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
-		Table: n.routeTable.Load, Roster: n.roster, HeaderCodec: n.Platform.HeaderCodec, Timer: n.timer, Log: n.log, Centre: n.Settings.Centre,
+		Table: n.tables.Table, Roster: n.roster, HeaderCodec: n.Platform.HeaderCodec, Timer: n.timer, Log: n.log, Centre: n.Settings.Centre,
 		OnRequestWaiting: func() { n.keeper.Wake() }, ListedVMCount: n.countListedVMs,
 		FractionUsableWithoutGrants: func() float64 { return n.keeper.FractionUsableWithoutGrants() },
 		SpendBeyondGrant: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
@@ -277,7 +288,7 @@
 func (n *Node) createKeeper() {
 	n.keeper = &afkeeper.Service{
 		Metrics: afkeeper.NewMetrics(n.registry),
-		Self:    n.self, Machine: n.Settings.VM + "@" + n.Settings.PeerAddress, Timer: n.timer, Log: n.log, MaxStoreLoads: maxStoreLoads, BootTime: bootTime, Table: n.routeTable.Load,
+		Self:    n.self, Machine: n.Settings.VM + "@" + n.Settings.PeerAddress, Timer: n.timer, Log: n.log, MaxStoreLoads: maxStoreLoads, BootTime: bootTime, Table: n.tables.Table,
 		LeaseTiming: aflease.Timing{TTL: leaseTTL, RenewInterval: leaseRenewInterval, QuietPeriod: n.Settings.QuietPeriod, SafetyMargin: leaseSafetyMargin},
 		Roster:      n.roster, GetObject: n.platformClient.Get, CreateObject: n.platformClient.Create, UpdateObject: n.platformClient.Update,
 		LiveVMs: n.peers.LiveMembers, ListedVMCount: n.countListedVMs, SendToVM: n.peers.Send, CallVM: n.peers.Call,
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -31,7 +31,7 @@
 func (n *Node) serveReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if n.isStopping.Load() || n.routeTable.Load() == nil {
+		if n.isStopping.Load() || n.tables.Table() == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -107,7 +107,7 @@
 		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, fn))
 	}
 	gauge("arbutusfork_config_version", "Version of the configuration in force.", func() float64 {
-		if t := n.routeTable.Load(); t != nil {
+		if t := n.tables.Table(); t != nil {
 			return float64(t.Version)
 		}
 		return 0
