afgateway: leave a silent endpoint only for one that takes the request

Callers' answers were cut in the middle, or ended with 502 or 504, although their endpoint was sound: it had been silent for a second or so. The watchdog cancelled the attempt if any other endpoint had the model. If that endpoint was full or refused, or if the budget for repeats was used up, nothing was left, and the silent endpoint was excluded from the request.

If the other endpoint refuses a stream that has begun, the request returns to the silent one instead of being cut.

Ruled out: longer silences only. Callers leave after two seconds, so that a hung endpoint must be left before.

TestSilentEndpointIsKeptWithoutAnother fails in all five cases on: three streams cut (unexpected EOF), a 504 and a 502.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -32,6 +32,8 @@
 	notRun bool
 	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
 	timedOut bool
+	// replacement is the endpoint that takes the place of one that timed out, or nil.
+	replacement *replacement
 	// brokenOff means that the endpoint ended the connection before its answer was complete.
 	brokenOff bool
 	// progress is how far the endpoint's answer had come.
@@ -49,8 +51,11 @@
 	}
 	excluded := map[string]bool{}
 	cause := ""
+	var next *replacement // next is the endpoint that took the place of a silent one.
 	for {
-		endpoint, refusal := p.acquireEndpoint(ctx, excluded)
+		endpoint, refusal := p.nextEndpoint(ctx, next, excluded)
+		hasRetry := next != nil
+		next = nil
 		if refusal != nil {
 			if ctx.Err() != nil {
 				return p.endCancelled(ctx)
@@ -78,17 +83,18 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
-		if p.attempts > 0 && !s.takeRetry(p.service.Name) {
+		if p.attempts > 0 && !hasRetry && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
 		}
 		p.attempts++
 		p.lastEndpoint = endpoint.ID
-		result := p.attemptEndpoint(ctx, endpoint)
+		result := p.attemptEndpoint(ctx, endpoint, excluded)
 		switch {
 		case result.responseEnded:
 			return nil
 		case ctx.Err() != nil:
+			result.replacement.release()
 			return p.endCancelled(ctx)
 		}
 		cause = result.cause
@@ -105,8 +111,10 @@
 			}
 		}
 		if !p.mayRetry(result) {
+			result.replacement.release()
 			return p.refuseAfterAttempt(result)
 		}
+		next = result.replacement
 		excluded[endpoint.ID] = true
 		if result.timedOut {
 			if p.timedOutEndpoints == nil {
@@ -120,6 +128,14 @@
 	}
 }
 
+// nextEndpoint returns the endpoint that took the place of a silent one, or waits for an endpoint.
+func (p *proxiedRequest) nextEndpoint(ctx context.Context, next *replacement, excluded map[string]bool) (acquiredEndpoint, *arbutusfork.Refusal) {
+	if next != nil {
+		return next.endpoint, nil
+	}
+	return p.acquireEndpoint(ctx, excluded)
+}
+
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(result attemptResult) bool {
 	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
@@ -299,26 +315,38 @@
 	return newRefusal(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(p.headers.Model)+" is not ready in time", retryAfter)
 }
 
-// pickEndpoint chooses an endpoint without waiting and counts the request there. The caller holds the lock of the
-// queue, so that each choice includes the requests of the previous ones.
-func (p *proxiedRequest) pickEndpoint(excluded map[string]bool) (acquiredEndpoint, bool) {
+// requirements returns what the request needs from an endpoint that is not excluded and whose wait for a slot is at most maxSlotWait.
+func (p *proxiedRequest) requirements(excluded map[string]bool, maxSlotWait time.Duration) requirements {
 	s := p.server
-	candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
-	if len(candidates.Endpoints) == 0 {
-		return acquiredEndpoint{}, false
-	}
-	needs := requirements{
+	return requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), slotWait: s.expectedSlotWait, maxSlotWait: min(p.maxWait(), afpace.MaxAhead),
+		now: s.Timer.Now(), slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
 	}
-	endpoint, ok := chooseEndpoint(candidates, needs)
+}
+
+// pickEndpoint chooses an endpoint without waiting and counts the request there. The caller holds the lock of the
+// queue, so that each choice includes the requests of the previous ones.
+func (p *proxiedRequest) pickEndpoint(excluded map[string]bool) (acquiredEndpoint, bool) {
+	candidates := p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
+	needs := p.requirements(excluded, min(p.maxWait(), afpace.MaxAhead))
+	endpoint, ok := p.pickCandidate(candidates, needs)
 	if !ok && len(excluded) > 0 {
 		// An endpoint whose previous attempt failed is better than none, since no other endpoint may load the model or
-		// adapter. An endpoint that timed out is overloaded and stays excluded.
+		// adapter. An endpoint that timed out is overloaded and stays excluded, unless a response that has begun would break.
 		needs.excluded = p.timedOutEndpoints
-		endpoint, ok = chooseEndpoint(candidates, needs)
+		if p.responseStarted {
+			needs.excluded = map[string]bool{p.lastEndpoint: true}
+		}
+		endpoint, ok = p.pickCandidate(candidates, needs)
 	}
+	return endpoint, ok
+}
+
+// pickCandidate chooses an endpoint among the candidates and counts the request there. The caller holds the lock of the queue.
+func (p *proxiedRequest) pickCandidate(candidates afroster.Candidates, needs requirements) (acquiredEndpoint, bool) {
+	s := p.server
+	endpoint, ok := chooseEndpoint(candidates, needs)
 	if !ok {
 		return acquiredEndpoint{}, false
 	}
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -68,6 +68,13 @@
 	return acquiredEndpoint{}, false
 }
 
+// acquire returns the endpoint that pickEndpoint returns under the lock of the queue.
+func (q *waitingQueue) acquire(pickEndpoint func() (acquiredEndpoint, bool)) (acquiredEndpoint, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return pickEndpoint()
+}
+
 // compare orders requests by priority and then by time of arrival.
 func (request *waitingRequest) compare(other *waitingRequest) int {
 	return cmp.Or(cmp.Compare(request.priority, other.priority), request.arrivedAt.Compare(other.arrivedAt))
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -6,31 +6,15 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
-	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
 const (
-	// firstEventTimeoutFactor times the route's target latency, but at least minFirstEventTimeout, is how long a
-	// repeatable stream waits for its first event before the request is sent to another endpoint. Callers disconnect
-	// after four times the target latency, but not before two seconds.
-	firstEventTimeoutFactor = 2
-	minFirstEventTimeout    = 900 * time.Millisecond
-	// eventTimeoutFactor times the route's target event interval, but at least minEventTimeout, is how long a resumable
-	// stream waits for the next event before another endpoint continues it. Callers disconnect after eight times the
-	// target interval, but not before two seconds.
-	eventTimeoutFactor = 5
-	minEventTimeout    = 1200 * time.Millisecond
-	// responseTimeoutFactor times the route's target latency, but at least minResponseTimeout, is how long a repeatable
-	// request waits for its response before it is sent to another endpoint.
-	responseTimeoutFactor = 3
-	minResponseTimeout    = 300 * time.Millisecond
 	// priorityLevels is the number of priorities that an engine distinguishes.
 	priorityLevels = 10
 )
@@ -41,14 +25,26 @@
 	errStopping    = errors.New("the server is stopping")
 )
 
-// attemptEndpoint sends the request to one endpoint and relays its response.
-func (p *proxiedRequest) attemptEndpoint(ctx context.Context, endpoint acquiredEndpoint) attemptResult {
-	s := p.server
+// attemptEndpoint sends the request to one endpoint and relays its response. If the endpoint is silent for too long, the result
+// contains the endpoint that takes its place.
+func (p *proxiedRequest) attemptEndpoint(ctx context.Context, endpoint acquiredEndpoint, excluded map[string]bool) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer s.cancelAfter(p.timeLeft(), cancel, errDeadline)()
-	watchdog := p.startWatchdog(endpoint, cancel)
-	defer watchdog.stop()
+	defer p.server.cancelAfter(p.timeLeft(), cancel, errDeadline)()
+	watchdog := p.startWatchdog(endpoint, excluded, cancel)
+	result := p.exchangeWith(ctx, endpoint, watchdog)
+	replacement := watchdog.stop()
+	if result.timedOut {
+		result.replacement = replacement
+	} else {
+		replacement.release()
+	}
+	return result
+}
+
+// exchangeWith sends the request to one endpoint and relays its response until the context ends.
+func (p *proxiedRequest) exchangeWith(ctx context.Context, endpoint acquiredEndpoint, watchdog *idleWatchdog) attemptResult {
+	s := p.server
 	h := s.HeaderCodec.BuildForwarded(p.r.Header, ForwardedHeaders{
 		EndpointID: endpoint.ID, Timeout: p.timeLeft(), Customer: p.customer.Name, Priority: min(max(p.priority, 0), priorityLevels-1),
 		HasPriority: p.service.Engine != nil, LastEventID: p.lastEventID,
@@ -305,92 +301,3 @@
 	}
 	return result
 }
-
-// idleWatchdog cancels an attempt whose endpoint sends nothing for too long, if another endpoint can serve the request.
-// It uses one timer for each attempt instead of one for each event, since a VM may relay thousands of events a second.
-type idleWatchdog struct {
-	request    *proxiedRequest
-	endpointID string
-	cancel     context.CancelCauseFunc
-
-	mu sync.Mutex
-	// progressAt is the time of the latest event, or the start of the attempt.
-	progressAt time.Time
-	// timeout is the longest allowed time without an event or response.
-	timeout time.Duration
-	timer   *aftimer.Subscription
-	stopped bool
-}
-
-// startWatchdog returns the watchdog of an attempt. The watchdog has no timer if the request may not be retried.
-func (p *proxiedRequest) startWatchdog(endpoint acquiredEndpoint, cancel context.CancelCauseFunc) *idleWatchdog {
-	w := &idleWatchdog{request: p, endpointID: endpoint.ID, cancel: cancel, progressAt: p.server.Timer.Now()}
-	if !p.route.IsRepeatable() || p.possibleRuns+1 >= p.route.MaxAttempts {
-		return w
-	}
-	w.timeout = max(responseTimeoutFactor*p.route.TargetLatency, minResponseTimeout)
-	if isStream(p.route) {
-		w.timeout = max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
-	}
-	w.startTimer(w.timeout)
-	return w
-}
-
-// startTimer starts the timer for the next check. The caller holds mu, or the watchdog is not shared yet.
-func (w *idleWatchdog) startTimer(delay time.Duration) {
-	w.timer = w.request.server.Timer.CallAfter(delay, w.checkProgress)
-}
-
-// checkProgress cancels the attempt if its timeout has passed and another endpoint can serve the request. Otherwise it
-// restarts the timer.
-func (w *idleWatchdog) checkProgress(now time.Time) {
-	w.mu.Lock()
-	if w.stopped {
-		w.mu.Unlock()
-		return
-	}
-	remaining := w.timeout - now.Sub(w.progressAt)
-	if remaining <= 0 && !w.hasOtherEndpoint() {
-		remaining = w.timeout
-	}
-	if remaining > 0 {
-		w.startTimer(remaining)
-		w.mu.Unlock()
-		return
-	}
-	w.mu.Unlock()
-	w.cancel(errIdleTimeout)
-}
-
-// recordProgress records an event and returns the time since the previous event or the start of the attempt. After the
-// first event, the timeout applies to the time between two events.
-func (w *idleWatchdog) recordProgress() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	now := w.request.server.Timer.Now()
-	interval := now.Sub(w.progressAt)
-	w.progressAt = now
-	w.timeout = max(eventTimeoutFactor*w.request.route.TargetEventInterval, minEventTimeout)
-	return interval
-}
-
-// stop stops the timer.
-func (w *idleWatchdog) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-// hasOtherEndpoint reports whether another endpoint can serve the request.
-func (w *idleWatchdog) hasOtherEndpoint() bool {
-	p := w.request
-	for _, e := range p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints {
-		if e.ID != w.endpointID {
-			return true
-		}
-	}
-	return false
-}
