--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -221,7 +221,7 @@
 		acquired:     make(chan acquiredEndpoint, 1),
 		pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickEndpoint(excluded) },
 		isUnservable: func() bool {
-			if p.refuseQuarantined() != nil || p.needsLoadInOutage() {
+			if p.refuseQuarantined() != nil {
 				return true
 			}
 			loadedAt, ok := s.loadDelays.loadedAt(p.headers.Model)
@@ -308,9 +308,7 @@
 // expected time until the model is loaded.
 func (p *proxiedRequest) refuseModelNotReady() *arbutusfork.Refusal {
 	retryAfter := loadRetryAfter
-	if p.needsLoadInOutage() {
-		retryAfter = p.outageRetryAfter()
-	} else if loadedAt, ok := p.server.loadDelays.loadedAt(p.headers.Model); ok {
+	if loadedAt, ok := p.server.loadDelays.loadedAt(p.headers.Model); ok {
 		// The random part keeps callers from retrying at the same time and waiting for each other.
 		retryAfter = min(max(loadedAt.Sub(p.server.Timer.Now()), 0), maxLoadRetryAfter) + rejectedRetryDelay + time.Duration(p.server.Random()*float64(retryAfterSpread))
 	}
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -45,8 +45,6 @@
 	// SpendBeyondGrant takes units of a customer's limit that this VM's grant does not cover. If too few units are
 	// left, it returns false and the time after which enough units are expected.
 	SpendBeyondGrant func(ctx context.Context, customer string, cost int64) (time.Duration, bool)
-	// PlacementOutage returns for how long no VM has been able to order engines to load models, or zero. Nil means never.
-	PlacementOutage func() time.Duration
 	// RetryBudget bounds the retries of each service over all VMs. This VM uses its share of the budget.
 	RetryBudget RetryBudget
 	// AnswerMemory bounds the bytes that all answers in progress hold together.
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -71,32 +71,12 @@
 		if hadHolder && !hasHolder {
 			n.restartWatches("")
 		}
-		n.checkPlacement()
 		n.removeExpiredEndpoints()
 	})
 	defer sub.Stop()
 	<-ctx.Done()
 }
 
-// checkPlacement records since when no VM can order loads, as far as this VM knows: it has neither a holder nor the platform.
-func (n *Node) checkPlacement() {
-	isPlatformLost, _ := n.feeds[n.Platform.ConfigKind].PlatformStatus()
-	if !isPlatformLost || n.keeper.HoldsLease() || n.keeper.ReceivesPlacementViews() {
-		n.placementLostAt.Store(0)
-		return
-	}
-	n.placementLostAt.CompareAndSwap(0, n.timer.Now().UnixNano())
-}
-
-// placementOutage returns for how long no VM has been able to order loads, or zero.
-func (n *Node) placementOutage() time.Duration {
-	lostAt := n.placementLostAt.Load()
-	if lostAt == 0 {
-		return 0
-	}
-	return n.timer.Now().Sub(time.Unix(0, lostAt))
-}
-
 // removeExpiredEndpoints removes the endpoints whose entries were not written again after an outage and relays their
 // removal to the other VMs.
 func (n *Node) removeExpiredEndpoints() {
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -112,8 +112,6 @@
 	// readyListener and metricsListener are bound before any part of the node runs.
 	readyListener, metricsListener net.Listener
 
-	// placementLostAt is when this VM was found without a placement holder and without the platform, in Unix nanoseconds, or zero.
-	placementLostAt atomic.Int64
 	// hasListedEndpoints means that the endpoints have been listed by the platform at least once.
 	hasListedEndpoints atomic.Bool
 	isStopping         atomic.Bool
@@ -269,8 +267,7 @@
 		SpendBeyondGrant: func(ctx context.Context, customer string, cost int64) (time.Duration, bool) {
 			return n.keeper.SpendUnits(ctx, customer, cost)
 		},
-		PlacementOutage: n.placementOutage,
-		CrashWatch:      n.crashes.NewWatch(),
+		CrashWatch: n.crashes.NewWatch(),
 		EndpointLimits: afgateway.EndpointLimits{
 			RecordAnswer: n.slots.RecordAnswer, ExpectedWait: n.slots.ExpectedWait, ExpectRequest: n.slots.ExpectRequest, TakeSlot: n.slots.TakeSlot,
 		},
