afkeeper, aflease: go on with orders while the store is away

A holder whose renewal is late says so in its views. A VM that has not reached the store since promises, with each such view, not to take the lease for 1.4 s. The holder goes on while all listed VMs have promised. VMs that get such views read the store themselves again. A VM that is listed for the first time takes no lease from a silent holder for 8 s, and one whose attempt to take it got no answer promises nothing for 15 s.

Ruled out: a longer TTL, orders without a lease, and a majority instead of all (docs/decisions/platform.md).

Property test: TestNoTwoHoldersWithPromises, with restores, restarts, late writes and outages; TestSuccessorWaitsAfterPromise and TestHolderGoesOnWithPromisesOfAll have a mutant each.

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -119,6 +119,8 @@
 
 	// isPlatformLost is true while the platform is unreachable.
 	isPlatformLost atomic.Bool
+	// reachedAt is when the platform last answered, in Unix nanoseconds, or zero.
+	reachedAt atomic.Int64
 	// lossCount is the number of times that the platform became unreachable.
 	lossCount atomic.Int64
 
@@ -172,6 +174,14 @@
 	return f.isPlatformLost.Load(), f.lossCount.Load()
 }
 
+// ReachedAt returns when the platform last answered, or the zero time.
+func (f *Feed) ReachedAt() time.Time {
+	if ns := f.reachedAt.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
+
 // Position returns the state of the copy.
 func (f *Feed) Position() Position {
 	f.mu.Lock()
@@ -356,6 +366,7 @@
 // recordReached records a response of the platform and returns how long the platform had been unreachable before.
 func (f *Feed) recordReached() time.Duration {
 	f.retryDelay = 0
+	f.reachedAt.Store(f.Timer.Now().UnixNano())
 	if f.lostAt.IsZero() {
 		return 0
 	}
--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -17,6 +17,9 @@
 // takeoverDelayStep separates the attempts of different VMs to take the lease, so that usually only one VM writes the record.
 const takeoverDelayStep = 150 * time.Millisecond
 
+// leaseWriteTimeout bounds a write of the lease. A holder must learn that the platform is away well before the TTL ends.
+const leaseWriteTimeout = 600 * time.Millisecond
+
 // maintainLease renews the lease, or tries to take it if the holder is silent.
 func (s *Service) maintainLease(ctx context.Context) {
 	now := s.BootTime()
@@ -45,6 +48,12 @@
 		}
 	case aflease.ActionRead:
 		s.setNextLeaseCheck(now + leaseReadInterval)
+		if lease.IsHolder(now) {
+			// A holder that goes on during an outage must send views meanwhile.
+			s.setNextLeaseCheck(now + callTimeout + leaseReadInterval)
+			go s.readLease(ctx)
+			return
+		}
 		s.readLease(ctx)
 	case aflease.ActionWrite:
 		if !lease.IsHolder(now) && !lease.HolderIsEarlierProcess() && !s.hasDelayedTakeover {
@@ -117,6 +126,9 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		// A version conflict also means that the stored record is unknown.
+		if !s.lease.IsHolder(sentAt) && !afobject.IsKind(err, afobject.VersionConflict) {
+			s.promises.unknownTakeoverAt, s.promises.hasUnknown = sentAt, true
+		}
 		s.lease = s.lease.WithUnknownWriteOutcome()
 		s.Log.Info("placement lease not written", "epoch", r.Epoch, "version", version, "error", err)
 		return
@@ -126,7 +138,7 @@
 
 // writeRecord creates or updates the record on the platform, depending on whether the revision of version is zero.
 func (s *Service) writeRecord(ctx context.Context, r aflease.Record, version int64) (afobject.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaseWriteTimeout)
 	defer cancel()
 	if s.LeaseNote != nil {
 		r.Note = s.LeaseNote()
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -67,6 +67,10 @@
 	RenewalCount int64 `msgpack:"beat"`
 	// LeaseVersion is the version of the record of the lease.
 	LeaseVersion int64 `msgpack:"version"`
+	// ViewSeq numbers the holder's views, for promises.
+	ViewSeq int64 `msgpack:"seq,omitempty"`
+	// HasLostPlatform means that the holder can't renew the lease, so that VMs must read the platform themselves.
+	HasLostPlatform bool `msgpack:"lost,omitempty"`
 	// FeedPositions holds the versions of the holder's copies of the platform's objects, by kind.
 	FeedPositions map[string]affeed.Position `msgpack:"marks,omitempty"`
 	// EngineStatuses holds the engines that changed since the last view, or all engines.
@@ -167,6 +171,7 @@
 	s.holder = from.VM
 	s.viewReceivedAt = s.Timer.Now()
 	s.mu.Unlock()
+	s.answerView(from.VM, v.Epoch, v.ViewSeq, v.HasLostPlatform)
 	s.CompareFeedPositions(v.FeedPositions)
 	s.resetDeputy(v.Deputy)
 	s.syncEndpoints(from.VM, v.Epoch, v.EndpointSeq)
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -78,6 +78,10 @@
 	LiveVMs func() []arbutusfork.VM
 	// ListedVMCount returns the number of VMs that may be alive.
 	ListedVMCount func() int
+	// ListedVMs returns the names of the VMs that may be alive, as the platform lists them.
+	ListedVMs func() []string
+	// PlatformReachedAt returns when the platform last answered this VM. Nil means that no promises are given.
+	PlatformReachedAt func() time.Time
 	// SendToVM sends a message to a VM.
 	SendToVM func(vm, kind string, message any) error
 	// CallVM sends a message to a VM and waits for the answer.
@@ -122,6 +126,9 @@
 	// liveFraction is the fraction of the listed VMs that are live, as of the last view that this VM sent.
 	liveFraction float64
 	deputy       deputyState
+	promises     promiseState
+	// holderLostPlatformAt is when the holder's views first said that it can't reach the platform. It is zero if it can.
+	holderLostPlatformAt time.Time
 	// lastOrdersAt holds the boot time of the last order to each engine, from any holder, as far as this VM knows.
 	lastOrdersAt map[string]time.Duration
 	// lastOrderEpochs holds the epoch of this VM's own last order to each engine.
@@ -342,11 +349,11 @@
 	return s.lease.IsHolder(s.BootTime())
 }
 
-// ReceivesPlacementViews reports whether this VM currently receives views from another VM.
+// ReceivesPlacementViews reports whether this VM currently receives views from another VM that can reach the platform.
 func (s *Service) ReceivesPlacementViews() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder != s.Self.VM && !s.viewReceivedAt.IsZero() && s.Timer.Now().Sub(s.viewReceivedAt) < s.holderSilenceTimeout()
+	return s.holder != s.Self.VM && s.holderLostPlatformAt.IsZero() && !s.viewReceivedAt.IsZero() && s.Timer.Now().Sub(s.viewReceivedAt) < s.holderSilenceTimeout()
 }
 
 // ReleaseLease stops the use of the lease and releases it if this VM holds it, so that another VM need not wait until it
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -61,7 +61,7 @@
 	s.nextViewAt = now.Add(scaleInterval(viewInterval, len(members)))
 	v := placementView{
 		Holder: s.lease.Record().Holder, Epoch: s.lease.Epoch(), RenewalCount: s.lease.Record().RenewalCount, LeaseVersion: s.lease.Version(),
-		EndpointSeq: s.endpointSeq,
+		EndpointSeq: s.endpointSeq, ViewSeq: s.nextViewSeq(), HasLostPlatform: s.lease.IsRenewalLate(s.BootTime()),
 	}
 	reports := make(map[string]vmReport, len(s.vmReports)+1)
 	starts := make(map[string]int64, len(s.vmReports)+1)
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -89,6 +89,17 @@
 	n.keeper.RelayEndpoints(nil, removed)
 }
 
+// platformReachedAt returns when the platform last answered this VM.
+func (n *Node) platformReachedAt() time.Time {
+	var reachedAt time.Time
+	for _, f := range n.feeds {
+		if at := f.ReachedAt(); at.After(reachedAt) {
+			reachedAt = at
+		}
+	}
+	return reachedAt
+}
+
 // feedPositions returns the positions of this VM's copies by kind.
 func (n *Node) feedPositions() map[string]affeed.Position {
 	out := make(map[string]affeed.Position, len(n.feeds))
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +73,13 @@
 	return max(len(n.vmList.vms), 1)
 }
 
+// listedVMNames returns the names of the VMs that have an entry.
+func (n *Node) listedVMNames() []string {
+	n.vmList.mu.Lock()
+	defer n.vmList.mu.Unlock()
+	return slices.Collect(maps.Keys(n.vmList.vms))
+}
+
 // vmFeedPollDelay returns the time between two calls after a change of the VM entries.
 func (n *Node) vmFeedPollDelay() time.Duration {
 	if n.keeper.HoldsLease() {
@@ -186,6 +195,9 @@
 	}
 	o := afobject.Object{Kind: vmKind, Name: n.self.VM, Spec: spec}
 	_, err = n.platformClient.Create(ctx, o)
+	if err == nil {
+		n.keeper.DelayTakeover()
+	}
 	if !afobject.IsKind(err, afobject.VersionConflict) {
 		return err
 	}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -291,7 +291,7 @@
 		Self:    n.self, Machine: n.Settings.VM + "@" + n.Settings.PeerAddress, Timer: n.timer, Log: n.log, MaxStoreLoads: maxStoreLoads, BootTime: bootTime, Table: n.tables.Table,
 		LeaseTiming: aflease.Timing{TTL: leaseTTL, RenewInterval: leaseRenewInterval, QuietPeriod: n.Settings.QuietPeriod, SafetyMargin: leaseSafetyMargin},
 		Roster:      n.roster, GetObject: n.platformClient.Get, CreateObject: n.platformClient.Create, UpdateObject: n.platformClient.Update,
-		LiveVMs: n.peers.LiveMembers, ListedVMCount: n.countListedVMs, SendToVM: n.peers.Send, CallVM: n.peers.Call,
+		LiveVMs: n.peers.LiveMembers, ListedVMCount: n.countListedVMs, ListedVMs: n.listedVMNames, PlatformReachedAt: n.platformReachedAt, SendToVM: n.peers.Send, CallVM: n.peers.Call,
 		OwnDemand: n.gateway.Demand, OwnUsage: n.gateway.Usage, ApplyGrants: n.gateway.SetGrants, ApplyLoadDelays: n.gateway.SetLoadDelays,
 		FeedPositions: n.feedPositions, CompareFeedPositions: n.comparePositions, ApplyEndpoints: n.applyRelayedEndpoints, KnowsAllEndpoints: n.hasListedEndpoints.Load, TakeoverDelay: n.takeoverDelay(),
 		LeaseNote: n.crashes.Note, ApplyLeaseNote: n.crashes.ApplyNote,
@@ -303,6 +303,7 @@
 	n.peers.Handle(afkeeper.KindEndpointUpdate, n.keeper.HandleEndpointUpdate)
 	n.peers.Handle(afkeeper.KindEndpointListRequest, n.keeper.HandleEndpointListRequest)
 	n.peers.Handle(afkeeper.KindHolderStop, n.keeper.HandleHolderStop)
+	n.peers.Handle(afkeeper.KindPromise, n.keeper.HandlePromise)
 	n.peers.Handle(afkeeper.KindLimitGrants, n.keeper.HandleLimitGrants)
 	n.peers.Handle(afkeeper.KindSpendRequest, n.keeper.HandleSpendRequest)
 }
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -62,8 +62,14 @@
 	isRecordKnown bool
 	// recordSeenAt is when the current version of the record was first seen.
 	recordSeenAt time.Duration
-	// ownUseEndsAt is when this process must stop using the lease: TTL after it sent the last acknowledged write.
+	// ownUseEndsAt is when this process must stop using the lease: TTL after it sent the last acknowledged write. It is zero if
+	// this process must not use the lease.
 	ownUseEndsAt time.Duration
+	// promisedUntil is until when all other processes have promised this holder not to take the lease. The holder may use the
+	// lease until then although the store can't be reached.
+	promisedUntil time.Duration
+	// ownPromiseEndsAt is until when this process has promised a holder not to take the lease.
+	ownPromiseEndsAt time.Duration
 	// firstEpoch is the first epoch of this process's uninterrupted hold. It is below the record's epoch if the store went back
 	// in the meantime.
 	firstEpoch int64
@@ -96,7 +102,7 @@
 // record of the previous holder.
 func (l Lease) withOwnUseTimes(epoch int64) Lease {
 	l.ownUseBeginsAt, l.quietPeriodEndsAt, l.handoverAt = l.ownUseTimes()
-	l.firstEpoch = epoch
+	l.firstEpoch, l.promisedUntil = epoch, 0
 	return l
 }
 
@@ -153,7 +159,7 @@
 func (l Lease) WithWrittenRecord(r Record, version int64, sentAt, now time.Duration) Lease {
 	// A holder that takes the lease again in a new era, before its use in the old one had to end, goes on with it: nobody else
 	// can have used it in between.
-	isContinued := l.record.Holder == l.self && l.isRecordOfEarlierEra() && l.endedEpoch != l.record.Epoch && sentAt < l.ownUseEndsAt
+	isContinued := l.record.Holder == l.self && l.isRecordOfEarlierEra() && l.endedEpoch != l.record.Epoch && sentAt < l.useEndsAt()
 	if (r.Epoch != l.record.Epoch || l.record.Holder != l.self) && !isContinued {
 		l = l.withOwnUseTimes(r.Epoch)
 	}
@@ -187,6 +193,35 @@
 	return l
 }
 
+// WithPromises returns the lease of a holder that all other processes that may take the lease have promised not to before a
+// time. Each of them must call WithOwnPromise before it sends its promise. A process that restarts forgets its promise, so that
+// a promise must not last longer than TTL.
+func (l Lease) WithPromises(until, now time.Duration) Lease {
+	if l.IsHolder(now) {
+		l.promisedUntil = max(l.promisedUntil, until)
+	}
+	return l
+}
+
+// WithOwnPromise returns the lease of a process that promises the holder not to take the lease before a time.
+func (l Lease) WithOwnPromise(until time.Duration) Lease {
+	l.ownPromiseEndsAt = max(l.ownPromiseEndsAt, until)
+	return l
+}
+
+// IsRenewalLate reports whether the last acknowledged renewal of this holder is so old that the store may be away.
+func (l Lease) IsRenewalLate(now time.Duration) bool {
+	return l.IsHolder(now) && now >= l.ownUseEndsAt-l.timing.TTL/3
+}
+
+// useEndsAt returns when this process must stop using the lease, or zero if it must not use it.
+func (l Lease) useEndsAt() time.Duration {
+	if l.ownUseEndsAt == 0 {
+		return 0
+	}
+	return max(l.ownUseEndsAt, l.promisedUntil)
+}
+
 // WithUnknownWriteOutcome returns the lease after a write whose outcome is unknown. The record must be read again.
 func (l Lease) WithUnknownWriteOutcome() Lease {
 	l.isRecordKnown = false
@@ -198,26 +233,28 @@
 // process's own uses may begin.
 func (l Lease) ownUseTimes() (useBeginsAt, quietEndsAt, handoverAt time.Duration) {
 	beginsAt := l.recordSeenAt + l.timing.QuietPeriod + l.timing.SafetyMargin
+	// A holder that is silent may have used the lease for TTL, and longer with the promise of this process.
+	afterSilenceAt := max(l.recordSeenAt+l.timing.TTL, l.ownPromiseEndsAt) + l.timing.QuietPeriod + l.timing.SafetyMargin
 	switch {
 	case l.isRecordOfEarlierEra():
 		// Any process may have used the lease until TTL after the store went back, whatever the record says.
-		beginsAt += l.timing.TTL
-		return beginsAt, beginsAt, beginsAt
+		return afterSilenceAt, afterSilenceAt, afterSilenceAt
 	case !l.recordExists():
 		return 0, 0, 0
-	case l.HolderIsEarlierProcess() && l.record.IsQuietPeriodOver:
+	case l.HolderIsEarlierProcess() && l.record.IsQuietPeriodOver && l.ownPromiseEndsAt == 0:
 		// It is unknown when the earlier process last used the lease, so a successor must wait for the whole QuietPeriod.
 		return 0, 0, beginsAt
 	case l.HolderIsEarlierProcess():
-		// The holder before the earlier process had stopped when the earlier process wrote the record.
+		// The holder before the earlier process had stopped when the earlier process wrote the record, unless this process has
+		// promised another one that it may go on.
+		beginsAt = max(beginsAt, l.ownPromiseEndsAt+l.timing.QuietPeriod+l.timing.SafetyMargin)
 		return beginsAt, beginsAt, beginsAt
 	case l.stoppedEpoch == l.record.Epoch:
 		return l.successorBeginsAt, l.successorBeginsAt + l.timing.QuietPeriod + l.timing.SafetyMargin, l.successorBeginsAt
 	case l.record.IsReleased:
 		return beginsAt, beginsAt, beginsAt
 	}
-	beginsAt += l.timing.TTL
-	return beginsAt, beginsAt, beginsAt
+	return afterSilenceAt, afterSilenceAt, afterSilenceAt
 }
 
 // NextAction returns what to do now and, for ActionWrite, the record to write.
@@ -235,19 +272,19 @@
 		}
 		return ActionWait, Record{}
 	}
-	if now < l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin && !l.mayTakeAtOnce() && (!isOwn || now >= l.ownUseEndsAt) {
+	if now < max(l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin, l.ownPromiseEndsAt) && !l.mayTakeAtOnce(now) && (!isOwn || now >= l.useEndsAt()) {
 		return ActionWait, Record{}
 	}
 	_, quietEndsAt, _ := l.ownUseTimes()
-	if isOwn && now < l.ownUseEndsAt {
+	if isOwn && now < l.useEndsAt() {
 		quietEndsAt = l.quietPeriodEndsAt
 	}
 	return ActionWrite, Record{Holder: l.self, Machine: l.machine, Epoch: l.nextEpoch(), RenewalCount: l.record.RenewalCount + 1, IsQuietPeriodOver: now >= quietEndsAt}
 }
 
 // mayTakeAtOnce reports whether the record shows that nobody else uses the lease.
-func (l Lease) mayTakeAtOnce() bool {
-	return !l.isRecordOfEarlierEra() && (!l.recordExists() || l.record.IsReleased || l.HolderIsEarlierProcess() || l.stoppedEpoch == l.record.Epoch)
+func (l Lease) mayTakeAtOnce(now time.Duration) bool {
+	return !l.isRecordOfEarlierEra() && (!l.recordExists() || l.record.IsReleased || l.stoppedEpoch == l.record.Epoch || l.HolderIsEarlierProcess() && now >= l.ownPromiseEndsAt)
 }
 
 // ReleaseRecord returns the record that releases the lease, or false if this process does not hold it.
@@ -263,7 +300,7 @@
 
 // HasExpired reports whether this process held the lease until its TTL ended and has not yet announced that it stopped.
 func (l Lease) HasExpired(now time.Duration) bool {
-	return l.record.Holder == l.self && l.ownUseEndsAt > 0 && now >= l.ownUseEndsAt && l.endedEpoch != l.record.Epoch
+	return l.record.Holder == l.self && l.ownUseEndsAt > 0 && now >= l.useEndsAt() && l.endedEpoch != l.record.Epoch
 }
 
 // HandoverAt returns when a successor may begin that knows that this process has stopped and when it used the lease.
@@ -286,7 +323,7 @@
 
 // IsHolder reports whether this process holds the lease. It may still have to wait before the first use.
 func (l Lease) IsHolder(now time.Duration) bool {
-	return l.endedEpoch != l.record.Epoch && l.record.Holder == l.self && !l.record.IsReleased && now < l.ownUseEndsAt
+	return l.endedEpoch != l.record.Epoch && l.record.Holder == l.self && !l.record.IsReleased && now < l.useEndsAt()
 }
 
 // IsUsable reports whether this process may use the lease now.
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -31,11 +31,20 @@
 	}
 }
 
+// Guards against a second holder beside one that goes on with the promises of the others while the store is away.
+func TestNoTwoHoldersWithPromises(t *testing.T) {
+	const checkRuns = 50
+	for range checkRuns {
+		rapid.Check(t, func(t *rapid.T) { noTwoHoldersWithinQuiet(t, []int{7, 8, 9, 9, 9, 9, 9, 9, 10}) })
+	}
+}
+
 func noTwoHoldersWithinQuiet(t *rapid.T, moreEventKinds []int) {
 	var (
 		now           time.Duration
 		record        Record
 		version       int64
+		isAway        bool // isAway means that the store answers nobody.
 		copies        []storedRecord
 		lateWrites    []storedRecord
 		lastEpoch     int64
@@ -47,7 +56,8 @@
 	names := []string{"a", "b", "c"}
 	// The kinds of events are: 0 read, 1 next action, 2 release, 3 use, 4 stop, 5 receive a stop, 6 restart. Uses and
 	// renewals are drawn more often than stops, so that one process uses the lease shortly before another one takes it.
-	// With moreEventKinds, 7 is that the store comes back from an older copy and 8 that a write without an answer takes effect.
+	// With moreEventKinds, 7 is that the store comes back from an older copy, 8 that a write without an answer takes effect,
+	// 9 a promise to the holder and 10 that the store goes away or returns.
 	eventKinds := append([]int{0, 0, 1, 1, 1, 3, 3, 3, 2, 4, 5, 6}, moreEventKinds...)
 	if len(moreEventKinds) > 0 {
 		version = eraVersion(t, 1, 0)
@@ -62,6 +72,9 @@
 	mustNotUseUntil := map[string]time.Duration{} // mustNotUseUntil holds the end of the known quiet period by process.
 	ownLastUseAt := map[string]time.Duration{}
 	leases := map[string]Lease{}
+	promiseDuration := testTiming.TTL - 100*time.Millisecond
+	promises := map[string]map[string]time.Duration{} // promises holds the ends of the promises by holder and sender.
+	lateWriters := map[string]bool{}                  // lateWriters names the processes whose writes may take effect late.
 	for _, n := range names {
 		leases[n] = New(n, "vm-"+n, testTiming)
 	}
@@ -69,7 +82,13 @@
 		now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
 		n := rapid.SampledFrom(names).Draw(t, "who")
 		l := leases[n]
-		switch rapid.SampledFrom(eventKinds).Draw(t, "what") {
+		event := rapid.SampledFrom(eventKinds).Draw(t, "what")
+		if isAway && event <= 2 {
+			continue
+		}
+		switch event {
+		case 10:
+			isAway = !isAway
 		case 0:
 			l = l.WithReadRecord(record, version, now)
 		case 1:
@@ -97,6 +116,7 @@
 			}
 			if len(moreEventKinds) > 0 && rapid.IntRange(0, 5).Draw(t, "late") == 0 {
 				lateWrites = append(lateWrites, storedRecord{r, l.Version()})
+				lateWriters[n] = true
 				l = l.WithUnknownWriteOutcome()
 				break
 			}
@@ -139,6 +159,28 @@
 			i := rapid.IntRange(max(0, len(copies)-12), len(copies)-1).Draw(t, "copy")
 			record, version = copies[i].record, eraVersion(t, afversion.Era(version)+1, afversion.Revision(copies[i].version))
 			copies = copies[:i]
+		case 9:
+			h := n
+			if !l.IsHolder(now) {
+				break
+			}
+			until := now + promiseDuration
+			for _, other := range names {
+				o := leases[other]
+				if other == h {
+					continue
+				}
+				if !o.IsHolder(now) && o.Epoch() == l.Epoch() && !lateWriters[other] && rapid.IntRange(0, 3).Draw(t, "promise") > 0 {
+					delay := time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond
+					leases[other] = o.WithOwnPromise(now + promiseDuration + testTiming.SafetyMargin)
+					if promises[h] == nil {
+						promises[h] = map[string]time.Duration{}
+					}
+					promises[h][other] = now - delay + promiseDuration
+				}
+				until = min(until, promises[h][other])
+			}
+			l = l.WithPromises(until, now)
 		case 8:
 			if len(lateWrites) == 0 {
 				break
@@ -320,6 +362,30 @@
 	require.True(t, c.IsUsable(b.HandoverAt()))
 }
 
+// Guards against a successor that begins too early after a holder that went on with its promise, without a renewal.
+func TestSuccessorWaitsAfterPromise(t *testing.T) {
+	_, r := New("a", "vm-a", testTiming).WithReadRecord(Record{}, 0, 0).NextAction(0)
+	a := New("a", "vm-a", testTiming).WithReadRecord(Record{}, 0, 0).WithWrittenRecord(r, 7, 0, 0)
+	b := New("b", "vm-b", testTiming).WithReadRecord(r, 7, 0)
+	lastUseAt := time.Duration(0)
+	for now := time.Second; now < 10*time.Second; now += time.Second {
+		b = b.WithOwnPromise(now + testTiming.TTL)
+		a = a.WithPromises(now+testTiming.TTL, now)
+		require.True(t, a.IsUsable(now))
+		action, _ := b.NextAction(now)
+		require.Equal(t, ActionWait, action)
+		lastUseAt = now + testTiming.TTL - time.Millisecond
+	}
+	require.True(t, a.IsUsable(lastUseAt))
+	require.False(t, a.IsHolder(lastUseAt+time.Millisecond))
+	takenAt := lastUseAt + time.Millisecond
+	action, next := b.NextAction(takenAt)
+	require.Equal(t, ActionWrite, action)
+	b = b.WithWrittenRecord(next, 8, takenAt, takenAt)
+	b = renewThroughQuietPeriod(t, b, takenAt, lastUseAt)
+	require.True(t, b.IsUsable(takenAt+testTiming.QuietPeriod+testTiming.SafetyMargin))
+}
+
 // Guards against a holder that restarts before its first use, or after a stop message from the previous holder, and then uses
 // the lease too early: the new process does not know when the previous holder last used it.
 func TestRestartBeforeFirstUse(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -92,6 +92,16 @@
 mutant gateway-era-watch pkg/afobject/era.go \
 	'if k.basis == 0 || afversion.Era(k.basis) == era {' 'if k.basis >= 0 {' \
 	./pkg/afobject TestWatchFromEarlierEraExpires
+mutant gateway-promise-wait pkg/aflease/lease.go \
+	'max(l.recordSeenAt+l.timing.TTL, l.ownPromiseEndsAt) +' 'l.recordSeenAt + l.timing.TTL +' \
+	./pkg/aflease TestSuccessorWaitsAfterPromise
+mutant gateway-promise-all internal/afkeeper/promise.go \
+	'if !ok {
+			return 0
+		}' 'if !ok {
+			continue
+		}' \
+	./internal/afkeeper TestHolderGoesOnWithPromisesOfAll
 mutant gateway-stop internal/afkeeper/lease.go \
 	'now+time.Duration(max(0, m.SuccessorDelayMs))*time.Millisecond' 'now' \
 	./internal/afkeeper TestStopTellsWhatItWaitedFor
