afobject, platform: keep one odd object from hiding the others

Operators of similar systems reported VMs that stopped following the endpoints because another writer had stored one odd entry. It can happen here: a list, a long-poll answer or a line of a streaming watch was decoded as one JSON text. One spec that is nested too deeply for encoding/json (10,000 levels with those of the page), or that is no JSON (NaN), made the whole answer undecodable. The feed took the platform for lost and asked for the list again for as long as the entry stayed. The same holds for a revision that is no number.

SplitObject and SplitArray separate the members and elements of an answer without checking them. Each object is decoded by itself. An object of which only the name can be read has no spec, so that it describes nothing; one without a readable name is left out. An answer that is not an object, such as null, no longer counts as an empty list. A watch goes on after a line that cannot be decoded, since a new watch would get the same line.

Both daemons use this client.

Ruled out: the depth of a spec alone, since a consumer's json.Unmarshal of one spec fails without stopping the list.

--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -71,10 +71,35 @@
 	Spec     json.RawMessage `json:"spec,omitempty"`
 }
 
-// wireList is the JSON form of a list in the default dialect.
+// wireList is the JSON form of a list in the default dialect, without its objects.
 type wireList struct {
 	Metadata wireMetadata `json:"metadata"`
-	Items    []wireObject `json:"items"`
+}
+
+// decodeListedObject decodes one object of a list or a watch, whose spec may be anything. If only the name and the kind can
+// be read, the object has no spec.
+func decodeListedObject(kind string, body []byte) (Object, error) {
+	members, err := SplitObject(body)
+	if err != nil {
+		return Object{}, err
+	}
+	var (
+		w       wireObject
+		kindErr error
+	)
+	if raw := members["kind"]; raw != nil {
+		kindErr = json.Unmarshal(raw, &w.Kind)
+	}
+	metadataErr := json.Unmarshal(members["metadata"], &w.Metadata)
+	w.Spec = bytes.Clone(members["spec"]) // The body is a buffer of the watch, or holds all objects of the list.
+	o, versionErr := w.toObject(kind)
+	if err := errors.Join(kindErr, metadataErr, versionErr); err != nil {
+		if o.Name == "" {
+			return Object{}, err
+		}
+		o.Spec = nil
+	}
+	return o, nil
 }
 
 // toObject converts the JSON form. The kind argument applies if the object does not state its kind.
@@ -153,21 +178,30 @@
 	if c.Dialect.DecodeListPage != nil {
 		return c.listPages(ctx, kind)
 	}
-	var w wireList
-	if err := c.doCall(ctx, call{op: "list", method: http.MethodGet, kind: kind}, &w); err != nil {
+	k := call{op: "list", method: http.MethodGet, kind: kind}
+	var body json.RawMessage
+	if err := c.doCall(ctx, k, &body); err != nil {
 		return nil, 0, err
 	}
-	version, err := parseVersion(w.Metadata.ResourceVersion)
+	members, err := SplitObject(body)
 	if err != nil {
-		return nil, 0, &Error{Op: "list", Object: kind, Kind: InvalidRequest, Err: err}
+		return nil, 0, k.lostAnswerError(err)
 	}
-	objects := make([]Object, 0, len(w.Items))
-	for _, item := range w.Items {
-		o, err := convertObject("list", kind, item)
-		if err != nil {
-			return nil, 0, err
+	var w wireList
+	items, err := SplitArray(members["items"])
+	if err == nil && members["metadata"] != nil {
+		err = json.Unmarshal(members["metadata"], &w.Metadata)
+	}
+	version, versionErr := parseVersion(w.Metadata.ResourceVersion)
+	if err != nil || versionErr != nil {
+		return nil, 0, k.newError(InvalidRequest, errors.Join(err, versionErr))
+	}
+	objects := make([]Object, 0, len(items))
+	for _, item := range items {
+		// An object without a readable name is left out, since the others must not wait until it is repaired.
+		if o, err := decodeListedObject(kind, item); err == nil {
+			objects = append(objects, o)
 		}
-		objects = append(objects, o)
 	}
 	return objects, version, nil
 }
@@ -371,7 +405,9 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return k.statusError(resp.StatusCode, body)
 	}
-	if err == nil && out != nil {
+	if raw, ok := out.(*json.RawMessage); ok {
+		*raw = body // The caller decodes the parts.
+	} else if err == nil && out != nil {
 		err = json.Unmarshal(body, out)
 	}
 	if err != nil {
--- a/pkg/afobject/dialect.go
+++ b/pkg/afobject/dialect.go
@@ -93,7 +93,7 @@
 		}
 		page, err := c.Dialect.DecodeListPage(kind, body)
 		if err != nil {
-			return nil, 0, k.newError(InvalidRequest, err)
+			return nil, 0, k.lostAnswerError(err)
 		}
 		if pageIndex == 0 {
 			version = page.Version
@@ -124,7 +124,7 @@
 		}
 		page, err := c.Dialect.DecodeChanges(kind, body)
 		if err != nil {
-			return k.newError(InvalidRequest, err)
+			return k.lostAnswerError(err)
 		}
 		for _, e := range page.Events {
 			fn(e)
--- a/pkg/afobject/watch.go
+++ b/pkg/afobject/watch.go
@@ -94,8 +94,12 @@
 
 // decodeEvent decodes one line of a streaming watch. An ERROR line is returned as an error.
 func (k call) decodeEvent(line []byte) (Event, error) {
-	var w wireEvent
-	if err := json.Unmarshal(line, &w); err != nil {
+	members, err := SplitObject(line)
+	if err != nil {
+		return Event{}, k.newError(InvalidRequest, err)
+	}
+	w := wireEvent{Object: members["object"]}
+	if err := json.Unmarshal(members["type"], &w.Type); err != nil {
 		return Event{}, k.newError(InvalidRequest, err)
 	}
 	if w.Type == "ERROR" {
@@ -109,13 +113,10 @@
 	if !ok {
 		return Event{}, k.newError(InvalidRequest, errors.Errorf("unknown event type %q", w.Type))
 	}
-	var o wireObject
-	if err := json.Unmarshal(w.Object, &o); err != nil {
-		return Event{}, k.newError(InvalidRequest, err)
-	}
-	object, err := o.toObject(k.kind)
+	object, err := decodeListedObject(k.kind, w.Object)
 	if err != nil {
-		return Event{}, k.newError(InvalidRequest, err)
+		// The watch goes on, since a new one would report the same change again.
+		return Event{Type: Bookmark, Object: Object{Kind: k.kind}}, nil
 	}
 	if eventType == Deleted || eventType == Bookmark {
 		object.Spec = nil
