afnode: stop using an endpoint as soon as its entry is odd

Each list wrote the line 'endpoint entry ignored' or 'configuration refused' again for the same version of an object.

Only an entry that is missing or was deleted is held now, and each version of an odd object is logged once.

TestOddEndpointEntryIsNotUsed (i-2 was still used) and TestOddConfigurationStaysRefused (3 lines instead of 1) failed before (go test ./internal/afnode -run Odd). They also show that an odd entry that becomes sound is used and that the others hold throughout.

--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -108,30 +108,33 @@
 
 // newConfigFeed creates the feed of the configuration.
 func (n *Node) newConfigFeed() *affeed.Feed {
-	f := n.newFeed(n.Platform.ConfigKind)
+	f, odd := n.newFeed(n.Platform.ConfigKind), make(oddObjects)
 	f.OnList = func(objects []afobject.Object, _ time.Duration) {
 		for _, o := range objects {
-			n.applyConfig(o)
+			n.applyConfig(o, odd)
 		}
 	}
 	f.OnChange = func(e afobject.Event) {
 		if e.Type != afobject.Deleted {
-			n.applyConfig(e.Object)
+			n.applyConfig(e.Object, odd)
 		}
 	}
 	return f
 }
 
 // applyConfig puts the configuration of the object in force unless it is malformed or not newer than the one in force.
-func (n *Node) applyConfig(o afobject.Object) {
+func (n *Node) applyConfig(o afobject.Object, odd oddObjects) {
 	if o.Name != n.Platform.ConfigName {
 		return
 	}
 	t, err := n.Platform.DecodeTable(o.Spec)
 	if err != nil {
-		n.log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
+		if odd.add(o) {
+			n.log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
+		}
 		return
 	}
+	odd.remove(o.Name)
 	old := n.routeTable.Load()
 	if old != nil && t.Version <= old.Version {
 		if t.Version < old.Version {
@@ -150,7 +153,7 @@
 	f := n.newFeed(n.Platform.EndpointKind)
 	f.PollDelay = func() time.Duration { return endpointPollDelay }
 	f.IsSuspended = n.keeper.ReceivesEndpoints
-	listedIDs := make(map[string]bool)
+	listedIDs, odd := make(map[string]bool), make(oddObjects)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
 	f.OnList = func(objects []afobject.Object, outage time.Duration) {
 		if outage > 0 {
@@ -159,7 +162,7 @@
 		seenIDs := make(map[string]bool, len(objects))
 		var changedEntries []afengine.EndpointEntry
 		for _, o := range objects {
-			e, isListed, isChanged := n.putEndpoint(o)
+			e, isListed, isChanged := n.putEndpoint(o, odd)
 			if isListed {
 				seenIDs[o.Name] = true
 			}
@@ -182,7 +185,9 @@
 		for id := range listedIDs {
 			if !seenIDs[id] {
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", outage, "missing", missingCount)
-				isHeld := outage > 0 && missingCount >= minMissingToHold
+				// An entry that another writer replaced is not one that the platform lost.
+				_, isOdd := odd[id]
+				isHeld := outage > 0 && missingCount >= minMissingToHold && !isOdd
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -201,12 +206,14 @@
 			entry               afengine.EndpointEntry
 			isListed, isChanged bool
 		)
-		if e.Type != afobject.Deleted {
-			entry, isListed, isChanged = n.putEndpoint(e.Object)
+		if e.Type == afobject.Deleted {
+			odd.remove(id)
+		} else {
+			entry, isListed, isChanged = n.putEndpoint(e.Object, odd)
 		}
 		if !isListed {
 			if listedIDs[id] {
-				isHeld := !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
+				isHeld := e.Type == afobject.Deleted && !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
 				n.log.Info("endpoint removed", "endpoint", id, "held", isHeld, "source", "platform")
 				n.roster.RemoveEntry(id, isHeld)
 				delete(listedIDs, id)
@@ -224,12 +231,15 @@
 
 // putEndpoint adds or updates the endpoint of an entry in the roster. It reports whether the entry describes an endpoint and
 // whether the endpoint changed in more than its counters.
-func (n *Node) putEndpoint(o afobject.Object) (e afengine.EndpointEntry, isListed, isChanged bool) {
+func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
 	if err != nil {
-		n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		if odd.add(o) {
+			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		}
 		return e, false, false
 	}
+	odd.remove(o.Name)
 	isChanged = n.roster.PutEntry(e)
 	if isChanged {
 		n.logEndpoint(e, "platform")
--- /dev/null
+++ b/internal/afnode/odd_test.go
@@ -0,0 +1,88 @@
+package afnode
+
+import (
+	"bytes"
+	"log/slog"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+)
+
+// newOddNode returns a node whose parts do not run, and its log. The spec odd can be decoded as nothing.
+func newOddNode(t *testing.T) (*Node, *bytes.Buffer) {
+	t.Helper()
+	errOdd := errors.New("odd")
+	n := &Node{Settings: Settings{VM: "a", PeerAddress: "127.0.0.1:1"}, Platform: Platform{
+		ConfigKind: "config", ConfigName: "main", EndpointKind: "servers",
+		DecodeTable: func(spec []byte) (*afroute.Table, error) {
+			version, err := strconv.ParseInt(string(spec), 10, 64)
+			return afroute.NewTable(version, afroute.Limits{}, nil, nil, nil, nil), err
+		},
+		DecodeEndpointEntry: func(id string, spec []byte) (afengine.EndpointEntry, error) {
+			if string(spec) == "odd" {
+				return afengine.EndpointEntry{}, errOdd
+			}
+			return afengine.EndpointEntry{ID: id, Service: "app", Address: string(spec)}, nil
+		},
+	}}
+	n.createParts()
+	t.Cleanup(n.logWriter.Close)
+	var logOutput bytes.Buffer
+	n.log = slog.New(slog.NewTextHandler(&logOutput, nil))
+	return n, &logOutput
+}
+
+func object(name string, version int64, spec string) afobject.Object {
+	return afobject.Object{Name: name, Version: version, Spec: []byte(spec)}
+}
+
+// Guards against an endpoint that stays in use after its entry became odd, also after an outage, against one that is not
+// used once its entry is sound, and against a log line for each list.
+func TestOddEndpointEntryIsNotUsed(t *testing.T) {
+	n, logOutput := newOddNode(t)
+	f := n.newEndpointFeed()
+	usable := func() (ids []string) {
+		for _, e := range n.roster.UsableEndpoints("app") {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+	change := func(o afobject.Object) { f.OnChange(afobject.Event{Type: afobject.Modified, Object: o}) }
+	f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 2, "x"), object("i-3", 3, "odd")}, 0)
+	require.Equal(t, []string{"i-1", "i-2"}, usable())
+	for range 3 {
+		f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 4, "odd"), object("i-3", 3, "odd")}, time.Second)
+		require.Equal(t, []string{"i-1"}, usable())
+	}
+	require.Equal(t, 2, strings.Count(logOutput.String(), "endpoint entry ignored"))
+	change(object("i-1", 5, "odd"))
+	require.Empty(t, usable(), "odd soon after an outage")
+	change(object("i-1", 6, "x"))
+	change(object("i-3", 7, "x"))
+	require.Equal(t, []string{"i-1", "i-3"}, usable())
+	change(object("i-3", 8, "odd"))
+	require.Equal(t, []string{"i-1"}, usable())
+	require.Equal(t, 4, strings.Count(logOutput.String(), "endpoint entry ignored"))
+}
+
+// Guards against an odd configuration that replaces the one in force, and against a log line for each list.
+func TestOddConfigurationStaysRefused(t *testing.T) {
+	n, logOutput := newOddNode(t)
+	f := n.newConfigFeed()
+	f.OnList([]afobject.Object{object("main", 1, "7")}, 0)
+	for range 3 {
+		f.OnList([]afobject.Object{object("main", 2, "odd")}, 0)
+	}
+	require.EqualValues(t, 7, n.routeTable.Load().Version)
+	require.Equal(t, 1, strings.Count(logOutput.String(), "configuration refused"))
+	f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("main", 3, "8")})
+	require.EqualValues(t, 8, n.routeTable.Load().Version)
+}
