afnode: keep VM entries of other writers out of the limits

A VM entry such as {} or one with port 70000 counted as a VM, so that each VM used a smaller part of the customers' limits. A VM whose entry became odd was dropped from the next list although it may still use its part, did not write its entry again if its copy followed changes, and was never removed by the holder after its death, since the version was not updated. While a list was applied, the copy was empty for a moment and each VM counted itself alone.

An entry must have an IP address with a port and a start. A known VM whose entry becomes odd stays known at the new version, and writes its entry again. A new list replaces the copy without emptying it.

--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -48,7 +52,7 @@
 	vms map[string]arbutusfork.VM
 	// versions holds the object versions of the entries.
 	versions map[string]int64
-	// startTimes holds vmSpec.Start of the entries.
+	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd.
 	startTimes map[string]int64
 	// unreachableSince is when a listed VM was first found unreachable. It has no value for VMs that are reachable.
 	unreachableSince map[string]time.Time
@@ -94,40 +98,64 @@
 	f.PollDelay = n.vmFeedPollDelay
 	// The holder's views show whether VMs came or went since this copy was read.
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
+	odd := make(oddObjects)
 	f.OnList = func(objects []afobject.Object, _ time.Duration) {
-		n.vmList.mu.Lock()
-		clear(n.vmList.vms)
-		clear(n.vmList.versions)
-		n.vmList.mu.Unlock()
+		listed := make(map[string]bool, len(objects))
 		for _, o := range objects {
-			n.putVM(o)
+			listed[o.Name] = true
+			n.putVM(o, odd)
 		}
+		n.vmList.mu.Lock()
+		maps.DeleteFunc(n.vmList.vms, func(vm string, _ arbutusfork.VM) bool { return !listed[vm] })
+		maps.DeleteFunc(n.vmList.versions, func(vm string, _ int64) bool { return !listed[vm] })
+		n.vmList.mu.Unlock()
 		n.publishVMs()
 	}
 	f.OnChange = func(e afobject.Event) {
 		if e.Type == afobject.Deleted {
+			odd.remove(e.Object.Name)
 			n.vmList.mu.Lock()
 			delete(n.vmList.vms, e.Object.Name)
 			delete(n.vmList.versions, e.Object.Name)
 			n.vmList.mu.Unlock()
 			n.log.Info("VM no longer listed", "name", e.Object.Name)
 		} else {
-			n.putVM(e.Object)
+			n.putVM(e.Object, odd)
 		}
 		n.publishVMs()
 	}
 	return f
 }
 
-// putVM adds or updates the VM of an entry in the copy.
-func (n *Node) putVM(o afobject.Object) {
-	var spec vmSpec
-	if err := json.Unmarshal(o.Spec, &spec); err != nil {
-		n.log.Warn("VM entry ignored", "name", o.Name, "error", err)
-		return
+// decodeVMSpec decodes a VM entry. It fails if the entry names no VM.
+func decodeVMSpec(raw []byte) (spec vmSpec, err error) {
+	if err := json.Unmarshal(raw, &spec); err != nil {
+		return vmSpec{}, err
+	}
+	a, err := netip.ParseAddrPort(spec.Address)
+	if err == nil && (a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || spec.Start <= 0) {
+		err = errors.Errorf("address %q or start %d is out of range", spec.Address, spec.Start)
 	}
+	return spec, err
+}
+
+// putVM adds or updates the VM of an entry in the copy. A known VM whose entry another writer replaced by an odd one stays
+// known, since it may still use its part of the customers' limits. It writes its entry again, or is removed once it is
+// unreachable.
+func (n *Node) putVM(o afobject.Object, odd oddObjects) {
+	spec, err := decodeVMSpec(o.Spec)
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
+	if err != nil {
+		if odd.add(o) {
+			n.log.Warn("VM entry ignored", "name", o.Name, "error", err)
+		}
+		if _, known := n.vmList.versions[o.Name]; known {
+			n.vmList.versions[o.Name], n.vmList.startTimes[o.Name] = o.Version, 0
+		}
+		return
+	}
+	odd.remove(o.Name)
 	n.vmList.vms[o.Name] = arbutusfork.VM{Name: o.Name, Address: spec.Address, Centre: spec.Centre}
 	n.vmList.versions[o.Name] = o.Version
 	n.vmList.startTimes[o.Name] = spec.Start
@@ -142,6 +170,7 @@
 		vms = append(vms, vm)
 	}
 	_, hasOwnEntry := n.vmList.vms[n.self.VM]
+	hasOwnEntry = hasOwnEntry && n.vmList.startTimes[n.self.VM] != 0
 	n.vmList.mu.Unlock()
 	n.peers.SetListedVMs(vms)
 	if !hasOwnEntry && !n.isStopping.Load() {
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -86,3 +86,31 @@
 	f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("main", 3, "8")})
 	require.EqualValues(t, 8, n.routeTable.Load().Version)
 }
+
+// Guards against a VM entry that names no VM and takes a part of the limits, and against a VM that is forgotten, or never
+// removed and never listed again, because its entry became odd.
+func TestOddVMEntry(t *testing.T) {
+	n, logOutput := newOddNode(t)
+	f := n.newVMFeed()
+	sound := func(vm string, version int64) afobject.Object {
+		return object(vm, version, `{"address":"127.0.0.1:7","start":`+strconv.FormatInt(n.self.StartID, 10)+`}`)
+	}
+	f.OnList([]afobject.Object{sound("a", 1), sound("b", 2)}, 0)
+	require.True(t, n.isOwnEntryListed())
+	objects := []afobject.Object{object("a", 8, `{"start":1e400}`), object("b", 9, strings.Repeat("[", 100_000))}
+	for i, odd := range []string{`{}`, `null`, `{"address":"127.0.0.1","start":1}`, `{"address":"127.0.0.1:70000","start":1}`, `{"address":"127.0.0.1:1","start":-1}`, `{"address":"0.0.0.0:1","start":1}`} {
+		objects = append(objects, object("odd-"+strconv.Itoa(i), 10, odd))
+	}
+	for range 3 {
+		f.OnList(objects, 0)
+		require.Equal(t, 2, n.countListedVMs())
+	}
+	require.Equal(t, len(objects), strings.Count(logOutput.String(), "VM entry ignored"))
+	require.EqualValues(t, 9, n.vmList.versions["b"], "the holder removes the entry at its version")
+	require.False(t, n.isOwnEntryListed())
+	require.Len(t, n.vmList.writeRequests, 1, "this VM writes its entry again")
+	f.OnChange(afobject.Event{Type: afobject.Modified, Object: sound("a", 11)})
+	require.True(t, n.isOwnEntryListed())
+	f.OnList([]afobject.Object{sound("a", 11)}, 0)
+	require.Equal(t, 1, n.countListedVMs())
+}
