afkeeper: replace a malformed lease without lowering the epoch

A record of the lease that another writer spoilt was replaced by one with epoch 1, or with the readable fields of the malformed one: an epoch near the largest int64 overflowed, a record with the epoch as a text counted as released and was taken at once, and {} led to epoch 1. An engine that checks fencing numbers refuses all orders of an epoch below the last one that it has seen.

decodeLease treats such a record as one without a holder, so that a VM waits for its full time. The next epoch is above the known one and above the record's version, which every earlier epoch is below.

--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -94,7 +94,10 @@
 		s.Log.Debug("placement lease not read", "error", err)
 		return
 	default:
-		if err := json.Unmarshal(o.Spec, &r); err != nil {
+		s.mu.Lock()
+		knownEpoch := s.lease.Epoch()
+		s.mu.Unlock()
+		if r, err = decodeLease(o, knownEpoch); err != nil {
 			s.Log.Warn("replacing malformed placement lease", "version", o.Version, "error", err)
 		}
 	}
--- a/internal/afkeeper/lease_test.go
+++ b/internal/afkeeper/lease_test.go
@@ -1,8 +1,11 @@
 package afkeeper
 
 import (
+	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/aflease"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
@@ -57,3 +61,41 @@
 	now += timing.SafetyMargin + 100*time.Millisecond
 	require.True(t, c.lease.IsUsable(now))
 }
+
+// Guards against a malformed record whose epoch overflows, or after which the epoch falls below one that engines have seen, and
+// against one whose readable fields are used.
+func TestMalformedLeaseIsReplaced(t *testing.T) {
+	for _, spec := range []string{
+		`{"holder":"x","epoch":9223372036854775807,"beat":1}`, `{"holder":"x","epoch":1e19}`, `{"holder":"x","epoch":-5}`, `{"holder":"x","epoch":5,"beat":9223372036854775807}`,
+		`{"holder":"x","released":true,"epoch":"5"}`, `{"epoch":5.5}`, `{}`, `null`, `[]`, `{"holder":"x","epoch":NaN}`, strings.Repeat("[", 100_000),
+	} {
+		timing := aflease.Timing{TTL: time.Second, RenewInterval: 300 * time.Millisecond, QuietPeriod: time.Second, SafetyMargin: 100 * time.Millisecond}
+		now := time.Hour
+		var written aflease.Record
+		s := &Service{
+			Self: arbutusfork.Incarnation{VM: "b"}, LeaseTiming: timing, Timer: &aftimer.Service{}, Log: slog.New(slog.DiscardHandler),
+			BootTime: func() time.Duration { return now }, LiveVMs: func() []arbutusfork.VM { return nil },
+			GetObject: func(context.Context, string, string) (afobject.Object, error) {
+				return afobject.Object{Kind: LeaseKind, Name: LeaseName, Version: 40, Spec: []byte(spec)}, nil
+			},
+			UpdateObject: func(_ context.Context, o afobject.Object) (afobject.Object, error) {
+				err := json.Unmarshal(o.Spec, &written)
+				o.Version++
+				return o, err
+			},
+		}
+		s.Init()
+		s.lease = s.lease.WithReadRecord(aflease.Record{Holder: "a", Epoch: 7}, 39, now).WithUnknownWriteOutcome()
+		for range 4 {
+			s.maintainLease(t.Context())
+			require.Empty(t, written.Holder, "%.60s: taken although another holder may use it", spec)
+			now += 350 * time.Millisecond
+		}
+		for ; written.Holder == "" && now < 2*time.Hour; now += time.Minute {
+			s.maintainLease(t.Context())
+		}
+		require.Equal(t, s.Self.String(), written.Holder, "%.60s", spec)
+		require.EqualValues(t, 41, written.Epoch, "%.60s", spec)
+		require.Positive(t, written.RenewalCount, "%.60s", spec)
+	}
+}
