platform, afgateway, afkeeper: tell repeated answers from true ones

An endpoint that writes an earlier answer once more could make a caller hear 'not run' for a request that the endpoint was running. Requests use a new connection each, and an answer with another request's ID was refused, but a refusal (503 with X-Arbutusfork-Not-Executed, or 421) without an ID was believed: the caller got 503 with Retry-After, or the request ran at a second endpoint. This includes a refusal that an endpoint writes before it has read a request. A refusal without the ID now counts as a possible run. A caller that sends no ID gets one made up, so that there is always one to compare.

A second copy of an older report replaced a newer one once 2.5 s had passed since the last order. A report with fewer accepted orders than the one before is ignored now, three times in a row at most.

The gateway sends no health probes; health-check is read and not used. The check of a crash (afcrash/watch.go) only connects.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"log/slog"
 	"math"
@@ -103,6 +104,9 @@
 func (p *proxiedRequest) serve() *arbutusfork.Refusal {
 	s := p.server
 	headers, err := s.HeaderCodec.ParseRequest(p.r.Header)
+	if headers.RequestID == "" {
+		headers.RequestID = rand.Text() // Without an ID, nothing shows that an endpoint's response belongs to the request.
+	}
 	p.headers, p.partIDs = headers, partIDs(headers)
 	if err != nil {
 		return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, err.Error())
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -51,7 +51,7 @@
 	defer watchdog.stop()
 	h := s.HeaderCodec.BuildForwarded(p.r.Header, ForwardedHeaders{
 		EndpointID: endpoint.ID, Timeout: p.timeLeft(), Customer: p.customer.Name, Priority: min(max(p.priority, 0), priorityLevels-1),
-		HasPriority: p.service.Engine != nil, LastEventID: p.lastEventID,
+		HasPriority: p.service.Engine != nil, LastEventID: p.lastEventID, RequestID: p.headers.RequestID,
 	})
 	ex, err := s.openExchange(ctx, endpoint.Address, p.r, h, p.body)
 	if err != nil {
@@ -69,6 +69,10 @@
 		s.EndpointLimits.RecordAnswer(endpointStart(endpoint.Endpoint), headers.Limit)
 	}
 	switch {
+	case headers.NotRun && headers.RequestID == "":
+		// It may be the second copy of the refusal of another request.
+		endpoint.request.End(afroster.HealthUnaffected)
+		return attemptResult{progress: progressHead, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run, without the request's ID"}
 	case headers.NotRun:
 		endpoint.request.End(afroster.HealthUnaffected)
 		return attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run"}
--- a/internal/afgateway/wire.go
+++ b/internal/afgateway/wire.go
@@ -22,7 +22,7 @@
 
 // RequestHeaders are the values of a caller's headers.
 type RequestHeaders struct {
-	// RequestID identifies this attempt of the caller.
+	// RequestID identifies this attempt of the caller. It is made up if the caller sent none.
 	RequestID string
 	// Timeout is how long the caller waits for the response. Zero means unknown.
 	Timeout time.Duration
@@ -64,6 +64,8 @@
 	HasPriority bool
 	// LastEventID replaces the caller's last event unless it is empty.
 	LastEventID string
+	// RequestID is the ID of the request, which the endpoint repeats in its response.
+	RequestID string
 }
 
 // ResponseHeaders are the values of an endpoint's headers.
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -19,6 +19,8 @@
 	maxReportAge = 2500 * time.Millisecond
 	// maxReportLag is how old the state in a report may be when the report arrives.
 	maxReportLag = 400 * time.Millisecond
+	// maxOlderReports is how many reports in a row are ignored because the engine had accepted more orders before.
+	maxOlderReports = 3
 	// adapterLoadDelay is the time from the acceptance of an adapter load until the adapter counts as loaded, unless a report
 	// arrives earlier.
 	adapterLoadDelay = 40 * time.Millisecond
@@ -40,6 +42,8 @@
 	reportRequestedAt time.Time
 	// isReportKnown means that report holds a report of this engine process.
 	isReportKnown bool
+	// olderReports counts the reports in a row with fewer accepted orders than report.
+	olderReports int
 	// nextReportAt is when to request the next report.
 	nextReportAt time.Time
 	// isReportPending means that a report was requested and has not arrived.
@@ -145,6 +149,13 @@
 		es.nextReportAt = now.Add(activeReportInterval)
 		return
 	}
+	// An engine that writes a report twice on a kept connection repeats an earlier state. If it goes on, the last report was odd.
+	if es.isReportKnown && r.report.AcceptedOrders < es.report.AcceptedOrders && es.olderReports < maxOlderReports {
+		es.olderReports++
+		es.nextReportAt = now.Add(activeReportInterval)
+		return
+	}
+	es.olderReports = 0
 	if !es.unblockedAt.IsZero() && r.report.AcceptedOrders == es.acceptedOrders && now.Before(es.unblockedAt) {
 		es.nextReportAt = now.Add(activeReportInterval)
 	}
