afdispatch, afserve: do not believe refusals on connections used before

serve keeps connections to endpoints for calls that may be repeated. An endpoint that wrote the 429 or 503 of an earlier call once more made such a call count as not run while the endpoint was running it; the true answer then met a later call. Orders and statuses shared two kept connections per endpoint, so that a second copy of a status (200) counted as the answer to an order that the endpoint refused (409), and an older status as one after the order, which may end a charge too early.

A refusal on a connection that was used before counts as unknown unless it repeats the call's ID, its connection and the idle ones to the endpoint are closed, and the call is sent again at once on a new one. The client for orders and statuses keeps no connections any more.

Remains: a second copy of a whole answer (200) on a kept connection.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -53,7 +53,7 @@
 
 func (a attemptResult) isEndpointFault() bool {
 	return !a.isSinkError && !errors.Is(a.err, errDeadlineExceeded) && !errors.Is(a.err, context.Canceled) &&
-		a.StatusCode != http.StatusTooManyRequests
+		a.StatusCode != http.StatusTooManyRequests && !a.MayBeRepeated
 }
 
 // toRefusal returns the refusal for the caller if the call is not sent again.
@@ -141,6 +141,14 @@
 	a.RequestWritten = true
 	a.StatusCode = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
+	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun && tracker.isReused() && resp.Header.Get(RequestIDHeader) != c.ID {
+		a.MayBeRepeated = true
+		a.err = errors.Errorf("refused with status %d on a connection that was used before", resp.StatusCode)
+		// The response to this call may follow. A refusal on a new connection is certain.
+		tracker.closeConn()
+		s.transports.transportFor(l.Replica.Address).CloseIdleConnections()
+		return a
+	}
 	a.isDraining = isDrainingResponse(resp.StatusCode, resp.Header)
 	a.isModelMissing = a.NotRun && !a.isDraining && resp.StatusCode == http.StatusServiceUnavailable && l.request.Model != ""
 	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun {
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -81,7 +81,7 @@
 	s.retryBudgets.creditRequest(r, s.Timer.Now())
 	worstOutcome := arbutusfork.OutcomeNotRun
 	var lastRefusal *arbutusfork.Refusal
-	isResponseStarted := false
+	isResponseStarted, isOnlyRefused := false, true
 	for n := 1; ; n++ {
 		lease, refusal := s.acquireUnlessQuarantined(ctx, r)
 		if refusal != nil {
@@ -107,7 +107,8 @@
 		lastRefusal = a.toRefusal().WithOutcome(worstOutcome)
 		s.recordFailure(r, lease, a, outcome)
 		shouldRetry := ctx.Err() == nil && a.isRetryable() && (afretry.MayRetry(outcome, c.IsIdempotent, isResponseStarted) || (a.isResumable && c.IsIdempotent))
-		isUnbudgeted := worstOutcome == arbutusfork.OutcomeNotRun && a.StatusCode != http.StatusTooManyRequests && n < unbudgetedAttempts
+		isOnlyRefused = isOnlyRefused && (outcome == arbutusfork.OutcomeNotRun || a.MayBeRepeated)
+		isUnbudgeted := isOnlyRefused && a.StatusCode != http.StatusTooManyRequests && n < unbudgetedAttempts
 		shouldRetry = shouldRetry && (isUnbudgeted || s.retryBudgets.spendRetry(r, s.Timer.Now()))
 		if !shouldRetry || !s.waitBackoff(ctx, a, n) {
 			return Result{Outcome: worstOutcome, Refusal: lastRefusal, IsResponseStarted: isResponseStarted}
@@ -161,9 +162,10 @@
 }
 
 // waitBackoff waits before the next attempt. It returns false if ctx ends first. A refusal by an endpoint that is
-// draining or does not have the model needs no delay, since the next attempt uses another endpoint.
+// draining or does not have the model needs no delay, since the next attempt uses another endpoint. Nor does one that may
+// have been repeated, since the next attempt uses a new connection.
 func (s *Service) waitBackoff(ctx context.Context, a attemptResult, n int) bool {
-	if a.isDraining || a.isModelMissing {
+	if a.isDraining || a.isModelMissing || a.MayBeRepeated {
 		return true
 	}
 	return s.Timer.Sleep(ctx, afretry.Backoff(n, float64(s.RandIntN(1000))/1000))
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -165,6 +165,7 @@
 func newEndpointClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	transport.MaxIdleConnsPerHost = 2
+	// On a kept connection, a second copy of an earlier answer would count as the status or as the answer to an order.
+	transport.DisableKeepAlives = true
 	return &http.Client{Transport: transport}
 }
--- a/internal/afserve/server_test.go
+++ b/internal/afserve/server_test.go
@@ -143,3 +143,37 @@
 	_, err = net.Dial("tcp", d.settings.CallerAddress)
 	require.Error(t, err)
 }
+
+// TestOrderGetsItsOwnAnswer guards against an order or a status that is taken for done because the endpoint wrote an earlier
+// answer once more on a kept connection.
+func TestOrderGetsItsOwnAnswer(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		last := ""
+		for err == nil {
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+			if r.Method == http.MethodPost {
+				answer = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = conn.Write([]byte(last + answer))
+			last = answer
+			r, err = http.ReadRequest(rw.Reader)
+		}
+	}))
+	t.Cleanup(endpoint.Close)
+	client := newEndpointClient()
+	for range 3 {
+		for method, status := range map[string]int{http.MethodGet: 200, http.MethodPost: 409} {
+			req, err := http.NewRequestWithContext(t.Context(), method, endpoint.URL, nil)
+			require.NoError(t, err)
+			resp, err := client.Do(req)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, status, resp.StatusCode, method)
+		}
+	}
+}
--- a/pkg/afretry/attempt.go
+++ b/pkg/afretry/attempt.go
@@ -19,14 +19,20 @@
 	StatusCode int
 	// NotRun means that the response carried NotRunHeader.
 	NotRun bool
+	// MayBeRepeated means that the response arrived on a connection that was used before, so that it may be the second copy of
+	// the response to an earlier call.
+	MayBeRepeated bool
 	// ResponseTruncated means that the response ended before it was complete.
 	ResponseTruncated bool
 }
 
 // ClassifyAttempt returns whether the call was answered, was not run, or may have run (OutcomeUnknown).
 func ClassifyAttempt(a Attempt) arbutusfork.Outcome {
+	isRefusal := a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable && a.NotRun
 	switch {
-	case a.StatusCode == http.StatusTooManyRequests, a.StatusCode == http.StatusServiceUnavailable && a.NotRun:
+	case isRefusal && a.MayBeRepeated:
+		return arbutusfork.OutcomeUnknown
+	case isRefusal:
 		return arbutusfork.OutcomeNotRun
 	case a.StatusCode != 0 && !a.ResponseTruncated:
 		return arbutusfork.OutcomeAnswered
