afgateway: add nothing to a stream that no endpoint continues

After a stream had begun and broken off, callers could get bytes that are no continuation: an event without an ID, such as an error event in a 200 event stream, an event whose ID skips one or has another form than the ones before, a comment, or all events a second time if they have no IDs. An empty 200 event stream ended the caller's stream as if it were complete. Error answers of any status and length, refusals, 4xx, 200 of another type and events that had been relayed added nothing before either; TestOddContinuationAddsNothing shows that too, on real sockets.

The first event of another endpoint must now have the next ID. If the IDs of one endpoint skipped numbers before, any later one will do; IDs that are no numbers must differ from the last one. Comments before that event are dropped, and a stream without one is a failed attempt. A stream whose last relayed event has no ID is not continued. A refusal as not run needs that no response was started; no case was found in which one was.

A stream that breaks off between its last event and its end now stays incomplete for the caller if the next endpoint has nothing to add.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -122,6 +122,9 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(result attemptResult) bool {
+	if p.relayedEvents > 0 && (p.position.lastEventID == "" || p.position.hasEventsWithoutID) {
+		return false
+	}
 	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
 		return false
 	}
@@ -131,7 +134,7 @@
 // refuseAfterAttempt returns the refusal of a request that may not be retried, or nil after it sent the response with a
 // server error that was kept for the caller.
 func (p *proxiedRequest) refuseAfterAttempt(result attemptResult) *arbutusfork.Refusal {
-	if p.possibleRuns == 0 {
+	if p.possibleRuns == 0 && !p.responseStarted {
 		return newRefusal(arbutusfork.CodeNoCapacity, "no endpoint took the request: "+result.cause, busyRetryAfter)
 	}
 	return p.endWithUnknownOutcome(result.cause)
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -94,8 +94,8 @@
 	// statusCode is the status of the response to the caller.
 	statusCode    int
 	relayedEvents int
-	// lastEventID is the ID of the latest relayed event.
-	lastEventID string
+	// position is how far the stream to the caller has come.
+	position streamPosition
 	// detail is an addition to the log line of the request.
 	detail string
 }
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -51,7 +51,7 @@
 	defer watchdog.stop()
 	h := s.HeaderCodec.BuildForwarded(p.r.Header, ForwardedHeaders{
 		EndpointID: endpoint.ID, Timeout: p.timeLeft(), Customer: p.customer.Name, Priority: min(max(p.priority, 0), priorityLevels-1),
-		HasPriority: p.service.Engine != nil, LastEventID: p.lastEventID, RequestID: p.headers.RequestID,
+		HasPriority: p.service.Engine != nil, LastEventID: p.position.lastEventID, RequestID: p.headers.RequestID,
 	})
 	ex, err := s.openExchange(ctx, endpoint.Address, p.r, h, p.body)
 	if err != nil {
@@ -233,13 +233,17 @@
 func (p *proxiedRequest) relayStream(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, w *idleWatchdog) attemptResult {
 	s := p.server
 	r := &eventReader{reader: ex.response.Body, held: p.held}
-	events, beganAt := 0, time.Time{}
+	events, beganAt, isContinuation := 0, time.Time{}, p.responseStarted
 	for {
 		event, err := r.readEvent()
 		if err != nil {
 			if events > 0 && events < answeredEvents && errors.Is(err, errStreamEnd) && (events > 1 || !ex.endsWithConnection()) {
 				p.recordAnswer(beganAt)
 			}
+			if isContinuation && events == 0 && errors.Is(err, errStreamEnd) {
+				endpoint.request.End(afroster.HealthUnaffected)
+				return attemptResult{progress: progressHead, cause: "no event follows " + p.position.lastEventID}
+			}
 			result := p.endStream(ctx, endpoint, r, err)
 			result.progress = streamProgress(events)
 			return result
@@ -248,13 +252,14 @@
 		if event.hasContent {
 			interval = w.recordProgress()
 		}
-		if event.id != "" {
-			if !p.isLaterEvent(event.id) {
-				endpoint.request.End(afroster.HealthFailure)
-				return attemptResult{cause: "event " + event.id + " does not follow " + p.lastEventID}
-			}
-			p.lastEventID = event.id
+		if isContinuation && events == 0 && !event.hasContent {
+			continue // Nothing shows yet that the endpoint continues the stream.
+		}
+		if p.relayedEvents > 0 && events == 0 && !p.position.canContinueWith(event.id) || event.id != "" && !p.isLaterEvent(event.id) {
+			endpoint.request.End(afroster.HealthFailure)
+			return attemptResult{cause: "event " + strconv.Quote(event.id) + " does not follow " + p.position.lastEventID}
 		}
+		p.position = p.position.withEvent(event, events == 0)
 		if !p.responseStarted {
 			p.writeHead(ex.response.StatusCode, ex.response.Header, -1)
 			s.sessions.recordEndpoint(p.headers, endpoint.ID, s.Timer.Now())
@@ -281,16 +286,12 @@
 
 // isLaterEvent reports whether an event may follow the latest relayed event. IDs that are not numbers are not compared.
 func (p *proxiedRequest) isLaterEvent(id string) bool {
-	last := p.lastEventID
+	last := p.position.lastEventID
 	if last == "" {
 		last = p.headers.LastEventID
 	}
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseInt(last, 10, 64)
-	b, errB := strconv.ParseInt(id, 10, 64)
-	return errA != nil || errB != nil || b > a
+	a, b, areNumbers := parseEventIDs(last, id)
+	return !areNumbers || b > a
 }
 
 // endStream ends an attempt whose stream ended with err. The stream is complete only if it ended between two events.
