afdispatch: add nothing to a stream that no engine continues

In serve, an event stream with status 500 or 503 and the offset of the stream was relayed as its continuation, so that callers found the text of an error in the middle. After a part was relayed, a refusal of the next engine (429, 503) made the error event at the end of the stream say no_capacity, with which callers retry, instead of endpoint_failed. If the connection broke after [DONE] and before its end, the next engine sent [DONE] once more, or the complete stream ended with an error event.

Only a 200 continues a stream; an attempt that adds nothing to a part does not change what the caller is told; and a stream is complete with [DONE]. Other answers added nothing before either: the offset must be repeated, a whole answer is refused, and a stream without [DONE] is truncated; TestOddContinuation shows that too. That the caller's stream ends without the last chunk is shown by TestBrokenStream in afentry.

TestOddContinuation failed before in 5 of 14 cases (429, refusal, draining, 500 as events, 503 as events) and so did TestNothingFollowsDone (go test ./internal/afdispatch -run 'OddCont|NothingF'). The test of repeated refusals moves to the new file unchanged.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -194,7 +194,7 @@
 
 // relayStream writes the events of a stream to the sink as they arrive.
 func (s *Service) relayStream(a *attemptResult, resp *http.Response, body io.Reader, c Call, sink Sink, watchdog *watchdog) {
-	isResumed := c.IsResumable && resp.Header.Get(ResumeOffsetHeader) == strconv.Itoa(c.resumeOffset)
+	isResumed := c.IsResumable && resp.StatusCode == http.StatusOK && resp.Header.Get(ResumeOffsetHeader) == strconv.Itoa(c.resumeOffset)
 	if c.resumeOffset > 0 && !isResumed {
 		a.ResponseTruncated, a.err = true, errNotResumed
 		return
@@ -207,7 +207,10 @@
 		raw, data, err := events.readEvent()
 		if err != nil {
 			// The stream of an engine must end with [DONE]. Other streams end with the body.
-			if !errors.Is(err, io.EOF) || (c.IsResumable && !sawDone) {
+			if c.IsResumable && sawDone {
+				return
+			}
+			if !errors.Is(err, io.EOF) || c.IsResumable {
 				a.ResponseTruncated, a.err, a.isResumable = true, errors.Wrap(errTruncated, err.Error()), isResumed
 			}
 			return
--- a/internal/afdispatch/send.go
+++ b/internal/afdispatch/send.go
@@ -104,7 +104,11 @@
 		if outcome == arbutusfork.OutcomeAnswered {
 			worstOutcome = arbutusfork.OutcomeUnknown
 		}
-		lastRefusal = a.toRefusal().WithOutcome(worstOutcome)
+		if lastRefusal == nil || !isResponseStarted || a.isResponseStarted {
+			// After a part of the response, an attempt that added nothing does not change what the caller is told.
+			lastRefusal = a.toRefusal()
+		}
+		lastRefusal = lastRefusal.WithOutcome(worstOutcome)
 		s.recordFailure(r, lease, a, outcome)
 		shouldRetry := ctx.Err() == nil && a.isRetryable() && (afretry.MayRetry(outcome, c.IsIdempotent, isResponseStarted) || (a.isResumable && c.IsIdempotent))
 		isOnlyRefused = isOnlyRefused && (outcome == arbutusfork.OutcomeNotRun || a.MayBeRepeated)
