afconfig: treat objects with numbers that cannot be used as deleted

In serve, an endpoint without an address or with port 0, slots of -1 or near the largest int64 (whose product with the demand of the VMs overflows in AllocateCredits), a model with negative memory, load times beyond a time.Duration and a customer with a negative rate were applied if another writer stored them. The operators' interface refuses most of them, but the store can be written by others.

Such an object now counts as malformed, which is treated as deleted, as for a spec of another type. The next sound version applies.

--- a/pkg/afconfig/snapshot.go
+++ b/pkg/afconfig/snapshot.go
@@ -174,17 +174,17 @@
 func (s *Snapshot) applyObject(o afobject.Object) error {
 	switch o.Kind {
 	case afobject.KindCustomers:
-		return applyNamed(&s.customers, o)
+		return applyNamed(&s.customers, o, checkCustomer)
 	case afobject.KindKeys:
 		return s.applyKey(o)
 	case afobject.KindServices:
-		return applyNamed(&s.services, o)
+		return applyNamed(&s.services, o, checkService)
 	case afobject.KindRoutes:
-		return applyNamed(&s.routes, o)
+		return applyNamed(&s.routes, o, nil)
 	case afobject.KindModels:
-		return applyNamed(&s.models, o)
+		return applyNamed(&s.models, o, checkModel)
 	case afobject.KindEndpoints:
-		return applyNamed(&s.endpoints, o)
+		return applyNamed(&s.endpoints, o, checkEndpoint)
 	case afobject.KindSheets:
 		s.sheet = arbutusfork.DemandSheet{}
 		return decodeSpec(o, &s.sheet)
@@ -214,7 +214,9 @@
 	return nil
 }
 
-func applyNamed[T any](m *map[string]T, o afobject.Object) error {
+// applyNamed applies an object to the map of its kind. Check fails for a value that other writers stored and that cannot be
+// used. It may be nil.
+func applyNamed[T any](m *map[string]T, o afobject.Object, check func(T) error) error {
 	if o.Spec == nil {
 		delete(*m, o.Name)
 		return nil
@@ -223,6 +225,11 @@
 	if err := decodeSpec(o, &v); err != nil {
 		return err
 	}
+	if check != nil {
+		if err := check(v); err != nil {
+			return err
+		}
+	}
 	if *m == nil {
 		*m = make(map[string]T)
 	}
