afsync, afobject: keep a VM listed while its entry is odd

In serve, a VM whose entry in the platform's list could not be decoded was left out and counted as gone, although it lived: others may then count its orders and its part of the limits as free. Its entry was logged with each read. Since lists leave out objects without a readable name, such an object could hide a VM too.

A VM of the previous list stays listed while its entry is odd, and each version of the entry is logged once. Only the list of the configuration leaves out objects without names, where a missing one is as safe as a deleted one; other lists fail and are read again, as before.

TestOddVMStaysListed failed before: the VM was gone (go test ./internal/afsync -run OddVM).

--- a/internal/afsync/list.go
+++ b/internal/afsync/list.go
@@ -116,12 +116,21 @@
 	}()
 }
 
+// decodeVMs decodes the list of VMs. A VM of the previous list whose entry cannot be decoded any more stays listed, since a VM
+// that is missing counts as gone.
 func (s *Service) decodeVMs(objects []afobject.Object) []arbutusfork.VM {
 	vms := make([]arbutusfork.VM, 0, len(objects))
+	odd := make(map[string]int64)
 	for _, o := range objects {
 		var spec vmSpec
 		if err := json.Unmarshal(o.Spec, &spec); err != nil {
-			s.log().Warn("malformed entry in the list of VMs ignored", "vm", o.Name, "error", err)
+			odd[o.Name] = o.Version
+			if version, known := s.oddVMs[o.Name]; !known || version != o.Version {
+				s.log().Warn("malformed entry in the list of VMs ignored", "vm", o.Name, "error", err)
+			}
+			if i := slices.IndexFunc(s.listedVMs, func(vm arbutusfork.VM) bool { return vm.Name == o.Name }); i >= 0 {
+				vms = append(vms, s.listedVMs[i])
+			}
 			continue
 		}
 		vm := arbutusfork.VM{Name: o.Name, Address: spec.Address, Centre: spec.Datacentre}
@@ -130,6 +139,7 @@
 		}
 		vms = append(vms, vm)
 	}
+	s.oddVMs = odd
 	return vms
 }
 
--- a/internal/afsync/list_test.go
+++ b/internal/afsync/list_test.go
@@ -1,6 +1,7 @@
 package afsync_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -103,3 +104,21 @@
 		require.Equal(f, arbutusfork.VMLive, vm.State)
 	})
 }
+
+// TestOddVMStaysListed guards against a VM that counts as gone while it lives, because another writer spoilt its entry.
+func TestOddVMStaysListed(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		for _, odd := range []string{`{"address":7}`, `[]`, `{"address":"vm2","state":1e400}`} {
+			_, err := f.platform.PutObject(afobject.KindVMs, "vm2", json.RawMessage(odd))
+			require.NoError(f, err)
+			f.advanceTime(maxListAge)
+			f.requireListAge(maxListAge)
+			for name, v := range f.vms {
+				view, _ := v.sync.ListedMembership()
+				vm, ok := view.ListedVM("vm2")
+				require.True(f, ok, name)
+				require.Equal(f, arbutusfork.VMLive, vm.State, name)
+			}
+		}
+	})
+}
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -75,6 +75,7 @@
 	isReplacingWitnesses bool
 	loggedFresh          bool             // loggedFresh is the freshness that was logged last.
 	listedVMs            []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
+	oddVMs               map[string]int64 // oddVMs holds the versions of the entries of the last list that could not be decoded.
 }
 
 // ConnectPeers registers the service with the peer service, which sends and receives its messages and reports. It must
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -198,10 +198,15 @@
 	}
 	objects := make([]Object, 0, len(items))
 	for _, item := range items {
-		// An object without a readable name is left out, since the others must not wait until it is repaired.
-		if o, err := decodeListedObject(kind, item); err == nil {
+		o, err := decodeListedObject(kind, item)
+		switch {
+		case err == nil:
 			objects = append(objects, o)
+		case kind != "":
+			// The object may be any of this kind, such as a VM that counts as gone if it is missing from the list.
+			return nil, 0, k.newError(InvalidRequest, err)
 		}
+		// In the configuration, the others must not wait until an object without a readable name is repaired.
 	}
 	return objects, version, nil
 }
