--- a/pkg/afconfig/check.go
+++ b/pkg/afconfig/check.go
@@ -32,8 +32,11 @@
 // checkModel fails for a model whose memory or load times cannot be used.
 func checkModel(m arbutusfork.Model) error {
 	return checkRanges([]amount{
-		{"memory", m.MemoryMB, maxAmount}, {"remote", m.StoreLoadMillis, maxLoadMillis}, {"disk", m.DiskLoadMillis, maxLoadMillis},
-		{"host", m.MemoryLoadMillis, maxLoadMillis}, {"replicas", int64(m.MaxReplicas), maxCount},
+		{"memory", m.MemoryMB, maxAmount},
+		{"remote", m.StoreLoadMillis, maxLoadMillis},
+		{"disk", m.DiskLoadMillis, maxLoadMillis},
+		{"host", m.MemoryLoadMillis, maxLoadMillis},
+		{"replicas", int64(m.MaxReplicas), maxCount},
 	})
 }
 
