--- a/internal/afstandin/afplatform/store.go
+++ b/internal/afstandin/afplatform/store.go
@@ -74,6 +74,13 @@
 	return s.objects[kind][name].Metadata.Revision
 }
 
+// ObjectText returns the spec of an object, or an empty text.
+func (s *Store) ObjectText(kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.objects[kind][name].Spec)
+}
+
 // PutObject writes an object as the operator or an endpoint does. Spec is a value or JSON text.
 func (s *Store) PutObject(kind, name string, spec any) {
 	raw, _ := json.Marshal(spec)
