--- a/internal/afdispatch/continue_test.go
+++ b/internal/afdispatch/continue_test.go
@@ -1,7 +1,6 @@
 package afdispatch
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -14,51 +13,37 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afstandin"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 )
 
 // TestRepeatedRefusal guards against "not run" for a call that the endpoint may be running, because it wrote the refusal of an
-// earlier call once more on a kept connection, and against a refusal of the call although a new connection answers it.
+// earlier call once more on a kept connection, and against a refusal of a call that a new connection answers.
 func TestRepeatedRefusal(t *testing.T) {
-	const refusal = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
 	for _, isAlwaysRefused := range []bool{false, true} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer func() { _ = c.Close() }()
-					reader := bufio.NewReader(c)
-					for n := 0; ; n++ {
-						r, err := http.ReadRequest(reader)
-						if err != nil {
-							return
-						}
-						answer := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + r.URL.Path[:4]
-						if n > 0 || isAlwaysRefused && r.URL.Path != "/run" {
-							answer = refusal
-						}
-						_, _ = io.WriteString(c, answer)
-					}
-				}()
+		var refusals atomic.Int64
+		go afstandin.ServeRepeatedly(l, func(r *http.Request) string {
+			if r.URL.Path == "/busy" && (refusals.Add(1) == 1 || isAlwaysRefused) {
+				return "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
 			}
-		}()
+			return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + r.URL.Path
+		})
 		h := newHarness(t, afplacement.Replica{Model: "m", Endpoint: "e1", Address: l.Addr().String(), Slots: 4}).startWithRealClock()
-		for i, path := range []string{"/run", "/two"} {
-			rec := &recordingSink{}
-			res := h.SendCall(context.Background(), h.newRequest("m", "a"), newGetCall(path), rec.sink())
-			if i > 0 && isAlwaysRefused {
-				require.NotNil(t, res.Refusal)
-				require.Equal(t, arbutusfork.OutcomeUnknown, res.Refusal.Outcome, "call %d", i)
-				continue
-			}
-			require.Nil(t, res.Refusal, "call %d", i)
-			require.Equal(t, path, rec.body)
+		req, err := newGetCall("/busy").buildRequest(t.Context(), l.Addr().String())
+		require.NoError(t, err)
+		resp, err := h.transports.transportFor(l.Addr().String()).RoundTrip(req) // The connection is kept.
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		rec := &recordingSink{}
+		res := h.SendCall(t.Context(), h.newRequest("m", "a"), newGetCall("/busy"), rec.sink())
+		require.Equal(t, isAlwaysRefused, res.Refusal != nil)
+		if isAlwaysRefused {
+			require.Equal(t, arbutusfork.OutcomeUnknown, res.Refusal.Outcome)
+		} else {
+			require.Equal(t, "/busy", rec.body)
 		}
 	}
 }
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -13,7 +13,6 @@
 
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
-	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
 
 // newOddNode returns a node whose parts do not run, and its log. The spec odd can be decoded as nothing.
@@ -21,11 +20,7 @@
 	t.Helper()
 	errOdd := errors.New("odd")
 	n := &Node{Settings: Settings{VM: "a", PeerAddress: "127.0.0.1:1"}, Platform: Platform{
-		ConfigKind: "config", ConfigName: "main", EndpointKind: "servers",
-		DecodeTable: func(spec []byte) (*afroute.Table, error) {
-			version, err := strconv.ParseInt(string(spec), 10, 64)
-			return afroute.NewTable(version, afroute.Limits{}, nil, nil, nil, nil), err
-		},
+		EndpointKind: "servers",
 		DecodeEndpointEntry: func(id string, spec []byte) (afengine.EndpointEntry, error) {
 			if string(spec) == "odd" {
 				return afengine.EndpointEntry{}, errOdd
@@ -73,20 +68,6 @@
 	require.Equal(t, 4, strings.Count(logOutput.String(), "endpoint entry ignored"))
 }
 
-// Guards against an odd configuration that replaces the one in force, and against a log line for each list.
-func TestOddConfigurationStaysRefused(t *testing.T) {
-	n, logOutput := newOddNode(t)
-	f := n.newConfigFeed()
-	f.OnList([]afobject.Object{object("main", 1, "7")}, 0)
-	for range 3 {
-		f.OnList([]afobject.Object{object("main", 2, "odd")}, 0)
-	}
-	require.EqualValues(t, 7, n.routeTable.Load().Version)
-	require.Equal(t, 1, strings.Count(logOutput.String(), "configuration refused"))
-	f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("main", 3, "8")})
-	require.EqualValues(t, 8, n.routeTable.Load().Version)
-}
-
 // Guards against a VM entry that names no VM and takes a part of the limits, and against a VM that is forgotten, or never
 // removed and never listed again, because its entry became odd.
 func TestOddVMEntry(t *testing.T) {
--- a/internal/afserve/server_test.go
+++ b/internal/afserve/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -147,28 +148,17 @@
 // TestOrderGetsItsOwnAnswer guards against an order or a status that is taken for done because the endpoint wrote an earlier
 // answer once more on a kept connection.
 func TestOrderGetsItsOwnAnswer(t *testing.T) {
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, rw, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		last := ""
-		for err == nil {
-			answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-			if r.Method == http.MethodPost {
-				answer = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
-			}
-			_, _ = conn.Write([]byte(last + answer))
-			last = answer
-			r, err = http.ReadRequest(rw.Reader)
-		}
-	}))
-	t.Cleanup(endpoint.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	statuses := map[string]int{http.MethodGet: 200, http.MethodPost: 409}
+	go afstandin.ServeRepeatedly(l, func(r *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 %d Answer\r\nContent-Length: 0\r\n\r\n", statuses[r.Method])
+	})
 	client := newEndpointClient()
 	for range 3 {
-		for method, status := range map[string]int{http.MethodGet: 200, http.MethodPost: 409} {
-			req, err := http.NewRequestWithContext(t.Context(), method, endpoint.URL, nil)
+		for method, status := range statuses {
+			req, err := http.NewRequestWithContext(t.Context(), method, "http://"+l.Addr().String(), nil)
 			require.NoError(t, err)
 			resp, err := client.Do(req)
 			require.NoError(t, err)
