--- a/internal/afkeeper/record.go
+++ b/internal/afkeeper/record.go
@@ -9,8 +9,9 @@
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
 
-// maxLeaseCount bounds the epoch and the number of renewals in a record of the lease, so that adding to them never overflows.
-const maxLeaseCount = 1 << 53
+// maxLeaseCount bounds the epoch and the number of renewals in a record of the lease, so that adding to them never overflows. It
+// is above the epochs of all eras but the last half.
+const maxLeaseCount = 1 << 62
 
 // decodeLease decodes the record of the lease. For a record that no holder can have written, it returns an error and a record
 // without a holder from which the next epoch follows: above the known epoch and above all earlier ones, since each epoch is a
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -80,6 +80,7 @@
 // removeExpiredEndpoints removes the endpoints whose entries were not written again after an outage and relays their
 // removal to the other VMs.
 func (n *Node) removeExpiredEndpoints() {
+	n.recheckDoubtful()
 	removed := n.roster.RemoveLapsedEntries()
 	if len(removed) == 0 {
 		return
@@ -108,44 +109,25 @@
 
 // newConfigFeed creates the feed of the configuration.
 func (n *Node) newConfigFeed() *affeed.Feed {
-	f, odd := n.newFeed(n.Platform.ConfigKind), make(oddObjects)
-	f.OnList = func(objects []afobject.Object, _ time.Duration) {
+	f := n.newFeed(n.Platform.ConfigKind)
+	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
 		for _, o := range objects {
-			n.applyConfig(o, odd)
+			n.applyConfig(o)
 		}
 	}
 	f.OnChange = func(e afobject.Event) {
 		if e.Type != afobject.Deleted {
-			n.applyConfig(e.Object, odd)
+			n.applyConfig(e.Object)
 		}
 	}
 	return f
 }
 
-// applyConfig puts the configuration of the object in force unless it is malformed or not newer than the one in force.
-func (n *Node) applyConfig(o afobject.Object, odd oddObjects) {
-	if o.Name != n.Platform.ConfigName {
-		return
-	}
-	t, err := n.Platform.DecodeTable(o.Spec)
-	if err != nil {
-		if odd.add(o) {
-			n.log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
-		}
-		return
+// applyConfig puts the configuration of the object in force if it is the one that this VM serves and newer.
+func (n *Node) applyConfig(o afobject.Object) {
+	if o.Name == n.Platform.ConfigName {
+		n.tables.Apply(o)
 	}
-	odd.remove(o.Name)
-	old := n.routeTable.Load()
-	if old != nil && t.Version <= old.Version {
-		if t.Version < old.Version {
-			n.log.Warn("older configuration ignored", "version", t.Version, "in_force", old.Version)
-		}
-		return
-	}
-	n.routeTable.Store(t)
-	n.log.Info("configuration in force", "version", t.Version, "object_version", o.Version, "routes", t.RouteCount(),
-		"services", len(t.Services()), "customers", len(t.Customers()))
-	n.requestRecheck()
 }
 
 // newEndpointFeed creates the feed of the endpoints' entries. It updates the roster and relays changes to the other VMs.
@@ -155,8 +137,8 @@
 	f.IsSuspended = n.keeper.ReceivesEndpoints
 	listedIDs, odd := make(map[string]bool), make(oddObjects)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
-	f.OnList = func(objects []afobject.Object, outage time.Duration) {
-		if outage > 0 {
+	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
+		if gap.MayLackEntries() {
 			recoveredAt = n.timer.Now()
 		}
 		seenIDs := make(map[string]bool, len(objects))
@@ -184,10 +166,10 @@
 		}
 		for id := range listedIDs {
 			if !seenIDs[id] {
-				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", outage, "missing", missingCount)
+				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
 				// An entry that another writer replaced is not one that the platform lost.
 				_, isOdd := odd[id]
-				isHeld := outage > 0 && missingCount >= minMissingToHold && !isOdd
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -240,6 +222,11 @@
 		return e, false, false
 	}
 	odd.remove(o.Name)
+	if n.roster.IsDoubtful(e) {
+		n.holdDoubtful(e)
+		return e, false, false
+	}
+	e = n.roster.WithDeparture(e)
 	isChanged = n.roster.PutEntry(e)
 	if isChanged {
 		n.logEndpoint(e, "platform")
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -99,7 +99,7 @@
 	// The holder's views show whether VMs came or went since this copy was read.
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
 	odd := make(oddObjects)
-	f.OnList = func(objects []afobject.Object, _ time.Duration) {
+	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
 		listed := make(map[string]bool, len(objects))
 		for _, o := range objects {
 			listed[o.Name] = true
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -51,10 +52,10 @@
 		return ids
 	}
 	change := func(o afobject.Object) { f.OnChange(afobject.Event{Type: afobject.Modified, Object: o}) }
-	f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 2, "x"), object("i-3", 3, "odd")}, 0)
+	f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 2, "x"), object("i-3", 3, "odd")}, affeed.Gap{})
 	require.Equal(t, []string{"i-1", "i-2"}, usable())
 	for range 3 {
-		f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 4, "odd"), object("i-3", 3, "odd")}, time.Second)
+		f.OnList([]afobject.Object{object("i-1", 1, "x"), object("i-2", 4, "odd"), object("i-3", 3, "odd")}, affeed.Gap{Outage: time.Second})
 		require.Equal(t, []string{"i-1"}, usable())
 	}
 	require.Equal(t, 2, strings.Count(logOutput.String(), "endpoint entry ignored"))
@@ -76,14 +77,14 @@
 	sound := func(vm string, version int64) afobject.Object {
 		return object(vm, version, `{"address":"127.0.0.1:7","start":`+strconv.FormatInt(n.self.StartID, 10)+`}`)
 	}
-	f.OnList([]afobject.Object{sound("a", 1), sound("b", 2)}, 0)
+	f.OnList([]afobject.Object{sound("a", 1), sound("b", 2)}, affeed.Gap{})
 	require.True(t, n.isOwnEntryListed())
 	objects := []afobject.Object{object("a", 8, `{"start":1e400}`), object("b", 9, strings.Repeat("[", 100_000))}
 	for i, odd := range []string{`{}`, `null`, `{"address":"127.0.0.1","start":1}`, `{"address":"127.0.0.1:70000","start":1}`, `{"address":"127.0.0.1:1","start":-1}`, `{"address":"0.0.0.0:1","start":1}`} {
 		objects = append(objects, object("odd-"+strconv.Itoa(i), 10, odd))
 	}
 	for range 3 {
-		f.OnList(objects, 0)
+		f.OnList(objects, affeed.Gap{})
 		require.Equal(t, 2, n.countListedVMs())
 	}
 	require.Equal(t, len(objects), strings.Count(logOutput.String(), "VM entry ignored"))
@@ -92,6 +93,6 @@
 	require.Len(t, n.vmList.writeRequests, 1, "this VM writes its entry again")
 	f.OnChange(afobject.Event{Type: afobject.Modified, Object: sound("a", 11)})
 	require.True(t, n.isOwnEntryListed())
-	f.OnList([]afobject.Object{sound("a", 11)}, 0)
+	f.OnList([]afobject.Object{sound("a", 11)}, affeed.Gap{})
 	require.Equal(t, 1, n.countListedVMs())
 }
