--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -53,7 +53,7 @@
 
 func (a attemptResult) isEndpointFault() bool {
 	return !a.isSinkError && !errors.Is(a.err, errDeadlineExceeded) && !errors.Is(a.err, context.Canceled) &&
-		a.StatusCode != http.StatusTooManyRequests
+		a.StatusCode != http.StatusTooManyRequests && !a.MayBeRepeated
 }
 
 // toRefusal returns the refusal for the caller if the call is not sent again.
@@ -141,6 +141,14 @@
 	a.RequestWritten = true
 	a.StatusCode = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
+	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun && tracker.isReused() && resp.Header.Get(RequestIDHeader) != c.ID {
+		a.MayBeRepeated = true
+		a.err = errors.Errorf("refused with status %d on a connection that was used before", resp.StatusCode)
+		// The response to this call may follow. A refusal on a new connection is certain.
+		tracker.closeConn()
+		s.transports.transportFor(l.Replica.Address).CloseIdleConnections()
+		return a
+	}
 	a.isDraining = isDrainingResponse(resp.StatusCode, resp.Header)
 	a.isModelMissing = a.NotRun && !a.isDraining && resp.StatusCode == http.StatusServiceUnavailable && l.request.Model != ""
 	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun {
@@ -186,7 +194,7 @@
 
 // relayStream writes the events of a stream to the sink as they arrive.
 func (s *Service) relayStream(a *attemptResult, resp *http.Response, body io.Reader, c Call, sink Sink, watchdog *watchdog) {
-	isResumed := c.IsResumable && resp.Header.Get(ResumeOffsetHeader) == strconv.Itoa(c.resumeOffset)
+	isResumed := c.IsResumable && resp.StatusCode == http.StatusOK && resp.Header.Get(ResumeOffsetHeader) == strconv.Itoa(c.resumeOffset)
 	if c.resumeOffset > 0 && !isResumed {
 		a.ResponseTruncated, a.err = true, errNotResumed
 		return
@@ -199,7 +207,10 @@
 		raw, data, err := events.readEvent()
 		if err != nil {
 			// The stream of an engine must end with [DONE]. Other streams end with the body.
-			if !errors.Is(err, io.EOF) || (c.IsResumable && !sawDone) {
+			if c.IsResumable && sawDone {
+				return
+			}
+			if !errors.Is(err, io.EOF) || c.IsResumable {
 				a.ResponseTruncated, a.err, a.isResumable = true, errors.Wrap(errTruncated, err.Error()), isResumed
 			}
 			return
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -146,7 +146,7 @@
 	f := n.newFeed(n.Platform.EndpointKind)
 	f.PollDelay = func() time.Duration { return endpointPollDelay }
 	f.IsSuspended = n.keeper.ReceivesEndpoints
-	listedIDs := make(map[string]bool)
+	listedIDs, odd := make(map[string]bool), make(oddObjects)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
 	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
 		if gap.MayLackEntries() {
@@ -155,7 +155,7 @@
 		seenIDs := make(map[string]bool, len(objects))
 		var changedEntries []afengine.EndpointEntry
 		for _, o := range objects {
-			e, isListed, isChanged := n.putEndpoint(o)
+			e, isListed, isChanged := n.putEndpoint(o, odd)
 			if isListed {
 				seenIDs[o.Name] = true
 			}
@@ -178,7 +178,9 @@
 		for id := range listedIDs {
 			if !seenIDs[id] {
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
-				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold
+				// An entry that another writer replaced is not one that the platform lost.
+				_, isOdd := odd[id]
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -197,12 +199,14 @@
 			entry               afengine.EndpointEntry
 			isListed, isChanged bool
 		)
-		if e.Type != afobject.Deleted {
-			entry, isListed, isChanged = n.putEndpoint(e.Object)
+		if e.Type == afobject.Deleted {
+			odd.remove(id)
+		} else {
+			entry, isListed, isChanged = n.putEndpoint(e.Object, odd)
 		}
 		if !isListed {
 			if listedIDs[id] {
-				isHeld := !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
+				isHeld := e.Type == afobject.Deleted && !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
 				n.log.Info("endpoint removed", "endpoint", id, "held", isHeld, "source", "platform")
 				n.roster.RemoveEntry(id, isHeld)
 				delete(listedIDs, id)
@@ -220,12 +224,15 @@
 
 // putEndpoint adds or updates the endpoint of an entry in the roster. It reports whether the entry describes an endpoint and
 // whether the endpoint changed in more than its counters.
-func (n *Node) putEndpoint(o afobject.Object) (e afengine.EndpointEntry, isListed, isChanged bool) {
+func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
 	if err != nil {
-		n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		if odd.add(o) {
+			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		}
 		return e, false, false
 	}
+	odd.remove(o.Name)
 	if n.roster.IsDoubtful(e) {
 		n.holdDoubtful(e)
 		return e, false, false
--- a/internal/afserve/server_test.go
+++ b/internal/afserve/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -143,3 +144,26 @@
 	_, err = net.Dial("tcp", d.settings.CallerAddress)
 	require.Error(t, err)
 }
+
+// TestOrderGetsItsOwnAnswer guards against an order or a status that is taken for done because the endpoint wrote an earlier
+// answer once more on a kept connection.
+func TestOrderGetsItsOwnAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	statuses := map[string]int{http.MethodGet: 200, http.MethodPost: 409}
+	go afstandin.ServeRepeatedly(l, func(r *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 %d Answer\r\nContent-Length: 0\r\n\r\n", statuses[r.Method])
+	})
+	client := newEndpointClient()
+	for range 3 {
+		for method, status := range statuses {
+			req, err := http.NewRequestWithContext(t.Context(), method, "http://"+l.Addr().String(), nil)
+			require.NoError(t, err)
+			resp, err := client.Do(req)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, status, resp.StatusCode, method)
+		}
+	}
+}
--- a/internal/aftable/service.go
+++ b/internal/aftable/service.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,8 @@
 	startedAt  time.Time
 	// nextPeer is the position of the heartbeat peer of the next comparison.
 	nextPeer int
+	// refusedVersions holds the version of the last refused object, or nothing.
+	refusedVersions []int64
 }
 
 // configuration is a configuration with its encoded form. It is immutable.
@@ -86,6 +89,13 @@
 func (s *Service) Apply(o afobject.Object) {
 	t, err := s.Decode(o.Spec)
 	if err != nil {
+		s.mu.Lock()
+		isLogged := slices.Contains(s.refusedVersions, o.Version)
+		s.refusedVersions = []int64{o.Version}
+		s.mu.Unlock()
+		if isLogged {
+			return // Every list contains the object.
+		}
 		s.Log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
 		return
 	}
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -78,10 +78,38 @@
 	Spec     json.RawMessage `json:"spec,omitempty"`
 }
 
-// wireList is the JSON form of a list in the default dialect.
+// wireList is the JSON form of a list in the default dialect, without its objects.
 type wireList struct {
 	Metadata wireMetadata `json:"metadata"`
-	Items    []wireObject `json:"items"`
+}
+
+// decodeListedObject decodes one object of a list or a watch, whose spec may be anything. If only the name and the kind can
+// be read, the object has no spec.
+func decodeListedObject(kind string, body []byte) (Object, error) {
+	members, err := SplitObject(body)
+	if err != nil {
+		return Object{}, err
+	}
+	var (
+		w       wireObject
+		kindErr error
+	)
+	if raw := members["kind"]; raw != nil {
+		kindErr = json.Unmarshal(raw, &w.Kind)
+	}
+	metadataErr := json.Unmarshal(members["metadata"], &w.Metadata)
+	w.Spec = bytes.Clone(members["spec"]) // The body is a buffer of the watch, or holds all objects of the list.
+	o, versionErr := w.toObject(kind)
+	if err := errors.Join(kindErr, metadataErr, versionErr); err != nil {
+		if o.Name == "" {
+			return Object{}, err
+		}
+		o.Spec = nil
+	}
+	if o.Version < 0 || o.Version > afversion.MaxRevision {
+		o.Version, o.Spec = 0, nil
+	}
+	return o, nil
 }
 
 // toObject converts the JSON form. The kind argument applies if the object does not state its kind.
@@ -179,25 +207,39 @@
 	if c.Dialect.DecodeListPage != nil {
 		return c.listPages(ctx, kind)
 	}
-	var w wireList
-	era, err := c.doCall(ctx, call{op: "list", method: http.MethodGet, kind: kind}, &w)
+	k := call{op: "list", method: http.MethodGet, kind: kind}
+	var body json.RawMessage
+	era, err := c.doCall(ctx, k, &body)
 	if err != nil {
 		return nil, 0, err
 	}
-	version, err := parseVersionInEra(era, w.Metadata.ResourceVersion)
+	members, err := SplitObject(body)
 	if err != nil {
-		return nil, 0, &Error{Op: "list", Object: kind, Kind: InvalidRequest, Err: err}
+		return nil, 0, k.lostAnswerError(err)
+	}
+	var w wireList
+	items, err := SplitArray(members["items"])
+	if err == nil && members["metadata"] != nil {
+		err = json.Unmarshal(members["metadata"], &w.Metadata)
+	}
+	version, versionErr := parseVersionInEra(era, w.Metadata.ResourceVersion)
+	if err != nil || versionErr != nil {
+		return nil, 0, k.newError(InvalidRequest, errors.Join(err, versionErr))
 	}
-	objects := make([]Object, 0, len(w.Items))
-	for _, item := range w.Items {
-		o, err := item.toObject(kind)
+	objects := make([]Object, 0, len(items))
+	for _, item := range items {
+		o, err := decodeListedObject(kind, item)
 		if err == nil {
 			o, err = withEra(o, era)
 		}
-		if err != nil {
-			return nil, 0, &Error{Op: "list", Object: kind + "/" + item.Metadata.Name, Kind: InvalidRequest, Err: err}
+		switch {
+		case err == nil:
+			objects = append(objects, o)
+		case kind != "":
+			// The object may be any of this kind, such as a VM that counts as gone if it is missing from the list.
+			return nil, 0, k.newError(InvalidRequest, err)
 		}
-		objects = append(objects, o)
+		// In the configuration, the others must not wait until an object without a readable name is repaired.
 	}
 	return objects, version, nil
 }
@@ -406,7 +448,9 @@
 	if err := k.checkAnswerEra(era); err != nil {
 		return era, err
 	}
-	if err == nil && out != nil {
+	if raw, ok := out.(*json.RawMessage); ok {
+		*raw = body // The caller decodes the parts.
+	} else if err == nil && out != nil {
 		err = json.Unmarshal(body, out)
 	}
 	if err != nil {
