afstandin: let the store stand-in go back to an earlier state

The platform's store may be away for a moment and come back from a copy some seconds old. Leases and other acknowledged writes since are gone, and their revisions are given out again. The stand-in of the users' platform could not do this.

Change: GoAway cuts all calls and waiting watches. ComeBack(age) serves the state that the store had before, with the revision counter of that time, and raises the era, which the header Store-Era carries in all answers. WriteAgain writes what the operator and the endpoints last wrote and removes what they removed; writes of theirs while the store is away wait for it. A watch from a revision above the current one is answered 410. RemoveObject of an object that does not exist no longer adds an event without a name.

The stand-in of 'arbutusfork serve' is unchanged.

--- a/internal/afstandin/afplatform/store.go
+++ b/internal/afstandin/afplatform/store.go
@@ -22,8 +22,14 @@
 	Revision int64  `json:"revision,omitempty"`
 }
 
-// Store is a stand-in of the platform's object store.
+// headerEra is in all answers of the store. Its value rises by one each time the store goes back to an earlier state.
+const headerEra = "Store-Era"
+
+// Store is a stand-in of the platform's object store. Set the exported field before the first use.
 type Store struct {
+	// Now returns the time. Nil means time.Now.
+	Now func() time.Time
+
 	mu       sync.Mutex
 	revision int64
 	objects  map[string]map[string]object // objects is by kind and name.
@@ -32,6 +38,14 @@
 	changed  chan struct{}
 	// LoseAnswers makes writes take effect without an answer, and Down refuses every call.
 	faults StoreFaults
+
+	era int64
+	// awaySince is when the store went away. It is zero while the store serves calls.
+	awaySince time.Time
+	// undos holds what each change since keptHistory replaced, by time.
+	undos []undo
+	// outside holds what the operator and the endpoints last wrote, by kind and name. A nil value is a removal.
+	outside map[string]map[string]json.RawMessage
 }
 
 type storedEvent struct {
@@ -43,7 +57,9 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]map[string]object{}, changed: make(chan struct{}), revision: 1}
+	return &Store{
+		objects: map[string]map[string]object{}, outside: map[string]map[string]json.RawMessage{}, changed: make(chan struct{}), revision: 1, era: 1,
+	}
 }
 
 // StoreFaults are switched while the store runs.
@@ -74,7 +90,8 @@
 	return s.objects[kind][name].Metadata.Revision
 }
 
-// PutObject writes an object as the operator or an endpoint does. Spec is a value or JSON text.
+// PutObject writes an object as the operator or an endpoint does. Spec is a value or JSON text. While the store is away the
+// write waits for WriteAgain.
 func (s *Store) PutObject(kind, name string, spec any) {
 	raw, _ := json.Marshal(spec)
 	if text, ok := spec.(string); ok {
@@ -82,18 +99,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store(kind, object{Metadata: metadata{Name: name}, Spec: raw}, false)
+	s.writeOutside(kind, name, raw)
 }
 
-// RemoveObject removes an object.
+// RemoveObject removes an object as the operator or an endpoint does. While the store is away the removal waits for
+// WriteAgain.
 func (s *Store) RemoveObject(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store(kind, s.objects[kind][name], true)
+	s.writeOutside(kind, name, nil)
 }
 
 // store is called with the lock held.
 func (s *Store) store(kind string, o object, removed bool) object {
+	s.recordUndo(kind, o.Metadata.Name)
 	s.revision++
 	o.Metadata.Revision = s.revision
 	if s.objects[kind] == nil {
@@ -113,7 +132,12 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down, lose := s.faults.Down, s.faults.LoseAnswers && r.Method != http.MethodGet
+	era, isAway := s.era, !s.awaySince.IsZero()
 	s.mu.Unlock()
+	if isAway {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -128,7 +152,7 @@
 	default:
 		status, body = s.one(r, kind, name)
 	}
-	if lose {
+	if lose || s.wasAwaySince(era) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -152,7 +176,11 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if since < s.oldest {
+		if !s.awaySince.IsZero() {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if since < s.oldest || since > s.revision {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
@@ -189,6 +217,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.awaySince.IsZero() {
+		panic(http.ErrAbortHandler)
+	}
 	old, found := s.objects[kind][name]
 	expected := in.Metadata.Revision
 	if v := r.URL.Query().Get("revision"); v != "" {
