afsoak: let the store go back, and judge drains and configurations

The soak could not show what the system does when the platform's store comes back from a copy some seconds old.

Change: the fault "store goes back" takes its random numbers from a source of its own. The store is away for up to 1.5 s and comes back up to 8 s older; the operator and the endpoints write again within 1.5 s. In half of the cases an extra endpoint, which the other faults never choose, drains before and is ready in the copy. The check CONFIG allows for the time until a withdrawal is written again. Two new checks: REVERT, no process uses an older configuration after a newer one, and DRAIN, no VM that must know that an endpoint drains sends it a new request.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -99,6 +99,11 @@
 	server    *http.Server
 	isRemoved bool
 	isCrashed bool
+	// isExtra means that only the fault that added the endpoint chooses it, so that the other faults of a seed stay as they
+	// were.
+	isExtra bool
+	// restartedAt is when the endpoint last started again, ready, after a crash.
+	restartedAt time.Time
 }
 
 // recordExecution stores a request that an endpoint executed and checks that the API key was not forwarded.
@@ -113,19 +118,28 @@
 
 // addEndpoint starts an endpoint and writes its entry to the store. The endpoint is an engine if models is not nil.
 func (f *fleet) addEndpoint(service string, models []string) error {
+	e, err := f.startEndpoint(service, models, false)
+	if err == nil {
+		e.WriteEntry("ready")
+	}
+	return err
+}
+
+// startEndpoint starts an endpoint that has no entry yet.
+func (f *fleet) startEndpoint(service string, models []string, isExtra bool) (*endpoint, error) {
 	f.mu.Lock()
 	f.lastEndpointNumber++
 	id := "i-" + strconv.Itoa(f.lastEndpointNumber)
 	f.mu.Unlock()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p, err := newProxy("127.0.0.1:0", l.Addr().String())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
+	e := &endpoint{proxy: p, isExtra: isExtra, Endpoint: &afplatform.Endpoint{
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
 		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
 	}}
@@ -135,20 +149,19 @@
 	}
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
-	e.WriteEntry("ready")
 	f.mu.Lock()
 	f.endpoints = append(f.endpoints, e)
 	f.mu.Unlock()
-	return nil
+	return e, nil
 }
 
-// liveEndpoints returns the endpoints of a service that were not removed.
+// liveEndpoints returns the endpoints of a service that were not removed, without extra ones.
 func (f *fleet) liveEndpoints(service string) []*endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var live []*endpoint
 	for _, e := range f.endpoints {
-		if e.Service == service && !e.isRemoved {
+		if e.Service == service && !e.isRemoved && !e.isExtra {
 			live = append(live, e)
 		}
 	}
@@ -195,6 +208,9 @@
 		if err := e.proxy.startListening(); err != nil {
 			f.reportViolation("SOAK", "endpoint %s not started again: %v", e.ID, err)
 		}
+		f.mu.Lock()
+		e.restartedAt = time.Now()
+		f.mu.Unlock()
 		e.Restart()
 	})
 }
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -60,6 +60,13 @@
 	limitRandom  *rand.Rand
 	limits       []limitPeriod
 	plannedStops []plannedStop
+	// backRandom chooses when and how the store goes back.
+	backRandom  *rand.Rand
+	goBacks     []goBack
+	isGoingBack bool
+	// keyToggles holds the times just before revokedKey was withdrawn or issued again, beginning with a withdrawal.
+	keyToggles []time.Time
+	drains     []drain
 }
 
 // period is a period of time. A zero endedAt means that the period has not ended.
@@ -95,6 +102,7 @@
 	s.fleet = f
 	defer f.close()
 	s.limitRandom = rand.New(rand.NewPCG(s.Seed, 4))
+	s.backRandom = rand.New(rand.NewPCG(s.Seed, 5))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -114,6 +122,9 @@
 		if s.limitRandom.IntN(5) == 0 {
 			s.limitEndpoint()
 		}
+		if s.backRandom.IntN(5) == 0 {
+			s.sendStoreBack()
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.recoveries.Wait()
@@ -276,7 +287,7 @@
 		s.fleet.killEndpoint(replaced)
 		return
 	}
-	replaced.WriteEntry("draining")
+	s.drainEndpoint(replaced)
 	s.scheduleRecovery(3*time.Second, 4*time.Second, func() { s.fleet.killEndpoint(replaced) })
 }
 
@@ -310,6 +321,9 @@
 		f.customerByKey[revokedKey] = "two"
 	}
 	f.mu.Unlock()
+	s.mu.Lock()
+	s.keyToggles = append(s.keyToggles, time.Now())
+	s.mu.Unlock()
 	f.writeConfig()
 	s.logEvent("key in force: %v", !wasInForce)
 	now := time.Now()
