spec: check the placement lease while the store goes back

spec/order.pml describes the write-ahead shard records of 'arbutusfork serve': that a held model is decided in the record cannot hold if the store loses what it acknowledged. So the lease of the users' platform gets a specification of its own, in which two or three owners share the record, the store goes back to an earlier revision and raises its era, and an endpoint does not check fences.

Properties: a fence is used by one holder only, and no endpoint sees a lower fence after a higher one. The fence is a pair of era and counter, an owner takes a record of an older era anew, and it waits until all rights to use the lease have ended that exist then.

Finding: the counter must not come from the record. The store compares bare revisions, so that a write with a copy of an older era takes effect if the revision was given out again. It then replaces a record of the new era, with its counter. In the counterexample owner 1 uses (2, 2), owner 0 overwrites the record with (1, 0), and owner 1 then takes (2, 1). The specification takes the revision that the take replaces as the counter; NO_REVISION is the mutant.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 bash check-order.sh
+bash check-lease.sh
 if [ -f check-share.sh ]; then
 	bash check-share.sh
 fi
