afsoak: do not count orders right after a freeze or cut as turns

The platform's rules forbid two VMs to order one engine in turns within the lease time, and do not count orders that arrive within 300 ms after a freeze or cut of their sender ended: a frozen process may have decided on them before. The check counted them.

Change: such orders are left out of the check of turns only. They still count for epochs, which must have one holder and never decrease.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -64,6 +64,8 @@
 	faultFreeSince time.Time
 	// faultAt is when the last fault was injected into the VM.
 	faultAt time.Time
+	// delayEnds holds when a freeze of the process or a fault of its connections to the store ended.
+	delayEnds []time.Time
 	// startCount is the number of processes that were started for the VM.
 	startCount int
 	// isStopping is set when a planned stop is attempted and cleared when the next process starts.
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -171,8 +171,7 @@
 		v.setFaulty(true)
 		v.signalProcess(syscall.SIGSTOP)
 		s.scheduleRecovery(300*time.Millisecond, 4*time.Second, func() {
-			v.signalProcess(syscall.SIGCONT)
-			v.setFaulty(false)
+			v.endDelay(func() { v.signalProcess(syscall.SIGCONT) })
 		})
 	case 4:
 		s.logEvent("reload %s", v.name)
@@ -183,8 +182,7 @@
 		v.setFaulty(true)
 		v.platformProxy.setFault(fault)
 		s.scheduleRecovery(time.Second, 5*time.Second, func() {
-			v.platformProxy.setFault(NoFault)
-			v.setFaulty(false)
+			v.endDelay(func() { v.platformProxy.setFault(NoFault) })
 		})
 	case 7:
 		e := s.pickEndpoint(s.random.IntN(2) == 0)
