afsoak: choose copies from before a change of the lease's holder

A store that goes back matters most when the copy is older than the last change of the lease's holder.

Change: in half of the cases the copy is up to 0.5 s older than the last change of the holder, if that is less than 8 s ago. The lease time of a run is a setting (--lease) instead of a constant, so that runs with the 3 s of the platform need no change of code; it stays at 1.5 s by default.

--- a/cmd/arbutusfork-soak/main.go
+++ b/cmd/arbutusfork-soak/main.go
@@ -24,13 +24,14 @@
 	duration := app.Flag("length", "Time during which faults are injected.").Default("15s").Duration()
 	vms := app.Flag("vms", "Number of VMs.").Default("4").Int()
 	callers := app.Flag("callers", "Number of callers.").Default("12").Int()
+	lease := app.Flag("lease", "Time within which an engine must not get orders from two VMs.").Default("1.5s").Duration()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	failedRuns := 0
 	for runSeed := *seed; runSeed < *seed+*runs && ctx.Err() == nil; runSeed++ {
 		run := afsoak.Soak{
-			Ctx: ctx, DaemonPath: *program, OutputDir: filepath.Join(*dir, strconv.FormatUint(runSeed, 10)), Seed: runSeed, Duration: *duration, VMCount: *vms, CallerCount: *callers,
+			Ctx: ctx, DaemonPath: *program, OutputDir: filepath.Join(*dir, strconv.FormatUint(runSeed, 10)), Seed: runSeed, Duration: *duration, VMCount: *vms, CallerCount: *callers, LeaseDuration: *lease,
 			Output: os.Stdout,
 		}
 		violations, err := run.Run()
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -20,7 +20,6 @@
 	engineMemoryMB     = 150.0 // engineMemoryMB fits two models.
 	modelLoadTime      = 300 * time.Millisecond
 	gracePeriod        = 5 * time.Second
-	leaseDuration      = 1500 * time.Millisecond
 	streamEventCount   = 12
 	streamEventDelay   = 40 * time.Millisecond
 	plainResponseDelay = 15 * time.Millisecond
@@ -75,6 +74,7 @@
 // fleet is the system under test: the platform's store, the endpoints and the VMs.
 type fleet struct {
 	daemonPath, outputDir string
+	leaseDuration         time.Duration
 	store                 *afplatform.Store
 	storeAddress          string
 	storeServer           *http.Server
@@ -263,7 +263,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: leaseDuration}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -355,9 +355,9 @@
 }
 
 // newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
-func newFleet(daemonPath, outputDir string, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: leaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/afsoak/goback.go
+++ b/internal/afsoak/goback.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -13,6 +14,8 @@
 const (
 	// maxCopyAge bounds how far the store goes back, and maxAwayTime how long it is away before.
 	maxCopyAge, maxAwayTime = 8 * time.Second, 1500 * time.Millisecond
+	// maxEarlierTime is how much older than the last change of the lease's holder a copy is that is chosen for it.
+	maxEarlierTime = 500 * time.Millisecond
 	// maxRewriteDelay is the time within which the operator and the endpoints write again what the store lost.
 	maxRewriteDelay = 1500 * time.Millisecond
 	// extraReadyTime is how long the extra endpoint serves before it drains, and maxDrainLead bounds the time from then until the
@@ -29,8 +32,9 @@
 	startedAt time.Time
 }
 
-// sendStoreBack makes the store go away and come back from an older copy. In half of the cases an endpoint that drains since
-// before is ready in the copy. Only one such fault runs at a time.
+// sendStoreBack makes the store go away and come back from an older copy. In half of the cases the copy is just older than the
+// last change of the lease's holder, if it changed lately, and in half of them an endpoint that drains since before is ready
+// in the copy. Only one such fault runs at a time.
 func (s *Soak) sendStoreBack() {
 	random := s.backRandom
 	between := func(low, high time.Duration) time.Duration {
@@ -39,6 +43,7 @@
 	age, away := between(200*time.Millisecond, maxCopyAge), between(50*time.Millisecond, maxAwayTime)
 	delays := map[string]time.Duration{"config": between(0, maxRewriteDelay), afplatform.KindEndpoints: between(0, maxRewriteDelay)}
 	hasExtra, isEngine, lead, model := random.IntN(2) == 0, random.IntN(2) == 0, between(time.Second, maxDrainLead), modelNames[random.IntN(len(modelNames))]
+	losesHolder, earlier := random.IntN(2) == 0, between(0, maxEarlierTime)
 	s.mu.Lock()
 	isGoingBack := s.isGoingBack
 	s.isGoingBack = true
@@ -58,6 +63,9 @@
 				}()
 			}
 		}
+		if changed, ok := s.holderAge(); ok && losesHolder {
+			age = changed + earlier
+		}
 		s.goBack(age, away, delays)
 		s.mu.Lock()
 		s.isGoingBack = false
@@ -65,6 +73,22 @@
 	})
 }
 
+// holderAge returns how long ago the lease got its holder, if that is within maxCopyAge.
+func (s *Soak) holderAge() (age time.Duration, ok bool) {
+	holder := ""
+	age, ok = s.fleet.store.AgeOf("leases", "placement", func(spec json.RawMessage) bool {
+		var lease struct{ Holder string }
+		if json.Unmarshal(spec, &lease) != nil {
+			return false
+		}
+		if holder == "" {
+			holder = lease.Holder // What the latest write replaced.
+		}
+		return lease.Holder != holder
+	})
+	return age, ok && age < maxCopyAge
+}
+
 // goBack makes the store go away for a while and come back from a copy of an age. What is written from outside the system is
 // written again after the delays, by kind.
 func (s *Soak) goBack(age, away time.Duration, delays map[string]time.Duration) {
--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -133,7 +133,7 @@
 }
 
 // checkOrders checks the placement orders that each engine received: memory is never overcommitted, each epoch has one
-// holder, epochs never decrease, and at least leaseDuration passes between the orders of holders on different VMs that count
+// holder, epochs never decrease, and at least LeaseDuration passes between the orders of holders on different VMs that count
 // as turns.
 func (s *Soak) checkOrders() {
 	holderByEpoch := map[int64]string{}
@@ -161,7 +161,7 @@
 				delayedCount++
 				continue
 			}
-			if turn.Holder != "" && vmOfHolder(o.Holder) != vmOfHolder(turn.Holder) && o.At.Sub(turn.At) < leaseDuration {
+			if turn.Holder != "" && vmOfHolder(o.Holder) != vmOfHolder(turn.Holder) && o.At.Sub(turn.At) < s.LeaseDuration {
 				s.reportViolation("ONE", "engine %s: %s ordered %v after %s", e.ID, o.Holder, o.At.Sub(turn.At), turn.Holder)
 			}
 			turn = o
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -45,7 +45,9 @@
 	Duration    time.Duration
 	VMCount     int
 	CallerCount int
-	Output      io.Writer
+	// LeaseDuration is the time within which an engine must not get orders from two VMs.
+	LeaseDuration time.Duration
+	Output        io.Writer
 
 	mu         sync.Mutex
 	violations []string
@@ -95,7 +97,7 @@
 	}
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.endlessRandom = rand.New(rand.NewPCG(s.Seed, 2))
-	f, err := newFleet(s.DaemonPath, s.OutputDir, s.Seed, s.VMCount, 3, 2, s.reportViolation)
+	f, err := newFleet(s.DaemonPath, s.OutputDir, s.LeaseDuration, s.Seed, s.VMCount, 3, 2, s.reportViolation)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/afstandin/afplatform/goback.go
+++ b/internal/afstandin/afplatform/goback.go
@@ -66,6 +66,18 @@
 	s.awaySince = time.Time{}
 }
 
+// AgeOf returns how long ago an object last had a content that the function accepts, at most keptHistory.
+func (s *Store) AgeOf(kind, name string, accepts func(spec json.RawMessage) bool) (age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range slices.Backward(s.undos) {
+		if u.kind == kind && u.name == name && u.existed && accepts(u.before.Spec) {
+			return s.now().Sub(u.at), true
+		}
+	}
+	return 0, false
+}
+
 // wasAwaySince reports whether the store is away or has been since it had the era.
 func (s *Store) wasAwaySince(era int64) bool {
 	s.mu.Lock()
--- a/internal/afstandin/afplatform/goback_test.go
+++ b/internal/afstandin/afplatform/goback_test.go
@@ -49,6 +49,9 @@
 		watch <- status
 	}()
 	now = now.Add(time.Second)
+	age, found := s.AgeOf("leases", "placement", func(spec json.RawMessage) bool { return string(spec) == `{"epoch":1}` })
+	require.True(t, found)
+	require.Equal(t, time.Second, age)
 	s.GoAway()
 	require.Zero(t, <-watch, "a waiting watch is cut")
 	status, _, _ = call("GET", "leases/placement", "")
