--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -20,7 +20,6 @@
 	engineMemoryMB     = 150.0 // engineMemoryMB fits two models.
 	modelLoadTime      = 300 * time.Millisecond
 	gracePeriod        = 5 * time.Second
-	leaseDuration      = 1500 * time.Millisecond
 	streamEventCount   = 12
 	streamEventDelay   = 40 * time.Millisecond
 	plainResponseDelay = 15 * time.Millisecond
@@ -64,6 +63,8 @@
 	faultFreeSince time.Time
 	// faultAt is when the last fault was injected into the VM.
 	faultAt time.Time
+	// delayEnds holds when a freeze of the process or a fault of its connections to the store ended.
+	delayEnds []time.Time
 	// startCount is the number of processes that were started for the VM.
 	startCount int
 	// isStopping is set when a planned stop is attempted and cleared when the next process starts.
@@ -73,6 +74,7 @@
 // fleet is the system under test: the platform's store, the endpoints and the VMs.
 type fleet struct {
 	daemonPath, outputDir string
+	leaseDuration         time.Duration
 	store                 *afplatform.Store
 	storeAddress          string
 	storeServer           *http.Server
@@ -99,6 +101,11 @@
 	server    *http.Server
 	isRemoved bool
 	isCrashed bool
+	// isExtra means that only the fault that added the endpoint chooses it, so that the other faults of a seed stay as they
+	// were.
+	isExtra bool
+	// restartedAt is when the endpoint last started again, ready, after a crash.
+	restartedAt time.Time
 }
 
 // recordExecution stores a request that an endpoint executed and checks that the API key was not forwarded.
@@ -113,19 +120,28 @@
 
 // addEndpoint starts an endpoint and writes its entry to the store. The endpoint is an engine if models is not nil.
 func (f *fleet) addEndpoint(service string, models []string) error {
+	e, err := f.startEndpoint(service, models, false)
+	if err == nil {
+		e.WriteEntry("ready")
+	}
+	return err
+}
+
+// startEndpoint starts an endpoint that has no entry yet.
+func (f *fleet) startEndpoint(service string, models []string, isExtra bool) (*endpoint, error) {
 	f.mu.Lock()
 	f.lastEndpointNumber++
 	id := "i-" + strconv.Itoa(f.lastEndpointNumber)
 	f.mu.Unlock()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p, err := newProxy("127.0.0.1:0", l.Addr().String())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
+	e := &endpoint{proxy: p, isExtra: isExtra, Endpoint: &afplatform.Endpoint{
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
 		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
 	}}
@@ -135,20 +151,19 @@
 	}
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
-	e.WriteEntry("ready")
 	f.mu.Lock()
 	f.endpoints = append(f.endpoints, e)
 	f.mu.Unlock()
-	return nil
+	return e, nil
 }
 
-// liveEndpoints returns the endpoints of a service that were not removed.
+// liveEndpoints returns the endpoints of a service that were not removed, without extra ones.
 func (f *fleet) liveEndpoints(service string) []*endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var live []*endpoint
 	for _, e := range f.endpoints {
-		if e.Service == service && !e.isRemoved {
+		if e.Service == service && !e.isRemoved && !e.isExtra {
 			live = append(live, e)
 		}
 	}
@@ -195,6 +210,9 @@
 		if err := e.proxy.startListening(); err != nil {
 			f.reportViolation("SOAK", "endpoint %s not started again: %v", e.ID, err)
 		}
+		f.mu.Lock()
+		e.restartedAt = time.Now()
+		f.mu.Unlock()
 		e.Restart()
 	})
 }
@@ -245,7 +263,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: leaseDuration}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -337,9 +355,9 @@
 }
 
 // newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
-func newFleet(daemonPath, outputDir string, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: leaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -45,7 +45,9 @@
 	Duration    time.Duration
 	VMCount     int
 	CallerCount int
-	Output      io.Writer
+	// LeaseDuration is the time within which an engine must not get orders from two VMs.
+	LeaseDuration time.Duration
+	Output        io.Writer
 
 	mu         sync.Mutex
 	violations []string
@@ -60,6 +62,13 @@
 	limitRandom  *rand.Rand
 	limits       []limitPeriod
 	plannedStops []plannedStop
+	// backRandom chooses when and how the store goes back.
+	backRandom  *rand.Rand
+	goBacks     []goBack
+	isGoingBack bool
+	// keyToggles holds the times just before revokedKey was withdrawn or issued again, beginning with a withdrawal.
+	keyToggles []time.Time
+	drains     []drain
 }
 
 // period is a period of time. A zero endedAt means that the period has not ended.
@@ -88,13 +97,14 @@
 	}
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.endlessRandom = rand.New(rand.NewPCG(s.Seed, 2))
-	f, err := newFleet(s.DaemonPath, s.OutputDir, s.Seed, s.VMCount, 3, 2, s.reportViolation)
+	f, err := newFleet(s.DaemonPath, s.OutputDir, s.LeaseDuration, s.Seed, s.VMCount, 3, 2, s.reportViolation)
 	if err != nil {
 		return nil, err
 	}
 	s.fleet = f
 	defer f.close()
 	s.limitRandom = rand.New(rand.NewPCG(s.Seed, 4))
+	s.backRandom = rand.New(rand.NewPCG(s.Seed, 5))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -114,6 +124,9 @@
 		if s.limitRandom.IntN(5) == 0 {
 			s.limitEndpoint()
 		}
+		if s.backRandom.IntN(5) == 0 {
+			s.sendStoreBack()
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.recoveries.Wait()
@@ -160,8 +173,7 @@
 		v.setFaulty(true)
 		v.signalProcess(syscall.SIGSTOP)
 		s.scheduleRecovery(300*time.Millisecond, 4*time.Second, func() {
-			v.signalProcess(syscall.SIGCONT)
-			v.setFaulty(false)
+			v.endDelay(func() { v.signalProcess(syscall.SIGCONT) })
 		})
 	case 4:
 		s.logEvent("reload %s", v.name)
@@ -172,8 +184,7 @@
 		v.setFaulty(true)
 		v.platformProxy.setFault(fault)
 		s.scheduleRecovery(time.Second, 5*time.Second, func() {
-			v.platformProxy.setFault(NoFault)
-			v.setFaulty(false)
+			v.endDelay(func() { v.platformProxy.setFault(NoFault) })
 		})
 	case 7:
 		e := s.pickEndpoint(s.random.IntN(2) == 0)
@@ -276,7 +287,7 @@
 		s.fleet.killEndpoint(replaced)
 		return
 	}
-	replaced.WriteEntry("draining")
+	s.drainEndpoint(replaced)
 	s.scheduleRecovery(3*time.Second, 4*time.Second, func() { s.fleet.killEndpoint(replaced) })
 }
 
@@ -310,6 +321,9 @@
 		f.customerByKey[revokedKey] = "two"
 	}
 	f.mu.Unlock()
+	s.mu.Lock()
+	s.keyToggles = append(s.keyToggles, time.Now())
+	s.mu.Unlock()
 	f.writeConfig()
 	s.logEvent("key in force: %v", !wasInForce)
 	now := time.Now()
