afnotice, affact: send nothing more to endpoints that say they leave

An endpoint that leaves says so with Server-Leaving: 1 in all its answers. The daemon read only the state in the endpoint's entry, so that callers' requests went on to it until the entry changed and, while a VM was cut off from the store, until it ended.

What an endpoint says about itself is now a statement of each answer, report and answer to an order, read in platform/. pkg/afnotice decides what follows from it and internal/affact spreads it to the heartbeat peers; every 0.4 s a VM compares a digest with one of them, so that a restarted VM and one that is no other VM's heartbeat peer learn it too. An endpoint that leaves counts as draining whatever its entry says, by its ID and start, so that the notice ends with another start or another ID. The gateway checks again directly before it sends. The holder orders nothing there, also not what was planned before, and no longer counts the models of draining engines as loaded, which kept models that only they held without the priority and the expected time of a model that no engine holds. A server error is repeated elsewhere if any other endpoint is usable; the endpoint that answered no longer has to be one of two.

TestLeavingEngineHoldsNoReplica failed with the state of the entry, with the models of draining engines counted, and without the check before an order. TestNoticesReachAllVMs failed with comparisons only of VMs that know something, as afslot makes them: one of 379 VMs learnt nothing.

--- /dev/null
+++ b/internal/affact/service.go
@@ -0,0 +1,185 @@
+// Package affact shares between the VMs what endpoints say about themselves in their answers (package afnotice says what that is
+// and what follows from it). What one VM hears spreads to the others over the heartbeat peers, and VMs compare digests, so that
+// a VM that has restarted or was unreachable learns what it missed. Neither needs the platform.
+package affact
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afnotice"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+const (
+	// spreadInterval is the time between two messages with new notices to a VM. News take three or four such steps through a fleet
+	// of 380 VMs, which should know them within a second.
+	spreadInterval = 100 * time.Millisecond
+	// compareInterval is the time between two comparisons of digests with some VM. A VM that has restarted or was cut off learns by
+	// comparisons alone what it missed, and so does one that is no other VM's heartbeat peer, of which a fleet of 380 VMs has one
+	// now and then. Together with the news it must learn it within a second.
+	compareInterval = 400 * time.Millisecond
+)
+
+// Service holds the notices on one VM. Set the exported fields before the first call.
+type Service struct {
+	// Self is the name of this VM.
+	Self  string
+	Timer *aftimer.Service
+	Log   *slog.Logger
+	// HeartbeatPeers returns the VMs to which new notices are sent.
+	HeartbeatPeers func() []arbutusfork.VM
+	// SendToVM sends a message to a VM. It must not block.
+	SendToVM func(vm, kind string, message any) error
+	// IsListed reports whether an endpoint is known to exist.
+	IsListed func(e afengine.EndpointStart) bool
+	// OnChange is called when requests and placement should be checked again. It must not block.
+	OnChange func()
+	// Metrics counts notices and messages. The zero value counts nothing.
+	Metrics Metrics
+
+	view atomic.Pointer[afnotice.View]
+
+	// mu serializes changes of the view and guards the fields below.
+	mu sync.Mutex
+	// pending holds the notices that were not sent to the heartbeat peers yet.
+	pending map[afnotice.Key]afnotice.Notice
+	// nextPeer is the position of the heartbeat peer of the next comparison.
+	nextPeer int
+}
+
+// Metrics counts what the service learns and sends.
+type Metrics struct {
+	notices  *prometheus.CounterVec
+	messages prometheus.Counter
+}
+
+// NewMetrics registers the metrics and returns them.
+func NewMetrics(r prometheus.Registerer) Metrics {
+	f := promauto.With(r)
+	return Metrics{
+		notices: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_fact_notices_total", Help: "Things that endpoints said about themselves, heard by this VM or learnt from others, by kind.",
+		}, []string{"kind"}),
+		messages: f.NewCounter(prometheus.CounterOpts{
+			Name: "arbutusfork_fact_messages_total", Help: "Messages with notices or digests to other VMs.",
+		}),
+	}
+}
+
+// RegisterGauges registers the metrics whose values are read at each collection.
+func (s *Service) RegisterGauges(r prometheus.Registerer) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "arbutusfork_fact_leaving", Help: "Endpoints that said that they leave, as far as this VM knows.",
+	}, func() float64 { return float64(s.View().Count(afnotice.Leaving)) }))
+}
+
+// Run compares the notices with other VMs until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	comparisons := s.Timer.CallEvery(compareInterval, s.compareWithPeer)
+	defer comparisons.Stop()
+	<-ctx.Done()
+}
+
+// View returns the known notices.
+func (s *Service) View() afnotice.View {
+	if v := s.view.Load(); v != nil {
+		return *v
+	}
+	return afnotice.View{}
+}
+
+// IsLeaving reports whether an endpoint said that it leaves.
+func (s *Service) IsLeaving(e afengine.EndpointStart) bool {
+	v := s.view.Load()
+	return v != nil && v.IsLeaving(e)
+}
+
+// Record records what an endpoint said about itself in an answer to this VM.
+func (s *Service) Record(e afengine.EndpointStart, said afnotice.Statement) {
+	if !said.IsEmpty() {
+		s.learn(said.Notices(e, s.Self, s.Timer.Now()))
+	}
+}
+
+// learn adds notices, and schedules the sending of those that are new.
+func (s *Service) learn(heard map[afnotice.Key]afnotice.Notice) {
+	s.mu.Lock()
+	now := s.Timer.Now()
+	view, news := s.View().WithNotices(heard, now, s.IsListed)
+	if len(news) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	s.view.Store(&view)
+	if len(s.pending) == 0 {
+		s.pending = make(map[afnotice.Key]afnotice.Notice, len(news))
+		s.Timer.CallAfter(spreadInterval, s.spread)
+	}
+	for k, n := range news {
+		s.pending[k] = n
+		s.Metrics.countNotice(k.Kind)
+		s.Log.Info("endpoint notice", "kind", k.Kind.String(), "endpoint", k.Endpoint, "born", k.StartUnixMs, "heard_by", n.HeardBy, "age", now.Sub(n.HeardAt))
+	}
+	s.mu.Unlock()
+	if s.OnChange != nil {
+		s.OnChange()
+	}
+}
+
+func (m Metrics) countNotice(k afnotice.Kind) {
+	if m.notices != nil {
+		m.notices.WithLabelValues(k.String()).Inc()
+	}
+}
+
+// spread sends the new notices to the heartbeat peers.
+func (s *Service) spread(now time.Time) {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	message := encodeNotices(pending, now)
+	for _, vm := range s.HeartbeatPeers() {
+		s.send(vm.Name, KindNotices, message)
+	}
+}
+
+// compareWithPeer drops what has ended and sends a digest of the known notices to the next heartbeat peer, which answers with what
+// it knows if its own digest is another one.
+func (s *Service) compareWithPeer(now time.Time) {
+	s.mu.Lock()
+	view := s.View().WithoutEnded(now, s.IsListed)
+	s.view.Store(&view)
+	s.nextPeer++
+	next := s.nextPeer
+	s.mu.Unlock()
+	if peers := s.HeartbeatPeers(); len(peers) > 0 {
+		s.send(peers[next%len(peers)].Name, KindDigest, digestMessage{Digest: view.Digest()})
+	}
+}
+
+// sendAll sends all known notices to a VM.
+func (s *Service) sendAll(vm string, wantsReply bool) {
+	known := encodeNotices(s.View().Notices(), s.Timer.Now())
+	known.WantsReply = wantsReply
+	s.send(vm, KindNotices, known)
+}
+
+// send sends a message to a VM. A message that is lost is made up for by the next comparison.
+func (s *Service) send(vm, kind string, message any) {
+	if s.Metrics.messages != nil {
+		s.Metrics.messages.Inc()
+	}
+	if err := s.SendToVM(vm, kind, message); err != nil {
+		s.Log.Debug("endpoint notices not sent", "to", vm, "kind", kind, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/affact/service_test.go
@@ -0,0 +1,118 @@
+package affact
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afnotice"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// fleet is a set of services that exchange messages without a network.
+type fleet struct {
+	timer    *aftimer.Service
+	now      time.Time
+	vms      []arbutusfork.VM
+	services map[string]*Service
+	isDown   map[string]bool
+	// messages and bytes count what all VMs sent.
+	messages, bytes int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{timer: &aftimer.Service{}, now: time.Unix(1000, 0), services: map[string]*Service{}, isDown: map[string]bool{}}
+	f.timer.AdvanceTo(f.now)
+	for i := range n {
+		f.vms = append(f.vms, arbutusfork.VM{Name: fmt.Sprintf("front-z1-%03d", i)})
+	}
+	for i := range n {
+		f.restart(i)
+	}
+	return f
+}
+
+// restart begins another run of a VM's service.
+func (f *fleet) restart(i int) {
+	vm := f.vms[i]
+	peers := afmember.NewView(vm).WithList(f.vms).HeartbeatPeers()
+	s := &Service{
+		Self: vm.Name, Timer: f.timer, Log: slog.New(slog.DiscardHandler), HeartbeatPeers: func() []arbutusfork.VM { return peers },
+		SendToVM: func(to, kind string, message any) error { return f.send(vm.Name, to, kind, message) },
+	}
+	f.services[vm.Name] = s
+	f.timer.CallEvery(compareInterval, func(now time.Time) {
+		if f.services[vm.Name] == s {
+			s.compareWithPeer(now)
+		}
+	})
+}
+
+// send delivers a message after some milliseconds, unless one of both VMs is down.
+func (f *fleet) send(from, to, kind string, message any) error {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return err
+	}
+	f.messages++
+	f.bytes += len(body)
+	if f.isDown[from] || f.isDown[to] {
+		return nil
+	}
+	f.timer.CallAfter(3*time.Millisecond, func(time.Time) {
+		handle := f.services[to].HandleNotices
+		if kind == KindDigest {
+			handle = f.services[to].HandleDigest
+		}
+		_, _ = handle(arbutusfork.Incarnation{VM: from}, body) // The messages are well formed.
+	})
+	return nil
+}
+
+func (f *fleet) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.timer.AdvanceTo(f.now)
+	}
+}
+
+// countKnowing returns the number of VMs that know that an endpoint leaves.
+func (f *fleet) countKnowing(e afengine.EndpointStart) int {
+	n := 0
+	for _, s := range f.services {
+		if s.IsLeaving(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against VMs that learn a notice late, also after they have restarted or were cut off, and against messages without end.
+func TestNoticesReachAllVMs(t *testing.T) {
+	for _, vms := range []int{6, 380} {
+		f := newFleet(vms)
+		e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+		f.isDown[f.vms[3].Name] = true
+		f.services[f.vms[0].Name].Record(e, afnotice.Statement{IsLeaving: true})
+		f.advance(time.Second)
+		require.Equal(t, vms-1, f.countKnowing(e))
+		f.isDown[f.vms[3].Name] = false
+		f.advance(time.Second)
+		require.Equal(t, vms, f.countKnowing(e), "a VM was cut off")
+		for i := range 6 {
+			f.restart(i)
+			f.advance(time.Second)
+			require.Equal(t, vms, f.countKnowing(e), "%s has restarted", f.vms[i].Name)
+		}
+		f.messages = 0
+		f.advance(10 * time.Second)
+		require.LessOrEqual(t, f.messages, vms*int(10*time.Second/compareInterval), "messages of VMs that know the same")
+	}
+}
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -78,6 +78,11 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
+		// The endpoint may have said during the waits above that it leaves.
+		if !s.isServing(endpoint.Endpoint) {
+			endpoint.request.End(afroster.HealthUnaffected)
+			continue
+		}
 		if p.attempts > 0 && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
@@ -114,7 +119,7 @@
 			}
 			p.timedOutEndpoints[endpoint.ID] = true
 		}
-		if result.notRun {
+		if result.notRun && s.isServing(endpoint.Endpoint) {
 			s.Timer.Sleep(ctx, rejectedRetryDelay)
 		}
 	}
--- a/internal/afgateway/quarantine.go
+++ b/internal/afgateway/quarantine.go
@@ -5,7 +5,6 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
-	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afquarantine"
 )
 
@@ -51,6 +50,5 @@
 // isServing reports whether the endpoint is listed, has not restarted and does not drain. An endpoint that drains ends
 // without a crash.
 func (s *Server) isServing(endpoint afroster.Endpoint) bool {
-	entry, ok := s.Roster.Entry(endpoint.ID)
-	return ok && entry.State == afengine.StateReady && entry.StartUnixMs == endpoint.StartUnixMs
+	return s.Roster.IsServing(endpoint.Start())
 }
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,6 +60,7 @@
 	}
 	defer ex.close()
 	headers := s.HeaderCodec.ParseResponse(ex.response.StatusCode, ex.response.Header)
+	s.recordStatement(endpoint.Endpoint, headers.Said)
 	if headers.RequestID != "" && headers.RequestID != p.headers.RequestID {
 		endpoint.request.End(afroster.HealthFailure)
 		return attemptResult{cause: "answer to another request"}
@@ -116,7 +118,7 @@
 	isServerError := status >= http.StatusInternalServerError
 	endpoint.request.End(healthResult(!isServerError))
 	response := bufferedResponse{status, ex.response.Header, body}
-	if isServerError && p.mayRetryServerError() {
+	if isServerError && p.mayRetryServerError(endpoint.ID) {
 		p.endpointError = &response
 		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status)}
 	}
@@ -217,11 +219,11 @@
 	p.w.WriteHeader(status)
 }
 
-// mayRetryServerError reports whether a request may be retried after a response with a server error. The retry budget
+// mayRetryServerError reports whether a request may be retried after an endpoint's response with a server error. The retry budget
 // is checked later, at the retry itself.
-func (p *proxiedRequest) mayRetryServerError() bool {
+func (p *proxiedRequest) mayRetryServerError(endpointID string) bool {
 	return p.route.IsRepeatable() && !p.responseStarted && p.possibleRuns+1 < p.route.MaxAttempts && p.timeLeft() > minResponseTimeout &&
-		len(p.server.Roster.UsableEndpoints(p.service.Name)) > 1
+		slices.ContainsFunc(p.server.Roster.UsableEndpoints(p.service.Name), func(e afroster.Endpoint) bool { return e.ID != endpointID })
 }
 
 // relayStream relays a stream event by event. The head is sent together with the first event, so that another endpoint
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -53,6 +53,8 @@
 	CrashWatch afcrash.Watch
 	// EndpointLimits keeps the limits that endpoints name.
 	EndpointLimits EndpointLimits
+	// EndpointNotices keeps what endpoints say about themselves.
+	EndpointNotices EndpointNotices
 	// Metrics counts outcomes. The zero value counts nothing.
 	Metrics Metrics
 	// Random returns a uniform random number in [0, 1). Nil means rand.Float64.
--- a/internal/afgateway/wire.go
+++ b/internal/afgateway/wire.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afnotice"
 )
 
 // HeaderCodec translates between HTTP headers and the values that the gateway uses, so that the gateway does not depend on
@@ -74,4 +76,6 @@
 	NotRun bool
 	// Limit is the number of requests a second that the endpoint takes from all VMs together. Zero means that it named none.
 	Limit float64
+	// Said is what the endpoint said about itself.
+	Said afnotice.Statement
 }
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -95,6 +95,7 @@
 			es = &engineState{adapterReadyAt: map[string]time.Time{}, closingEndsAt: map[string]time.Time{}}
 			s.engines[e.ID] = es
 		}
+		e.State = s.Roster.State(e)
 		es.entry = e
 		if e.State != afengine.StateReady || es.isReportPending || now.Before(es.nextReportAt) {
 			continue
--- /dev/null
+++ b/internal/afkeeper/leaving_test.go
@@ -0,0 +1,67 @@
+package afkeeper
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afassign"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/aflease"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// Guards against a model that stays without a serving engine because the engine that holds it, and has said that it leaves while
+// its entry says ready, counts as its replica, and against orders to that engine, also those that were planned before.
+func TestLeavingEngineHoldsNoReplica(t *testing.T) {
+	now := time.Unix(100, 0)
+	timer := &aftimer.Service{}
+	timer.AdvanceTo(now)
+	table := afroute.NewTable(1, afroute.Limits{}, nil, []afroute.Service{{Name: "llm", Engine: &afroute.EngineSpec{
+		Slots: 64, MemoryMB: 200000, AdapterSlots: 8, LoadsPerSecond: 2, Models: map[string]afroute.Model{"m1": {Name: "m1", SizeMB: 72000, StoreLoadTime: time.Second}},
+	}}}, nil, nil)
+	isLeaving := false
+	ordered := map[string]int{}
+	s := &Service{
+		Timer: timer, Log: slog.New(slog.DiscardHandler), BootTime: func() time.Duration { return time.Minute }, Table: func() *afroute.Table { return table },
+		Roster: &afroster.Roster{Now: timer.Now, IsLeaving: func(e afengine.EndpointStart) bool { return isLeaving && e.Endpoint == "i-1" }},
+		FetchReport: func(context.Context, afengine.EndpointEntry) (afengine.Report, error) {
+			return afengine.Report{StartUnixMs: 1}, context.Canceled
+		},
+		SendOrder: func(_ context.Context, e afengine.EndpointEntry, _ string, _ int64, _ afengine.Order) afengine.Result {
+			ordered[e.ID]++
+			return afengine.ResultAccepted
+		},
+		OwnDemand:     func() []afassign.Demand { return []afassign.Demand{{Model: "m1", RequestRate: 2}} },
+		ListedVMCount: func() int { return 1 }, MaxStoreLoads: 4,
+		LeaseTiming: aflease.Timing{TTL: time.Second, RenewInterval: time.Second / 3},
+	}
+	s.Init()
+	s.lease = s.lease.WithWrittenRecord(aflease.Record{Holder: s.Self.String(), Epoch: 1}, 1, s.BootTime(), s.BootTime())
+	require.True(t, s.lease.IsUsable(s.BootTime()))
+	for _, id := range []string{"i-1", "i-2"} {
+		s.Roster.PutEntry(afengine.EndpointEntry{ID: id, Service: "llm", StartUnixMs: 1})
+	}
+	s.refreshEngines(t.Context())
+	for id, es := range s.engines {
+		es.isReportKnown, es.reportRequestedAt = true, now
+		if id == "i-1" {
+			es.report.Models = []afengine.LoadedModel{{Model: "m1"}}
+		}
+	}
+	isLeaving = true
+	s.refreshEngines(t.Context())
+	require.Empty(t, s.listLoadedModels(now))
+	s.planOrders(t.Context(), s.lease.Epoch())
+	r := <-s.orderResults
+	require.Equal(t, "i-2", r.endpointID)
+	require.Equal(t, "m1", r.planned.Order.Model)
+	s.sendOrder(t.Context(), afassign.PlannedOrder{EngineID: "i-1", Order: afengine.Order{Model: "m1"}}, s.lease.Epoch(), now)
+	require.Equal(t, afengine.ResultRefused, (<-s.orderResults).result)
+	require.Equal(t, map[string]int{"i-2": 1}, ordered)
+}
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -8,6 +8,7 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
 const (
@@ -166,10 +167,13 @@
 	return out
 }
 
-// listLoadedModels returns the models that some engine holds.
+// listLoadedModels returns the models that some engine holds that does not drain.
 func (s *Service) listLoadedModels(now time.Time) map[string]bool {
 	loaded := make(map[string]bool)
 	for _, es := range s.engines {
+		if es.entry.State != afengine.StateReady {
+			continue
+		}
 		for _, h := range es.loadedModels(now) {
 			loaded[h.Model] = true
 		}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -20,6 +20,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/affact"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afgateway"
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
@@ -98,6 +99,7 @@
 	keeper         *afkeeper.Service
 	crashes        *afcrash.Service
 	slots          *afslot.Service
+	facts          *affact.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -189,6 +191,7 @@
 		{"keeper", withoutError(n.keeper.Run)},
 		{"crashes", withoutError(n.crashes.Run)},
 		{"slots", withoutError(n.slots.Run)},
+		{"facts", withoutError(n.facts.Run)},
 		{"entry", n.entryServer.Run},
 		{"reload", withoutError(n.runReload)},
 		{"wake", withoutError(n.runRechecks)},
@@ -218,6 +221,7 @@
 	}
 	n.createCrashes()
 	n.createSlots()
+	n.createFacts()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
@@ -246,6 +250,25 @@
 	n.peers.Handle(afslot.KindSlot, n.slots.HandleSlot)
 }
 
+// createFacts creates the service that shares what endpoints say about themselves.
+func (n *Node) createFacts() {
+	n.facts = &affact.Service{
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.IsListed,
+		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
+		OnChange: func() {
+			n.requestRecheck()
+			n.keeper.Wake()
+		},
+	}
+	n.facts.RegisterGauges(n.registry)
+	n.roster.IsLeaving = n.facts.IsLeaving
+	n.peers.Handle(affact.KindNotices, n.facts.HandleNotices)
+	n.peers.Handle(affact.KindDigest, n.facts.HandleDigest)
+	if n.Platform.WatchEngines != nil {
+		n.Platform.WatchEngines(n.facts.Record)
+	}
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
@@ -259,8 +282,9 @@
 		EndpointLimits: afgateway.EndpointLimits{
 			RecordAnswer: n.slots.RecordAnswer, ExpectedWait: n.slots.ExpectedWait, ExpectRequest: n.slots.ExpectRequest, TakeSlot: n.slots.TakeSlot,
 		},
-		Metrics:     afgateway.NewMetrics(n.registry),
-		RetryBudget: n.Settings.retryBudget(),
+		EndpointNotices: afgateway.EndpointNotices{Record: n.facts.Record},
+		Metrics:         afgateway.NewMetrics(n.registry),
+		RetryBudget:     n.Settings.retryBudget(),
 	}
 	n.gateway.RegisterGauges(n.registry)
 	n.entryServer = &afentry.Server{
--- a/internal/afnode/settings.go
+++ b/internal/afnode/settings.go
@@ -6,6 +6,7 @@
 
 	"arbutusfork.example/arbutusfork/internal/afgateway"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afnotice"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
@@ -55,4 +56,7 @@
 	FetchReport func(ctx context.Context, e afengine.EndpointEntry) (afengine.Report, error)
 	// SendOrder sends an order of the placement holder to an engine.
 	SendOrder func(ctx context.Context, e afengine.EndpointEntry, holder string, epoch int64, o afengine.Order) afengine.Result
+	// WatchEngines sets the function that is called with what engines say about themselves in answers to FetchReport and
+	// SendOrder. It is called before both. Nil means that engines say nothing.
+	WatchEngines func(record func(e afengine.EndpointStart, said afnotice.Statement))
 }
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -64,6 +64,8 @@
 	Now func() time.Time
 	// OnChange is called after each change that may allow a waiting request to run. It must not block.
 	OnChange func()
+	// IsLeaving reports whether an endpoint said that it leaves. It must not block. Nil means that none did.
+	IsLeaving func(e afengine.EndpointStart) bool
 
 	mu sync.Mutex
 	// endpoints holds the endpoints by ID.
@@ -219,7 +221,7 @@
 	isViewRecent := now.Sub(r.viewReceivedAt) < viewTimeout
 	var candidates Candidates
 	for _, e := range r.endpoints {
-		if e.Service != service || e.State != afengine.StateReady {
+		if e.Service != service || r.State(e.EndpointEntry) != afengine.StateReady {
 			continue
 		}
 		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) > lapsedEntryTimeout {
--- a/pkg/afengine/engine.go
+++ b/pkg/afengine/engine.go
@@ -51,6 +51,16 @@
 	ModelsOnDisk []string
 }
 
+// EndpointStart identifies an endpoint from its start to its end.
+type EndpointStart struct {
+	Endpoint string
+	// StartUnixMs is the start of the endpoint in Unix milliseconds by its own clock.
+	StartUnixMs int64
+}
+
+// Start returns the identity of the endpoint until it ends.
+func (e EndpointEntry) Start() EndpointStart { return EndpointStart{e.ID, e.StartUnixMs} }
+
 // Report is the state of an engine as the engine reports it. A report is some hundred milliseconds old but consistent:
 // all fields are from the same moment.
 type Report struct {
