afnotice: keep requests from endpoints that ask for a pause

A 503 with Retry-After says that the endpoint wants nothing for so long. The header was relayed to callers and not read: other requests went on to the endpoint, and it counted as a failure of its health.

The pause is the second kind of notice. It holds on all VMs, for requests, orders and requests for reports, until the latest end of what any VM heard. Numbers, fractions, dates, repeated and folded values are read, the longest counts; malformed, negative and too long ones give a log line and at most 30 s. Each VM takes each answer once by its number, so that VMs that pass a pause on late do not prolong it without end. Digests have 32 parts, and VMs exchange only what is in the parts that differ.

A request goes to another endpoint, waits if a pause ends before its caller leaves, and is refused at once otherwise, as not run and with the time to the first end. The holder places models elsewhere if the pause is longer than reports are used (2.5 s).

Tests, each also run without the part that it guards: TestPauses, TestPausesPassedOnLateEnd (without the number), TestPauseValues, TestNoRequestToEndpointInPause (without the status, the refusal at once, and the check at the end of the pause), TestPauseHoldsOnAllVMs (without the spreading or with reports during the pause), the pause case of TestEngineOutOfUseHoldsNoReplica. TestPauseHoldsOnAllVMs failed once beside other load before this commit: the VMs had started a second before and one did not list the other yet, so that it learnt the pause from a digest after 0.74 s; the test then allowed 0.5 s on all VMs. It now waits until the VMs know each other and allows a second on the VM that did not hear the answer, as the rule does.

--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -1,8 +1,10 @@
 package affact
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
@@ -21,71 +23,117 @@
 // noticesMessage carries notices.
 type noticesMessage struct {
 	Notices []noticeMessage `msgpack:"n"`
-	// WantsReply means that the receiver answers with the notices that it knows.
-	WantsReply bool `msgpack:"reply,omitempty"`
+	// Reply are the buckets of the digest whose notices the receiver answers with, bit by bit.
+	Reply uint32 `msgpack:"reply,omitempty"`
 }
 
-// digestMessage asks the receiver to send the notices that it knows if their digest is another one.
+// digestMessage asks the receiver to send the notices that it knows in the buckets in which its digest is another one.
 type digestMessage struct {
-	Digest uint64 `msgpack:"digest"`
+	// Digest holds the buckets as big-endian numbers. It is empty if no notice is known.
+	Digest []byte `msgpack:"digest,omitempty"`
 }
 
-// noticeMessage is one notice. Times are ages, since VMs do not compare their clocks.
+func encodeDigest(d afnotice.Digest) digestMessage {
+	if d == (afnotice.Digest{}) {
+		return digestMessage{}
+	}
+	out := make([]byte, 0, 4*len(d))
+	for _, part := range d {
+		out = binary.BigEndian.AppendUint32(out, part)
+	}
+	return digestMessage{Digest: out}
+}
+
+func (m digestMessage) decode() (d afnotice.Digest, ok bool) {
+	if len(m.Digest) == 0 {
+		return d, true
+	}
+	if len(m.Digest) != 4*len(d) {
+		return d, false
+	}
+	for i := range d {
+		d[i] = binary.BigEndian.Uint32(m.Digest[4*i:])
+	}
+	return d, true
+}
+
+// noticeMessage is one notice. Times are durations up to or from the sending, since VMs do not compare their clocks.
 type noticeMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
-	Endpoint    string
-	StartUnixMs int64
-	Kind        int
-	HeardBy     string
-	AgeMs       int64
+	Endpoint      string
+	StartUnixMs   int64
+	Kind          int
+	HeardBy       string
+	Number        int64
+	AgeMs, LeftMs int64
 }
 
-// encodeNotices returns the message with the notices, whose ages count up to now.
+// encodeNotices returns the message with the notices.
 func encodeNotices(notices map[afnotice.Key]afnotice.Notice, now time.Time) noticesMessage {
 	out := noticesMessage{Notices: make([]noticeMessage, 0, len(notices))}
 	for k, n := range notices {
-		out.Notices = append(out.Notices, noticeMessage{
-			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), HeardBy: n.HeardBy, AgeMs: now.Sub(n.HeardAt).Milliseconds(),
-		})
+		m := noticeMessage{
+			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), HeardBy: n.HeardBy, Number: n.Number, AgeMs: now.Sub(n.HeardAt).Milliseconds(),
+		}
+		if k.Kind == afnotice.Pause {
+			m.LeftMs = max(n.Until.Sub(now).Milliseconds(), 0)
+		}
+		out.Notices = append(out.Notices, m)
 	}
 	return out
 }
 
+// maxAgeMs bounds the age in a message, so that it is a time.Duration. It is a year.
+const maxAgeMs = 365 * 24 * 3600 * 1000
+
 // decode returns the notices of a message that arrived now.
 func (m noticesMessage) decode(now time.Time) map[afnotice.Key]afnotice.Notice {
 	out := make(map[afnotice.Key]afnotice.Notice, len(m.Notices))
 	for _, n := range m.Notices {
 		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Kind(n.Kind)}
-		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: now.Add(-time.Duration(min(max(n.AgeMs, 0), maxAgeMs)) * time.Millisecond)}
+		notice := afnotice.Notice{HeardBy: n.HeardBy, HeardAt: now.Add(-time.Duration(min(max(n.AgeMs, 0), maxAgeMs)) * time.Millisecond), Number: n.Number}
+		if k.Kind == afnotice.Pause {
+			k.HeardBy = n.HeardBy
+			notice.Until = now.Add(time.Duration(min(max(n.LeftMs, 0), afnotice.MaxPause.Milliseconds())) * time.Millisecond)
+		}
+		out[k] = notice
 	}
 	return out
 }
 
-// maxAgeMs bounds the age in a message, so that it is a time.Duration. It is about a year.
-const maxAgeMs = 365 * 24 * 3600 * 1000
-
 // HandleNotices adds the notices that another VM knows.
 func (s *Service) HandleNotices(from arbutusfork.Incarnation, body []byte) (any, error) {
 	var message noticesMessage
 	if err := msgpack.Unmarshal(body, &message); err != nil {
 		return nil, &Error{Op: "notices", Kind: MalformedMessage, Err: err}
 	}
-	if message.WantsReply {
-		s.sendAll(from.VM, false)
+	now := s.Timer.Now()
+	if message.Reply != 0 {
+		s.send(from.VM, KindNotices, encodeNotices(s.View().InBuckets(message.Reply, now), now))
 	}
-	s.learn(message.decode(s.Timer.Now()))
+	s.learn(func(v afnotice.View) (afnotice.View, map[afnotice.Key]afnotice.Notice) {
+		return v.WithNotices(message.decode(now), now, s.IsListed)
+	})
 	return nil, nil
 }
 
-// HandleDigest sends the known notices to a VM whose digest is another one.
+// HandleDigest sends the notices that the sender of another digest may not know, and asks for those that it knows.
 func (s *Service) HandleDigest(from arbutusfork.Incarnation, body []byte) (any, error) {
 	var message digestMessage
 	if err := msgpack.Unmarshal(body, &message); err != nil {
 		return nil, &Error{Op: "digest", Kind: MalformedMessage, Err: err}
 	}
-	if message.Digest != s.View().Digest() {
-		s.sendAll(from.VM, true)
+	digest, ok := message.decode()
+	if !ok {
+		return nil, &Error{Op: "digest", Kind: MalformedMessage, Err: errors.New("the digest has a wrong length")}
+	}
+	now := s.Timer.Now()
+	view := s.View()
+	if differing := view.Digest(now).DifferingBuckets(digest); differing != 0 {
+		known := encodeNotices(view.InBuckets(differing, now), now)
+		known.Reply = differing
+		s.send(from.VM, KindNotices, known)
 	}
 	return nil, nil
 }
--- a/internal/affact/service.go
+++ b/internal/affact/service.go
@@ -77,9 +77,13 @@
 
 // RegisterGauges registers the metrics whose values are read at each collection.
 func (s *Service) RegisterGauges(r prometheus.Registerer) {
-	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	f := promauto.With(r)
+	f.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "arbutusfork_fact_leaving", Help: "Endpoints that said that they leave, as far as this VM knows.",
-	}, func() float64 { return float64(s.View().Count(afnotice.Leaving)) }))
+	}, func() float64 { return float64(s.View().LeavingCount()) })
+	f.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "arbutusfork_fact_paused", Help: "Endpoints that are in a pause for which they asked, as far as this VM knows.",
+	}, func() float64 { return float64(s.View().PausedCount(s.Timer.Now())) })
 }
 
 // Run compares the notices with other VMs until ctx ends.
@@ -103,23 +107,47 @@
 	return v != nil && v.IsLeaving(e)
 }
 
+// PausedUntil returns the end of the pause for which an endpoint asked, and whether it is in a pause.
+func (s *Service) PausedUntil(e afengine.EndpointStart) (time.Time, bool) {
+	v := s.view.Load()
+	if v == nil {
+		return time.Time{}, false
+	}
+	return v.PausedUntil(e, s.Timer.Now())
+}
+
+// HasPauses reports whether any endpoint is in a pause for which it asked.
+func (s *Service) HasPauses() bool {
+	v := s.view.Load()
+	return v != nil && v.HasPauses(s.Timer.Now())
+}
+
 // Record records what an endpoint said about itself in an answer to this VM.
 func (s *Service) Record(e afengine.EndpointStart, said afnotice.Statement) {
-	if !said.IsEmpty() {
-		s.learn(said.Notices(e, s.Self, s.Timer.Now()))
+	if said.IsEmpty() {
+		return
+	}
+	if said.OddPause != "" {
+		s.Log.Warn("endpoint pause bounded or ignored", "endpoint", e.Endpoint, "value", said.OddPause, "pause", said.Pause)
+	}
+	s.learn(func(v afnotice.View) (afnotice.View, map[afnotice.Key]afnotice.Notice) {
+		return v.WithStatement(e, said, s.Self, s.Timer.Now())
+	})
+	if until, isPaused := s.PausedUntil(e); said.Pause > 0 && isPaused {
+		s.notifyAt(until)
 	}
 }
 
-// learn adds notices, and schedules the sending of those that are new.
-func (s *Service) learn(heard map[afnotice.Key]afnotice.Notice) {
+// learn changes the view, and schedules the sending of the notices that are new.
+func (s *Service) learn(change func(v afnotice.View) (changed afnotice.View, news map[afnotice.Key]afnotice.Notice)) {
 	s.mu.Lock()
-	now := s.Timer.Now()
-	view, news := s.View().WithNotices(heard, now, s.IsListed)
+	view, news := change(s.View())
+	s.view.Store(&view)
 	if len(news) == 0 {
 		s.mu.Unlock()
 		return
 	}
-	s.view.Store(&view)
+	now := s.Timer.Now()
 	if len(s.pending) == 0 {
 		s.pending = make(map[afnotice.Key]afnotice.Notice, len(news))
 		s.Timer.CallAfter(spreadInterval, s.spread)
@@ -127,7 +155,12 @@
 	for k, n := range news {
 		s.pending[k] = n
 		s.Metrics.countNotice(k.Kind)
-		s.Log.Info("endpoint notice", "kind", k.Kind.String(), "endpoint", k.Endpoint, "born", k.StartUnixMs, "heard_by", n.HeardBy, "age", now.Sub(n.HeardAt))
+		left := time.Duration(0)
+		if k.Kind == afnotice.Pause {
+			left = n.Until.Sub(now)
+			s.notifyAt(n.Until)
+		}
+		s.Log.Info("endpoint notice", "kind", k.Kind.String(), "endpoint", k.Endpoint, "born", k.StartUnixMs, "heard_by", n.HeardBy, "age", now.Sub(n.HeardAt), "left", left)
 	}
 	s.mu.Unlock()
 	if s.OnChange != nil {
@@ -135,6 +168,13 @@
 	}
 }
 
+// notifyAt calls OnChange at a time, when a pause ends.
+func (s *Service) notifyAt(at time.Time) {
+	if s.OnChange != nil {
+		s.Timer.CallAfter(at.Sub(s.Timer.Now()), func(time.Time) { s.OnChange() })
+	}
+}
+
 func (m Metrics) countNotice(k afnotice.Kind) {
 	if m.notices != nil {
 		m.notices.WithLabelValues(k.String()).Inc()
@@ -154,7 +194,7 @@
 }
 
 // compareWithPeer drops what has ended and sends a digest of the known notices to the next heartbeat peer, which answers with what
-// it knows if its own digest is another one.
+// it knows in the parts in which its own digest is another one.
 func (s *Service) compareWithPeer(now time.Time) {
 	s.mu.Lock()
 	view := s.View().WithoutEnded(now, s.IsListed)
@@ -163,17 +203,10 @@
 	next := s.nextPeer
 	s.mu.Unlock()
 	if peers := s.HeartbeatPeers(); len(peers) > 0 {
-		s.send(peers[next%len(peers)].Name, KindDigest, digestMessage{Digest: view.Digest()})
+		s.send(peers[next%len(peers)].Name, KindDigest, encodeDigest(view.Digest(now)))
 	}
 }
 
-// sendAll sends all known notices to a VM.
-func (s *Service) sendAll(vm string, wantsReply bool) {
-	known := encodeNotices(s.View().Notices(), s.Timer.Now())
-	known.WantsReply = wantsReply
-	s.send(vm, KindNotices, known)
-}
-
 // send sends a message to a VM. A message that is lost is made up for by the next comparison.
 func (s *Service) send(vm, kind string, message any) {
 	if s.Metrics.messages != nil {
--- a/internal/affact/service_test.go
+++ b/internal/affact/service_test.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// countKnowing returns the number of VMs that know that an endpoint leaves.
+// countKnowing returns the number of VMs that know that an endpoint leaves and is in a pause.
 func (f *fleet) countKnowing(e afengine.EndpointStart) int {
 	n := 0
 	for _, s := range f.services {
-		if s.IsLeaving(e) {
+		if _, isPaused := s.PausedUntil(e); isPaused && s.IsLeaving(e) {
 			n++
 		}
 	}
@@ -100,7 +100,7 @@
 		f := newFleet(vms)
 		e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
 		f.isDown[f.vms[3].Name] = true
-		f.services[f.vms[0].Name].Record(e, afnotice.Statement{IsLeaving: true})
+		f.services[f.vms[0].Name].Record(e, afnotice.Statement{IsLeaving: true, Pause: 25 * time.Second})
 		f.advance(time.Second)
 		require.Equal(t, vms-1, f.countKnowing(e))
 		f.isDown[f.vms[3].Name] = false
@@ -116,3 +116,24 @@
 		require.LessOrEqual(t, f.messages, vms*int(10*time.Second/compareInterval), "messages of VMs that know the same")
 	}
 }
+
+// Guards against control traffic beyond its target when all endpoints of the largest deployment leave, and when they go on asking
+// for pauses. What a VM sends does not depend on the number of VMs, of which the test has fewer.
+func TestNoticesStayWithinControlTraffic(t *testing.T) {
+	const vms, endpoints, seconds = 20, 750, 60
+	const targetBytes, otherBytes = 18_000, 9_200 // Links, membership, configuration and limits send otherBytes a second.
+	endpoint := func(i int) afengine.EndpointStart {
+		return afengine.EndpointStart{Endpoint: fmt.Sprintf("i-%010d", i), StartUnixMs: 1_790_000_000_000 + int64(i)}
+	}
+	for name, said := range map[string]afnotice.Statement{"nothing": {}, "leaving": {IsLeaving: true}, "pause": {Pause: 5 * time.Second}} {
+		f := newFleet(vms)
+		for i := range endpoints {
+			// Each endpoint says it once within the time, to some VM.
+			f.services[f.vms[i*7%vms].Name].Record(endpoint(i), said)
+			f.advance(seconds * time.Second / endpoints)
+		}
+		perSecond := f.bytes / vms / seconds
+		t.Logf("%s: %d bytes and %.1f messages a second from each VM", name, perSecond, float64(f.messages)/vms/seconds)
+		require.LessOrEqual(t, perSecond, targetBytes-otherBytes, name)
+	}
+}
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -78,8 +78,8 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
-		// The endpoint may have said during the waits above that it leaves.
-		if !s.isServing(endpoint.Endpoint) {
+		// The endpoint may have said during the waits above that it leaves or wants a pause.
+		if !s.takesRequests(endpoint.Endpoint) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			continue
 		}
@@ -119,7 +119,7 @@
 			}
 			p.timedOutEndpoints[endpoint.ID] = true
 		}
-		if result.notRun && s.isServing(endpoint.Endpoint) {
+		if result.notRun && s.takesRequests(endpoint.Endpoint) {
 			s.Timer.Sleep(ctx, rejectedRetryDelay)
 		}
 	}
@@ -210,7 +210,7 @@
 		acquired:     make(chan acquiredEndpoint, 1),
 		pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickEndpoint(excluded) },
 		isUnservable: func() bool {
-			if p.refuseQuarantined() != nil {
+			if p.refuseQuarantined() != nil || p.refusePaused() != nil {
 				return true
 			}
 			loadedAt, ok := s.loadDelays.loadedAt(p.headers.Model)
@@ -290,6 +290,9 @@
 	if refusal := p.refuseQuarantined(); refusal != nil {
 		return refusal
 	}
+	if refusal := p.refusePaused(); refusal != nil {
+		return refusal
+	}
 	return p.refuseModelNotReady()
 }
 
@@ -315,7 +318,7 @@
 	needs := requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), slotWait: s.expectedSlotWait, maxSlotWait: min(p.maxWait(), afpace.MaxAhead),
+		now: s.Timer.Now(), isPaused: s.isPaused, slotWait: s.expectedSlotWait, maxSlotWait: min(p.maxWait(), afpace.MaxAhead),
 	}
 	endpoint, ok := chooseEndpoint(candidates, needs)
 	if !ok && len(excluded) > 0 {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -78,7 +78,7 @@
 		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
-	result := p.relayBuffered(ctx, endpoint, ex)
+	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0)
 	result.progress = max(result.progress, progressHead)
 	return result
 }
@@ -102,7 +102,7 @@
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
 // repeated can be sent to another endpoint if the response breaks off, unless it is long.
-func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange) attemptResult {
+func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, asksForPause bool) attemptResult {
 	body, isWhole, err := ex.readBodyStart(p.held)
 	if err != nil {
 		return p.classifyFailure(ctx, endpoint, err)
@@ -116,7 +116,11 @@
 		return p.relayLong(ctx, endpoint, ex, body)
 	}
 	isServerError := status >= http.StatusInternalServerError
-	endpoint.request.End(healthResult(!isServerError))
+	health := healthResult(!isServerError)
+	if asksForPause {
+		health = afroster.HealthUnaffected // The endpoint says itself when it is to be used again.
+	}
+	endpoint.request.End(health)
 	response := bufferedResponse{status, ex.response.Header, body}
 	if isServerError && p.mayRetryServerError(endpoint.ID) {
 		p.endpointError = &response
@@ -390,7 +394,7 @@
 func (w *idleWatchdog) hasOtherEndpoint() bool {
 	p := w.request
 	for _, e := range p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints {
-		if e.ID != w.endpointID {
+		if e.ID != w.endpointID && !p.server.isPaused(e) {
 			return true
 		}
 	}
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -36,6 +36,9 @@
 type engineState struct {
 	entry  afengine.EndpointEntry
 	report afengine.Report
+	// pausedUntil is the end of the latest pause for which the engine asked. Until then it gets no orders and no requests for
+	// reports.
+	pausedUntil time.Time
 	// reportRequestedAt is when the last report was requested, or zero if there is none.
 	reportRequestedAt time.Time
 	// isReportKnown means that report holds a report of this engine process.
@@ -97,7 +100,10 @@
 		}
 		e.State = s.Roster.State(e)
 		es.entry = e
-		if e.State != afengine.StateReady || es.isReportPending || now.Before(es.nextReportAt) {
+		if until, isPaused := s.Roster.PausedUntil(e.Start()); isPaused {
+			es.pausedUntil = until
+		}
+		if e.State != afengine.StateReady || es.isReportPending || now.Before(es.nextReportAt) || now.Before(es.pausedUntil) {
 			continue
 		}
 		es.isReportPending = true
@@ -246,7 +252,13 @@
 		}
 	}
 	slices.Sort(e.LoadingAdapters)
-	e.IsBlocked = es.isOrderPending || now.Before(es.unblockedAt)
-	e.IsUnavailable = !es.isReportKnown || now.Sub(es.reportRequestedAt) > maxReportAge+idleReportInterval || es.entry.State != afengine.StateReady
+	e.IsBlocked = es.isOrderPending || now.Before(es.unblockedAt) || now.Before(es.pausedUntil)
+	e.IsUnavailable = !es.isReportKnown || now.Sub(es.reportRequestedAt) > maxReportAge+idleReportInterval || es.isOutOfUse(now)
 	return e
 }
+
+// isOutOfUse reports whether the engine's models must be placed elsewhere: it drains, or is in a pause during which its report will
+// be too old for decisions.
+func (es *engineState) isOutOfUse(now time.Time) bool {
+	return es.entry.State != afengine.StateReady || es.pausedUntil.Sub(now) > maxReportAge
+}
--- a/internal/afkeeper/leaving_test.go
+++ b/internal/afkeeper/notice_test.go
@@ -16,20 +16,30 @@
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
-// Guards against a model that stays without a serving engine because the engine that holds it, and has said that it leaves while
-// its entry says ready, counts as its replica, and against orders to that engine, also those that were planned before.
-func TestLeavingEngineHoldsNoReplica(t *testing.T) {
+// Guards against a model that stays without a serving engine because the engine that holds it counts as its replica, although it
+// has said that it leaves or wants a long pause, and against orders to that engine, also those that were planned before.
+func TestEngineOutOfUseHoldsNoReplica(t *testing.T) {
+	t.Run("leaving", func(t *testing.T) { testEngineOutOfUse(t, true) })
+	t.Run("pause", func(t *testing.T) { testEngineOutOfUse(t, false) })
+}
+
+func testEngineOutOfUse(t *testing.T, leaves bool) {
 	now := time.Unix(100, 0)
 	timer := &aftimer.Service{}
 	timer.AdvanceTo(now)
 	table := afroute.NewTable(1, afroute.Limits{}, nil, []afroute.Service{{Name: "llm", Engine: &afroute.EngineSpec{
 		Slots: 64, MemoryMB: 200000, AdapterSlots: 8, LoadsPerSecond: 2, Models: map[string]afroute.Model{"m1": {Name: "m1", SizeMB: 72000, StoreLoadTime: time.Second}},
 	}}}, nil, nil)
-	isLeaving := false
+	hasSaid := false
 	ordered := map[string]int{}
 	s := &Service{
 		Timer: timer, Log: slog.New(slog.DiscardHandler), BootTime: func() time.Duration { return time.Minute }, Table: func() *afroute.Table { return table },
-		Roster: &afroster.Roster{Now: timer.Now, IsLeaving: func(e afengine.EndpointStart) bool { return isLeaving && e.Endpoint == "i-1" }},
+		Roster: &afroster.Roster{Now: timer.Now, Notices: afroster.Notices{
+			IsLeaving: func(e afengine.EndpointStart) bool { return hasSaid && leaves && e.Endpoint == "i-1" },
+			PausedUntil: func(e afengine.EndpointStart) (time.Time, bool) {
+				return now.Add(maxReportAge + 1), hasSaid && !leaves && e.Endpoint == "i-1"
+			},
+		}},
 		FetchReport: func(context.Context, afengine.EndpointEntry) (afengine.Report, error) {
 			return afengine.Report{StartUnixMs: 1}, context.Canceled
 		},
@@ -54,7 +64,7 @@
 			es.report.Models = []afengine.LoadedModel{{Model: "m1"}}
 		}
 	}
-	isLeaving = true
+	hasSaid = true
 	s.refreshEngines(t.Context())
 	require.Empty(t, s.listLoadedModels(now))
 	s.planOrders(t.Context(), s.lease.Epoch())
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -122,7 +122,7 @@
 			s.lastOrderEpochs[entry.ID] = epoch
 		}
 		s.mu.Unlock()
-		if isUsable && s.Roster.IsServing(entry.Start()) {
+		if _, isPaused := s.Roster.PausedUntil(entry.Start()); isUsable && !isPaused && s.Roster.IsServing(entry.Start()) {
 			result = s.SendOrder(orderCtx, entry, s.Self.String(), epoch, planned.Order)
 		}
 		s.orderResults <- orderResult{endpointID: entry.ID, born: entry.StartUnixMs, planned: planned, result: result}
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -8,7 +8,6 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
-	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
 const (
@@ -167,11 +166,11 @@
 	return out
 }
 
-// listLoadedModels returns the models that some engine holds that does not drain.
+// listLoadedModels returns the models that some engine holds that is not out of use.
 func (s *Service) listLoadedModels(now time.Time) map[string]bool {
 	loaded := make(map[string]bool)
 	for _, es := range s.engines {
-		if es.entry.State != afengine.StateReady {
+		if es.isOutOfUse(now) {
 			continue
 		}
 		for _, h := range es.loadedModels(now) {
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -261,7 +261,7 @@
 		},
 	}
 	n.facts.RegisterGauges(n.registry)
-	n.roster.IsLeaving = n.facts.IsLeaving
+	n.roster.Notices = afroster.Notices{IsLeaving: n.facts.IsLeaving, PausedUntil: n.facts.PausedUntil, HasPauses: n.facts.HasPauses}
 	n.peers.Handle(affact.KindNotices, n.facts.HandleNotices)
 	n.peers.Handle(affact.KindDigest, n.facts.HandleDigest)
 	if n.Platform.WatchEngines != nil {
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -64,8 +64,8 @@
 	Now func() time.Time
 	// OnChange is called after each change that may allow a waiting request to run. It must not block.
 	OnChange func()
-	// IsLeaving reports whether an endpoint said that it leaves. It must not block. Nil means that none did.
-	IsLeaving func(e afengine.EndpointStart) bool
+	// Notices are what endpoints say about themselves.
+	Notices Notices
 
 	mu sync.Mutex
 	// endpoints holds the endpoints by ID.
--- a/pkg/afnotice/notice_string.go
+++ b/pkg/afnotice/notice_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Leaving-0]
+	_ = x[Pause-1]
 }
 
-const _Kind_name = "leaving"
+const _Kind_name = "leavingpause"
 
-var _Kind_index = [...]uint8{0, 7}
+var _Kind_index = [...]uint8{0, 7, 12}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
