--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -38,10 +38,11 @@
 	return n.serveStatus(ctx, n.readyListener, mux)
 }
 
-// serveMetrics serves the Prometheus metrics.
+// serveMetrics serves the Prometheus metrics, and what endpoints said about themselves at /notices.
 func (n *Node) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /notices", n.serveNotices)
 	return n.serveStatus(ctx, n.metricsListener, mux)
 }
 
