--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -83,6 +83,11 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
+		// The endpoint may have said during the waits above that it leaves or wants a pause.
+		if !s.takesRequests(endpoint.Endpoint) {
+			endpoint.request.End(afroster.HealthUnaffected)
+			continue
+		}
 		if p.attempts > 0 && !hasRetry && !s.takeRetry(p.service.Name) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
@@ -122,7 +127,7 @@
 			}
 			p.timedOutEndpoints[endpoint.ID] = true
 		}
-		if result.notRun {
+		if result.notRun && s.takesRequests(endpoint.Endpoint) {
 			s.Timer.Sleep(ctx, rejectedRetryDelay)
 		}
 	}
@@ -224,7 +229,7 @@
 		acquired:     make(chan acquiredEndpoint, 1),
 		pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickEndpoint(excluded) },
 		isUnservable: func() bool {
-			if p.refuseQuarantined() != nil {
+			if p.refuseQuarantined() != nil || p.refusePaused() != nil {
 				return true
 			}
 			loadedAt, ok := s.loadDelays.loadedAt(p.headers.Model)
@@ -304,6 +309,9 @@
 	if refusal := p.refuseQuarantined(); refusal != nil {
 		return refusal
 	}
+	if refusal := p.refusePaused(); refusal != nil {
+		return refusal
+	}
 	return p.refuseModelNotReady()
 }
 
@@ -324,7 +332,7 @@
 	return requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
+		now: s.Timer.Now(), isPaused: s.isPaused, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
 	}
 }
 
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,6 +56,7 @@
 	}
 	defer ex.close()
 	headers := s.HeaderCodec.ParseResponse(ex.response.StatusCode, ex.response.Header)
+	s.recordStatement(endpoint.Endpoint, headers.Said)
 	if headers.RequestID != "" && headers.RequestID != p.headers.RequestID {
 		endpoint.request.End(afroster.HealthFailure)
 		return attemptResult{cause: "answer to another request"}
@@ -76,7 +78,7 @@
 		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
-	result := p.relayBuffered(ctx, endpoint, ex)
+	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0)
 	result.progress = max(result.progress, progressHead)
 	return result
 }
@@ -100,7 +102,7 @@
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
 // repeated can be sent to another endpoint if the response breaks off, unless it is long.
-func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange) attemptResult {
+func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, asksForPause bool) attemptResult {
 	body, isWhole, err := ex.readBodyStart(p.held)
 	if err != nil {
 		return p.classifyFailure(ctx, endpoint, err)
@@ -114,9 +116,13 @@
 		return p.relayLong(ctx, endpoint, ex, body)
 	}
 	isServerError := status >= http.StatusInternalServerError
-	endpoint.request.End(healthResult(!isServerError))
+	health := healthResult(!isServerError)
+	if asksForPause {
+		health = afroster.HealthUnaffected // The endpoint says itself when it is to be used again.
+	}
+	endpoint.request.End(health)
 	response := bufferedResponse{status, ex.response.Header, body}
-	if isServerError && p.mayRetryServerError() {
+	if isServerError && p.mayRetryServerError(endpoint.ID) {
 		p.endpointError = &response
 		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status)}
 	}
@@ -217,11 +223,11 @@
 	p.w.WriteHeader(status)
 }
 
-// mayRetryServerError reports whether a request may be retried after a response with a server error. The retry budget
+// mayRetryServerError reports whether a request may be retried after an endpoint's response with a server error. The retry budget
 // is checked later, at the retry itself.
-func (p *proxiedRequest) mayRetryServerError() bool {
+func (p *proxiedRequest) mayRetryServerError(endpointID string) bool {
 	return p.route.IsRepeatable() && !p.responseStarted && p.possibleRuns+1 < p.route.MaxAttempts && p.timeLeft() > minResponseTimeout &&
-		len(p.server.Roster.UsableEndpoints(p.service.Name)) > 1
+		slices.ContainsFunc(p.server.Roster.UsableEndpoints(p.service.Name), func(e afroster.Endpoint) bool { return e.ID != endpointID })
 }
 
 // relayStream relays a stream event by event. The head is sent together with the first event, so that another endpoint
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -166,10 +166,13 @@
 	return out
 }
 
-// listLoadedModels returns the models that some engine holds.
+// listLoadedModels returns the models that some engine holds that is not out of use.
 func (s *Service) listLoadedModels(now time.Time) map[string]bool {
 	loaded := make(map[string]bool)
 	for _, es := range s.engines {
+		if es.isOutOfUse(now) {
+			continue
+		}
 		for _, h := range es.loadedModels(now) {
 			loaded[h.Model] = true
 		}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -20,6 +20,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afcrash"
 	"arbutusfork.example/arbutusfork/internal/afentry"
+	"arbutusfork.example/arbutusfork/internal/affact"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afgateway"
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
@@ -99,6 +100,7 @@
 	crashes        *afcrash.Service
 	slots          *afslot.Service
 	tables         *aftable.Service
+	facts          *affact.Service
 	gateway        *afgateway.Server
 	entryServer    *afentry.Server
 	vmList         vmList
@@ -190,6 +192,7 @@
 		{"crashes", withoutError(n.crashes.Run)},
 		{"slots", withoutError(n.slots.Run)},
 		{"tables", withoutError(n.tables.Run)},
+		{"facts", withoutError(n.facts.Run)},
 		{"entry", n.entryServer.Run},
 		{"reload", withoutError(n.runReload)},
 		{"wake", withoutError(n.runRechecks)},
@@ -220,6 +223,7 @@
 	n.createCrashes()
 	n.createSlots()
 	n.createTables()
+	n.createFacts()
 	n.createGateway()
 	n.createKeeper()
 	n.registerMetrics()
@@ -258,6 +262,25 @@
 	n.peers.Handle(aftable.KindFetch, n.tables.HandleFetch)
 }
 
+// createFacts creates the service that shares what endpoints say about themselves.
+func (n *Node) createFacts() {
+	n.facts = &affact.Service{
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.IsListed,
+		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
+		OnChange: func() {
+			n.requestRecheck()
+			n.keeper.Wake()
+		},
+	}
+	n.facts.RegisterGauges(n.registry)
+	n.roster.Notices = afroster.Notices{IsLeaving: n.facts.IsLeaving, PausedUntil: n.facts.PausedUntil, HasPauses: n.facts.HasPauses}
+	n.peers.Handle(affact.KindNotices, n.facts.HandleNotices)
+	n.peers.Handle(affact.KindDigest, n.facts.HandleDigest)
+	if n.Platform.WatchEngines != nil {
+		n.Platform.WatchEngines(n.facts.Record)
+	}
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
@@ -271,8 +294,9 @@
 		EndpointLimits: afgateway.EndpointLimits{
 			RecordAnswer: n.slots.RecordAnswer, ExpectedWait: n.slots.ExpectedWait, ExpectRequest: n.slots.ExpectRequest, TakeSlot: n.slots.TakeSlot,
 		},
-		Metrics:     afgateway.NewMetrics(n.registry),
-		RetryBudget: n.Settings.retryBudget(),
+		EndpointNotices: afgateway.EndpointNotices{Record: n.facts.Record},
+		Metrics:         afgateway.NewMetrics(n.registry),
+		RetryBudget:     n.Settings.retryBudget(),
 	}
 	n.gateway.RegisterGauges(n.registry)
 	n.entryServer = &afentry.Server{
