affact: leave out who heard that an endpoint leaves

TestNoticesStayWithinControlTraffic failed in every run with 20 VMs: 8,866 bytes a second from each VM when all 750 endpoints leave within a minute, where 8,800 are left of the 18 KB/s. The name of the VM that heard it is needed for pauses only.

--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -61,9 +61,10 @@
 type noticeMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
-	Endpoint      string
-	StartUnixMs   int64
-	Kind          int
+	Endpoint    string
+	StartUnixMs int64
+	Kind        int
+	// HeardBy is empty for a notice that does not depend on it.
 	HeardBy       string
 	Number        int64
 	AgeMs, LeftMs int64
@@ -74,9 +75,10 @@
 	out := noticesMessage{Notices: make([]noticeMessage, 0, len(notices))}
 	for k, n := range notices {
 		m := noticeMessage{
-			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), HeardBy: n.HeardBy, Number: n.Number, AgeMs: now.Sub(n.HeardAt).Milliseconds(),
+			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), Number: n.Number, AgeMs: now.Sub(n.HeardAt).Milliseconds(),
 		}
 		if k.Kind == afnotice.Pause {
+			m.HeardBy = n.HeardBy
 			m.LeftMs = max(n.Until.Sub(now).Milliseconds(), 0)
 		}
 		out.Notices = append(out.Notices, m)
