afgateway: continue a broken stream at the only endpoint of its model

A model with one replica was not continued then, and the caller waited until its deadline. Only an endpoint that refused or was silent is left out now.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -121,6 +121,10 @@
 		}
 		next = result.replacement
 		excluded[endpoint.ID] = true
+		p.avoidedEndpoint = ""
+		if result.notRun || result.timedOut {
+			p.avoidedEndpoint = endpoint.ID
+		}
 		if result.timedOut {
 			if p.timedOutEndpoints == nil {
 				p.timedOutEndpoints = map[string]bool{}
@@ -344,10 +348,11 @@
 	endpoint, ok := p.pickCandidate(candidates, needs)
 	if !ok && len(excluded) > 0 {
 		// An endpoint whose previous attempt failed is better than none, since no other endpoint may load the model or
-		// adapter. An endpoint that timed out is overloaded and stays excluded, unless a response that has begun would break.
+		// adapter. An endpoint that timed out is overloaded and stays excluded. A response that has begun would break without an
+		// endpoint: only the one that refused or was silent last is left out.
 		needs.excluded = p.timedOutEndpoints
 		if p.responseStarted {
-			needs.excluded = map[string]bool{p.lastEndpoint: true}
+			needs.excluded = map[string]bool{p.avoidedEndpoint: true}
 		}
 		endpoint, ok = p.pickCandidate(candidates, needs)
 	}
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -77,6 +77,8 @@
 	maxEventInterval time.Duration
 	// lastEndpoint is the ID of the endpoint of the latest attempt.
 	lastEndpoint string
+	// avoidedEndpoint is the ID of the endpoint of the latest attempt if it refused or was silent, or empty.
+	avoidedEndpoint string
 	// responseStarted means that the head of the response was sent to the caller.
 	responseStarted bool
 	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
