afconfig, afsync: hold the configuration when the store goes back

A VM replaced its configuration by an older copy when the platform's store came back: the era makes the versions of old objects higher than those in force, and the full list after the expired watch was merged as newer. A withdrawn key worked again on every VM, and an accepted change was undone, until the operators had written again.

A copied object keeps its revision, so that of two states the one with the higher revision is the later one, whatever their eras. A state with a lower revision in a later era is either an older copy or was written since. Writes above the version of the first list are in force at once. A VM that starts in that time has only the older copies and asks its heartbeat peers for what they hold.

The witness set is written by the system itself, which nobody repeats: a set with a lower epoch never replaces the one in force, its home VM writes it again, and an epoch of a new era is the version that the write is conditional on, so that no two sets have the same epoch.

Ruled out: keeping the version of before until the operators have written, which would make every VM refuse keyed requests for that time.

--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -11,6 +11,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -146,14 +147,15 @@
 	snapshot := s.Snapshot()
 	set := snapshot.Witnesses()
 	next, changed := set.NextSet(s.witnessCandidates(set))
-	if !changed {
+	version := snapshot.ObjectVersion(afobject.KindWitnesses, afconfig.SingletonName)
+	isLost := version > 0 && afversion.Era(version) < afversion.Era(snapshot.Version)
+	if !changed && !isLost {
 		return
 	}
 	s.isReplacingWitnesses = true
-	version := snapshot.ObjectVersion(afobject.KindWitnesses, afconfig.SingletonName)
 	confirm := s.hasListedMajority(set)
 	go func() {
-		err := s.replaceWitnesses(next, version, confirm)
+		err := s.replaceWitnesses(next, version, confirm, isLost)
 		s.events.PushWithContext(s.ctx, func() {
 			s.isReplacingWitnesses = false
 			if err != nil {
@@ -190,8 +192,8 @@
 }
 
 // replaceWitnesses writes the next witness set if the object of the current set still has the given version. If confirm
-// is set, it first confirms that version.
-func (s *Service) replaceWitnesses(next afconfig.WitnessSet, version int64, confirm bool) error {
+// is set, it first confirms that version. If the store has lost the current set, next replaces whatever the store has.
+func (s *Service) replaceWitnesses(next afconfig.WitnessSet, version int64, confirm, isLost bool) error {
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
 	if confirm {
@@ -201,7 +203,18 @@
 			return err
 		}
 	}
-	spec, err := json.Marshal(next)
+	basis := version
+	if isLost || version == 0 {
+		stored, err := s.Client.Get(ctx, afobject.KindWitnesses, afconfig.SingletonName)
+		if err != nil && !afobject.IsKind(err, afobject.ObjectNotFound) {
+			return err
+		}
+		basis = stored.Version
+		if version = 0; isLost && err == nil {
+			version = basis
+		}
+	}
+	spec, err := json.Marshal(next.EpochFrom(basis))
 	if err != nil {
 		return err
 	}
--- a/internal/afsync/fleet_test.go
+++ b/internal/afsync/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,7 @@
 	*testing.T
 	network    afstandin.Network
 	platform   afstandin.Platform
+	serve      atomic.Pointer[http.Handler] // serve answers the VMs' requests to the platform.
 	vms        map[string]*vm
 	startCount int64
 }
@@ -46,7 +48,9 @@
 		f.platform.BookmarkInterval = time.Hour
 		l, err := f.network.Listen(platformAddress)
 		require.NoError(t, err)
-		server := &http.Server{Handler: f.platform.Handler()}
+		handler := f.platform.Handler()
+		f.serve.Store(&handler)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*f.serve.Load()).ServeHTTP(w, r) })}
 		go func() { _ = server.Serve(l) }()
 		for i := range n {
 			f.putListedVM(vmName(i), "live")
--- a/internal/afsync/pull.go
+++ b/internal/afsync/pull.go
@@ -30,6 +30,8 @@
 	Version int64 `msgpack:"version,omitempty"`
 	// Skip is the number of objects received so far.
 	Skip int `msgpack:"skip,omitempty"`
+	// Held requests the objects instead that the store may have lost.
+	Held bool `msgpack:"held,omitempty"`
 }
 
 // changesPage is one page of configuration changes. It follows the first Skip changed objects.
@@ -39,6 +41,10 @@
 	// Full means that the pages together hold all objects.
 	Full bool `msgpack:"full,omitempty"`
 	Skip int  `msgpack:"skip,omitempty"`
+	// Baseline is the version up to which objects of its era may be older copies.
+	Baseline int64 `msgpack:"base,omitempty"`
+	// Holding means that the peer may hold objects that the store has lost.
+	Holding bool `msgpack:"holding,omitempty"`
 	// More means that another page follows.
 	More    bool         `msgpack:"more,omitempty"`
 	Objects []pageObject `msgpack:"objects"`
@@ -60,7 +66,10 @@
 		return nil, &Error{Op: "pull", Kind: MalformedMessage, Err: err}
 	}
 	d := s.Snapshot().ChangesSince(request.Since)
-	page := changesPage{Version: d.Version, Full: d.IsFull}
+	if request.Held {
+		d.Objects, d.IsFull = s.Snapshot().HeldObjects(), false
+	}
+	page := changesPage{Version: d.Version, Full: d.IsFull, Baseline: d.Baseline, Holding: d.IsHolding}
 	if request.Version == d.Version && request.Skip > 0 && request.Skip <= len(d.Objects) {
 		page.Skip = request.Skip
 	}
@@ -84,7 +93,7 @@
 	s.isPullingChanges = true
 	since := s.Version()
 	go func() {
-		d, err := s.fetchPages(vm, since)
+		d, err := s.fetchPages(vm, since, false)
 		s.events.PushWithContext(s.ctx, func() {
 			s.isPullingChanges = false
 			if err != nil {
@@ -96,14 +105,15 @@
 	}()
 }
 
-// fetchPages requests all pages of the changes after a version. It starts again when the peer's version changes.
-func (s *Service) fetchPages(vm string, since int64) (afconfig.Delta, error) {
+// fetchPages requests all pages of the changes after a version, or of the objects that the peer holds although the store may
+// have lost them. It starts again when the peer's version changes.
+func (s *Service) fetchPages(vm string, since int64, held bool) (afconfig.Delta, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, pullTimeout)
 	defer cancel()
 	d := afconfig.Delta{BaseVersion: since}
 	for {
 		var page changesPage
-		request := changesRequest{Since: since, Version: d.Version, Skip: len(d.Objects)}
+		request := changesRequest{Since: since, Version: d.Version, Skip: len(d.Objects), Held: held}
 		if err := s.CallVM(ctx, vm, kindChangesRequest, request, &page); err != nil {
 			return d, err
 		}
@@ -113,7 +123,7 @@
 			}
 			d.Objects = nil
 		}
-		d.Version, d.IsFull = page.Version, page.Full
+		d.Version, d.IsFull, d.Baseline, d.IsHolding = page.Version, page.Full, page.Baseline, page.Holding
 		for _, o := range page.Objects {
 			d.Objects = append(d.Objects, afobject.Object{Kind: o.Kind, Name: o.Name, Version: o.Version, Spec: o.Spec})
 		}
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -73,6 +73,8 @@
 	listRequestedAt      time.Time // listRequestedAt is when this VM last requested the list from the platform.
 	isPullingList        bool
 	isReplacingWitnesses bool
+	heldRequestsEndAt    time.Time        // heldRequestsEndAt is until when this VM asks others for objects that the store may have lost.
+	heldRequests         map[string]bool  // heldRequests are the VMs that were asked.
 	loggedFresh          bool             // loggedFresh is the freshness that was logged last.
 	listedVMs            []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
 }
@@ -163,7 +165,7 @@
 	s.openMissingWatch(now)
 }
 
-// applyDelta merges a delta into the snapshot, updates the freshness view and calls the subscribers.
+// applyDelta merges a delta into the snapshot.
 func (s *Service) applyDelta(d afconfig.Delta, source string) {
 	old := s.snapshot.Load()
 	next, err := old.MergeDelta(d)
@@ -173,10 +175,16 @@
 	if next == old {
 		return
 	}
+	s.storeSnapshot(old, next, len(d.Objects), source)
+}
+
+// storeSnapshot puts a changed snapshot in force, updates the freshness view and calls the subscribers.
+func (s *Service) storeSnapshot(old, next *afconfig.Snapshot, objects int, source string) {
 	s.snapshot.Store(next)
+	s.scheduleResolution(old, next)
 	s.updateFreshness(func(v afconfig.FreshnessView) afconfig.FreshnessView { return v.WithSnapshot(next) })
 	s.log().Info("configuration changed",
-		"version", next.Version, "before", old.Version, "objects", len(d.Objects), "source", source)
+		"version", next.Version, "before", old.Version, "objects", objects, "source", source, "holding", next.IsHolding())
 	s.mu.Lock()
 	subscribers := s.subscribers
 	close(s.versionRaised)
@@ -240,6 +248,7 @@
 		if r.Version > s.Version() {
 			s.pullChanges(from.VM)
 		}
+		s.requestHeldObjects(from.VM)
 		s.handleListDigest(from.VM, r.ListDigest, r.ListRequestedAt)
 	})
 }
--- a/internal/afsync/watch.go
+++ b/internal/afsync/watch.go
@@ -124,7 +124,10 @@
 		return 0, err
 	}
 	s.events.PushWithContext(ctx, func() {
-		s.applyDelta(afconfig.Delta{Version: version, IsFull: true, Objects: objects}, "list")
+		if s.Version() == 0 {
+			s.heldRequestsEndAt = s.Timer.Now().Add(heldRequestPeriod)
+		}
+		s.applyDelta(afconfig.Delta{Version: version, IsFull: true, Objects: objects, Baseline: version}, "list")
 		w.deliveredVersion = max(w.deliveredVersion, version)
 		s.watchBackoff, s.maxWatchLag = 0, 0
 	})
--- a/pkg/afconfig/delta.go
+++ b/pkg/afconfig/delta.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 // maxTombstones limits the deleted objects that a snapshot keeps. At 690 changes a day, 1024 tombstones cover more than
@@ -16,7 +17,7 @@
 func (s *Snapshot) storeIfNewer(o afobject.Object) bool {
 	id := objectID{o.Kind, o.Name}
 	old, exists := s.objects[id]
-	if exists && o.Version > 0 && o.Version <= old.Version {
+	if exists && o.Version > 0 && o.Version <= old.Version || s.isOlderWitnessSet(o) {
 		return false
 	}
 	if exists && old.Spec == nil {
@@ -60,12 +61,19 @@
 	IsFull bool
 	// Objects holds the changed objects in order of version. An object without Spec is deleted.
 	Objects []afobject.Object
+	// Baseline is a version in the era of Version up to which objects may be older copies, or zero if that is not known.
+	Baseline int64
+	// IsHolding means that the sender's snapshot may hold objects that the store has lost.
+	IsHolding bool
+	// IsResolution means that the delta is the full content of the store, read after operators had time to write again what
+	// the store has lost. It replaces the objects that the snapshot still holds.
+	IsResolution bool
 }
 
 // ChangesSince returns the changes after a version, in order of version. The delta is full if tombstones of deletions
 // after that version may have been pruned.
 func (s *Snapshot) ChangesSince(version int64) Delta {
-	d := Delta{BaseVersion: version, Version: s.Version, IsFull: version < s.completeSinceVersion || version <= 0}
+	d := Delta{BaseVersion: version, Version: s.Version, Baseline: s.baseline, IsHolding: s.isHolding, IsFull: version < s.completeSinceVersion || version <= 0}
 	for _, o := range s.objects {
 		if o.Version > version || d.IsFull {
 			if d.IsFull && o.Spec == nil {
@@ -82,9 +90,28 @@
 // newer than the snapshot, or if a delta that is not full has a BaseVersion above the snapshot's version. It reports
 // malformed objects as WithValidObjects does.
 func (s *Snapshot) MergeDelta(d Delta) (*Snapshot, error) {
-	if d.Version <= s.Version || !d.IsFull && d.BaseVersion > s.Version {
+	isResolution := d.IsResolution && s.isHolding && d.Version >= s.Version && afversion.Era(d.Version) == afversion.Era(s.Version)
+	if d.Version <= s.Version && !isResolution || !d.IsFull && d.BaseVersion > s.Version {
 		return s, nil
 	}
+	isLaterEra := s.Version > 0 && afversion.Era(d.Version) > afversion.Era(s.Version)
+	if isLaterEra || s.isHolding && d.IsFull && !isResolution {
+		d = s.withoutOlderCopies(d)
+	}
+	next, err := s.applyDelta(d)
+	switch {
+	case isLaterEra:
+		next.baseline, next.isHolding = d.Baseline, true
+	case isResolution:
+		next.isHolding = false
+	case s.Version == 0:
+		next.baseline, next.isHolding = d.Baseline, d.IsHolding
+	}
+	return next, err
+}
+
+// applyDelta applies a delta that is newer than the snapshot.
+func (s *Snapshot) applyDelta(d Delta) (*Snapshot, error) {
 	if !d.IsFull {
 		return s.WithValidObjects(d.Version, d.Objects...)
 	}
--- a/pkg/afconfig/snapshot.go
+++ b/pkg/afconfig/snapshot.go
@@ -45,6 +45,10 @@
 	tombstoneCount int
 	// completeSinceVersion is the lowest version since which objects holds every change and every deletion.
 	completeSinceVersion int64
+	// baseline is a version up to which the store's objects may be older copies, or zero.
+	baseline int64
+	// isHolding means that objects of an earlier era may be newer than the store's.
+	isHolding bool
 }
 
 type objectID struct{ kind, name string }
