afplacement, afpeer: order routing tables by epoch and sequence

The version of a routing table's part was the epoch shifted by 32 bits plus the sequence. With the store's era above the revision in the epoch, the era is shifted out of the 64 bits: a part of a later era would look older, and VMs would keep the table of before for good.

Parts are now compared by epoch and sequence, which heartbeats and demand messages carry as a pair, under other field names than before.

TestTableOrderAcrossEras fails with the combined number (the table of era 2 is refused).

--- a/internal/afcontrol/demand.go
+++ b/internal/afcontrol/demand.go
@@ -25,13 +25,13 @@
 	isUnreported bool
 }
 
-// demandMessage is the body of a demand message. Shard, PartDigest and LacksModel are set in a large fleet only.
+// demandMessage is the body of a demand message. Shard, PartVersion and LacksModel are set in a large fleet only.
 type demandMessage struct {
 	Rows []demandRow `msgpack:"rows"`
 	// Shard is the shard of the rows.
 	Shard string `msgpack:"shard,omitempty"`
-	// PartDigest is the digest of the shard's part that the reporting VM has.
-	PartDigest int64 `msgpack:"have,omitempty"`
+	// PartVersion is the version of the shard's part that the reporting VM has.
+	PartVersion afplacement.PartVersion `msgpack:"holds"`
 	// LacksModel means that requests wait for a model that is missing in the VM's routing table.
 	LacksModel bool `msgpack:"lacks,omitempty"`
 }
@@ -179,7 +179,7 @@
 		}
 		m := demandMessage{Rows: list}
 		if s.isLargeFleet() {
-			m.Shard, m.PartDigest, m.LacksModel = name, s.RoutingTable().CurrentDigest(name), s.lacksWantedModel(list)
+			m.Shard, m.PartVersion, m.LacksModel = name, s.RoutingTable().CurrentVersion(name), s.lacksWantedModel(list)
 		}
 		owner := s.demandRecipient(sh)
 		if owner == "" || owner == s.Self.VM {
@@ -218,7 +218,7 @@
 // applyDemand applies demand that a VM reported to the shards.
 func (s *Service) applyDemand(vm string, m demandMessage) {
 	now := s.Timer.Now()
-	sentDigest := s.lastSentDigest(m.Shard, vm)
+	sentVersion := s.lastSentVersion(m.Shard, vm)
 	reports := make(map[*shard]afplacement.ReportBatch)
 	for _, row := range m.Rows {
 		sh := s.shards[s.shardOf(row.Model)]
@@ -236,5 +236,5 @@
 	for sh, r := range reports {
 		s.applyEvent(sh, r)
 	}
-	s.repairTable(vm, m, sentDigest, now)
+	s.repairTable(vm, m, sentVersion, now)
 }
--- a/internal/afcontrol/filter.go
+++ b/internal/afcontrol/filter.go
@@ -168,17 +168,17 @@
 	}
 }
 
-// lastSentDigest returns the digest of the part that was last sent to the VM.
-func (s *Service) lastSentDigest(name, vm string) int64 {
+// lastSentVersion returns the version of the part that was last sent to the VM.
+func (s *Service) lastSentVersion(name, vm string) afplacement.PartVersion {
 	if sh := s.shards[name]; sh != nil && sh.subscribers.byVM[vm] != nil {
-		return sh.subscribers.byVM[vm].lastPart.Digest()
+		return sh.subscribers.byVM[vm].lastPart.Version()
 	}
-	return 0
+	return afplacement.PartVersion{}
 }
 
 // repairTable sends the VM that reported demand what is missing there: the owner, or its part of the routing table. It
-// sends no part if one was sent after sentDigest was read.
-func (s *Service) repairTable(vm string, m demandMessage, sentDigest int64, now time.Time) {
+// sends no part if one was sent after sentVersion was read.
+func (s *Service) repairTable(vm string, m demandMessage, sentVersion afplacement.PartVersion, now time.Time) {
 	sh := s.shards[m.Shard]
 	switch {
 	case sh == nil:
@@ -193,7 +193,7 @@
 			sh.lastPart = afplacement.TablePart{}
 			s.publishPart(sh, now)
 		}
-	case (m.LacksModel || m.PartDigest != sentDigest) && s.lastSentDigest(sh.name, vm) == sentDigest:
+	case (m.LacksModel || m.PartVersion != sentVersion) && s.lastSentVersion(sh.name, vm) == sentVersion:
 		if sub := sh.subscribers.byVM[vm]; sub != nil {
 			f := afplacement.NewPartFilter(sh.view.BuildPartForSharers(sh.name, sh.subscribers.sharersByModel(), now))
 			s.sendPart(sh, vm, sub, f.PartForVM(vm, slices.Sorted(maps.Keys(sub.demandAt))), now)
--- a/internal/afcontrol/filter_test.go
+++ b/internal/afcontrol/filter_test.go
@@ -78,7 +78,7 @@
 	require.Equal(t, []string{"b"}, f.vms[vmB].RoutingTable().Models())
 	sum := 0
 	for name, s := range f.vms {
-		require.Empty(t, s.TableDigests(), name)
+		require.Empty(t, s.TableVersions(), name)
 		if name != owner && name != vmA && name != vmB {
 			require.Empty(t, s.RoutingTable().Models(), name)
 		}
@@ -94,7 +94,7 @@
 	require.NoError(t, err)
 	_, err = f.vms[vmA].HandleFetchPart(f.vms[vmB].Self, request)
 	require.Error(t, err)
-	f.vms[vmB].HandleTableDigests(f.vms[vmA].Self, map[string]int64{"s-0": 1 << 40})
+	f.vms[vmB].HandleTableVersions(f.vms[vmA].Self, map[string]afplacement.PartVersion{"s-0": {Epoch: 1 << 40}})
 	f.waitUntilIdle()
 	require.Zero(t, f.sentCount(KindFetchPart))
 }
--- a/internal/afcontrol/message.go
+++ b/internal/afcontrol/message.go
@@ -127,24 +127,24 @@
 	return answer, nil
 }
 
-// HandleTableDigests fetches the parts of the routing table of which the peer has a newer publication. In a large fleet
+// HandleTableVersions fetches the parts of the routing table of which the peer has a newer publication. In a large fleet
 // it does nothing, because the owners send each VM the entries that it needs.
-func (s *Service) HandleTableDigests(from arbutusfork.Incarnation, digest map[string]int64) {
+func (s *Service) HandleTableVersions(from arbutusfork.Incarnation, versions map[string]afplacement.PartVersion) {
 	s.init()
 	if s.isLargeFleet() {
 		return
 	}
 	table := s.RoutingTable()
-	for name, d := range digest {
-		if p, ok := table.Part(name); !ok || d > p.Digest() {
-			s.loopQueue.TryPush(func() { s.fetchPart(from.VM, name, d) })
+	for name, v := range versions {
+		if p, ok := table.Part(name); !ok || v.IsNewerThan(p.Version()) {
+			s.loopQueue.TryPush(func() { s.fetchPart(from.VM, name, v) })
 		}
 	}
 }
 
 // fetchPart fetches a shard's part of the routing table from another VM, unless this VM has that publication.
-func (s *Service) fetchPart(vm, name string, digest int64) {
-	if p, ok := s.RoutingTable().Part(name); ok && p.Digest() >= digest {
+func (s *Service) fetchPart(vm, name string, version afplacement.PartVersion) {
+	if p, ok := s.RoutingTable().Part(name); ok && !version.IsNewerThan(p.Version()) {
 		return
 	}
 	s.startCall(func(ctx context.Context) func() {
--- a/internal/afcontrol/service.go
+++ b/internal/afcontrol/service.go
@@ -107,13 +107,13 @@
 	return &afplacement.Table{}
 }
 
-// TableDigests returns the digests of the routing table for heartbeats. It returns nil in a large fleet, in which VMs
+// TableVersions returns the versions of the routing table for heartbeats. It returns nil in a large fleet, in which VMs
 // do not fetch parts from each other.
-func (s *Service) TableDigests() map[string]int64 {
+func (s *Service) TableVersions() map[string]afplacement.PartVersion {
 	if s.isLargeFleet() {
 		return nil
 	}
-	return s.RoutingTable().Digests()
+	return s.RoutingTable().Versions()
 }
 
 // startCall runs fn in a goroutine and then runs the function that fn returns on the loop.
--- a/internal/afcontrol/service_test.go
+++ b/internal/afcontrol/service_test.go
@@ -39,7 +39,7 @@
 	f.advanceTime(time.Second)
 	require.Equal(t, []string{"load a", "load a:x"}, e.receivedOrders())
 	require.Len(t, s.RoutingTable().Replicas("a:x"), 1)
-	require.Equal(t, f.vms[owner].TableDigests(), s.TableDigests())
+	require.Equal(t, f.vms[owner].TableVersions(), s.TableVersions())
 }
 
 // TestTakeOver guards against a shard that has no owner after a death, and against a take-over that loses the replicas.
--- a/internal/afpeer/beat.go
+++ b/internal/afpeer/beat.go
@@ -9,6 +9,7 @@
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afframe"
 	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
 )
 
 const (
@@ -63,8 +64,8 @@
 	// Leaving means that the VM is leaving.
 	Leaving  bool                `msgpack:"leaving,omitempty"`
 	Evidence []heartbeatEvidence `msgpack:"evidence,omitempty"`
-	// Digests maps shards to the versions that the VM holds.
-	Digests map[string]int64 `msgpack:"digests,omitempty"`
+	// Parts maps shards to the versions of the routing table that the VM holds.
+	Parts map[string]afplacement.PartVersion `msgpack:"parts,omitempty"`
 	// List is the digest of the platform's list of VMs. Zero means that the VM holds none.
 	List int64 `msgpack:"list,omitempty"`
 	// Age is the time between the request for the list and this answer, in milliseconds rounded up.
@@ -141,8 +142,8 @@
 			})
 		}
 	}
-	if s.TableDigests != nil {
-		answer.Digests = s.TableDigests()
+	if s.TableVersions != nil {
+		answer.Parts = s.TableVersions()
 	}
 	return answer
 }
@@ -190,8 +191,8 @@
 		}
 		s.OnReport(from, requestedAt, r)
 	}
-	if s.OnTableDigests != nil && len(answer.Digests) > 0 {
-		s.OnTableDigests(from, answer.Digests)
+	if s.OnTableVersions != nil && len(answer.Parts) > 0 {
+		s.OnTableVersions(from, answer.Parts)
 	}
 }
 
--- a/internal/afpeer/service.go
+++ b/internal/afpeer/service.go
@@ -16,6 +16,7 @@
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afframe"
 	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afplacement"
 	"arbutusfork.example/arbutusfork/pkg/afring"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
@@ -73,10 +74,10 @@
 	BuildReport func(now time.Time) ConfigurationReport
 	// OnReport is called with the report of another VM and the time at which it was requested. It must not block.
 	OnReport func(from arbutusfork.Incarnation, requestedAt time.Time, r ConfigurationReport)
-	// TableDigests returns this VM's version of each shard, by shard. It must not block.
-	TableDigests func() map[string]int64
-	// OnTableDigests is called with the shard versions of another VM. It must not block.
-	OnTableDigests func(from arbutusfork.Incarnation, digests map[string]int64)
+	// TableVersions returns this VM's version of each shard, by shard. It must not block.
+	TableVersions func() map[string]afplacement.PartVersion
+	// OnTableVersions is called with the shard versions of another VM. It must not block.
+	OnTableVersions func(from arbutusfork.Incarnation, versions map[string]afplacement.PartVersion)
 	// OnMembershipChange is called after each change of the membership. It must not block.
 	OnMembershipChange func(afmember.View)
 
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -96,8 +96,8 @@
 	s.peers.Handle(afcontrol.KindOwner, s.control.HandleOwner)
 	s.peers.Handle(afcontrol.KindFetchPart, s.control.HandleFetchPart)
 	s.peers.Handle(afcontrol.KindFenceSender, s.control.HandleFenceSender)
-	s.peers.TableDigests = s.control.TableDigests
-	s.peers.OnTableDigests = s.control.HandleTableDigests
+	s.peers.TableVersions = s.control.TableVersions
+	s.peers.OnTableVersions = s.control.HandleTableVersions
 	s.dispatch = &afdispatch.Service{
 		ModelReplicas:      s.listReplicas,
 		ServiceEndpoints:   s.listReplicas,
--- a/pkg/afplacement/filter.go
+++ b/pkg/afplacement/filter.go
@@ -95,14 +95,14 @@
 	return next
 }
 
-// CurrentDigest returns the digest of the shard's part. It is zero if there is no part or if WithoutEndpoint has
+// CurrentVersion returns the version of the shard's part. It is zero if there is no part or if WithoutEndpoint has
 // removed an endpoint from the part.
-func (t *Table) CurrentDigest(shard string) int64 {
+func (t *Table) CurrentVersion(shard string) PartVersion {
 	p, ok := t.Part(shard)
 	if !ok || p.endpointRemoved {
-		return 0
+		return PartVersion{}
 	}
-	return p.Digest()
+	return p.Version()
 }
 
 // EqualExceptCredits reports whether the parts are equal apart from sequences, counts of running requests and credits.
--- a/pkg/afplacement/table.go
+++ b/pkg/afplacement/table.go
@@ -63,11 +63,20 @@
 	endpointRemoved bool // endpointRemoved means that Table.WithoutEndpoint removed replicas from the part.
 }
 
-// digestShift leaves room for 2^32 publications per epoch, enough for 13 years at ten a second.
-const digestShift = 32
+// PartVersion orders the publications of a shard, by epoch and then by sequence. The zero value is below any publication.
+type PartVersion struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads the option from the field of this name.
 
-// Digest combines epoch and sequence into one number that orders the publications of a shard.
-func (p TablePart) Digest() int64 { return p.Epoch<<digestShift | p.Sequence }
+	Epoch, Sequence int64
+}
+
+// IsNewerThan reports whether v is a later publication than w.
+func (v PartVersion) IsNewerThan(w PartVersion) bool {
+	return v.Epoch > w.Epoch || v.Epoch == w.Epoch && v.Sequence > w.Sequence
+}
+
+// Version returns the version of the publication.
+func (p TablePart) Version() PartVersion { return PartVersion{Epoch: p.Epoch, Sequence: p.Sequence} }
 
 // EqualExceptRunning reports whether the parts are equal apart from sequences and counts of running requests.
 func (p TablePart) EqualExceptRunning(q TablePart) bool {
@@ -99,7 +108,7 @@
 func (t *Table) WithPart(p TablePart) (*Table, bool) {
 	next := &Table{parts: make(map[string]TablePart)}
 	if t != nil {
-		if old, ok := t.parts[p.Shard]; ok && old.Digest() >= p.Digest() {
+		if old, ok := t.parts[p.Shard]; ok && !p.Version().IsNewerThan(old.Version()) {
 			return t, false
 		}
 		next.parts = maps.Clone(t.parts)
@@ -181,14 +190,14 @@
 	return p, ok
 }
 
-// Digests returns the digest of each shard's whole part. VMs compare these digests to detect missed publications.
+// Versions returns the version of each shard's whole part. VMs compare these versions to detect missed publications.
 // Filtered parts are left out, since other VMs cannot use them.
-func (t *Table) Digests() map[string]int64 {
-	out := make(map[string]int64)
+func (t *Table) Versions() map[string]PartVersion {
+	out := make(map[string]PartVersion)
 	if t != nil {
 		for name, p := range t.parts {
 			if p.FilteredFor == "" {
-				out[name] = p.Digest()
+				out[name] = p.Version()
 			}
 		}
 	}
--- a/pkg/afplacement/table_test.go
+++ b/pkg/afplacement/table_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 // TestTableOrder guards against an older publication that replaces a newer one, also across a take-over.
@@ -63,3 +64,18 @@
 		}
 	})
 }
+
+// TestTableOrderAcrossEras guards against a table that stays as it was before the store went back, because the era of the
+// fencing number is lost when the version is computed.
+func TestTableOrderAcrossEras(t *testing.T) {
+	era1, err := afversion.Join(1, 90)
+	require.NoError(t, err)
+	era2, err := afversion.Join(2, 40)
+	require.NoError(t, err)
+	var table *Table
+	table, _ = table.WithPart(TablePart{Shard: "s-0", Epoch: era1, Sequence: 7})
+	table, newer := table.WithPart(TablePart{Shard: "s-0", Epoch: era2, Sequence: 1})
+	require.True(t, newer)
+	_, newer = table.WithPart(TablePart{Shard: "s-0", Epoch: era1, Sequence: 8})
+	require.False(t, newer)
+}
