afplacement, afcontrol: keep fences unique when the store goes back

The fencing number of a shard was counted from the stored record, which goes back with the store: two VMs used the same number, an endpoint got a lower one after a higher one, and order IDs were given out twice. A VM that took the shard over in the new era did not know the orders and assignments of the records that were gone, and could load a second replica beside one that a gone record had ordered.

A record whose fence is of an earlier era than its version now counts as lost. The fence of a new era is the version on which the write is conditional, which no other fence of the era reaches, also after a late write of an earlier era; order IDs begin there too. A VM that owns the shard within its lease writes its own record again and goes on, since nobody else can have owned it. Any other VM waits the term and its margin from its first read of the lost record, uses the latest record that it has seen, and counts each endpoint as a replica of every model until it has reported, 1 s after the take-over at the earliest, so that orders under way have arrived. A shard that never had a record counts the wait from when the process first saw the era, and gives up endpoints that do not answer.

TestOwnerGoesOnWhenStoreGoesBack fails if an owner goes on after its lease. Three mutants, and one of the configuration.

Ruled out: the highest fence that a VM has seen, since all VMs may restart while the store is away.

--- a/internal/afcontrol/service.go
+++ b/internal/afcontrol/service.go
@@ -70,6 +70,8 @@
 	config        *afconfig.Snapshot
 	shards        map[string]*shard
 	shardCounts   map[string]int // shardCounts is the number of shards by service.
+	era           int64          // era is the highest era of the store that an answer named.
+	eraSeenAt     time.Time      // eraSeenAt is when era was first seen.
 	summarySentAt time.Time      // summarySentAt is when demand was last reported in a summary.
 }
 
@@ -154,7 +156,7 @@
 	members := s.LiveVMs()
 	ttl := demandTTLIntervals * summaryInterval(len(members))
 	for _, sh := range s.shards {
-		sh.view.DemandTTL = ttl
+		sh.view.DemandTTL, sh.view.EraSeenAt = ttl, s.eraSeenAt
 		sh.subscribers.removeExpired(now, max(ttl, minInterestTTL))
 		sh.view.Rank = afplacement.OwnerRank(sh.name, s.Self.VM, members)
 		s.fetchRecordIfDue(sh, now)
--- a/internal/afcontrol/shard.go
+++ b/internal/afcontrol/shard.go
@@ -9,6 +9,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -97,7 +98,8 @@
 		var o afobject.Object
 		if err == nil {
 			o = afobject.Object{Kind: afobject.KindShards, Name: sh.name, Version: c.Version, Spec: spec}
-			if c.Version == 0 {
+			if afversion.Revision(c.Version) == 0 {
+				o.Version = 0
 				o, err = s.CreateObject(ctx, o)
 			} else {
 				o, err = s.UpdateObject(ctx, o)
@@ -133,8 +135,10 @@
 			sh.isFetching = false
 			switch {
 			case afobject.IsKind(err, afobject.ObjectNotFound):
-				s.applyEvent(sh, afplacement.RecordFetched{})
+				s.recordEra(o.Version)
+				s.applyEvent(sh, afplacement.RecordFetched{Version: o.Version})
 			case err == nil:
+				s.recordEra(o.Version)
 				s.applyEvent(sh, afplacement.RecordFetched{Version: o.Version, Record: r})
 			default:
 				s.Log.Debug("shard record not read", "shard", sh.name, "error", err)
@@ -143,6 +147,19 @@
 	})
 }
 
+// recordEra records when the era of a version was first seen.
+func (s *Service) recordEra(version int64) {
+	if era := afversion.Era(version); s.eraSeenAt.IsZero() || era > s.era {
+		if s.era != 0 {
+			s.Log.Warn("the platform's store came back from an older copy", "era", era, "before", s.era)
+		}
+		s.era, s.eraSeenAt = era, s.Timer.Now()
+		for _, sh := range s.shards {
+			sh.view.EraSeenAt = s.eraSeenAt
+		}
+	}
+}
+
 // fetchRecordIfDue reads the record at the interval that applies to this VM: short for preferred owners and after a
 // failed commit, long otherwise. An owner does not read.
 func (s *Service) fetchRecordIfDue(sh *shard, now time.Time) {
--- a/pkg/afplacement/account.go
+++ b/pkg/afplacement/account.go
@@ -169,6 +169,9 @@
 			places[o.Endpoint] = true
 		}
 	}
+	for _, endpoint := range r.Unobserved {
+		places[endpoint] = true
+	}
 	for endpoint, report := range v.reports {
 		_, known := v.cfg.Endpoints[endpoint]
 		for _, m := range report.status.Models {
--- a/pkg/afplacement/choose.go
+++ b/pkg/afplacement/choose.go
@@ -151,7 +151,7 @@
 func (v View) acceptsReplicas(endpoint string) bool {
 	report, ok := v.reports[endpoint]
 	return ok && !report.requestedAt.IsZero() && report.missedReports < maxMissedReports && !report.status.Leaving &&
-		!v.cfg.Endpoints[endpoint].IsLeaving && !report.requestedAt.Before(v.takeoverSentAt)
+		!v.cfg.Endpoints[endpoint].IsLeaving && !report.requestedAt.Before(v.takeoverSentAt) && !v.record.isUnobserved(endpoint)
 }
 
 // isOccupied reports whether the placement has an assignment, an order that may still be carried out, or a model that
--- a/pkg/afplacement/event.go
+++ b/pkg/afplacement/event.go
@@ -103,7 +103,7 @@
 	Tick struct{}
 	// ConfigChanged sets another configuration.
 	ConfigChanged struct{ Config Config }
-	// RecordFetched is the answer to FetchRecord. Version zero means that the shard object does not exist.
+	// RecordFetched is the answer to FetchRecord. A version with revision zero means that the shard object does not exist.
 	RecordFetched struct {
 		Version int64
 		Record  Record
@@ -173,7 +173,8 @@
 type Effect interface{ effect() }
 
 type (
-	// CommitRecord requests a conditional update of the shard object from Version. Version zero creates the object.
+	// CommitRecord requests a conditional update of the shard object from Version. A version with revision zero creates the
+	// object.
 	CommitRecord struct {
 		Version int64
 		Record  Record
--- a/pkg/afplacement/plan.go
+++ b/pkg/afplacement/plan.go
@@ -44,7 +44,8 @@
 // needsImmediateCommit reports whether the changed record must be committed before the next renewal of the lease. Ended
 // orders and completed loads can wait, since the owner itself has them in its view.
 func (v View) needsImmediateCommit(next Record) bool {
-	if next.NextOrderID != v.record.NextOrderID || next.Fence != v.record.Fence || len(next.Assignments) != len(v.record.Assignments) {
+	if next.NextOrderID != v.record.NextOrderID || next.Fence != v.record.Fence || len(next.Assignments) != len(v.record.Assignments) ||
+		len(next.Unobserved) != len(v.record.Unobserved) {
 		return true
 	}
 	for i, a := range next.Assignments {
--- a/pkg/afplacement/protocol_test.go
+++ b/pkg/afplacement/protocol_test.go
@@ -135,7 +135,9 @@
 			tc.applyEvent(j, Tick{})
 		}
 		tc.applyEvent(i, SenderFenced{Sender: request.Sender, Fence: request.Fence, UnresolvedOrders: unresolved})
+		return
 	}
+	tc.forgetEarlierProcess(i, request.Sender)
 }
 
 // TestProtocol guards against replicas beyond the limit and overcommitted memory, caused by pauses, deaths, lost and
--- a/pkg/afplacement/reconcile.go
+++ b/pkg/afplacement/reconcile.go
@@ -7,7 +7,7 @@
 
 // reconcileRecord updates the record by order outcomes and endpoint reports, and adds the orders that follow from them.
 func (v View) reconcileRecord(r Record) Record {
-	r = v.dropEndedOrders(r)
+	r = v.withObservedEndpoints(v.dropEndedOrders(r))
 	for _, a := range r.Assignments {
 		if _, ok := v.cfg.Endpoints[a.Endpoint]; !ok {
 			// An endpoint that is no longer configured carries no charges.
@@ -198,7 +198,9 @@
 				continue
 			}
 			a := Assignment{Endpoint: endpoint, Model: m.Name, Memory: max(m.Memory, cfg.MemoryMB), State: AssignmentLoaded}
-			if v.countReplicas(r, m.Name) > v.maxReplicas(m.Name) || m.State == stateUnloading {
+			observed := r
+			observed.Unobserved = nil
+			if v.countReplicas(observed, m.Name) > v.maxReplicas(m.Name) || m.State == stateUnloading {
 				a.State = AssignmentUnloading
 			}
 			r = r.WithAssignment(a)
--- a/pkg/afplacement/record.go
+++ b/pkg/afplacement/record.go
@@ -65,7 +65,8 @@
 type Record struct {
 	// Owner is the incarnation that owns the shard. It is zero after a release.
 	Owner arbutusfork.Incarnation `json:"owner"`
-	// Fence is the fencing number. It rises at each take-over and never falls.
+	// Fence is the fencing number. It rises at each take-over and never falls. Its era, as of an afversion version, is that in
+	// which it was given out.
 	Fence int64 `json:"fence"`
 	// LeaseTermMillis is the term of the owner's lease in milliseconds.
 	LeaseTermMillis int64 `json:"term"`
@@ -75,6 +76,12 @@
 	NextOrderID int64        `json:"next"`
 	Assignments []Assignment `json:"assignments,omitempty"`
 	Orders      []Order      `json:"orders,omitempty"`
+	// Unobserved are the endpoints that may hold models of records that the store has lost, in order of name. Each counts as
+	// a replica of every model.
+	Unobserved []string `json:"unobserved,omitempty"`
+	// IsFirst means that the shard had no record, which is usually a new shard's. An unobserved endpoint that does not answer is
+	// given up then; otherwise it counts until it reports or is removed from the configuration.
+	IsFirst bool `json:"first,omitempty"`
 }
 
 // Assignment returns the assignment of the model on the endpoint.
--- a/pkg/afplacement/view.go
+++ b/pkg/afplacement/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -29,10 +30,13 @@
 	// DemandTTL is how long a VM's demand stays valid without a new report, at least 3 s. It grows with the interval of
 	// the reports.
 	DemandTTL time.Duration
+	// EraSeenAt is when this process first saw the era of the store, or zero if that is not known.
+	EraSeenAt time.Time
 
 	cfg           Config
 	record        Record    // record is the last record that this VM has read or committed.
-	version       int64     // version is the object's version of record.
+	version       int64     // version is the version of the store's object. Its revision is zero if there is none.
+	isLost        bool      // isLost means that the store's record is of an earlier era. record may be a later one then.
 	versionSeenAt time.Time // versionSeenAt is when this VM first saw the version.
 	versionReadAt time.Time // versionReadAt is when a read last returned the version.
 	absentSince   time.Time // absentSince is when a read first returned that the object does not exist.
@@ -142,7 +146,7 @@
 
 // isRecordedOwner reports whether the committed record names this VM as owner.
 func (v View) isRecordedOwner() bool {
-	return v.version > 0 && v.record.Owner == v.Self
+	return v.recordExists() && !v.isLost && v.record.Owner == v.Self
 }
 
 // Record returns the last record that this VM has read or committed, with its version.
@@ -157,6 +161,9 @@
 	case RecordFetched:
 		v = v.applyRead(e, now)
 	case CommitSucceeded:
+		if afversion.Era(e.Version) != afversion.Era(v.version) {
+			return v.Step(CommitFailed{}, now)
+		}
 		v = v.applyCommit(e)
 	case CommitFailed:
 		if p := v.pendingRecord; p != nil && v.variant.assumeCommitSucceeded {
@@ -216,7 +223,11 @@
 	}
 	wait := time.Duration(v.Rank) * time.Second
 	switch {
-	case v.version == 0:
+	case v.isLost:
+		if !v.continuesLease(now) && v.lostOwnersMayAct(wait) {
+			return v, nil
+		}
+	case !v.recordExists():
 		if v.absentSince.IsZero() || now.Sub(v.absentSince) < wait {
 			return v, nil
 		}
@@ -229,9 +240,7 @@
 		// Only a read shows that the owner has not renewed the lease. Without a read the version may be outdated.
 		return v, nil
 	}
-	next := v.record.WithOwner(v.Self)
-	next.LeaseTermMillis = LeaseTerm.Milliseconds()
-	return v.startCommit(next, now)
+	return v.startCommit(v.nextOwnerRecord(now), now)
 }
 
 // startCommit starts a commit of the record. Each commit renews the lease.
@@ -255,7 +264,7 @@
 		v.takeoverSentAt = v.commitSentAt
 	}
 	v.record, v.version, v.pendingRecord, v.firstCommitSentAt = next, e.Version, nil, time.Time{}
-	v.renewedAt, v.versionSeenAt = v.commitSentAt, v.commitSentAt
+	v.renewedAt, v.versionSeenAt, v.isLost = v.commitSentAt, v.commitSentAt, false
 	v.leaseEndsAt = v.commitSentAt.Add(LeaseTerm)
 	v.commitFailedAt = time.Time{}
 	return v
@@ -270,39 +279,6 @@
 	return v
 }
 
-// applyRead replaces the record by the one read from the platform. After a commit whose answer was lost, the read shows
-// whether the commit took effect.
-func (v View) applyRead(e RecordFetched, now time.Time) View {
-	if v.pendingRecord != nil && !v.mustReadRecord || e.Version != 0 && e.Version < v.version {
-		return v
-	}
-	if e.Version == 0 && v.version != 0 {
-		// The object was deleted. The VM that takes the shard over creates the object again from its last record.
-		v.record.Owner = arbutusfork.Incarnation{}
-		v.version, v.mustReadRecord = 0, false
-		return v
-	}
-	v.mustReadRecord, v.versionReadAt = false, now
-	if e.Version != 0 {
-		v.absentSince = time.Time{}
-	} else if v.absentSince.IsZero() {
-		v.absentSince = now
-	}
-	if e.Version != 0 && e.Version != v.version {
-		if e.Record.Fence != v.record.Fence {
-			v = v.clearOwnerState()
-			v.takeoverSentAt = now
-		}
-		v.record, v.version, v.versionSeenAt = e.Record, e.Version, now
-		// Any of several commits on top of one version may have taken effect, so the lease counts from the first.
-		if v.isRecordedOwner() && !v.firstCommitSentAt.IsZero() {
-			v.leaseEndsAt, v.renewedAt = v.firstCommitSentAt.Add(LeaseTerm), v.firstCommitSentAt
-		}
-		v.firstCommitSentAt = time.Time{}
-	}
-	return v
-}
-
 // applyStatus stores an endpoint's report, or counts a missed one. Reports that were requested before the stored one
 // are ignored.
 func (v View) applyStatus(e StatusPolled) View {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -125,6 +125,18 @@
 mutant gateway-key platform/header.go \
 	'headerKey: true, headerTimeout' 'headerTimeout' \
 	./platform TestForwardsUnchanged
+mutant serve-configuration pkg/afconfig/delta.go \
+	'if isLaterEra || s.isHolding' 'if s.isHolding' \
+	./pkg/afconfig TestConfigurationNeverRevertsWhenStoreGoesBack
+mutant serve-fence pkg/afplacement/era.go \
+	'next.Fence = v.version' 'next.Fence += 0' \
+	./pkg/afplacement TestProtocolWhenStoreGoesBack
+mutant serve-lost-owner pkg/afplacement/view.go \
+	'if !v.continuesLease(now) && v.lostOwnersMayAct(wait) {' 'if false {' \
+	./pkg/afplacement TestProtocolWhenStoreGoesBack
+mutant serve-unobserved pkg/afplacement/era.go \
+	'next.Unobserved = append(next.Unobserved, name)' '_ = name' \
+	./pkg/afplacement TestProtocolWhenStoreGoesBack
 
 if [ "$survivors" -gt 0 ]; then
 	echo "$survivors mutants were not caught"
