afbooking, afclaim: complete claims from memory when the store goes back

A call with an idempotency key ran twice when the store came back from a copy without its claim: the second attempt found no claim and was granted.

A claim record names the era in which it is complete. One of an earlier era, or none, is first completed from what all VMs that may be alive remember: each has the latest record that it has read or written. Without the answer of each of them no claim is decided, and the call is refused as not run. A VM that was asked relies on no earlier answer of the store any more, so that a grant under way is not missed. Claims that their VM has cancelled are left out; those of a VM that has ended stay and are answered as unknown. In a new era each VM writes again what it remembers, spaced as after an outage.

What remains: a claim that only a VM knew that ended or restarted before another one read the record. Refusing all calls for a time would not help, since a repeat may come 24 hours later.

--- a/internal/afbooking/bucket.go
+++ b/internal/afbooking/bucket.go
@@ -40,7 +40,7 @@
 	nameOnce   sync.Once
 	recordName string
 
-	// mu guards queue, grantedCalls, committerDone and the flags of the queued operations.
+	// mu guards queue, grantedCalls, committerDone, remembered and the flags of the queued operations.
 	mu    sync.Mutex
 	queue []*queuedOp
 	// grantedCalls holds this VM's granted calls by claim ID.
@@ -48,6 +48,9 @@
 	// committerDone is closed when the goroutine that commits the queue ends. It is nil while none runs.
 	committerDone chan struct{}
 
+	// remembered is the latest record that this VM has read or written, whatever the store has lost since. mu guards it.
+	remembered afclaim.Record
+
 	// cached is the record as it was last read or written. Only the goroutine that commits uses it.
 	cached cachedRecord
 	// isUnanswered means that the platform did not answer the last call. Only the goroutine that commits uses it.
--- a/internal/afbooking/commit.go
+++ b/internal/afbooking/commit.go
@@ -7,6 +7,7 @@
 
 	"arbutusfork.example/arbutusfork/pkg/afclaim"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -25,6 +26,8 @@
 type cachedRecord struct {
 	record  afclaim.Record
 	version int64
+	// isRestored means that the record holds claims that the store has lost.
+	isRestored bool
 	// isCurrent is false if the record must be read again before it is used.
 	isCurrent bool
 }
@@ -85,7 +88,7 @@
 		ops[i] = q.op
 	}
 	next, decisions, isChanged := b.cached.record.ApplyOps(ops, now, s.IsGone)
-	mustWrite := isChanged
+	mustWrite := isChanged || b.cached.isRestored
 	for i, q := range batch {
 		switch {
 		case q.mayBeWritten && q.unconfirmedBase == b.cached.version:
@@ -118,24 +121,33 @@
 	ctx, cancel := s.Timer.WithTimeout(context.Background(), platformCallTimeout)
 	defer cancel()
 	o, err := s.GetObject(ctx, afobject.KindClaims, b.recordName)
-	if afobject.IsKind(err, afobject.ObjectNotFound) {
-		o, err = afobject.Object{}, nil
-	}
-	if err != nil {
+	exists := !afobject.IsKind(err, afobject.ObjectNotFound)
+	if err != nil && exists {
 		b.isUnanswered = true
 		return err
 	}
-	if o.Version > 0 && o.Version < b.cached.version {
+	era := afversion.Era(o.Version)
+	if s.RecordEra(era) > era || exists && o.Version < b.cached.version {
 		return &Error{Op: "read record", Kind: StaleRecord}
 	}
 	var r afclaim.Record
-	if o.Version > 0 {
+	if exists {
 		if err := json.Unmarshal(o.Spec, &r); err != nil {
 			s.Log.Error("malformed claim record", "record", b.recordName, "error", err)
 			return &Error{Op: "decode record", Kind: MalformedRecord, Err: err}
 		}
 	}
-	b.cached = cachedRecord{record: r, version: o.Version, isCurrent: true}
+	isRestored := r.Era < era
+	if isRestored {
+		if r, err = s.restoreClaims(ctx, b, r, era); err != nil {
+			b.isUnanswered = true
+			return err
+		}
+	}
+	if !b.remember(s, r, era) {
+		return &Error{Op: "read record", Kind: StaleRecord}
+	}
+	b.cached = cachedRecord{record: r, version: o.Version, isRestored: isRestored, isCurrent: true}
 	return nil
 }
 
@@ -153,11 +165,16 @@
 	defer cancel()
 	s.counters.recordWrites.Add(1)
 	o := afobject.Object{Kind: afobject.KindClaims, Name: b.recordName, Version: b.cached.version, Spec: spec}
-	if o.Version == 0 {
+	if afversion.Revision(o.Version) == 0 {
+		o.Version = 0
 		o, err = s.CreateObject(ctx, o)
 	} else {
 		o, err = s.UpdateObject(ctx, o)
 	}
+	if err == nil && (afversion.Era(o.Version) != afversion.Era(b.cached.version) || !b.remember(s, next, afversion.Era(o.Version))) {
+		// The store has gone back since, so that the write may be lost, or may have replaced a record that was not read.
+		err = &afobject.Error{Op: "write", Object: b.recordName, Kind: afobject.OutcomeUnknown}
+	}
 	if err == nil {
 		b.cached = cachedRecord{record: next, version: o.Version, isCurrent: true}
 		s.decideBatch(b, batch, decisions)
--- a/internal/afbooking/error.go
+++ b/internal/afbooking/error.go
@@ -9,6 +9,7 @@
 const (
 	MalformedRecord ErrorKind = iota // malformed record
 	StaleRecord                      // record older than one seen before
+	UnknownVMs                       // other VMs not known yet
 )
 
 // Error is a failed operation on a claim record, with its cause.
--- a/internal/afbooking/error_string.go
+++ b/internal/afbooking/error_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[MalformedRecord-0]
 	_ = x[StaleRecord-1]
+	_ = x[UnknownVMs-2]
 }
 
-const _ErrorKind_name = "malformed recordrecord older than one seen before"
+const _ErrorKind_name = "malformed recordrecord older than one seen beforeother VMs not known yet"
 
-var _ErrorKind_index = [...]uint8{0, 16, 49}
+var _ErrorKind_index = [...]uint8{0, 16, 49, 72}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/afbooking/property_test.go
+++ b/internal/afbooking/property_test.go
@@ -117,6 +117,10 @@
 		return tr.callPlatform(ctx, v, false, func() (afobject.Object, error) { return tr.platform.putObject(ctx, o) })
 	}
 	v.CreateObject = v.UpdateObject
+	v.OtherVMs = func() ([]string, bool) { return tr.otherVMs(v), true }
+	v.CallVM = func(ctx context.Context, vm, _ string, message, answer any) error {
+		return tr.callVM(ctx, v, vm, message, answer)
+	}
 	return v
 }
 
@@ -215,8 +219,8 @@
 // trialKeyCount is the number of idempotency keys that the callers of a trial share.
 const trialKeyCount = 4
 
-// runTrial runs a trial with the seed and returns the violation that it shows, or an empty string.
-func runTrial(t *testing.T, seed uint64, disabledGuards guard) (violation string) {
+// runTrial runs a trial with the seed, in which a VM dies or the store goes back, and returns the violation that it shows, or an empty string.
+func runTrial(t *testing.T, seed uint64, disabledGuards guard, goesBack bool) (violation string) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := &trial{
 			t: t, platform: &fakePlatform{objects: map[string]afobject.Object{}}, timer: &aftimer.Service{}, disabledGuards: disabledGuards,
@@ -239,6 +243,16 @@
 				}
 			})
 		}
+		if goesBack {
+			<-time.After(time.Duration(tr.drawInt(400)) * time.Millisecond)
+			goBack := tr.platform.copyState()
+			<-time.After(time.Duration(tr.drawInt(400)) * time.Millisecond)
+			goBack()
+			wg.Wait()
+			violation = tr.checkHistory()
+			tr.drainCalls()
+			return
+		}
 		<-time.After(time.Duration(tr.drawInt(600)) * time.Millisecond)
 		restarted := tr.startVM(tr.vms[0].Self.VM, 2)
 		tr.mu.Lock()
@@ -287,7 +301,7 @@
 // TestCallsRunAtMostOnce guards against two grants of one key, and against keys that a refused call leaves claimed.
 func TestCallsRunAtMostOnce(t *testing.T) {
 	for seed := range uint64(300) {
-		require.Empty(t, runTrial(t, seed, 0), "seed %d", seed)
+		require.Empty(t, runTrial(t, seed, 0, false), "seed %d", seed)
 	}
 }
 
@@ -299,7 +313,7 @@
 	} {
 		violation := ""
 		for seed := uint64(0); violation != want && seed < 300; seed++ {
-			violation = runTrial(t, seed, g)
+			violation = runTrial(t, seed, g, false)
 		}
 		require.Equal(t, want, violation)
 	}
--- a/internal/afbooking/service.go
+++ b/internal/afbooking/service.go
@@ -39,7 +39,13 @@
 	UpdateObject func(ctx context.Context, o afobject.Object) (afobject.Object, error)
 	// IsGone reports whether the platform's list of VMs shows that the VM is gone or runs a newer incarnation.
 	IsGone func(i arbutusfork.Incarnation) bool
+	// OtherVMs returns the names of the other VMs that may be alive, or false if they are not known yet.
+	OtherVMs func() ([]string, bool)
+	// CallVM sends a message to another VM and decodes its answer.
+	CallVM func(ctx context.Context, vm, kind string, message, answer any) error
 
+	// era is the highest known era of the store.
+	era atomic.Int64
 	// attemptSeq is the number of the latest attempt to claim a call.
 	attemptSeq atomic.Uint64
 	buckets    [afclaim.BucketCount]bucket
--- a/internal/afbooking/service_test.go
+++ b/internal/afbooking/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"arbutusfork.example/arbutusfork/pkg/afclaim"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 	"github.com/stretchr/testify/require"
 )
 
@@ -19,6 +21,8 @@
 	// lastVersion is the version of the latest write.
 	lastVersion int64
 	objects     map[string]afobject.Object
+	// era is the era of the store. Versions of objects hold it.
+	era int64
 	// drawFault is called for each write. It returns whether the write fails, the kind of the error, and whether the
 	// write takes effect nevertheless. Nil means no faults.
 	drawFault func() (fails bool, kind afobject.ErrorKind, applies bool)
@@ -29,6 +33,7 @@
 	defer p.mu.Unlock()
 	o, ok := p.objects[name]
 	if !ok {
+		o.Version, _ = afversion.Join(p.era, 0)
 		return o, &afobject.Error{Kind: afobject.ObjectNotFound}
 	}
 	return o, nil
@@ -41,13 +46,17 @@
 	if p.drawFault != nil {
 		fails, kind, applies = p.drawFault()
 	}
-	if p.objects[o.Name].Version != o.Version {
+	if afversion.Revision(p.objects[o.Name].Version) != afversion.Revision(o.Version) {
 		return afobject.Object{}, &afobject.Error{Kind: afobject.VersionConflict}
 	}
 	if applies {
 		p.lastVersion++
-		o.Version = p.lastVersion
+		isEarlierEra := o.Version != 0 && afversion.Era(o.Version) != p.era
+		o.Version, _ = afversion.Join(p.era, p.lastVersion)
 		p.objects[o.Name] = o
+		if isEarlierEra {
+			return afobject.Object{}, &afobject.Error{Kind: afobject.OutcomeUnknown}
+		}
 	}
 	if fails {
 		return afobject.Object{}, &afobject.Error{Kind: kind}
@@ -55,11 +64,29 @@
 	return o, nil
 }
 
+// copyState returns a function that makes the platform go back to its present state, in a new era.
+func (p *fakePlatform) copyState() (goBack func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	objects, lastVersion := maps.Clone(p.objects), p.lastVersion
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.objects, p.lastVersion = objects, lastVersion
+		p.era++
+		for name, o := range objects {
+			o.Version, _ = afversion.Join(p.era, afversion.Revision(o.Version))
+			objects[name] = o
+		}
+	}
+}
+
 // newService returns a service of the VM that uses the platform.
 func newService(platform *fakePlatform, vm string, isGone func(arbutusfork.Incarnation) bool) *Service {
 	return &Service{
 		Self: arbutusfork.Incarnation{VM: vm, StartID: 1}, Timer: &aftimer.Service{}, Log: slog.New(slog.DiscardHandler),
 		GetObject: platform.getObject, CreateObject: platform.putObject, UpdateObject: platform.putObject, IsGone: isGone,
+		OtherVMs: func() ([]string, bool) { return nil, true },
 	}
 }
 
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -72,7 +72,10 @@
 		CreateObject: s.platformClient.Create,
 		UpdateObject: s.platformClient.Update,
 		IsGone:       s.isGone,
+		OtherVMs:     s.otherVMs,
+		CallVM:       s.peers.Call,
 	}
+	s.peers.Handle(afbooking.KindClaims, s.booking.HandleClaims)
 }
 
 // buildPlacement builds the placement service and the dispatcher, which sends calls by its routing table.
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -141,7 +141,7 @@
 	s.log = slog.New(s.explain.NewHandler(s.newLogHandler()))
 	aflog.RouteEngineLog(s.log)
 	s.registry = prometheus.NewRegistry()
-	s.platformClient = &afobject.Client{BaseURL: s.Settings.PlatformURL, Timeout: s.Settings.PlatformCallTimeout}
+	s.platformClient = &afobject.Client{BaseURL: s.Settings.PlatformURL, Timeout: s.Settings.PlatformCallTimeout, OnEraChange: s.handleEraChange}
 	s.buildPeers()
 	s.buildCrashes()
 	s.buildLimits()
--- a/pkg/afclaim/record.go
+++ b/pkg/afclaim/record.go
@@ -98,11 +98,14 @@
 // Record contains the claims of one bucket, by claim ID. It is immutable: ApplyOps returns a changed copy.
 type Record struct {
 	Claims map[string]Claim `json:"claims"`
+	// Era is the era of the store in which the record holds every claim that the VMs remember. The store may come back from an
+	// older copy of itself, which begins a new era (package afversion) and loses the latest claims.
+	Era int64 `json:"era,omitempty"`
 }
 
 // JSONSizeBound returns an upper bound of the record's JSON size in bytes.
 func (r Record) JSONSizeBound() int {
-	n := len(`{"claims":{}}`)
+	n := len(`{"claims":{},"era":9223372036854775807}`)
 	for id, c := range r.Claims {
 		n += c.jsonSizeBound(id)
 	}
@@ -118,7 +121,7 @@
 // withoutExpired returns a copy without the claims older than ClaimLifetime, and whether there were any.
 func (r Record) withoutExpired(now time.Time) (Record, bool) {
 	oldestClaimedAt := now.Add(-ClaimLifetime).Unix()
-	next := Record{Claims: maps.Clone(r.Claims)}
+	next := Record{Claims: maps.Clone(r.Claims), Era: r.Era}
 	if next.Claims == nil {
 		next.Claims = make(map[string]Claim)
 	}
