aflimit, afquota: forget no transfer of a share when the store goes back

A customer got more than its limit: the store forgot a transfer, a VM that read the older record used again the parts that it had given away, and the VM that had got them went on with them, since it never read the record again.

A share record names the era in which it is settled. One of an earlier era is lost: a VM uses only those of its parts that it used before, and loses those that the record does not name. Nobody gains parts until every VM that may be alive has applied the record for a loan's term and margin, with the same processes all that time; whoever wants parts asks the others, which read the record if they have not. Parts that nobody had held lose their tokens then, as a forgotten record may have given them out. The first record of a new customer is settled at once if no VM has used parts or has loans, so that its burst is there at the start. All records are read again in a new era.

The property test of the bound (TestIntervalBound) now lets the store go back and fails without the guard on lost records and without the settlement (both in TestIntervalBoundNeedsGuards).

--- a/internal/afquota/account.go
+++ b/internal/afquota/account.go
@@ -44,6 +44,8 @@
 	// shareView is the cached share record. Only the holder of the service's recordsMu changes it.
 	shareView      aflimit.ShareView
 	recordSchedule recordSchedule
+	// settling is since when all VMs have applied the lost record. Only the holder of recordsMu uses it.
+	settling settling
 }
 
 // accountOf returns the customer's account. It creates the account on first use.
--- a/internal/afquota/fleet.go
+++ b/internal/afquota/fleet.go
@@ -10,6 +10,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -27,7 +28,9 @@
 	objects map[string]afobject.Object
 	// lastVersion is the version of the latest write, counted from 1.
 	lastVersion int64
-	startCount  int64
+	// era is the era of the store.
+	era        int64
+	startCount int64
 	// requestedPause is the pause that the last call of a service asked for.
 	requestedPause time.Duration
 	messageCount   int64
@@ -67,9 +70,10 @@
 		},
 		LiveVMs:   func() []arbutusfork.VM { return f.members },
 		GetObject: f.getObject, CreateObject: f.putObject, UpdateObject: f.putObject,
-		IsGone: func(i arbutusfork.Incarnation) bool { return f.goneVMs[i] },
-		spawn:  func(fn func()) { fn() },
-		sleep:  func(d time.Duration) { f.requestedPause = d },
+		IsGone:   func(i arbutusfork.Incarnation) bool { return f.goneVMs[i] },
+		OtherVMs: func() ([]string, bool) { return f.otherVMs(vm), true },
+		spawn:    func(fn func()) { fn() },
+		sleep:    func(d time.Duration) { f.requestedPause = d },
 	}
 	s.CallVM = func(_ context.Context, to, kind string, message, answer any) error {
 		return f.callPeer(s.Self, to, kind, message, answer)
@@ -90,6 +94,26 @@
 	f.members = slices.DeleteFunc(slices.Clone(f.members), func(x arbutusfork.VM) bool { return x.Name == vm })
 }
 
+// otherVMs returns the names of the other VMs in the platform's list.
+func (f *fleet) otherVMs(vm string) (names []string) {
+	for _, m := range f.members {
+		if m.Name != vm {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// goBack replaces the platform's store by an older copy, which begins a new era.
+func (f *fleet) goBack(objects map[string]afobject.Object) {
+	f.era++
+	f.objects = make(map[string]afobject.Object)
+	for key, o := range objects {
+		o.Version, _ = afversion.Join(f.era, afversion.Revision(o.Version))
+		f.objects[key] = o
+	}
+}
+
 // advanceBy moves the time forward.
 func (f *fleet) advanceBy(d time.Duration) {
 	f.now = f.now.Add(d)
@@ -118,10 +142,9 @@
 	if err != nil {
 		return err
 	}
-	handle := peer.HandleBorrow
-	if kind == KindGiveback {
-		handle = peer.HandleGiveback
-	}
+	handle := map[string]func(arbutusfork.Incarnation, []byte) (any, error){
+		KindBorrow: peer.HandleBorrow, KindGiveback: peer.HandleGiveback, KindShares: peer.HandleShares,
+	}[kind]
 	out, err := handle(from, body)
 	if err != nil {
 		return err
@@ -139,6 +162,7 @@
 	f.readCount++
 	o, ok := f.objects[kind+"/"+name]
 	if !ok {
+		o.Version, _ = afversion.Join(f.era, 0)
 		return o, &afobject.Error{Op: "get", Object: name, Kind: afobject.ObjectNotFound}
 	}
 	return o, nil
@@ -147,11 +171,11 @@
 // putObject creates or updates an object if its stored version equals o.Version.
 func (f *fleet) putObject(_ context.Context, o afobject.Object) (afobject.Object, error) {
 	key := o.Kind + "/" + o.Name
-	if f.objects[key].Version != o.Version {
+	if afversion.Revision(f.objects[key].Version) != afversion.Revision(o.Version) {
 		return afobject.Object{}, &afobject.Error{Op: "put", Object: o.Name, Kind: afobject.VersionConflict}
 	}
 	f.lastVersion++
-	o.Version = f.lastVersion
+	o.Version, _ = afversion.Join(f.era, f.lastVersion)
 	if f.isLost() {
 		return afobject.Object{}, &afobject.Error{Op: "put", Object: o.Name, Kind: afobject.OutcomeUnknown}
 	}
--- a/internal/afquota/record.go
+++ b/internal/afquota/record.go
@@ -8,6 +8,7 @@
 
 	"arbutusfork.example/arbutusfork/pkg/aflimit"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -65,7 +66,7 @@
 		return
 	}
 	a.shareView = a.shareView.WithGoneHolders(s.IsGone, now)
-	isDue, isSettled := a.updateSchedule(shareSet, target, now)
+	isDue, isSettled := a.updateSchedule(shareSet, target, s.era.Load(), now)
 	a.mu.Unlock()
 	if isDue && s.loadRecord(ctx, a) == nil && isSettled {
 		s.adjustShare(ctx, a, target)
@@ -74,7 +75,7 @@
 
 // updateSchedule applies the current share set to the schedule. It reports whether the record must be read now, and
 // whether the membership has been unchanged long enough for shares to move. The caller holds mu.
-func (a *account) updateSchedule(shareSet []string, target int64, now time.Duration) (isDue, isSettled bool) {
+func (a *account) updateSchedule(shareSet []string, target, era int64, now time.Duration) (isDue, isSettled bool) {
 	sched := &a.recordSchedule
 	if !slices.Equal(shareSet, sched.shareSet) {
 		sched.shareSetChangedAt, sched.nextCallAt, sched.retryDelay = now, 0, 0
@@ -85,11 +86,11 @@
 		sched.shareSet = shareSet
 	}
 	isSettled = now-sched.shareSetChangedAt >= membershipSettleDelay
-	mustRead := !a.shareView.IsLoaded() || sched.announcedVersion > a.shareView.Version()
+	mustRead := !a.shareView.IsLoaded() || sched.announcedVersion > a.shareView.Version() || era > afversion.Era(a.shareView.Version())
 	if sched.announcedVersion > a.shareView.Version() {
 		sched.nextCallAt = 0
 	}
-	mustWrite := isSettled && (a.shareView.HasUnconfirmedWrite() || a.shareView.UsableParts() != target)
+	mustWrite := a.shareView.IsLost() && target > 0 || isSettled && (a.shareView.HasUnconfirmedWrite() || a.shareView.UsableParts() != target)
 	if now < sched.nextCallAt || !mustRead && !mustWrite {
 		return false, isSettled
 	}
@@ -103,15 +104,16 @@
 	ctx, cancel := s.Timer.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
 	o, err := s.GetObject(ctx, afobject.KindShares, a.name)
-	if afobject.IsKind(err, afobject.ObjectNotFound) {
-		o, err = afobject.Object{}, nil
-	}
-	if err != nil {
+	exists := !afobject.IsKind(err, afobject.ObjectNotFound)
+	if err != nil && exists {
 		s.Log.Debug("share record not read", "customer", a.name, "error", err)
 		return err
 	}
+	if era := afversion.Era(o.Version); s.RecordEra(era) > era {
+		return &Error{Op: "read record", Kind: StaleRecord}
+	}
 	var record aflimit.ShareRecord
-	if o.Version > 0 {
+	if exists {
 		if err := json.Unmarshal(o.Spec, &record); err != nil {
 			s.Log.Error("malformed share record", "customer", a.name, "error", err)
 			return &Error{Op: "decode record", Kind: MalformedMessage, Err: err}
@@ -131,6 +133,9 @@
 	}
 	a.shareView = next.WithGoneHolders(s.IsGone, now)
 	a.applyBaseParts(neverHeld, now)
+	if next.IsLost() {
+		a.recordSchedule.nextCallAt = now + lostRecordRetryDelay
+	}
 	return nil
 }
 
@@ -145,11 +150,16 @@
 func (s *Service) adjustShare(ctx context.Context, a *account, target int64) {
 	a.mu.Lock()
 	now := s.now()
+	isLost := a.shareView.IsLost()
 	w, needed := a.shareView.PlanWrite(target, a.limiter.LentParts(), now)
+	a.mu.Unlock()
+	if isLost {
+		w, needed = s.planSettlement(ctx, a, target)
+	}
 	if !needed {
-		a.mu.Unlock()
 		return
 	}
+	a.mu.Lock()
 	a.shareView = a.shareView.WithUnconfirmedWrite(w)
 	a.applyBaseParts(0, now)
 	shareSet := a.recordSchedule.shareSet
@@ -158,6 +168,9 @@
 		"after", w.PartsAfter(), "target", target, "set", shareSet)
 
 	version, err := s.writeRecord(ctx, a, w)
+	if err == nil && afversion.Era(version) != afversion.Era(w.BaseVersion) {
+		err = &afobject.Error{Op: "write", Object: a.name, Kind: afobject.OutcomeUnknown}
+	}
 	switch {
 	case err == nil:
 		_ = s.applyRecord(a, w.Record, version)
@@ -187,7 +200,8 @@
 		return 0, &afobject.Error{Op: "encode", Object: a.name, Kind: afobject.InvalidRequest, Err: err}
 	}
 	o := afobject.Object{Kind: afobject.KindShares, Name: a.name, Version: w.BaseVersion, Spec: spec}
-	if w.BaseVersion == 0 {
+	if afversion.Revision(w.BaseVersion) == 0 {
+		o.Version = 0
 		o, err = s.CreateObject(ctx, o)
 	} else {
 		o, err = s.UpdateObject(ctx, o)
--- a/internal/afquota/service.go
+++ b/internal/afquota/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusfork.example/arbutusfork"
@@ -58,6 +59,8 @@
 	// IsGone reports whether the platform's list of VMs shows that the VM is gone or runs a newer incarnation. It
 	// must never be true for a process that may still act.
 	IsGone func(i arbutusfork.Incarnation) bool
+	// OtherVMs returns the names of the other VMs that may be alive, or false if they are not known yet.
+	OtherVMs func() ([]string, bool)
 
 	// spawn runs a function concurrently. If it is nil, the function runs in a new goroutine. A measurement runs it
 	// at once instead.
@@ -65,6 +68,9 @@
 	// sleep waits for a duration. If it is nil, the timer service waits. A measurement does not wait.
 	sleep func(time.Duration)
 
+	// era is the highest known era of the store.
+	era atomic.Int64
+
 	initOnce sync.Once
 	// startedAt is the origin of the durations that now returns.
 	startedAt time.Time
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -61,7 +61,9 @@
 		CreateObject: s.platformClient.Create,
 		UpdateObject: s.platformClient.Update,
 		IsGone:       s.isGone,
+		OtherVMs:     s.otherVMs,
 	}
+	s.peers.Handle(afquota.KindShares, s.quota.HandleShares)
 	s.peers.Handle(afquota.KindBorrow, s.quota.HandleBorrow)
 	s.peers.Handle(afquota.KindGiveback, s.quota.HandleGiveback)
 	s.booking = &afbooking.Service{
--- a/internal/afserve/era.go
+++ b/internal/afserve/era.go
@@ -2,7 +2,7 @@
 
 import "arbutusfork.example/arbutusfork/pkg/afobject"
 
-// handleEraChange logs that the platform's store came back from an older copy, and makes the claims be written again.
+// handleEraChange logs that the platform's store came back from an older copy, and has the claims written and the share records read again.
 func (s *Server) handleEraChange(c afobject.EraChange) {
 	if c.Problem != "" {
 		s.log.Error("era of the platform's store unsound, answers ignored", "era", c.Current, "problem", c.Problem)
@@ -10,6 +10,7 @@
 	}
 	s.log.Warn("era of the platform's store changed", "era", c.Current, "before", c.Previous)
 	s.booking.RecordEra(c.Current)
+	s.quota.RecordEra(c.Current)
 }
 
 // otherVMs returns the names of the other VMs that may be alive, or false as long as this VM has no list of VMs.
--- a/pkg/aflimit/bound_test.go
+++ b/pkg/aflimit/bound_test.go
@@ -58,6 +58,7 @@
 	for name, g := range map[string]guard{
 		"lender debit": guardLenderDebit, "single credit": guardSingleCredit, "term margin": guardTermMargin, "refund cut": guardRefundCut,
 		"holder gone": guardHolderGone, "loans ended": guardLoansEnded, "early release": guardEarlyRelease,
+		"lost record": guardLostRecord, "settled": guardSettled,
 	} {
 		t.Run(name, func(t *testing.T) {
 			run := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint(runFleet(t, g, limitOf(10, 30))) })
--- a/pkg/aflimit/fleet_test.go
+++ b/pkg/aflimit/fleet_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 	"pgregory.net/rapid"
 )
 
@@ -21,6 +22,8 @@
 	gone    map[arbutusfork.Incarnation]bool
 	record  ShareRecord
 	version int64
+	// history holds the store's earlier states, if it may go back.
+	history []storedRecord
 	// inFlight holds the messages on their way. Each may be delivered never, once or several times.
 	inFlight []func()
 	// pendingWrites holds the writes that have not arrived at the platform.
@@ -44,6 +47,7 @@
 	// isWriting means that the VM waits for the outcome of a write.
 	isWriting    bool
 	sentRequests []LoanRequest
+	settling     settling
 }
 
 // admission is an admitted request.
@@ -157,7 +161,7 @@
 // stopped waiting.
 func (f *fleet) writeRecord(n *fleetVM, target int64) {
 	n.shareView = n.shareView.WithGoneHolders(func(i arbutusfork.Incarnation) bool { return f.gone[i] }, f.localTime(n))
-	write, needed := n.shareView.PlanWrite(target, n.account.LentParts(), f.localTime(n))
+	write, needed := f.planWrite(n, target)
 	if !needed || n.isWriting {
 		return
 	}
@@ -165,12 +169,14 @@
 	n.account.SetBaseParts(n.shareView.UsableParts(), 0, f.localTime(n))
 	n.isWriting = true
 	f.pendingWrites = append(f.pendingWrites, func() {
-		isApplied := f.version == write.BaseVersion
+		isApplied := afversion.Revision(f.version) == afversion.Revision(write.BaseVersion)
 		if isApplied {
+			f.history = append(f.history, storedRecord{f.record, f.version})
 			f.record, f.version = write.Record, f.version+1
 		}
 		version, isAwaited := f.version, n.isWriting && !n.isDead
-		if !isAwaited || rapid.Bool().Draw(f.t, "answer lost") {
+		isOtherEra := afversion.Era(f.version) != afversion.Era(write.BaseVersion)
+		if !isAwaited || isOtherEra || rapid.Bool().Draw(f.t, "answer lost") {
 			return
 		}
 		n.isWriting = false
@@ -266,7 +272,7 @@
 func (f *fleet) runRandomAction() {
 	actions := []string{
 		"wait", "wait", "deliver", "deliver", "deliver", "deliver", "duplicate", "apply write", "apply write", "die", "restart", "mark gone",
-		"reserve", "reserve", "settle", "request loan", "loan without loss", "loan without loss", "commit record", "commit record", "renew loans", "return loans", "abandon requests", "reclaim loans", "read record", "time out write", "write record", "change limit",
+		"go back", "read records", "reserve", "reserve", "settle", "request loan", "loan without loss", "loan without loss", "commit record", "commit record", "renew loans", "return loans", "abandon requests", "reclaim loans", "read record", "time out write", "write record", "change limit",
 	}
 	action := rapid.SampledFrom(actions).Draw(f.t, "action")
 	pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(f.t, "which") }
@@ -291,6 +297,14 @@
 			f.pendingWrites = append(f.pendingWrites[:i:i], f.pendingWrites[i+1:]...)
 			reach()
 		}
+	case "go back":
+		f.goBack(pick)
+	case "read records": // All VMs learn that the store went back.
+		for _, vm := range []string{"a", "b", "c"} {
+			if n := f.vms[vm]; !n.isDead {
+				f.runAction(n, "read record")
+			}
+		}
 	case "die":
 		n.isDead = true
 		if rapid.Bool().Draw(f.t, "marked gone") {
--- a/pkg/aflimit/record.go
+++ b/pkg/aflimit/record.go
@@ -32,6 +32,9 @@
 	// NeverHeldParts is the number of parts that no VM has held yet. A VM that takes them gets their tokens too.
 	NeverHeldParts int64         `json:"fresh"`
 	Holders        []ShareHolder `json:"holders"`
+	// Era is the era of the store in which every VM uses no more than the record says. The store may come back from an older
+	// copy of itself, which begins a new era (package afversion) and forgets the latest transfers of shares.
+	Era int64 `json:"era,omitempty"`
 }
 
 // NewShareRecord returns the record of a customer that has no stored record yet.
--- a/pkg/aflimit/share.go
+++ b/pkg/aflimit/share.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 // RecordWrite is a conditional update of a ShareRecord.
 type RecordWrite struct {
 	Record ShareRecord
-	// BaseVersion is the version that the stored record must have for the update to succeed. Zero creates the record.
+	// BaseVersion is the version that the stored record must have for the update to succeed. A revision of zero creates the
+	// record.
 	BaseVersion int64
 
 	// partsBefore is the VM's parts without the write.
@@ -38,6 +40,12 @@
 	record   ShareRecord
 	version  int64
 	isLoaded bool
+	// isLost means that the record is of an earlier era than its version, so that transfers of shares may be forgotten.
+	isLost bool
+	// maxParts is the number of parts that the VM used before it read the lost record.
+	maxParts int64
+	// hasUsedParts means that the VM has used parts before it read a lost record.
+	hasUsedParts bool
 	// unconfirmedWrites are the writes based on version whose outcome is unknown.
 	unconfirmedWrites []RecordWrite
 	// goneSince holds, for each holder that the platform reports as gone, the instant since which it has done so
@@ -65,6 +73,9 @@
 // UsableParts returns the base share that the VM may use.
 func (s ShareView) UsableParts() int64 {
 	parts := s.record.PartsOf(s.self)
+	if s.isLost && !s.disabledGuards.has(guardLostRecord) {
+		parts = min(parts, s.maxParts)
+	}
 	if s.disabledGuards.has(guardEarlyRelease) {
 		return parts
 	}
@@ -80,7 +91,13 @@
 	if s.isLoaded && version < s.version {
 		return s, 0, false
 	}
+	s.maxParts = s.UsableParts()
+	s.hasUsedParts = s.hasUsedParts || s.maxParts > 0
 	s.record, s.version, s.isLoaded = r, version, true
+	if s.isLost = r.Era < afversion.Era(version); s.isLost {
+		s.unconfirmedWrites = filter(s.unconfirmedWrites, func(w RecordWrite) bool { return w.BaseVersion >= version })
+		return s, 0, true
+	}
 	parts := r.PartsOf(s.self)
 	var unconfirmed []RecordWrite
 	for _, w := range s.unconfirmedWrites {
@@ -134,9 +151,10 @@
 // PlanWrite returns the write that brings the VM to the target parts, and whether one is needed. Parts on loan are
 // not released. A write without a change is needed too as long as an earlier write may still take effect: a write on
 // the same base version makes the platform reject the earlier one.
+// The record must not be lost.
 func (s ShareView) PlanWrite(target int64, lent Parts, now time.Duration) (RecordWrite, bool) {
 	r, current := s.record, s.record.PartsOf(s.self)
-	if s.version == 0 {
+	if afversion.Revision(s.version) == 0 {
 		r = NewShareRecord()
 	}
 	wanted := target
