afmember, afserve: doubt the list of VMs when the store goes back

A VM that runs counted as gone when the store came back from a copy of before the VM was listed, and links to it were down: the list lacked it, although it had been seen for longer than the list lags. Its shares would have been given to others and its claims answered as unknown.

When the store goes back, the time for which the list may lag begins again.

TestIsGone fails without that.

--- a/internal/afserve/era.go
+++ b/internal/afserve/era.go
@@ -1,14 +1,21 @@
 package afserve
 
-import "arbutusfork.example/arbutusfork/pkg/afobject"
+import (
+	"time"
 
-// handleEraChange logs that the platform's store came back from an older copy, and has the claims written and the share records read again.
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
+
+// handleEraChange logs that the platform's store came back from an older copy, and has the list of VMs doubted, the claims written and the share
+// records read again.
 func (s *Server) handleEraChange(c afobject.EraChange) {
 	if c.Problem != "" {
 		s.log.Error("era of the platform's store unsound, answers ignored", "era", c.Current, "problem", c.Problem)
 		return
 	}
 	s.log.Warn("era of the platform's store changed", "era", c.Current, "before", c.Previous)
+	s.updateDepartures(func(d afmember.DepartureTracker, now time.Time) afmember.DepartureTracker { return d.WithListReset(now) })
 	s.booking.RecordEra(c.Current)
 	s.quota.RecordEra(c.Current)
 }
--- a/pkg/afmember/gone.go
+++ b/pkg/afmember/gone.go
@@ -24,6 +24,15 @@
 	firstSeenAt map[arbutusfork.Incarnation]time.Time
 	// latestStarts holds, by VM, the start of the newest incarnation from which a message has arrived.
 	latestStarts map[string]int64
+	// listResetAt is when the list last may have gone back to an older one.
+	listResetAt time.Time
+}
+
+// WithListReset returns a copy after the platform's store came back from an older copy. The list may lack VMs that it contained
+// before, as if they had only just been seen.
+func (d DepartureTracker) WithListReset(now time.Time) DepartureTracker {
+	d.listResetAt = now
+	return d
 }
 
 // WithIncarnation returns a copy that tracks the incarnation, for example after reading a record that names it.
@@ -68,6 +77,9 @@
 	if !ok || v.observed[i.VM].Alive {
 		return false
 	}
+	if firstSeen.Before(d.listResetAt) {
+		firstSeen = d.listResetAt
+	}
 	vm, ok := v.ListedVM(i.VM)
 	maxLag := d.MaxListLag
 	if maxLag <= 0 {
--- a/pkg/afmember/gone_test.go
+++ b/pkg/afmember/gone_test.go
@@ -27,6 +27,10 @@
 	listed := v.WithList([]arbutusfork.VM{{Name: "b", State: arbutusfork.VMLeaving}})
 	require.False(t, d.IsGone(old, listed, late), "a leaving VM still acts")
 
+	reset := d.WithListReset(late)
+	require.False(t, reset.IsGone(old, v, late.Add(DefaultMaxListLag)), "an older list may not contain the VM any more")
+	require.True(t, reset.IsGone(old, v, late.Add(DefaultMaxListLag+time.Second)))
+
 	restarted := arbutusfork.Incarnation{VM: "b", StartID: 2}
 	d = d.WithMessageFrom(restarted, start)
 	require.True(t, d.IsGone(old, answering, start), "a newer incarnation of the VM runs")
