afoperator: say that an object is absent also with eras

Since reads of absent objects return the era in the version, a conflict with an object that does not exist said "is at version" and gave an empty object as the current one. The revision decides.

TestConflictWithAbsentObject fails with the comparison of the whole version.

--- a/internal/afoperator/server_test.go
+++ b/internal/afoperator/server_test.go
@@ -20,6 +20,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const operatorToken = "operators-token-of-the-tests"
@@ -255,3 +256,12 @@
 	require.Equal(t, 200, <-codes)
 	require.NoError(t, <-done)
 }
+
+// TestConflictWithAbsentObject guards against an operator who is told that an object exists that the store has lost.
+func TestConflictWithAbsentObject(t *testing.T) {
+	version, err := afversion.Join(2, 0)
+	require.NoError(t, err)
+	e := newConflict("put", afobject.Object{Kind: afobject.KindKeys, Name: "k", Version: 7}, afobject.Object{Version: version}, false)
+	require.ErrorContains(t, e, "does not exist")
+	require.Nil(t, e.detail["current"])
+}
--- a/internal/afoperator/write.go
+++ b/internal/afoperator/write.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
 const (
@@ -109,21 +110,21 @@
 	return &Error{Op: op, Kind: OutcomeUnknown, Err: err}
 }
 
-// newConflict returns a VersionConflict error with the rejected and the current object. A current version of zero means
-// that the object does not exist.
+// newConflict returns a VersionConflict error with the rejected and the current object. A current version with revision zero
+// means that the object does not exist.
 func newConflict(op string, rejected, current afobject.Object, isResponseLost bool) *Error {
 	name := rejected.Kind + "/" + rejected.Name
 	e := newError(op, VersionConflict, "%s is at version %d, not %d; another operator changed it", name, current.Version, rejected.Version)
 	switch {
 	case isResponseLost:
 		e = newError(op, VersionConflict, "%s is at version %d; your change may have taken effect before that", name, current.Version)
-	case current.Version == 0:
+	case afversion.Revision(current.Version) == 0:
 		e = newError(op, VersionConflict, "%s does not exist, although you saw version %d; another operator deleted it", name, rejected.Version)
 	case rejected.Version == 0:
 		e = newError(op, VersionConflict, "%s exists already, at version %d", name, current.Version)
 	}
 	e.detail = map[string]any{"yours": newObjectBody(rejected), "current": nil}
-	if current.Version > 0 {
+	if afversion.Revision(current.Version) > 0 {
 		e.detail["current"] = newObjectBody(current)
 	}
 	return e
