afconfig, afsync: make withdrawals of keys final when the store goes back

A key that had been withdrawn worked again 10 s after the store came back from a copy of before the withdrawal, when VMs ended to hold what they knew and nobody had withdrawn it a second time.

No operator can reinstate a withdrawn key. A VM now remembers the digests of all keys that were withdrawn, also of deleted ones, and the home VM of the witness set writes a lost withdrawal again, at once in the hold, so that a VM that starts later knows it too.

TestDeletedKeyStaysWithdrawn fails without the digests. TestWithdrawnKeyStaysWithdrawnWhenStoreGoesBack, in which no operator withdraws the key again and a VM restarts after the hold, fails without the write.

--- a/internal/afsync/era.go
+++ b/internal/afsync/era.go
@@ -1,8 +1,10 @@
 package afsync
 
 import (
+	"encoding/json"
 	"time"
 
+	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/afversion"
@@ -91,3 +93,45 @@
 	}
 	s.storeSnapshot(old, next, len(objects), source)
 }
+
+// restoreWithdrawals writes withdrawals of keys again that the store has lost, so that a VM that starts later knows them too.
+// Only the home VM of the witness set does so.
+func (s *Service) restoreWithdrawals() {
+	home, ok := s.Membership().HomeVM(witnessSetHomeKey)
+	names := s.Snapshot().LostWithdrawals()
+	if len(names) == 0 || !ok || home.Name != s.Self.VM || s.isRestoringWithdrawals {
+		return
+	}
+	s.isRestoringWithdrawals = true
+	go func() {
+		for _, name := range names {
+			if err := s.restoreWithdrawal(name); err != nil {
+				s.log().Warn("withdrawal of a key not written again", "key", name, "error", err)
+			}
+		}
+		s.events.PushWithContext(s.ctx, func() { s.isRestoringWithdrawals = false })
+	}()
+}
+
+// restoreWithdrawal writes the withdrawal of a key again unless the store has it or lacks the key.
+func (s *Service) restoreWithdrawal(name string) error {
+	o, err := s.Client.Get(s.ctx, afobject.KindKeys, name)
+	if afobject.IsKind(err, afobject.ObjectNotFound) {
+		return nil
+	}
+	var k arbutusfork.APIKey
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &k)
+	}
+	held, ok := s.Snapshot().Key(k.Digest)
+	if err != nil || k.IsWithdrawn || !ok || !held.IsWithdrawn {
+		return err
+	}
+	if o.Spec, err = json.Marshal(k.WithWithdrawn()); err != nil {
+		return err
+	}
+	if _, err = s.Client.WriteWithReadback(s.ctx, o); err == nil {
+		s.log().Info("withdrawal of a key written again", "key", name)
+	}
+	return err
+}
--- a/internal/afsync/era_test.go
+++ b/internal/afsync/era_test.go
@@ -26,7 +26,7 @@
 }
 
 // TestWithdrawnKeyStaysWithdrawnWhenStoreGoesBack guards against a withdrawn key that works again, also on a VM that starts
-// then, and against a configuration that is held for good.
+// then or later although no operator withdraws it again, and against a configuration that is held for good.
 func TestWithdrawnKeyStaysWithdrawnWhenStoreGoesBack(t *testing.T) {
 	runFleet(t, 3, func(f *fleet) {
 		put := func(p *afstandin.Platform, withdrawn bool) {
@@ -59,7 +59,6 @@
 		f.startVM("vm2")
 		f.advanceTime(2 * time.Second)
 		require.True(f, isWithdrawn("vm2"))
-		put(older, true)
 		_, err := older.PutObject(afobject.KindCustomers, "new", arbutusfork.Customer{Name: "new"})
 		require.NoError(f, err)
 		f.advanceTime(maxEnforcementDelay)
@@ -68,6 +67,9 @@
 			require.True(f, ok && isWithdrawn(name), name)
 		}
 		f.advanceTime(15 * time.Second)
+		f.killVM("vm1")
+		f.startVM("vm1")
+		f.advanceTime(maxEnforcementDelay)
 		for name, v := range f.vms {
 			require.False(f, v.sync.Snapshot().IsHolding(), name)
 			require.True(f, isWithdrawn(name) && f.isFresh(name), name)
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -62,21 +62,22 @@
 	versionRaised chan struct{} // versionRaised is closed and replaced when the version increases.
 
 	// Only the goroutine of Run uses the fields below.
-	watch                *watch
-	nextWatchAt          time.Time     // nextWatchAt is the earliest time to open the next watch.
-	watchBackoff         time.Duration // watchBackoff is the delay before the next watch.
-	maxWatchLag          time.Duration // maxWatchLag is how long a watch may lag behind probes; zero is minWatchLagLimit.
-	runningProbes        int           // runningProbes is the number of unanswered probes.
-	temporaryWatchEndsAt time.Time     // temporaryWatchEndsAt is when a VM that is no watcher stops watching the platform.
-	isPullingChanges     bool
-	isReadingList        bool
-	listRequestedAt      time.Time // listRequestedAt is when this VM last requested the list from the platform.
-	isPullingList        bool
-	isReplacingWitnesses bool
-	heldRequestsEndAt    time.Time        // heldRequestsEndAt is until when this VM asks others for objects that the store may have lost.
-	heldRequests         map[string]bool  // heldRequests are the VMs that were asked.
-	loggedFresh          bool             // loggedFresh is the freshness that was logged last.
-	listedVMs            []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
+	watch                  *watch
+	nextWatchAt            time.Time     // nextWatchAt is the earliest time to open the next watch.
+	watchBackoff           time.Duration // watchBackoff is the delay before the next watch.
+	maxWatchLag            time.Duration // maxWatchLag is how long a watch may lag behind probes; zero is minWatchLagLimit.
+	runningProbes          int           // runningProbes is the number of unanswered probes.
+	temporaryWatchEndsAt   time.Time     // temporaryWatchEndsAt is when a VM that is no watcher stops watching the platform.
+	isPullingChanges       bool
+	isReadingList          bool
+	listRequestedAt        time.Time // listRequestedAt is when this VM last requested the list from the platform.
+	isPullingList          bool
+	isReplacingWitnesses   bool
+	isRestoringWithdrawals bool
+	heldRequestsEndAt      time.Time        // heldRequestsEndAt is until when this VM asks others for objects that the store may have lost.
+	heldRequests           map[string]bool  // heldRequests are the VMs that were asked.
+	loggedFresh            bool             // loggedFresh is the freshness that was logged last.
+	listedVMs              []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
 }
 
 // ConnectPeers registers the service with the peer service, which sends and receives its messages and reports. It must
@@ -138,6 +139,7 @@
 		{probeInterval, s.maintainWatch},
 		{listInterval, s.refreshList},
 		{witnessCheckInterval, func(time.Time) { s.maintainWitnesses() }},
+		{witnessCheckInterval, func(time.Time) { s.restoreWithdrawals() }},
 	} {
 		sub := s.Timer.CallEvery(task.interval, func(now time.Time) { s.events.TryPush(func() { task.run(now) }) })
 		defer sub.Stop()
--- a/pkg/afconfig/era.go
+++ b/pkg/afconfig/era.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
@@ -109,3 +110,20 @@
 	}
 	return w
 }
+
+// LostWithdrawals returns the names of the keys, in order, whose withdrawal the store may have lost.
+func (s *Snapshot) LostWithdrawals() (names []string) {
+	for _, k := range s.keys {
+		if !k.IsWithdrawn {
+			continue
+		}
+		var stored arbutusfork.APIKey
+		o := s.objects[objectID{afobject.KindKeys, k.Name}]
+		isHeld := s.isHolding && afversion.Era(o.Version) < afversion.Era(s.Version)
+		if isHeld || json.Unmarshal(o.Spec, &stored) == nil && !stored.IsWithdrawn {
+			names = append(names, k.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/pkg/afconfig/era_test.go
+++ b/pkg/afconfig/era_test.go
@@ -157,3 +157,18 @@
 	require.NoError(t, err)
 	require.Equal(t, set, s.Witnesses())
 }
+
+// TestDeletedKeyStaysWithdrawn guards against a withdrawn and deleted key that an older store has again after the hold.
+func TestDeletedKeyStaysWithdrawn(t *testing.T) {
+	key := afobject.Object{Kind: afobject.KindKeys, Name: "k", Version: 7, Spec: []byte(`{"name":"k","digest":"d","withdrawn":true}`)}
+	s, err := new(Snapshot).WithObjects(0, key)
+	require.NoError(t, err)
+	s, err = s.WithObjects(0, afobject.Object{Kind: afobject.KindKeys, Name: "k", Version: 8})
+	require.NoError(t, err)
+	key.Version, key.Spec = 9, []byte(`{"name":"k","digest":"d"}`)
+	s, err = s.WithObjects(0, key)
+	require.NoError(t, err)
+	k, ok := s.Key("d")
+	require.True(t, ok && k.IsWithdrawn)
+	require.Equal(t, []string{"k"}, s.LostWithdrawals())
+}
--- a/pkg/afconfig/snapshot.go
+++ b/pkg/afconfig/snapshot.go
@@ -38,6 +38,9 @@
 	sheet      arbutusfork.DemandSheet
 	witnesses  WitnessSet
 	keyDigests map[string]string // keyDigests maps the name of a key object to its digest.
+	// withdrawnDigests holds the digests of all keys that were withdrawn, also of those that were deleted since. A withdrawal
+	// is final, even if the store forgets it.
+	withdrawnDigests map[string]bool
 
 	// objects holds the encoded form of each object. A deleted object stays as a tombstone, which has no Spec.
 	objects map[objectID]afobject.Object
@@ -168,6 +171,7 @@
 	next.models = maps.Clone(s.models)
 	next.endpoints = maps.Clone(s.endpoints)
 	next.keyDigests = maps.Clone(s.keyDigests)
+	next.withdrawnDigests = maps.Clone(s.withdrawnDigests)
 	next.objects = maps.Clone(s.objects)
 	if next.objects == nil {
 		next.objects = make(map[objectID]afobject.Object)
@@ -213,6 +217,14 @@
 		s.keys = make(map[string]arbutusfork.APIKey)
 		s.keyDigests = make(map[string]string)
 	}
+	if k.IsWithdrawn {
+		if s.withdrawnDigests == nil {
+			s.withdrawnDigests = make(map[string]bool)
+		}
+		s.withdrawnDigests[k.Digest] = true
+	}
+	k.IsWithdrawn = s.withdrawnDigests[k.Digest]
+
 	s.keys[k.Digest] = k
 	s.keyDigests[o.Name] = k.Digest
 	return nil
