--- a/internal/afsync/confirm.go
+++ b/internal/afsync/confirm.go
@@ -155,7 +155,7 @@
 	s.isReplacingWitnesses = true
 	confirm := s.hasListedMajority(set)
 	go func() {
-		err := s.replaceWitnesses(next, version, confirm, isLost)
+		next, err := s.replaceWitnesses(next, version, confirm, isLost)
 		s.events.PushWithContext(s.ctx, func() {
 			s.isReplacingWitnesses = false
 			if err != nil {
@@ -192,34 +192,36 @@
 }
 
 // replaceWitnesses writes the next witness set if the object of the current set still has the given version. If confirm
-// is set, it first confirms that version. If the store has lost the current set, next replaces whatever the store has.
-func (s *Service) replaceWitnesses(next afconfig.WitnessSet, version int64, confirm, isLost bool) error {
+// is set, it first confirms that version. If the store has lost the current set, next replaces whatever the store has. It
+// returns the set with its epoch.
+func (s *Service) replaceWitnesses(next afconfig.WitnessSet, version int64, confirm, isLost bool) (afconfig.WitnessSet, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
 	if confirm {
 		// A majority of the current set must hold the current set's version before the set changes, so that no VM relies on
 		// an older set.
 		if err := s.ConfirmVersion(ctx, version); err != nil {
-			return err
+			return next, err
 		}
 	}
 	basis := version
 	if isLost || version == 0 {
 		stored, err := s.Client.Get(ctx, afobject.KindWitnesses, afconfig.SingletonName)
 		if err != nil && !afobject.IsKind(err, afobject.ObjectNotFound) {
-			return err
+			return next, err
 		}
 		basis = stored.Version
 		if version = 0; isLost && err == nil {
 			version = basis
 		}
 	}
-	spec, err := json.Marshal(next.EpochFrom(basis))
+	next = next.EpochFrom(basis)
+	spec, err := json.Marshal(next)
 	if err != nil {
-		return err
+		return next, err
 	}
 	_, err = s.Client.WriteWithReadback(ctx, afobject.Object{
 		Kind: afobject.KindWitnesses, Name: afconfig.SingletonName, Version: version, Spec: spec,
 	})
-	return err
+	return next, err
 }
