--- a/internal/afcontrol/service.go
+++ b/internal/afcontrol/service.go
@@ -70,6 +70,8 @@
 	config        *afconfig.Snapshot
 	shards        map[string]*shard
 	shardCounts   map[string]int // shardCounts is the number of shards by service.
+	era           int64          // era is the highest era of the store that an answer named.
+	eraSeenAt     time.Time      // eraSeenAt is when era was first seen.
 	summarySentAt time.Time      // summarySentAt is when demand was last reported in a summary.
 }
 
@@ -107,13 +109,13 @@
 	return &afplacement.Table{}
 }
 
-// TableDigests returns the digests of the routing table for heartbeats. It returns nil in a large fleet, in which VMs
+// TableVersions returns the versions of the routing table for heartbeats. It returns nil in a large fleet, in which VMs
 // do not fetch parts from each other.
-func (s *Service) TableDigests() map[string]int64 {
+func (s *Service) TableVersions() map[string]afplacement.PartVersion {
 	if s.isLargeFleet() {
 		return nil
 	}
-	return s.RoutingTable().Digests()
+	return s.RoutingTable().Versions()
 }
 
 // startCall runs fn in a goroutine and then runs the function that fn returns on the loop.
@@ -154,7 +156,7 @@
 	members := s.LiveVMs()
 	ttl := demandTTLIntervals * summaryInterval(len(members))
 	for _, sh := range s.shards {
-		sh.view.DemandTTL = ttl
+		sh.view.DemandTTL, sh.view.EraSeenAt = ttl, s.eraSeenAt
 		sh.subscribers.removeExpired(now, max(ttl, minInterestTTL))
 		sh.view.Rank = afplacement.OwnerRank(sh.name, s.Self.VM, members)
 		s.fetchRecordIfDue(sh, now)
--- a/internal/afserve/build.go
+++ b/internal/afserve/build.go
@@ -61,7 +61,9 @@
 		CreateObject: s.platformClient.Create,
 		UpdateObject: s.platformClient.Update,
 		IsGone:       s.isGone,
+		OtherVMs:     s.otherVMs,
 	}
+	s.peers.Handle(afquota.KindShares, s.quota.HandleShares)
 	s.peers.Handle(afquota.KindBorrow, s.quota.HandleBorrow)
 	s.peers.Handle(afquota.KindGiveback, s.quota.HandleGiveback)
 	s.booking = &afbooking.Service{
@@ -72,7 +74,10 @@
 		CreateObject: s.platformClient.Create,
 		UpdateObject: s.platformClient.Update,
 		IsGone:       s.isGone,
+		OtherVMs:     s.otherVMs,
+		CallVM:       s.peers.Call,
 	}
+	s.peers.Handle(afbooking.KindClaims, s.booking.HandleClaims)
 }
 
 // buildPlacement builds the placement service and the dispatcher, which sends calls by its routing table.
@@ -96,8 +101,8 @@
 	s.peers.Handle(afcontrol.KindOwner, s.control.HandleOwner)
 	s.peers.Handle(afcontrol.KindFetchPart, s.control.HandleFetchPart)
 	s.peers.Handle(afcontrol.KindFenceSender, s.control.HandleFenceSender)
-	s.peers.TableDigests = s.control.TableDigests
-	s.peers.OnTableDigests = s.control.HandleTableDigests
+	s.peers.TableVersions = s.control.TableVersions
+	s.peers.OnTableVersions = s.control.HandleTableVersions
 	s.dispatch = &afdispatch.Service{
 		ModelReplicas:      s.listReplicas,
 		ServiceEndpoints:   s.listReplicas,
--- a/internal/afsync/service.go
+++ b/internal/afsync/service.go
@@ -62,20 +62,23 @@
 	versionRaised chan struct{} // versionRaised is closed and replaced when the version increases.
 
 	// Only the goroutine of Run uses the fields below.
-	watch                *watch
-	nextWatchAt          time.Time     // nextWatchAt is the earliest time to open the next watch.
-	watchBackoff         time.Duration // watchBackoff is the delay before the next watch.
-	maxWatchLag          time.Duration // maxWatchLag is how long a watch may lag behind probes; zero is minWatchLagLimit.
-	runningProbes        int           // runningProbes is the number of unanswered probes.
-	temporaryWatchEndsAt time.Time     // temporaryWatchEndsAt is when a VM that is no watcher stops watching the platform.
-	isPullingChanges     bool
-	isReadingList        bool
-	listRequestedAt      time.Time // listRequestedAt is when this VM last requested the list from the platform.
-	isPullingList        bool
-	isReplacingWitnesses bool
-	loggedFresh          bool             // loggedFresh is the freshness that was logged last.
-	listedVMs            []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
-	oddVMs               map[string]int64 // oddVMs holds the versions of the entries of the last list that could not be decoded.
+	watch                  *watch
+	nextWatchAt            time.Time     // nextWatchAt is the earliest time to open the next watch.
+	watchBackoff           time.Duration // watchBackoff is the delay before the next watch.
+	maxWatchLag            time.Duration // maxWatchLag is how long a watch may lag behind probes; zero is minWatchLagLimit.
+	runningProbes          int           // runningProbes is the number of unanswered probes.
+	temporaryWatchEndsAt   time.Time     // temporaryWatchEndsAt is when a VM that is no watcher stops watching the platform.
+	isPullingChanges       bool
+	isReadingList          bool
+	listRequestedAt        time.Time // listRequestedAt is when this VM last requested the list from the platform.
+	isPullingList          bool
+	isReplacingWitnesses   bool
+	isRestoringWithdrawals bool
+	heldRequestsEndAt      time.Time        // heldRequestsEndAt is until when this VM asks others for objects that the store may have lost.
+	heldRequests           map[string]bool  // heldRequests are the VMs that were asked.
+	loggedFresh            bool             // loggedFresh is the freshness that was logged last.
+	listedVMs              []arbutusfork.VM // listedVMs is the platform's list, nil until the first list is received.
+	oddVMs                 map[string]int64 // oddVMs holds the versions of the entries of the last list that could not be decoded.
 }
 
 // ConnectPeers registers the service with the peer service, which sends and receives its messages and reports. It must
@@ -137,6 +140,7 @@
 		{probeInterval, s.maintainWatch},
 		{listInterval, s.refreshList},
 		{witnessCheckInterval, func(time.Time) { s.maintainWitnesses() }},
+		{witnessCheckInterval, func(time.Time) { s.restoreWithdrawals() }},
 	} {
 		sub := s.Timer.CallEvery(task.interval, func(now time.Time) { s.events.TryPush(func() { task.run(now) }) })
 		defer sub.Stop()
@@ -164,7 +168,7 @@
 	s.openMissingWatch(now)
 }
 
-// applyDelta merges a delta into the snapshot, updates the freshness view and calls the subscribers.
+// applyDelta merges a delta into the snapshot.
 func (s *Service) applyDelta(d afconfig.Delta, source string) {
 	old := s.snapshot.Load()
 	next, err := old.MergeDelta(d)
@@ -174,10 +178,16 @@
 	if next == old {
 		return
 	}
+	s.storeSnapshot(old, next, len(d.Objects), source)
+}
+
+// storeSnapshot puts a changed snapshot in force, updates the freshness view and calls the subscribers.
+func (s *Service) storeSnapshot(old, next *afconfig.Snapshot, objects int, source string) {
 	s.snapshot.Store(next)
+	s.scheduleResolution(old, next)
 	s.updateFreshness(func(v afconfig.FreshnessView) afconfig.FreshnessView { return v.WithSnapshot(next) })
 	s.log().Info("configuration changed",
-		"version", next.Version, "before", old.Version, "objects", len(d.Objects), "source", source)
+		"version", next.Version, "before", old.Version, "objects", objects, "source", source, "holding", next.IsHolding())
 	s.mu.Lock()
 	subscribers := s.subscribers
 	close(s.versionRaised)
@@ -241,6 +251,7 @@
 		if r.Version > s.Version() {
 			s.pullChanges(from.VM)
 		}
+		s.requestHeldObjects(from.VM)
 		s.handleListDigest(from.VM, r.ListDigest, r.ListRequestedAt)
 	})
 }
