afsoak: let endpoints leave and ask for pauses, and count both rules

About every eighth fault is followed by an endpoint that says in all its answers that it leaves while its entry says ready, and ends 3 to 6 s later, or by one that refuses all calls with Retry-After for 0.1 to 4 s. The judge counts requests that ran at a leaving endpoint although their VM had got its answer 0.5 s before, or another VM 2 s before, and more than two requests of a process of a VM in a pause that it knew.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -84,6 +84,7 @@
 	configVersion      int64
 	customerByKey      map[string]string // customerByKey maps the API keys in force to their customers.
 	executions         map[string][]afplatform.ExecutedRequest
+	pauseArrivals      []pauseArrival
 	// crashedAt holds when engines crashed that callers could reach until then.
 	crashedAt []time.Time
 	// restarts counts the engines that will start again, unless closing is closed before.
@@ -129,6 +130,7 @@
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
 		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
 	}}
+	e.OnPauseArrival = func(a afplatform.PauseArrival) { f.recordPauseArrival(e, a) }
 	if models != nil {
 		e.ModelSizes, e.ResponseDelay = modelSizes(), streamEventDelay
 		e.CrashPart, e.OnCrash = crashPart, func() { f.crashEndpoint(e) }
--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -53,6 +53,8 @@
 	s.checkCustomerLimit()
 	s.checkCrashPart()
 	s.checkNamedLimits()
+	s.checkLeaving()
+	s.checkPauses()
 	s.checkOrders()
 	s.logEvent("%d requests: %v", len(s.callers.calls), countByOutcome)
 }
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -57,8 +57,10 @@
 	recoveries     sync.WaitGroup // recoveries counts the faults that still have to end and the VMs to restart.
 	keyWithdrawals []period       // keyWithdrawals holds the periods in which revokedKey was withdrawn.
 	// limitRandom chooses the endpoints that name a limit.
-	limitRandom  *rand.Rand
-	limits       []limitPeriod
+	limitRandom *rand.Rand
+	limits      []limitPeriod
+	// noticeRandom chooses the endpoints that leave or ask for a pause.
+	noticeRandom *rand.Rand
 	plannedStops []plannedStop
 }
 
@@ -95,6 +97,7 @@
 	s.fleet = f
 	defer f.close()
 	s.limitRandom = rand.New(rand.NewPCG(s.Seed, 4))
+	s.noticeRandom = rand.New(rand.NewPCG(s.Seed, 5))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -114,6 +117,12 @@
 		if s.limitRandom.IntN(5) == 0 {
 			s.limitEndpoint()
 		}
+		switch s.noticeRandom.IntN(8) {
+		case 0:
+			s.letEndpointLeave()
+		case 1:
+			s.pauseEndpoint()
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.recoveries.Wait()
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -23,6 +23,7 @@
 	headerAfter    = "Last-Event-Id"
 	headerParts    = "X-Arbutusfork-Prompt-Prefix"
 	headerLimit    = "Server-Limit"
+	headerLeaving  = "Server-Leaving"
 )
 
 // KindEndpoints is the kind of the endpoints' entries.
@@ -45,6 +46,8 @@
 	// HasCallerKey tells that the caller's key reached the endpoint.
 	HasCallerKey bool
 	ExecutedAt   time.Time
+	// SaidLeaving tells that the answer says that the endpoint leaves.
+	SaidLeaving bool
 }
 
 // Endpoint is a stand-in of one endpoint: a model engine, or a plain service if Models is nil. Set the exported fields
@@ -74,6 +77,10 @@
 	IsFull, TruncatesAnswers atomic.Bool
 	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Zero means none.
 	NamedLimit atomic.Int64
+	// IsLeaving makes the endpoint say in all its answers that it leaves. A restart ends it.
+	IsLeaving atomic.Bool
+	// OnPauseArrival is called for each call of any kind that arrives in a pause. It must not block.
+	OnPauseArrival func(PauseArrival)
 
 	mu     sync.Mutex
 	born   int64
@@ -84,6 +91,7 @@
 	busy   bool
 	orders []Order
 	over   bool
+	pause  pause
 }
 
 // SetDirectHeaders sets the headers of a call that comes without a daemon in between.
@@ -104,7 +112,8 @@
 // Restart begins another run of the endpoint with the models and writes its entry.
 func (e *Endpoint) Restart(models ...string) {
 	e.mu.Lock()
-	e.born, e.seq, e.busy, e.held = time.Now().UnixMilli(), 0, false, models
+	e.born, e.seq, e.busy, e.held, e.pause = time.Now().UnixMilli(), 0, false, models, pause{}
+	e.IsLeaving.Store(false)
 	e.mu.Unlock()
 	e.WriteEntry("ready")
 }
@@ -145,6 +154,12 @@
 
 // ServeHTTP answers one call.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.IsLeaving.Load() {
+		w.Header().Set(headerLeaving, "1")
+	}
+	if e.refuseInPause(w, r) {
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Path == "/report":
 		e.mu.Lock()
@@ -220,6 +235,7 @@
 	if e.OnExecute != nil {
 		e.OnExecute(ExecutedRequest{
 			RequestID: id, EndpointID: e.ID, Customer: r.Header.Get(headerCustomer), HasCallerKey: r.Header.Get("Authorization") != "", ExecutedAt: time.Now(),
+			SaidLeaving: w.Header().Get(headerLeaving) != "",
 		})
 	}
 	w.Header().Set(headerSigned, e.ID)
