--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -56,6 +56,8 @@
 	s.checkCustomerLimit()
 	s.checkCrashPart()
 	s.checkNamedLimits()
+	s.checkLeaving()
+	s.checkPauses()
 	s.checkOrders()
 	s.checkConfigReverts()
 	s.checkDrains()
