--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -22,7 +22,8 @@
 
 // noticesMessage carries notices.
 type noticesMessage struct {
-	Notices []noticeMessage `msgpack:"n"`
+	Leaving []leavingMessage `msgpack:"l,omitempty"`
+	Pauses  []pauseMessage   `msgpack:"p,omitempty"`
 	// Reply are the buckets of the digest whose notices the receiver answers with, bit by bit.
 	Reply uint32 `msgpack:"reply,omitempty"`
 }
@@ -57,31 +58,41 @@
 	return d, true
 }
 
-// noticeMessage is one notice. Times are durations up to or from the sending, since VMs do not compare their clocks.
-type noticeMessage struct {
+// leavingMessage is one notice of kind Leaving. Times are durations up to or from the sending, since VMs do not compare their
+// clocks.
+type leavingMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
 
 	Endpoint    string
 	StartUnixMs int64
-	Kind        int
-	// HeardBy is empty for a notice that does not depend on it.
-	HeardBy       string
-	Number        int64
-	AgeMs, LeftMs int64
+	HeardBy     string
+	AgeMs       int64
+}
+
+// pauseMessage is one notice of kind Pause.
+type pauseMessage struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	Endpoint    string
+	StartUnixMs int64
+	HeardBy     string
+	AgeMs       int64
+	Number      int64
+	LeftMs      int64
 }
 
 // encodeNotices returns the message with the notices.
 func encodeNotices(notices map[afnotice.Key]afnotice.Notice, now time.Time) noticesMessage {
-	out := noticesMessage{Notices: make([]noticeMessage, 0, len(notices))}
+	var out noticesMessage
 	for k, n := range notices {
-		m := noticeMessage{
-			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), Number: n.Number, AgeMs: now.Sub(n.HeardAt).Milliseconds(),
-		}
-		if k.Kind == afnotice.Pause {
-			m.HeardBy = n.HeardBy
-			m.LeftMs = max(n.Until.Sub(now).Milliseconds(), 0)
+		ageMs := now.Sub(n.HeardAt).Milliseconds()
+		if k.Kind == afnotice.Leaving {
+			out.Leaving = append(out.Leaving, leavingMessage{Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs})
+			continue
 		}
-		out.Notices = append(out.Notices, m)
+		out.Pauses = append(out.Pauses, pauseMessage{
+			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs, Number: n.Number, LeftMs: max(n.Until.Sub(now).Milliseconds(), 0),
+		})
 	}
 	return out
 }
@@ -91,15 +102,18 @@
 
 // decode returns the notices of a message that arrived now.
 func (m noticesMessage) decode(now time.Time) map[afnotice.Key]afnotice.Notice {
-	out := make(map[afnotice.Key]afnotice.Notice, len(m.Notices))
-	for _, n := range m.Notices {
-		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Kind(n.Kind)}
-		notice := afnotice.Notice{HeardBy: n.HeardBy, HeardAt: now.Add(-time.Duration(min(max(n.AgeMs, 0), maxAgeMs)) * time.Millisecond), Number: n.Number}
-		if k.Kind == afnotice.Pause {
-			k.HeardBy = n.HeardBy
-			notice.Until = now.Add(time.Duration(min(max(n.LeftMs, 0), afnotice.MaxPause.Milliseconds())) * time.Millisecond)
-		}
-		out[k] = notice
+	heardAt := func(ageMs int64) time.Time {
+		return now.Add(-time.Duration(min(max(ageMs, 0), maxAgeMs)) * time.Millisecond)
+	}
+	out := make(map[afnotice.Key]afnotice.Notice, len(m.Leaving)+len(m.Pauses))
+	for _, n := range m.Leaving {
+		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Leaving}
+		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs)}
+	}
+	for _, n := range m.Pauses {
+		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Pause, HeardBy: n.HeardBy}
+		left := time.Duration(min(max(n.LeftMs, 0), afnotice.MaxPause.Milliseconds())) * time.Millisecond
+		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), Number: n.Number, Until: now.Add(left)}
 	}
 	return out
 }
