afkeeper: announce the stop of this VM's own epoch only

A holder that woke after its time read the epoch again for its announcement. If the view of its successor arrived in between, it announced the successor's epoch as stopped, and a third VM took the lease at once beside the successor.

--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -36,7 +36,7 @@
 		}
 	}
 	if lease.HasExpired(now) {
-		s.announceStop()
+		s.announceStop(lease.Epoch())
 	}
 	action, record := lease.NextAction(now)
 	switch action {
@@ -129,7 +129,7 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		// A version conflict also means that the stored record is unknown.
-		if !s.lease.IsHolder(sentAt) && !afobject.IsKind(err, afobject.VersionConflict) {
+		if !s.lease.IsHolder(sentAt) && afobject.IsKind(err, afobject.OutcomeUnknown) {
 			s.promises.unknownTakeoverAt, s.promises.hasUnknown = sentAt, true
 		}
 		s.lease = s.lease.WithUnknownWriteOutcome()
@@ -172,9 +172,13 @@
 
 // announceStop stops the use of the lease for good. It sends the other VMs the age of the last order to each engine, so that
 // the next holder waits no longer than necessary.
-func (s *Service) announceStop() {
+func (s *Service) announceStop(epoch int64) {
 	now := s.BootTime()
 	s.mu.Lock()
+	if s.lease.Epoch() != epoch || !s.lease.IsOwnEpoch(epoch) {
+		s.mu.Unlock()
+		return // Another VM has taken the lease.
+	}
 	m := holderStop{Epoch: s.lease.Epoch(), OrderAgesMs: make(map[string]int64)}
 	m.SuccessorDelayMs = max(0, (s.lease.HandoverAt() - now + time.Millisecond - 1).Milliseconds())
 	s.lease = s.lease.WithOwnUseEnded()
@@ -210,7 +214,9 @@
 		s.viewReceivedAt = time.Time{}
 		s.holder = ""
 	}
-	s.nextLeaseCheckAt = now + s.takeoverDelayAfterStop(from.VM)
+	if !s.lease.IsHolder(now) {
+		s.nextLeaseCheckAt = now + s.takeoverDelayAfterStop(from.VM)
+	}
 	s.Log.Info("placement holder stopped", "holder", from.VM, "epoch", m.Epoch, "after_ms", m.SuccessorDelayMs)
 	return nil, nil
 }
--- a/internal/afkeeper/lease_test.go
+++ b/internal/afkeeper/lease_test.go
@@ -48,7 +48,7 @@
 		_, err = c.HandleHolderStop(b.Self, body)
 		return err
 	}
-	b.announceStop()
+	b.announceStop(b.lease.Epoch())
 	_, r = c.lease.NextAction(now)
 	c.lease = c.lease.WithWrittenRecord(r, 22, now, now)
 	require.True(t, c.lease.IsHolder(now), "the record may be taken at once")
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -174,6 +174,8 @@
 	wasHolder bool
 	// hasViewChanged means that a view should be sent because an engine status changed.
 	hasViewChanged bool
+	// hasSentLate means that the last view said that the renewal is late.
+	hasSentLate bool
 	// reportedWaitingKeys is the result of joinWaitingKeys for the last report.
 	reportedWaitingKeys string
 }
@@ -367,7 +369,7 @@
 	if !ok {
 		return
 	}
-	s.announceStop()
+	s.announceStop(record.Epoch)
 	if _, err := s.writeRecord(ctx, record, version); err != nil {
 		s.Log.Warn("placement lease not released", "error", err)
 	}
--- a/internal/afkeeper/view.go
+++ b/internal/afkeeper/view.go
@@ -52,16 +52,18 @@
 	now := s.Timer.Now()
 	members := s.LiveVMs()
 	s.mu.Lock()
-	isUrgent := (s.hasViewChanged || s.isViewRequested) && !now.Before(s.lastViewAt.Add(scaleInterval(minUrgentViewInterval, len(members))))
+	isLate := s.lease.IsRenewalLate(s.BootTime())
+	isUrgent := (s.hasViewChanged || s.isViewRequested || isLate && !s.hasSentLate) && !now.Before(s.lastViewAt.Add(scaleInterval(minUrgentViewInterval, len(members))))
 	if now.Before(s.nextViewAt) && !isUrgent {
 		s.mu.Unlock()
 		return
 	}
+	s.hasSentLate = isLate
 	s.isViewRequested, s.hasViewChanged, s.lastViewAt = false, false, now
 	s.nextViewAt = now.Add(scaleInterval(viewInterval, len(members)))
 	v := placementView{
 		Holder: s.lease.Record().Holder, Epoch: s.lease.Epoch(), RenewalCount: s.lease.Record().RenewalCount, LeaseVersion: s.lease.Version(),
-		EndpointSeq: s.endpointSeq, ViewSeq: s.nextViewSeq(), HasLostPlatform: s.lease.IsRenewalLate(s.BootTime()),
+		EndpointSeq: s.endpointSeq, ViewSeq: s.nextViewSeq(), HasLostPlatform: isLate,
 	}
 	reports := make(map[string]vmReport, len(s.vmReports)+1)
 	starts := make(map[string]int64, len(s.vmReports)+1)
