aflease: let promises hold against released records of others

A VM that had promised one holder that it may go on took the lease at once from a record that another VM had taken and released. The promise names an epoch now, and released or stopped holders of other epochs free nothing before its end.

TestPromiseAndDelayAgainstOtherRecords fails before.

--- a/internal/afkeeper/promise.go
+++ b/internal/afkeeper/promise.go
@@ -75,7 +75,7 @@
 	}
 	mayPromise := s.PlatformReachedAt != nil && !s.PlatformReachedAt().After(s.holderLostPlatformAt) && s.lease.Epoch() == epoch && !s.lease.IsHolder(now) && (!s.promises.hasUnknown || now-s.promises.unknownTakeoverAt > lateWriteTime)
 	if mayPromise {
-		s.lease = s.lease.WithOwnPromise(now + promiseDuration + s.LeaseTiming.SafetyMargin)
+		s.lease = s.lease.WithOwnPromise(epoch, now+promiseDuration+s.LeaseTiming.SafetyMargin)
 	}
 	s.mu.Unlock()
 	if !mayPromise {
@@ -93,7 +93,7 @@
 func (s *Service) DelayTakeover() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease = s.lease.WithOwnPromise(s.BootTime() + newVMTakeoverDelay)
+	s.lease = s.lease.WithTakeoverDelay(s.BootTime() + newVMTakeoverDelay)
 }
 
 // HandlePromise counts the promise of another VM. With the promises of all listed VMs, this VM remains the holder without the
--- a/internal/afkeeper/relay.go
+++ b/internal/afkeeper/relay.go
@@ -145,6 +145,13 @@
 	go s.fetchEndpointList(holder)
 }
 
+// ResyncEndpoints makes this VM request the full list of endpoints with the next view.
+func (s *Service) ResyncEndpoints() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpointSync.isComplete = false
+}
+
 // fetchEndpointList requests the full list of endpoints from the holder and applies it.
 func (s *Service) fetchEndpointList(holder string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -235,7 +235,8 @@
 	}
 	var oldSpec vmSpec
 	if json.Unmarshal(old.Spec, &oldSpec) == nil && oldSpec.Start == n.self.StartID {
-		return nil // An earlier write succeeded although its response was lost.
+		n.keeper.DelayTakeover() // The holder may not know this VM.
+		return nil               // An earlier write succeeded although its response was lost.
 	}
 	o.Version = old.Version
 	_, err = n.platformClient.Update(ctx, o)
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -68,8 +68,11 @@
 	// promisedUntil is until when all other processes have promised this holder not to take the lease. The holder may use the
 	// lease until then although the store can't be reached.
 	promisedUntil time.Duration
-	// ownPromiseEndsAt is until when this process has promised a holder not to take the lease.
+	// ownPromiseEndsAt is until when this process has promised the holder of promisedEpoch not to take the lease.
 	ownPromiseEndsAt time.Duration
+	promisedEpoch    int64
+	// takeoverDelayedUntil is until when this process does not take the lease from a silent holder, which may not know it.
+	takeoverDelayedUntil time.Duration
 	// firstEpoch is the first epoch of this process's uninterrupted hold. It is below the record's epoch if the store went back
 	// in the meantime.
 	firstEpoch int64
@@ -203,12 +206,33 @@
 	return l
 }
 
-// WithOwnPromise returns the lease of a process that promises the holder not to take the lease before a time.
-func (l Lease) WithOwnPromise(until time.Duration) Lease {
-	l.ownPromiseEndsAt = max(l.ownPromiseEndsAt, until)
+// WithOwnPromise returns the lease of a process that promises the holder of an epoch not to take the lease before a time.
+func (l Lease) WithOwnPromise(epoch int64, until time.Duration) Lease {
+	l.promisedEpoch, l.ownPromiseEndsAt = epoch, max(l.ownPromiseEndsAt, until)
 	return l
 }
 
+// WithTakeoverDelay returns the lease of a process that does not take the lease from a silent holder before a time. A record must
+// exist, since there is no holder without one.
+func (l Lease) WithTakeoverDelay(until time.Duration) Lease {
+	l.takeoverDelayedUntil = max(l.takeoverDelayedUntil, until)
+	return l
+}
+
+// waitEndsAt returns until when this process must not take the lease, whatever the record says about its holder.
+func (l Lease) waitEndsAt() time.Duration {
+	if !l.recordExists() {
+		return l.ownPromiseEndsAt
+	}
+	return max(l.ownPromiseEndsAt, l.takeoverDelayedUntil)
+}
+
+// hasOtherPromise reports whether this process has promised another holder than that of the record that it may go on. The record
+// then shows nothing about that holder's end.
+func (l Lease) hasOtherPromise() bool {
+	return l.ownPromiseEndsAt > 0 && l.promisedEpoch != l.record.Epoch
+}
+
 // IsRenewalLate reports whether the last acknowledged renewal of this holder is so old that the store may be away.
 func (l Lease) IsRenewalLate(now time.Duration) bool {
 	return l.IsHolder(now) && now >= l.ownUseEndsAt-l.timing.TTL/3
@@ -234,7 +258,7 @@
 func (l Lease) ownUseTimes() (useBeginsAt, quietEndsAt, handoverAt time.Duration) {
 	beginsAt := l.recordSeenAt + l.timing.QuietPeriod + l.timing.SafetyMargin
 	// A holder that is silent may have used the lease for TTL, and longer with the promise of this process.
-	afterSilenceAt := max(l.recordSeenAt+l.timing.TTL, l.ownPromiseEndsAt) + l.timing.QuietPeriod + l.timing.SafetyMargin
+	afterSilenceAt := max(l.recordSeenAt+l.timing.TTL, l.waitEndsAt()) + l.timing.QuietPeriod + l.timing.SafetyMargin
 	switch {
 	case l.isRecordOfEarlierEra():
 		// Any process may have used the lease until TTL after the store went back, whatever the record says.
@@ -249,9 +273,9 @@
 		// promised another one that it may go on.
 		beginsAt = max(beginsAt, l.ownPromiseEndsAt+l.timing.QuietPeriod+l.timing.SafetyMargin)
 		return beginsAt, beginsAt, beginsAt
-	case l.stoppedEpoch == l.record.Epoch:
+	case l.stoppedEpoch == l.record.Epoch && !l.hasOtherPromise():
 		return l.successorBeginsAt, l.successorBeginsAt + l.timing.QuietPeriod + l.timing.SafetyMargin, l.successorBeginsAt
-	case l.record.IsReleased:
+	case l.record.IsReleased && !l.hasOtherPromise():
 		return beginsAt, beginsAt, beginsAt
 	}
 	return afterSilenceAt, afterSilenceAt, afterSilenceAt
@@ -272,7 +296,7 @@
 		}
 		return ActionWait, Record{}
 	}
-	if now < max(l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin, l.ownPromiseEndsAt) && !l.mayTakeAtOnce(now) && (!isOwn || now >= l.useEndsAt()) {
+	if now < max(l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin, l.waitEndsAt()) && !l.mayTakeAtOnce(now) && (!isOwn || now >= l.useEndsAt()) {
 		return ActionWait, Record{}
 	}
 	_, quietEndsAt, _ := l.ownUseTimes()
@@ -284,7 +308,10 @@
 
 // mayTakeAtOnce reports whether the record shows that nobody else uses the lease.
 func (l Lease) mayTakeAtOnce(now time.Duration) bool {
-	return !l.isRecordOfEarlierEra() && (!l.recordExists() || l.record.IsReleased || l.stoppedEpoch == l.record.Epoch || l.HolderIsEarlierProcess() && now >= l.ownPromiseEndsAt)
+	if l.isRecordOfEarlierEra() || l.hasOtherPromise() && now < l.ownPromiseEndsAt {
+		return false
+	}
+	return !l.recordExists() || l.record.IsReleased || l.stoppedEpoch == l.record.Epoch || l.HolderIsEarlierProcess() && now >= l.ownPromiseEndsAt
 }
 
 // ReleaseRecord returns the record that releases the lease, or false if this process does not hold it.
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -172,7 +172,7 @@
 				}
 				if !o.IsHolder(now) && o.Epoch() == l.Epoch() && !lateWriters[other] && rapid.IntRange(0, 3).Draw(t, "promise") > 0 {
 					delay := time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond
-					leases[other] = o.WithOwnPromise(now + promiseDuration + testTiming.SafetyMargin)
+					leases[other] = o.WithOwnPromise(l.Epoch(), now+promiseDuration+testTiming.SafetyMargin)
 					if promises[h] == nil {
 						promises[h] = map[string]time.Duration{}
 					}
@@ -369,7 +369,7 @@
 	b := New("b", "vm-b", testTiming).WithReadRecord(r, 7, 0)
 	lastUseAt := time.Duration(0)
 	for now := time.Second; now < 10*time.Second; now += time.Second {
-		b = b.WithOwnPromise(now + testTiming.TTL)
+		b = b.WithOwnPromise(r.Epoch, now+testTiming.TTL)
 		a = a.WithPromises(now+testTiming.TTL, now)
 		require.True(t, a.IsUsable(now))
 		action, _ := b.NextAction(now)
@@ -386,6 +386,26 @@
 	require.True(t, b.IsUsable(takenAt+testTiming.QuietPeriod+testTiming.SafetyMargin))
 }
 
+// Guards against a process that takes the lease at once from a released record, although it promised another holder that it may go
+// on, and against a first holder that waits because its process is new.
+func TestPromiseAndDelayAgainstOtherRecords(t *testing.T) {
+	released := Record{Holder: "n", Machine: "vm-n", Epoch: 6, IsReleased: true}
+	b := New("b", "vm-b", testTiming).WithReadRecord(Record{Holder: "a", Epoch: 5}, 7, 0).WithOwnPromise(5, 4*time.Second).WithReadRecord(released, 9, time.Second)
+	action, _ := b.NextAction(3 * time.Second)
+	require.Equal(t, ActionWait, action)
+	action, r := b.NextAction(4 * time.Second)
+	require.Equal(t, ActionWrite, action)
+	b = b.WithWrittenRecord(r, 10, 4*time.Second, 4*time.Second)
+	require.False(t, b.IsUsable(4*time.Second))
+
+	first := New("a", "vm-a", testTiming).WithTakeoverDelay(8*time.Second).WithReadRecord(Record{}, 0, 0)
+	action, _ = first.NextAction(0)
+	require.Equal(t, ActionWrite, action)
+	later := New("b", "vm-b", testTiming).WithTakeoverDelay(8*time.Second).WithReadRecord(Record{Holder: "a", Epoch: 5}, 7, 0)
+	action, _ = later.NextAction(8*time.Second - 1)
+	require.Equal(t, ActionWait, action)
+}
+
 // Guards against a holder that restarts before its first use, or after a stop message from the previous holder, and then uses
 // the lease too early: the new process does not know when the previous holder last used it.
 func TestRestartBeforeFirstUse(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -76,13 +76,13 @@
 	'o.Version > 0 && o.Version <= old.Version' 'o.Version < 0' \
 	./pkg/afconfig TestLateChangeIgnored
 mutant gateway-quiet pkg/aflease/lease.go \
-	'beginsAt := l.recordSeenAt + l.timing.QuietPeriod + l.timing.SafetyMargin' 'beginsAt := l.recordSeenAt - l.timing.TTL' \
+	'max(l.recordSeenAt+l.timing.TTL, l.waitEndsAt()) + l.timing.QuietPeriod + l.timing.SafetyMargin' 'l.recordSeenAt' \
 	./pkg/aflease TestSuccessorWaitsQuiet
 mutant gateway-settled pkg/aflease/lease.go \
-	'case l.HolderIsEarlierProcess() && l.record.IsQuietPeriodOver:' 'case l.HolderIsEarlierProcess():' \
+	'case l.HolderIsEarlierProcess() && l.record.IsQuietPeriodOver && l.ownPromiseEndsAt == 0:' 'case l.HolderIsEarlierProcess():' \
 	./pkg/aflease TestRestartBeforeFirstUse
 mutant gateway-era-wait pkg/aflease/lease.go \
-	'return !l.isRecordOfEarlierEra() && (' 'return (' \
+	'if l.isRecordOfEarlierEra() || l.has' 'if l.has' \
 	./pkg/aflease TestNoTwoHoldersWhenStoreGoesBack
 mutant gateway-era-epoch pkg/aflease/lease.go \
 	'		return l.version
@@ -93,7 +93,7 @@
 	'if k.basis == 0 || afversion.Era(k.basis) == era {' 'if k.basis >= 0 {' \
 	./pkg/afobject TestWatchFromEarlierEraExpires
 mutant gateway-promise-wait pkg/aflease/lease.go \
-	'max(l.recordSeenAt+l.timing.TTL, l.ownPromiseEndsAt) +' 'l.recordSeenAt + l.timing.TTL +' \
+	'max(l.recordSeenAt+l.timing.TTL, l.waitEndsAt()) +' 'l.recordSeenAt + l.timing.TTL +' \
 	./pkg/aflease TestSuccessorWaitsAfterPromise
 mutant gateway-promise-all internal/afkeeper/promise.go \
 	'if !ok {
