afroster, afnode: remember relayed endpoints that may be old copies

A VM that left out a relayed entry, because its endpoint had departed before the store went back, never used the endpoint again although it was alive: the holder relays an entry once. The entry is remembered, and the full list is requested when the doubt ends. TestDoubtfulRelayedEndpointIsUsedLater fails before: nothing remembered the entry.

--- a/internal/afnode/era.go
+++ b/internal/afnode/era.go
@@ -55,6 +55,7 @@
 	}
 	d.mu.Unlock()
 	if isDue {
+		n.keeper.ResyncEndpoints()
 		n.feeds[n.Platform.EndpointKind].RequestList()
 	}
 }
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -214,7 +214,7 @@
 	aflog.RouteEngineLog(n.log)
 	n.registry = prometheus.NewRegistry()
 	n.platformClient = &afobject.Client{BaseURL: n.Settings.PlatformURL, Timeout: platformCallTimeout, Dialect: n.Platform.Dialect, HTTPClient: newPlatformHTTPClient(), OnEraChange: n.handleEraChange}
-	n.roster = &afroster.Roster{Now: n.timer.Now, OnChange: n.requestRecheck}
+	n.roster = &afroster.Roster{Now: n.timer.Now, OnChange: n.requestRecheck, OnDoubtful: n.holdDoubtful}
 	n.vmList.initMaps()
 	n.feeds = make(map[string]*affeed.Feed)
 	n.peers = &afpeer.Service{
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -62,6 +62,8 @@
 type Roster struct {
 	// Now returns the current time.
 	Now func() time.Time
+	// OnDoubtful is called with a relayed entry that was left out because it may be an old copy. It must not block.
+	OnDoubtful func(e afengine.EndpointEntry)
 	// OnChange is called after each change that may allow a waiting request to run. It must not block.
 	OnChange func()
 	// Notices are what endpoints say about themselves.
@@ -188,6 +190,9 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		if r.IsDoubtful(e) {
+			if r.OnDoubtful != nil {
+				r.OnDoubtful(e)
+			}
 			continue
 		}
 		listed[e.ID] = true
