afgateway: keep silent endpoints until another one is certain

A long body was cut while it arrived. A stream that nobody can continue, and the last allowed attempt, were left for nothing. A denied slot at the other endpoint cut the stream, and lost the repeat. An endpoint that had refused the request before was never tried again. A hung endpoint was no longer ejected if its requests could not leave it, and later requests got each place that became free. The search counted requests at limited endpoints that got none.

The request now waits for the other endpoint in the queue, in its turn, and takes the repeat only with the place. Silence counts against the health of an endpoint without ending the request.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -51,11 +51,12 @@
 	}
 	excluded := map[string]bool{}
 	cause := ""
+	hasRetry := false     // hasRetry means that a retry of the budget was taken for the next attempt.
 	var next *replacement // next is the endpoint that took the place of a silent one.
 	for {
 		endpoint, refusal := p.nextEndpoint(ctx, next, excluded)
-		hasRetry := next != nil
-		next = nil
+		isReplacement := next != nil
+		hasRetry, next = hasRetry || isReplacement, nil
 		if refusal != nil {
 			if ctx.Err() != nil {
 				return p.endCancelled(ctx)
@@ -72,6 +73,11 @@
 			return p.endCancelled(ctx)
 		case slotDenied:
 			endpoint.request.End(afroster.HealthUnaffected)
+			if isReplacement && p.responseStarted {
+				// The silent endpoint is better than none.
+				p.avoidedEndpoint = endpoint.ID
+				excluded[endpoint.ID] = true
+			}
 			if p.slotDenials++; p.slotDenials >= maxSlotDenials || p.maxWait() <= 0 {
 				return p.refuseWithoutEndpoint(p.refuseWithoutSlot(endpoint.Endpoint), cause)
 			}
@@ -93,6 +99,7 @@
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
 		}
 		p.attempts++
+		hasRetry = false
 		p.lastEndpoint = endpoint.ID
 		result := p.attemptEndpoint(ctx, endpoint, excluded)
 		switch {
@@ -147,7 +154,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(result attemptResult) bool {
-	if p.relayedEvents > 0 && (p.position.lastEventID == "" || p.position.hasEventsWithoutID) {
+	if p.relayedEvents > 0 && !p.position.canBeContinued() {
 		return false
 	}
 	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
--- a/internal/afgateway/continue.go
+++ b/internal/afgateway/continue.go
@@ -48,3 +48,6 @@
 	_, err := strconv.ParseInt(id, 10, 64)
 	return err == nil
 }
+
+// canBeContinued reports whether another endpoint can continue the stream.
+func (s streamPosition) canBeContinued() bool { return s.lastEventID != "" && !s.hasEventsWithoutID }
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -30,6 +30,9 @@
 	isUnservable func() bool
 	// unservable is closed if the request becomes unservable while it waits.
 	unservable chan struct{}
+	// isReplacement means that the request is at a silent endpoint and waits for another one. It does not keep later requests
+	// from endpoints that it cannot use, and is not counted as waiting.
+	isReplacement bool
 }
 
 // waitingQueue holds the requests that wait for an endpoint, sorted by priority and time of arrival. Requests may
@@ -63,16 +66,14 @@
 	if e, ok := request.pickEndpoint(); ok {
 		return e, true
 	}
-	index, _ := slices.BinarySearchFunc(q.requests, request, (*waitingRequest).compare)
-	q.requests = slices.Insert(q.requests, index, request)
+	q.insert(request)
 	return acquiredEndpoint{}, false
 }
 
-// acquire returns the endpoint that pickEndpoint returns under the lock of the queue.
-func (q *waitingQueue) acquire(pickEndpoint func() (acquiredEndpoint, bool)) (acquiredEndpoint, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return pickEndpoint()
+// insert adds a request in its order. The caller holds the lock.
+func (q *waitingQueue) insert(request *waitingRequest) {
+	index, _ := slices.BinarySearchFunc(q.requests, request, (*waitingRequest).compare)
+	q.requests = slices.Insert(q.requests, index, request)
 }
 
 // compare orders requests by priority and then by time of arrival.
@@ -80,6 +81,25 @@
 	return cmp.Or(cmp.Compare(request.priority, other.priority), request.arrivedAt.Compare(other.arrivedAt))
 }
 
+// retry returns the endpoint that was assigned to a waiting request, or one that can serve it now. The request leaves the queue
+// then.
+func (q *waitingQueue) retry(request *waitingRequest) (acquiredEndpoint, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case e := <-request.acquired:
+		return e, true
+	default:
+	}
+	e, ok := request.pickEndpoint()
+	if ok {
+		if i := slices.Index(q.requests, request); i >= 0 {
+			q.requests = slices.Delete(q.requests, i, i+1)
+		}
+	}
+	return e, ok
+}
+
 // remove removes a request from the queue. It returns the endpoint that was assigned to the request in the meantime, if
 // any.
 func (q *waitingQueue) remove(request *waitingRequest) (acquiredEndpoint, bool) {
@@ -109,9 +129,9 @@
 				request.acquired <- e
 				return true
 			}
-			blocked[class] = true
+			blocked[class] = blocked[class] || !request.isReplacement
 		}
-		if request.isUnservable() {
+		if !request.isReplacement && request.isUnservable() {
 			close(request.unservable)
 			return true
 		}
@@ -123,7 +143,13 @@
 func (q *waitingQueue) length() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.requests)
+	n := 0
+	for _, request := range q.requests {
+		if !request.isReplacement {
+			n++
+		}
+	}
+	return n
 }
 
 // countByModel counts the waiting requests by model and adapter.
@@ -132,7 +158,7 @@
 	defer q.mu.Unlock()
 	out := make(map[demandKey]waitCounts)
 	add := func(request *waitingRequest) {
-		if request.model == "" {
+		if request.model == "" || request.isReplacement {
 			return
 		}
 		k := demandKey{request.model, request.adapter}
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -78,7 +78,7 @@
 		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
-	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0)
+	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0, watchdog)
 	result.progress = max(result.progress, progressHead)
 	return result
 }
@@ -102,7 +102,7 @@
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
 // repeated can be sent to another endpoint if the response breaks off, unless it is long.
-func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, asksForPause bool) attemptResult {
+func (p *proxiedRequest) relayBuffered(ctx context.Context, endpoint acquiredEndpoint, ex *exchange, asksForPause bool, w *idleWatchdog) attemptResult {
 	body, isWhole, err := ex.readBodyStart(p.held)
 	if err != nil {
 		return p.classifyFailure(ctx, endpoint, err)
@@ -113,6 +113,9 @@
 		p.recordAnswer(p.server.Timer.Now())
 	}
 	if !isWhole {
+		if w.stop() != nil {
+			return p.classifyFailure(ctx, endpoint, errIdleTimeout)
+		}
 		return p.relayLong(ctx, endpoint, ex, body)
 	}
 	isServerError := status >= http.StatusInternalServerError
@@ -279,6 +282,7 @@
 			}
 			p.relayedEvents++
 		}
+		w.setTied(p.relayedEvents > 0 && !p.position.canBeContinued())
 		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -33,9 +33,12 @@
 // sound endpoint may be silent for a second, so that its answer must not end before there is a better one.
 // It uses one timer for each attempt instead of one for each event, since a VM may relay thousands of events a second.
 type idleWatchdog struct {
-	request *proxiedRequest
+	request  *proxiedRequest
+	endpoint acquiredEndpoint
 	// excluded holds the endpoints that cannot take the request, including the one of the attempt. It does not change.
 	excluded map[string]bool
+	// timedOut holds those of excluded that were silent. It does not change.
+	timedOut map[string]bool
 	cancel   context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -45,26 +48,33 @@
 	timeout time.Duration
 	timer   *aftimer.Subscription
 	stopped bool
+	// isTied means that no endpoint can continue what was relayed, so that the attempt must not be left.
+	isTied bool
+	// waiting is in the queue while the endpoint is silent and no other one has room. It is nil before.
+	waiting *waitingRequest
 	// replacement is the endpoint that takes the place of the silent one, or nil.
 	replacement *replacement
 }
 
 // startWatchdog returns the watchdog of an attempt. The watchdog has no timer if the request may not be retried.
 func (p *proxiedRequest) startWatchdog(endpoint acquiredEndpoint, excluded map[string]bool, cancel context.CancelCauseFunc) *idleWatchdog {
-	w := &idleWatchdog{request: p, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true}}
+	w := &idleWatchdog{request: p, endpoint: endpoint, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true}, timedOut: map[string]bool{endpoint.ID: true}}
 	maps.Copy(w.excluded, excluded)
-	if !p.route.IsRepeatable() || p.possibleRuns+1 >= p.route.MaxAttempts {
+	maps.Copy(w.timedOut, p.timedOutEndpoints)
+	if !p.route.IsRepeatable() || p.possibleRuns+1 >= p.route.MaxAttempts || p.attempts >= maxTotalAttempts {
 		return w
 	}
 	w.timeout = max(responseTimeoutFactor*p.route.TargetLatency, minResponseTimeout)
 	if isStream(p.route) {
 		w.timeout = max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.startTimer(w.timeout)
 	return w
 }
 
-// startTimer starts the timer for the next check. The caller holds mu, or the watchdog is not shared yet.
+// startTimer starts the timer for the next check. The caller holds mu.
 func (w *idleWatchdog) startTimer(delay time.Duration) {
 	w.timer = w.request.server.Timer.CallAfter(delay, w.checkProgress)
 }
@@ -79,7 +89,7 @@
 	}
 	remaining := w.timeout - now.Sub(w.progressAt)
 	if remaining <= 0 {
-		if w.replacement = w.request.takeReplacement(w.excluded); w.replacement == nil {
+		if w.replacement = w.findReplacement(); w.replacement == nil {
 			remaining = replacementRetryDelay
 		}
 	}
@@ -97,6 +107,7 @@
 func (w *idleWatchdog) recordProgress() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.leaveQueue()
 	now := w.request.server.Timer.Now()
 	interval := now.Sub(w.progressAt)
 	w.progressAt = now
@@ -104,6 +115,13 @@
 	return interval
 }
 
+// setTied sets whether no endpoint can continue what was relayed.
+func (w *idleWatchdog) setTied(isTied bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isTied = isTied
+}
+
 // stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil.
 func (w *idleWatchdog) stop() *replacement {
 	w.mu.Lock()
@@ -112,30 +130,73 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	w.leaveQueue()
 	return w.replacement
 }
 
+// findReplacement returns an endpoint that takes the place of the silent one, or nil. The request waits for one in the queue, with
+// its own time of arrival, so that later requests do not get each place that becomes free. The caller holds mu.
+func (w *idleWatchdog) findReplacement() *replacement {
+	p := w.request
+	if w.isTied || p.refuseQuarantined() != nil {
+		w.leaveQueue()
+		return nil
+	}
+	q := &p.server.queue
+	if w.waiting == nil {
+		w.endpoint.request.RecordSilence()
+		waiting := &waitingRequest{
+			service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
+			acquired: make(chan acquiredEndpoint, 1), isReplacement: true,
+			pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickReplacement(w.excluded, w.timedOut) },
+		}
+		if e, ok := q.acquireOrAdd(waiting); ok {
+			return &replacement{endpoint: e}
+		}
+		w.waiting = waiting
+		return nil
+	}
+	// The end of a pause or a retry of the budget changes nothing in the roster, so that the queue may not have tried again.
+	e, ok := q.retry(w.waiting)
+	if !ok {
+		return nil
+	}
+	w.waiting = nil
+	return &replacement{endpoint: e}
+}
+
+// leaveQueue ends the wait for another endpoint and gives up one that was assigned. The caller holds mu.
+func (w *idleWatchdog) leaveQueue() {
+	if w.waiting == nil {
+		return
+	}
+	if e, ok := w.request.server.queue.remove(w.waiting); ok {
+		(&replacement{endpoint: e}).release()
+	}
+	w.waiting = nil
+}
+
 // replacement is an endpoint that takes the place of a silent one, with a retry of the retry budget.
 type replacement struct {
 	endpoint acquiredEndpoint
 }
 
-// takeReplacement returns an endpoint with capacity that is not excluded, together with a retry of the budget, or nil. It may be
-// called while an attempt is in progress.
-func (p *proxiedRequest) takeReplacement(excluded map[string]bool) *replacement {
+// pickReplacement chooses an endpoint with capacity that is not excluded and takes a retry of the budget. It may be called while
+// an attempt is in progress. The caller holds the lock of the queue.
+func (p *proxiedRequest) pickReplacement(excluded, timedOut map[string]bool) (acquiredEndpoint, bool) {
 	s := p.server
-	endpoint, ok := s.queue.acquire(func() (acquiredEndpoint, bool) {
-		needs := p.requirements(excluded, 0)
-		return p.pickCandidate(s.findCandidates(p.service, p.headers.Model, p.headers.Adapter), needs)
-	})
-	if !ok {
-		return nil
+	needs := p.requirements(excluded, 0)
+	candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
+	if _, ok := chooseEndpoint(candidates, needs); !ok {
+		needs.excluded = timedOut // An endpoint that failed before is better than a silent one.
+		if _, ok := chooseEndpoint(candidates, needs); !ok {
+			return acquiredEndpoint{}, false
+		}
 	}
 	if !s.takeRetry(p.service.Name) {
-		endpoint.request.End(afroster.HealthUnaffected)
-		return nil
+		return acquiredEndpoint{}, false
 	}
-	return &replacement{endpoint: endpoint}
+	return p.pickCandidate(candidates, needs)
 }
 
 // release gives the endpoint up. The retry stays used, since budgets count what might have been sent.
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -366,6 +366,17 @@
 	r.notifyChange()
 }
 
+// RecordSilence records that the endpoint has been silent for too long, without ending the request. A later success of the request
+// shows that the endpoint is sound.
+func (request *RunningRequest) RecordSilence() {
+	r := request.roster
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.endpoints[request.endpointID]; e != nil && !request.ended {
+		e.healthTracker = e.healthTracker.WithResult(false, r.Now())
+	}
+}
+
 // HealthResult is the effect of a request's end on the health of its endpoint.
 type HealthResult int
 
