afnode, afkeeper: forget odd objects and promises that are over

The versions of odd entries were kept until a watch reported their removal, so that those that vanished between two lists stayed for good, and a holder kept the end of each promise by the name of its VM. Both grow with what others send. A complete list now drops the odd objects that it lacks, and promises that have ended are dropped with the next one.

TestOddObjectsThatAreGoneAreForgotten has no counterpart before. No effect on what is served: a promise that has ended never counted.

--- a/internal/afkeeper/promise.go
+++ b/internal/afkeeper/promise.go
@@ -1,6 +1,7 @@
 package afkeeper
 
 import (
+	"maps"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,7 +37,7 @@
 	viewSeq int64
 	// viewsSentAt holds the boot times at which recent views were sent, by number.
 	viewsSentAt map[int64]time.Duration
-	// endsAt holds the boot times at which the promises to this VM end, by VM.
+	// endsAt holds the boot times at which the promises to this VM end, by VM, without those that have ended.
 	endsAt map[string]time.Duration
 	// promisedUntil is the boot time until which all VMs have promised.
 	promisedUntil time.Duration
@@ -112,8 +113,10 @@
 	if s.promises.endsAt == nil {
 		s.promises.endsAt = make(map[string]time.Duration)
 	}
+	now := s.BootTime()
+	maps.DeleteFunc(s.promises.endsAt, func(_ string, endsAt time.Duration) bool { return endsAt <= now })
 	s.promises.endsAt[from.VM] = max(s.promises.endsAt[from.VM], sentAt+promiseDuration)
-	until, now := s.promisedByAll(), s.BootTime()
+	until := s.promisedByAll()
 	if until > now && s.promises.promisedUntil < now {
 		s.Log.Info("placement goes on without the platform", "epoch", m.Epoch, "promises", len(s.promises.endsAt))
 	}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -152,6 +152,7 @@
 		if gap.MayLackEntries() {
 			recoveredAt = n.timer.Now()
 		}
+		odd.keep(objects)
 		seenIDs := make(map[string]bool, len(objects))
 		var changedEntries []afengine.EndpointEntry
 		for _, o := range objects {
@@ -237,7 +238,7 @@
 		n.holdDoubtful(e)
 		return e, false, false
 	}
-	e = n.roster.WithDeparture(e)
+	e = n.roster.EffectiveEntry(e)
 	isChanged = n.roster.PutEntry(e)
 	if isChanged {
 		n.logEndpoint(e, "platform")
--- a/internal/afnode/odd.go
+++ b/internal/afnode/odd.go
@@ -1,6 +1,10 @@
 package afnode
 
-import "arbutusfork.example/arbutusfork/pkg/afobject"
+import (
+	"maps"
+
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+)
 
 // oddObjects holds the versions of the objects of one kind that could not be decoded, so that each version is logged once
 // although every list contains it. Only the goroutine of the kind's feed uses it.
@@ -15,3 +19,12 @@
 
 // remove removes an object that is sound again or that no longer exists.
 func (m oddObjects) remove(name string) { delete(m, name) }
+
+// keep removes the objects that are not among those of a complete list.
+func (m oddObjects) keep(objects []afobject.Object) {
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Name] = true
+	}
+	maps.DeleteFunc(m, func(name string, _ int64) bool { return !listed[name] })
+}
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -96,3 +96,12 @@
 	f.OnList([]afobject.Object{sound("a", 11)}, affeed.Gap{})
 	require.Equal(t, 1, n.countListedVMs())
 }
+
+// Guards against memory that grows with each odd object that was ever listed.
+func TestOddObjectsThatAreGoneAreForgotten(t *testing.T) {
+	odd := make(oddObjects)
+	require.True(t, odd.add(afobject.Object{Name: "a", Version: 1}))
+	require.True(t, odd.add(afobject.Object{Name: "b", Version: 2}))
+	odd.keep([]afobject.Object{{Name: "b", Version: 2}})
+	require.Equal(t, oddObjects{"b": 2}, odd)
+}
