all: one type for an endpoint's life, shorter files, plainer names

EffectiveEntry returns an entry, so that it is no With method; cannotContinue was isTied. The test of aftable waits on the timer of its own clock.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -9,7 +9,6 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
-	"arbutusfork.example/arbutusfork/pkg/afpace"
 )
 
 const (
@@ -337,48 +336,6 @@
 	return newRefusal(arbutusfork.CodeNoCapacity, "model "+strconv.Quote(p.headers.Model)+" is not ready in time", retryAfter)
 }
 
-// requirements returns what the request needs from an endpoint that is not excluded and whose wait for a slot is at most maxSlotWait.
-func (p *proxiedRequest) requirements(excluded map[string]bool, maxSlotWait time.Duration) requirements {
-	s := p.server
-	return requirements{
-		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
-		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), isPaused: s.isPaused, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
-	}
-}
-
-// pickEndpoint chooses an endpoint without waiting and counts the request there. The caller holds the lock of the
-// queue, so that each choice includes the requests of the previous ones.
-func (p *proxiedRequest) pickEndpoint(excluded map[string]bool) (acquiredEndpoint, bool) {
-	candidates := p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
-	needs := p.requirements(excluded, min(p.maxWait(), afpace.MaxAhead))
-	endpoint, ok := p.pickCandidate(candidates, needs)
-	if !ok && len(excluded) > 0 {
-		// An endpoint whose previous attempt failed is better than none, since no other endpoint may load the model or
-		// adapter. An endpoint that timed out is overloaded and stays excluded. A response that has begun would break without an
-		// endpoint: only the one that refused or was silent last is left out.
-		needs.excluded = p.timedOutEndpoints
-		if p.responseStarted {
-			needs.excluded = map[string]bool{p.avoidedEndpoint: true}
-		}
-		endpoint, ok = p.pickCandidate(candidates, needs)
-	}
-	return endpoint, ok
-}
-
-// pickCandidate chooses an endpoint among the candidates and counts the request there. The caller holds the lock of the queue.
-func (p *proxiedRequest) pickCandidate(candidates afroster.Candidates, needs requirements) (acquiredEndpoint, bool) {
-	s := p.server
-	endpoint, ok := chooseEndpoint(candidates, needs)
-	if !ok {
-		return acquiredEndpoint{}, false
-	}
-	if s.EndpointLimits.ExpectRequest != nil {
-		s.EndpointLimits.ExpectRequest(endpointStart(endpoint))
-	}
-	return acquiredEndpoint{endpoint, s.Roster.BeginRequest(endpoint.ID, p.headers.Model, p.headers.Adapter, p.headers.PromptTokens, p.headers.PromptTokens+p.headers.MaxOutputTokens)}, true
-}
-
 // sendError is the error of an attempt that failed before the head of a response arrived.
 type sendError struct {
 	// requestWritten means that bytes of the request may have reached the endpoint.
@@ -393,18 +350,3 @@
 	e, ok := errors.Into[*sendError](err)
 	return !ok || e.requestWritten
 }
-
-// sharedPromptTokens returns the number of tokens of the prompt that other requests of the session may have in common.
-func sharedPromptTokens(headers RequestHeaders) int64 {
-	tokens := int64(0)
-	for _, part := range headers.PromptParts {
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
-// isModelLoaded reports whether an endpoint of the service has loaded the model and the adapter and accepts new
-// requests for the model.
-func (s *Server) isModelLoaded(service, model, adapter string) bool {
-	return len(s.Roster.Candidates(service, acceptsModel(model, adapter)).Endpoints) > 0
-}
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -282,7 +282,7 @@
 			}
 			p.relayedEvents++
 		}
-		w.setTied(p.relayedEvents > 0 && !p.position.canBeContinued())
+		w.setContinuable(p.relayedEvents == 0 || p.position.canBeContinued())
 		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
--- a/internal/afgateway/slot.go
+++ b/internal/afgateway/slot.go
@@ -6,20 +6,20 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afroster"
-	"arbutusfork.example/arbutusfork/pkg/afpace"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
 // EndpointLimits connects the gateway to the limits that endpoints name. Without its functions, no limit is kept.
 type EndpointLimits struct {
 	// RecordAnswer is called with the limit that an endpoint named in an answer, in requests a second, or 0 if it named none. It
 	// must not block.
-	RecordAnswer func(e afpace.EndpointStart, perSecond float64)
+	RecordAnswer func(e afengine.EndpointStart, perSecond float64)
 	// ExpectedWait returns how long a request to the endpoint probably waits for a slot, and ExpectRequest counts a request for
 	// which the endpoint was chosen. They must not block.
-	ExpectedWait  func(e afpace.EndpointStart) time.Duration
-	ExpectRequest func(e afpace.EndpointStart)
+	ExpectedWait  func(e afengine.EndpointStart) time.Duration
+	ExpectRequest func(e afengine.EndpointStart)
 	// TakeSlot returns after which time a request may be sent to the endpoint, or false if that is not within maxWait.
-	TakeSlot func(ctx context.Context, e afpace.EndpointStart, maxWait time.Duration) (time.Duration, bool)
+	TakeSlot func(ctx context.Context, e afengine.EndpointStart, maxWait time.Duration) (time.Duration, bool)
 }
 
 const (
@@ -30,8 +30,8 @@
 )
 
 // endpointStart returns the identity of an endpoint from its start to its end.
-func endpointStart(e afroster.Endpoint) afpace.EndpointStart {
-	return afpace.EndpointStart{Endpoint: e.ID, StartUnixMs: e.StartUnixMs}
+func endpointStart(e afroster.Endpoint) afengine.EndpointStart {
+	return afengine.EndpointStart{Endpoint: e.ID, StartUnixMs: e.StartUnixMs}
 }
 
 // expectedSlotWait returns how long a request to the endpoint probably waits for a slot.
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -48,8 +48,8 @@
 	timeout time.Duration
 	timer   *aftimer.Subscription
 	stopped bool
-	// isTied means that no endpoint can continue what was relayed, so that the attempt must not be left.
-	isTied bool
+	// cannotContinue means that no endpoint can continue what was relayed, so that the attempt must not be left.
+	cannotContinue bool
 	// waiting is in the queue while the endpoint is silent and no other one has room. It is nil before.
 	waiting *waitingRequest
 	// replacement is the endpoint that takes the place of the silent one, or nil.
@@ -115,11 +115,11 @@
 	return interval
 }
 
-// setTied sets whether no endpoint can continue what was relayed.
-func (w *idleWatchdog) setTied(isTied bool) {
+// setContinuable sets whether another endpoint can continue what was relayed.
+func (w *idleWatchdog) setContinuable(canContinue bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isTied = isTied
+	w.cannotContinue = !canContinue
 }
 
 // stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil.
@@ -138,7 +138,7 @@
 // its own time of arrival, so that later requests do not get each place that becomes free. The caller holds mu.
 func (w *idleWatchdog) findReplacement() *replacement {
 	p := w.request
-	if w.isTied || p.refuseQuarantined() != nil {
+	if w.cannotContinue || p.refuseQuarantined() != nil {
 		w.leaveQueue()
 		return nil
 	}
--- a/internal/afroster/departure.go
+++ b/internal/afroster/departure.go
@@ -38,9 +38,9 @@
 	return ok && d.isRemoved && !d.isDraining && d.startUnixMs == e.StartUnixMs && r.Now().Before(r.doubtEndsAt)
 }
 
-// WithDeparture returns the entry as it is after what is known about its endpoint process: one that drains never becomes ready
+// EffectiveEntry returns the entry as it is after what is known about its endpoint process: one that drains never becomes ready
 // again, whatever an old copy of its entry says.
-func (r *Roster) WithDeparture(e afengine.EndpointEntry) afengine.EndpointEntry {
+func (r *Roster) EffectiveEntry(e afengine.EndpointEntry) afengine.EndpointEntry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d, ok := r.departures[e.ID]; ok && d.isDraining && d.startUnixMs == e.StartUnixMs {
--- /dev/null
+++ b/internal/afroster/running.go
@@ -0,0 +1,136 @@
+package afroster
+
+// RunningRequest is a request of this VM in progress at an endpoint.
+type RunningRequest struct {
+	roster     *Roster
+	endpointID string
+	// adapterKey is model/adapter, or empty without an adapter.
+	adapterKey, model string
+	load              Load
+	promptRead        bool
+	ended             bool
+}
+
+// BeginRequest adds a request to the load of an endpoint until the returned RunningRequest ends. Model and adapter are empty
+// for services without model engines.
+func (r *Roster) BeginRequest(endpointID, model, adapter string, promptTokens, totalTokens int64) *RunningRequest {
+	request := &RunningRequest{roster: r, endpointID: endpointID, model: model, load: Load{Requests: 1, UnreadPromptTokens: promptTokens, TotalTokens: totalTokens}}
+	if adapter != "" {
+		request.adapterKey = model + "/" + adapter
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.initMaps()
+	if e := r.endpoints[endpointID]; e != nil {
+		e.ownLoad = e.ownLoad.Add(request.load)
+		if e.healthTracker.IsTrialDue(r.Now()) {
+			e.healthTracker = e.healthTracker.WithTrialStarted()
+		}
+	}
+	r.addRunning(request, 1)
+	return request
+}
+
+// addRunning adds delta to the counts of the request's model and adapter at its endpoint.
+func (r *Roster) addRunning(request *RunningRequest, delta int) {
+	byModel := r.runningByEndpoint[request.endpointID]
+	if byModel == nil {
+		byModel = make(map[string]int)
+		r.runningByEndpoint[request.endpointID] = byModel
+	}
+	for _, key := range []string{request.model, request.adapterKey} {
+		if key == "" {
+			continue
+		}
+		byModel[key] += delta
+		if byModel[key] <= 0 {
+			delete(byModel, key)
+		}
+	}
+	if len(byModel) == 0 {
+		delete(r.runningByEndpoint, request.endpointID)
+	}
+}
+
+// MarkPromptRead removes the prompt from the unread prompts of the endpoint, after the first event of the response arrived.
+func (request *RunningRequest) MarkPromptRead() {
+	r := request.roster
+	r.mu.Lock()
+	if request.promptRead || request.ended {
+		r.mu.Unlock()
+		return
+	}
+	request.promptRead = true
+	if e := r.endpoints[request.endpointID]; e != nil {
+		e.ownLoad.UnreadPromptTokens -= request.load.UnreadPromptTokens
+	}
+	request.load.UnreadPromptTokens = 0
+	r.mu.Unlock()
+	r.notifyChange()
+}
+
+// RecordSilence records that the endpoint has been silent for too long, without ending the request. A later success of the request
+// shows that the endpoint is sound.
+func (request *RunningRequest) RecordSilence() {
+	r := request.roster
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.endpoints[request.endpointID]; e != nil && !request.ended {
+		e.healthTracker = e.healthTracker.WithResult(false, r.Now())
+	}
+}
+
+// HealthResult is the effect of a request's end on the health of its endpoint.
+type HealthResult int
+
+// The health results of a request.
+const (
+	// HealthUnaffected means that the end of the request gives no evidence about the endpoint's health.
+	HealthUnaffected HealthResult = iota
+	// HealthSuccess means that the endpoint served the request.
+	HealthSuccess
+	// HealthFailure means that the endpoint failed the request.
+	HealthFailure
+)
+
+// End removes the request from the load of its endpoint and records the result. Further calls do nothing.
+func (request *RunningRequest) End(result HealthResult) {
+	r := request.roster
+	r.mu.Lock()
+	if request.ended {
+		r.mu.Unlock()
+		return
+	}
+	request.ended = true
+	if e := r.endpoints[request.endpointID]; e != nil {
+		e.ownLoad = e.ownLoad.Add(Load{Requests: -request.load.Requests, UnreadPromptTokens: -request.load.UnreadPromptTokens, TotalTokens: -request.load.TotalTokens})
+		if result != HealthUnaffected {
+			e.healthTracker = e.healthTracker.WithResult(result == HealthSuccess, r.Now())
+		}
+	}
+	r.addRunning(request, -1)
+	r.mu.Unlock()
+	r.notifyChange()
+}
+
+// OwnLoads returns the loads by requests of this VM by endpoint, and the numbers of these requests by endpoint and by model
+// or model/adapter.
+func (r *Roster) OwnLoads() (loads map[string]Load, running map[string]map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads = make(map[string]Load)
+	running = make(map[string]map[string]int, len(r.runningByEndpoint))
+	for id, e := range r.endpoints {
+		if e.ownLoad != (Load{}) {
+			loads[id] = e.ownLoad
+		}
+	}
+	for id, byModel := range r.runningByEndpoint {
+		counts := make(map[string]int, len(byModel))
+		for k, n := range byModel {
+			counts[k] = n
+		}
+		running[id] = counts
+	}
+	return loads, running
+}
--- a/internal/afslot/message.go
+++ b/internal/afslot/message.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afpace"
 )
 
@@ -69,7 +70,7 @@
 	}
 }
 
-func encodeLimits(limits map[afpace.EndpointStart]afpace.Limit, now time.Time) limitsMessage {
+func encodeLimits(limits map[afengine.EndpointStart]afpace.Limit, now time.Time) limitsMessage {
 	out := limitsMessage{Limits: make([]limitMessage, 0, len(limits))}
 	for e, limit := range limits {
 		out.Limits = append(out.Limits, limitMessage{Endpoint: e.Endpoint, StartUnixMs: e.StartUnixMs, PerSecond: limit.PerSecond, AgeMs: now.Sub(limit.NamedAt).Milliseconds()})
@@ -87,9 +88,9 @@
 	if message.WantsReply {
 		s.send(from.VM, KindLimits, encodeLimits(s.Limits().ByEndpoint(), now))
 	}
-	named := make(map[afpace.EndpointStart]afpace.Limit, len(message.Limits))
+	named := make(map[afengine.EndpointStart]afpace.Limit, len(message.Limits))
 	for _, m := range message.Limits {
-		named[afpace.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = afpace.Limit{
+		named[afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = afpace.Limit{
 			PerSecond: max(m.PerSecond, 0), NamedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond),
 		}
 	}
@@ -120,7 +121,7 @@
 		return nil, &Error{Op: "slot", Kind: MalformedMessage, Err: err}
 	}
 	slot := s.takeOwnSlot(afpace.Request{
-		Endpoint: afpace.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}, PerSecond: m.PerSecond,
+		Endpoint: afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}, PerSecond: m.PerSecond,
 		MaxWait: time.Duration(m.MaxWaitMs) * time.Millisecond,
 	})
 	return slotMessage{IsGranted: slot.IsGranted, WaitMicros: slot.Wait.Microseconds()}, nil
--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afmember"
 	"arbutusfork.example/arbutusfork/pkg/afpace"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
@@ -64,14 +65,14 @@
 	mu    sync.Mutex
 	pacer afpace.Pacer
 	// nextSlotAt holds when this VM expects the next free slot of an endpoint.
-	nextSlotAt map[afpace.EndpointStart]time.Time
+	nextSlotAt map[afengine.EndpointStart]time.Time
 	// liveNames are the names of the live VMs, and liveSince is since when they are the same.
 	liveNames []string
 	liveSince time.Time
 	// silentUntil holds the time until which a VM that did not answer is not asked.
 	silentUntil map[string]time.Time
 	// pending holds the limits that were not sent to the heartbeat peers yet.
-	pending   map[afpace.EndpointStart]afpace.Limit
+	pending   map[afengine.EndpointStart]afpace.Limit
 	startedAt time.Time
 	// nextPeer is the position of the heartbeat peer of the next comparison.
 	nextPeer int
@@ -108,21 +109,21 @@
 }
 
 // RecordAnswer records the limit that an endpoint named in an answer. Zero means that it named none.
-func (s *Service) RecordAnswer(e afpace.EndpointStart, perSecond float64) {
+func (s *Service) RecordAnswer(e afengine.EndpointStart, perSecond float64) {
 	if perSecond == 0 && !s.Limits().Knows(e) {
 		return
 	}
-	s.learn(map[afpace.EndpointStart]afpace.Limit{e: {PerSecond: perSecond, NamedAt: s.Timer.Now()}})
+	s.learn(map[afengine.EndpointStart]afpace.Limit{e: {PerSecond: perSecond, NamedAt: s.Timer.Now()}})
 }
 
 // learn adds limits, and schedules the sending of those that are new.
-func (s *Service) learn(named map[afpace.EndpointStart]afpace.Limit) {
+func (s *Service) learn(named map[afengine.EndpointStart]afpace.Limit) {
 	s.mu.Lock()
 	limits, news := s.Limits().WithAnswers(named, s.Timer.Now())
 	wasPending, isLifted := len(s.pending) > 0, false
 	for e, limit := range news {
 		if s.pending == nil {
-			s.pending = make(map[afpace.EndpointStart]afpace.Limit)
+			s.pending = make(map[afengine.EndpointStart]afpace.Limit)
 		}
 		s.pending[e] = limit
 		if limit.PerSecond == 0 {
@@ -177,7 +178,7 @@
 }
 
 // ExpectedWait returns how long a request to the endpoint probably waits for a slot. It is zero for endpoints without a limit.
-func (s *Service) ExpectedWait(e afpace.EndpointStart) time.Duration {
+func (s *Service) ExpectedWait(e afengine.EndpointStart) time.Duration {
 	now := s.Timer.Now()
 	if _, isLimited := s.Limits().Limit(e, now); !isLimited {
 		return 0
@@ -188,7 +189,7 @@
 }
 
 // ExpectRequest counts a request that is about to take a slot, so that ExpectedWait grows before the slot is taken.
-func (s *Service) ExpectRequest(e afpace.EndpointStart) {
+func (s *Service) ExpectRequest(e afengine.EndpointStart) {
 	now := s.Timer.Now()
 	limit, isLimited := s.Limits().Limit(e, now)
 	if !isLimited {
@@ -204,16 +205,16 @@
 }
 
 // setNextSlot sets when this VM expects the next free slot of an endpoint. The caller holds mu.
-func (s *Service) setNextSlot(e afpace.EndpointStart, at time.Time) {
+func (s *Service) setNextSlot(e afengine.EndpointStart, at time.Time) {
 	if s.nextSlotAt == nil || len(s.nextSlotAt) >= maxKnownSlots {
-		s.nextSlotAt = make(map[afpace.EndpointStart]time.Time)
+		s.nextSlotAt = make(map[afengine.EndpointStart]time.Time)
 	}
 	s.nextSlotAt[e] = at
 }
 
 // TakeSlot takes a slot of the endpoint, if the endpoint is limited. The request may be sent after the returned time. It
 // returns false if no slot is free within maxWait.
-func (s *Service) TakeSlot(ctx context.Context, e afpace.EndpointStart, maxWait time.Duration) (time.Duration, bool) {
+func (s *Service) TakeSlot(ctx context.Context, e afengine.EndpointStart, maxWait time.Duration) (time.Duration, bool) {
 	limit, isLimited := s.Limits().Limit(e, s.Timer.Now())
 	if !isLimited {
 		return 0, true
@@ -263,12 +264,12 @@
 }
 
 // rankVMs returns the home VM of an endpoint and the VMs that rank next, k in all.
-func rankVMs(live []arbutusfork.VM, e afpace.EndpointStart, k int) []arbutusfork.VM {
+func rankVMs(live []arbutusfork.VM, e afengine.EndpointStart, k int) []arbutusfork.VM {
 	return afmember.HighestRanked(live, "limit/"+e.Endpoint, k)
 }
 
 // isHome reports whether a VM is the home VM of an endpoint.
-func isHome(live []arbutusfork.VM, e afpace.EndpointStart, vm string) bool {
+func isHome(live []arbutusfork.VM, e afengine.EndpointStart, vm string) bool {
 	first := rankVMs(live, e, 1)
 	return len(first) > 0 && first[0].Name == vm
 }
@@ -286,7 +287,7 @@
 		return
 	}
 	s.liveNames, s.liveSince = names, s.Timer.Now()
-	s.pacer.DropPaces(func(e afpace.EndpointStart) bool { return isHome(live, e, s.Self) })
+	s.pacer.DropPaces(func(e afengine.EndpointStart) bool { return isHome(live, e, s.Self) })
 }
 
 // takeOwnSlot takes a slot that this VM gives out. A VM that other VMs take for the home VM is a substitute as long as it knows of
--- a/internal/afslot/service_test.go
+++ b/internal/afslot/service_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afmember"
 	"arbutusfork.example/arbutusfork/pkg/afpace"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
@@ -115,7 +116,7 @@
 }
 
 // countLimited returns the number of VMs that know a limit of the endpoint.
-func (f *fleet) countLimited(e afpace.EndpointStart) int {
+func (f *fleet) countLimited(e afengine.EndpointStart) int {
 	n := 0
 	for _, s := range f.services {
 		if _, isLimited := s.Limits().Limit(e, f.now); isLimited {
@@ -150,7 +151,7 @@
 }
 
 // run offers requests to random VMs for a time and records when they are sent to the endpoint.
-func (f *fleet) run(t *testing.T, d time.Duration, e afpace.EndpointStart, perSecond, offered float64) {
+func (f *fleet) run(t *testing.T, d time.Duration, e afengine.EndpointStart, perSecond, offered float64) {
 	t.Helper()
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(10 * time.Millisecond)
@@ -196,7 +197,7 @@
 				continue // A large fleet takes long to play.
 			}
 			f := newFleet(vms, seed)
-			e, perSecond := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 1+float64(seed)
+			e, perSecond := afengine.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 1+float64(seed)
 			f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
 			f.run(t, 3*time.Second, e, perSecond, 60)
 			from := f.now
@@ -226,7 +227,7 @@
 func TestLimitHoldsWhileVMsDisagree(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(40, seed)
-		e, perSecond := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 2+float64(seed)
+		e, perSecond := afengine.EndpointStart{Endpoint: fmt.Sprintf("i-%d", seed), StartUnixMs: 1}, 2+float64(seed)
 		f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
 		f.announceMembership()
 		f.run(t, 5*time.Second, e, perSecond, 80)
@@ -250,7 +251,7 @@
 	for _, vms := range []int{6, 380} {
 		for _, perSecond := range []float64{1, 2, 5} {
 			f := newFleet(vms, 1)
-			e := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+			e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
 			f.services[f.vms[0].Name].RecordAnswer(e, perSecond)
 			f.announceMembership()
 			f.run(t, 5*time.Second, e, perSecond, 80)
@@ -274,7 +275,7 @@
 // Guards against a VM that goes on at the full rate when it gives out slots again after another VM did.
 func TestVMThatGivesSlotsAgainWaitsForItsPredecessor(t *testing.T) {
 	f := newFleet(6, 1)
-	e, perSecond := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}, 10.0
+	e, perSecond := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}, 10.0
 	ranked := rankVMs(f.vms, e, 2)
 	first, second := ranked[0].Name, f.services[ranked[1].Name]
 	second.RecordAnswer(e, perSecond)
@@ -295,7 +296,7 @@
 func TestRestartedVMLearnsLimits(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newFleet(6, seed)
-		e := afpace.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+		e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
 		f.isDown[f.vms[3].Name] = true
 		f.services[f.vms[0].Name].RecordAnswer(e, 2)
 		f.advance(2 * time.Second)
@@ -319,7 +320,7 @@
 	const vms, endpoints = 380, 100
 	f := newFleet(vms, 1)
 	for i := range endpoints {
-		f.services[f.vms[i].Name].RecordAnswer(afpace.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, 2)
+		f.services[f.vms[i].Name].RecordAnswer(afengine.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, 2)
 	}
 	for range 100 {
 		f.now = f.now.Add(10 * time.Millisecond)
@@ -327,7 +328,7 @@
 	}
 	for _, s := range f.services {
 		for i := range endpoints {
-			_, isLimited := s.Limits().Limit(afpace.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, f.now)
+			_, isLimited := s.Limits().Limit(afengine.EndpointStart{Endpoint: fmt.Sprint(i), StartUnixMs: 1}, f.now)
 			require.True(t, isLimited, "endpoint %d", i)
 		}
 	}
@@ -342,7 +343,7 @@
 	f := newFleet(vms, 1)
 	answerAll := func() {
 		for i := range endpoints {
-			e := afpace.EndpointStart{Endpoint: fmt.Sprintf("i-%010d", i), StartUnixMs: 1_790_000_000_000 + int64(i)}
+			e := afengine.EndpointStart{Endpoint: fmt.Sprintf("i-%010d", i), StartUnixMs: 1_790_000_000_000 + int64(i)}
 			f.services[f.vms[f.random.IntN(vms)].Name].RecordAnswer(e, 2)
 		}
 	}
--- a/internal/aftable/service_test.go
+++ b/internal/aftable/service_test.go
@@ -60,6 +60,12 @@
 	return a, b
 }
 
+// pass lets time of the test's clock pass and waits for what follows from it.
+func pass(s *Service, d time.Duration) {
+	s.Timer.Sleep(context.Background(), d)
+	synctest.Wait()
+}
+
 func apply(s *Service, spec string) {
 	s.Apply(afobject.Object{Name: "main", Version: 7, Spec: []byte(spec)})
 }
@@ -70,21 +76,18 @@
 		a, b := newPair(t)
 		apply(a, "12")
 		apply(b, "9")
-		time.Sleep(startCompareInterval + time.Millisecond)
-		synctest.Wait()
+		pass(a, startCompareInterval+time.Millisecond)
 		require.EqualValues(t, 12, b.Table().Version)
 		apply(b, "9")
 		apply(b, "x")
 		require.EqualValues(t, 12, b.Table().Version)
 
 		// Later, the platform usually brings a newer version within fetchDelay.
-		time.Sleep(startTime)
+		pass(a, startTime)
 		apply(a, "15")
-		time.Sleep(compareInterval + time.Millisecond)
-		synctest.Wait()
+		pass(a, compareInterval+time.Millisecond)
 		require.EqualValues(t, 12, b.Table().Version)
-		time.Sleep(fetchDelay)
-		synctest.Wait()
+		pass(a, fetchDelay)
 		require.EqualValues(t, 15, b.Table().Version)
 	})
 }
@@ -93,8 +96,7 @@
 func TestVMsWithoutConfigurationWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newPair(t)
-		time.Sleep(startTime)
-		synctest.Wait()
+		pass(a, startTime)
 		require.Nil(t, a.Table())
 		reply, err := b.HandleFetch(arbutusfork.Incarnation{}, nil)
 		require.NoError(t, err)
--- a/pkg/afpace/limit.go
+++ b/pkg/afpace/limit.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
 const (
@@ -26,13 +28,6 @@
 	refreshInterval = time.Minute
 )
 
-// EndpointStart identifies an endpoint from its start to its end.
-type EndpointStart struct {
-	Endpoint string
-	// StartUnixMs is the start of the endpoint in Unix milliseconds by its own clock.
-	StartUnixMs int64
-}
-
 // Limit is what an endpoint said about its limit in its latest answer.
 type Limit struct {
 	// PerSecond is the number of requests a second that the endpoint takes. Zero means that the limit was lifted.
@@ -51,17 +46,17 @@
 
 // Limits holds the limits of all endpoints that named one. It is immutable; the With methods return changed copies.
 type Limits struct {
-	byEndpoint map[EndpointStart]Limit
+	byEndpoint map[afengine.EndpointStart]Limit
 }
 
 // Limit returns the limit of an endpoint. It returns false if there is none.
-func (l Limits) Limit(e EndpointStart, now time.Time) (Limit, bool) {
+func (l Limits) Limit(e afengine.EndpointStart, now time.Time) (Limit, bool) {
 	limit, ok := l.byEndpoint[e]
 	return limit, ok && limit.PerSecond > 0 && now.Sub(limit.NamedAt) < limitTimeout
 }
 
 // ByEndpoint returns what the endpoints named latest, including limits that were lifted. The caller must not change the map.
-func (l Limits) ByEndpoint() map[EndpointStart]Limit { return l.byEndpoint }
+func (l Limits) ByEndpoint() map[afengine.EndpointStart]Limit { return l.byEndpoint }
 
 // Digest returns a hash of the endpoints that have a limit. It does not depend on the limits themselves, of which VMs may
 // know slightly different values. It is 0 if no endpoint has a limit.
@@ -76,15 +71,15 @@
 }
 
 // Knows reports whether the endpoint named a limit lately, which may have been lifted.
-func (l Limits) Knows(e EndpointStart) bool {
+func (l Limits) Knows(e afengine.EndpointStart) bool {
 	_, ok := l.byEndpoint[e]
 	return ok
 }
 
 // WithAnswers returns the limits after answers of endpoints that named a limit, or none if PerSecond is zero. Answers may be
 // reported in any order. It also returns those of which other VMs should learn.
-func (l Limits) WithAnswers(named map[EndpointStart]Limit, now time.Time) (changed Limits, news map[EndpointStart]Limit) {
-	news = make(map[EndpointStart]Limit)
+func (l Limits) WithAnswers(named map[afengine.EndpointStart]Limit, now time.Time) (changed Limits, news map[afengine.EndpointStart]Limit) {
+	news = make(map[afengine.EndpointStart]Limit)
 	for e, limit := range named {
 		if now.Sub(limit.NamedAt) < limitTimeout && l.isNews(e, limit) {
 			news[e] = limit
@@ -93,17 +88,17 @@
 	if len(news) == 0 {
 		return l, nil
 	}
-	changed.byEndpoint = make(map[EndpointStart]Limit, len(l.byEndpoint)+len(news))
+	changed.byEndpoint = make(map[afengine.EndpointStart]Limit, len(l.byEndpoint)+len(news))
 	maps.Copy(changed.byEndpoint, l.byEndpoint)
 	maps.Copy(changed.byEndpoint, news)
 	changed.dropOldest(now)
 	// VMs that pass on what they do not keep would do so for ever.
-	maps.DeleteFunc(news, func(e EndpointStart, _ Limit) bool { return !changed.Knows(e) })
+	maps.DeleteFunc(news, func(e afengine.EndpointStart, _ Limit) bool { return !changed.Knows(e) })
 	return changed, news
 }
 
 // isNews reports whether other VMs should learn of an answer of an endpoint.
-func (l Limits) isNews(e EndpointStart, limit Limit) bool {
+func (l Limits) isNews(e afengine.EndpointStart, limit Limit) bool {
 	known, isKnown := l.byEndpoint[e]
 	switch {
 	case !isKnown:
@@ -121,11 +116,11 @@
 
 // dropOldest removes the limits that have expired, and the oldest ones if there are too many. The map must not be shared.
 func (l Limits) dropOldest(now time.Time) {
-	maps.DeleteFunc(l.byEndpoint, func(_ EndpointStart, limit Limit) bool { return now.Sub(limit.NamedAt) >= limitTimeout })
+	maps.DeleteFunc(l.byEndpoint, func(_ afengine.EndpointStart, limit Limit) bool { return now.Sub(limit.NamedAt) >= limitTimeout })
 	if len(l.byEndpoint) <= maxLimits {
 		return
 	}
-	oldestFirst := slices.SortedFunc(maps.Keys(l.byEndpoint), func(a, b EndpointStart) int {
+	oldestFirst := slices.SortedFunc(maps.Keys(l.byEndpoint), func(a, b afengine.EndpointStart) int {
 		return l.byEndpoint[a].NamedAt.Compare(l.byEndpoint[b].NamedAt)
 	})
 	for _, e := range oldestFirst[:len(oldestFirst)-maxLimits] {
--- a/pkg/afpace/pacer.go
+++ b/pkg/afpace/pacer.go
@@ -1,6 +1,10 @@
 package afpace
 
-import "time"
+import (
+	"time"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+)
 
 const (
 	// MaxAhead is how far ahead a slot may be. A slot cannot be taken back, so that this also bounds what a pacer that is
@@ -22,7 +26,7 @@
 
 // Request asks for a slot.
 type Request struct {
-	Endpoint EndpointStart
+	Endpoint afengine.EndpointStart
 	// PerSecond is the limit of the endpoint as the asking VM knows it.
 	PerSecond float64
 	// IsSubstitute means that the VM that should pace the endpoint does not answer.
@@ -48,7 +52,7 @@
 
 // paceKey identifies a pace. A substitute keeps its slots apart from those that it gives out in its own right.
 type paceKey struct {
-	endpoint     EndpointStart
+	endpoint     afengine.EndpointStart
 	isSubstitute bool
 }
 
@@ -107,7 +111,7 @@
 }
 
 // DropPaces removes the paces of the endpoints that this VM no longer paces in its own right.
-func (p *Pacer) DropPaces(isHome func(EndpointStart) bool) {
+func (p *Pacer) DropPaces(isHome func(afengine.EndpointStart) bool) {
 	for key := range p.paces {
 		if !key.isSubstitute && !isHome(key.endpoint) {
 			delete(p.paces, key)
--- a/pkg/afpace/pacer_test.go
+++ b/pkg/afpace/pacer_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
-var testEndpoint = EndpointStart{"i-1", 1}
+var testEndpoint = afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
 
 // Guards against more requests than one and a half times the limit and five in any 4 s, while the pacing VM is replaced and a
 // substitute gives out slots beside it.
@@ -135,8 +137,8 @@
 }
 
 // withAnswer returns the limits after one answer of an endpoint, and whether other VMs should learn of it.
-func withAnswer(l Limits, e EndpointStart, limit Limit) (changed Limits, isNews bool) {
-	changed, news := l.WithAnswers(map[EndpointStart]Limit{e: limit}, limit.NamedAt)
+func withAnswer(l Limits, e afengine.EndpointStart, limit Limit) (changed Limits, isNews bool) {
+	changed, news := l.WithAnswers(map[afengine.EndpointStart]Limit{e: limit}, limit.NamedAt)
 	return changed, len(news) > 0
 }
 
@@ -144,7 +146,7 @@
 func TestStateStaysBounded(t *testing.T) {
 	p, limits, now := &Pacer{}, Limits{}, time.Unix(1000, 0)
 	for i := range 3 * maxPaces / 2 {
-		e := EndpointStart{strconv.Itoa(i), 1}
+		e := afengine.EndpointStart{Endpoint: strconv.Itoa(i), StartUnixMs: 1}
 		p.TakeSlot(Request{Endpoint: e, PerSecond: 1}, now)
 		if i%8 == 0 {
 			limits, _ = withAnswer(limits, e, Limit{PerSecond: 1, NamedAt: now})
@@ -171,7 +173,7 @@
 	require.False(t, isNews, "an answer from before the limit was lifted")
 	_, isLimited := l.Limit(testEndpoint, now.Add(3*time.Second))
 	require.False(t, isLimited)
-	_, isLimited = l.Limit(EndpointStart{"i-1", 2}, now)
+	_, isLimited = l.Limit(afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 2}, now)
 	require.False(t, isLimited)
 }
 
