aflease: let a promise that is over delay no handover

The wait now counts from the end of the promise.

TestOldPromiseDoesNotDelayHandover fails before; the property tests and the mutants of the lease pass, with the guard's new line.

--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -227,10 +227,13 @@
 	return max(l.ownPromiseEndsAt, l.takeoverDelayedUntil)
 }
 
-// hasOtherPromise reports whether this process has promised another holder than that of the record that it may go on. The record
-// then shows nothing about that holder's end.
-func (l Lease) hasOtherPromise() bool {
-	return l.ownPromiseEndsAt > 0 && l.promisedEpoch != l.record.Epoch
+// afterOtherPromiseAt returns when QuietPeriod has passed since the end of this process's promise to another holder than that of the
+// record, or zero. The record shows nothing about that holder's end.
+func (l Lease) afterOtherPromiseAt() time.Duration {
+	if l.ownPromiseEndsAt == 0 || l.promisedEpoch == l.record.Epoch {
+		return 0
+	}
+	return l.ownPromiseEndsAt + l.timing.QuietPeriod + l.timing.SafetyMargin
 }
 
 // IsRenewalLate reports whether the last acknowledged renewal of this holder is so old that the store may be away.
@@ -273,9 +276,11 @@
 		// promised another one that it may go on.
 		beginsAt = max(beginsAt, l.ownPromiseEndsAt+l.timing.QuietPeriod+l.timing.SafetyMargin)
 		return beginsAt, beginsAt, beginsAt
-	case l.stoppedEpoch == l.record.Epoch && !l.hasOtherPromise():
-		return l.successorBeginsAt, l.successorBeginsAt + l.timing.QuietPeriod + l.timing.SafetyMargin, l.successorBeginsAt
-	case l.record.IsReleased && !l.hasOtherPromise():
+	case l.stoppedEpoch == l.record.Epoch:
+		beginsAt = max(l.successorBeginsAt, l.afterOtherPromiseAt())
+		return beginsAt, beginsAt + l.timing.QuietPeriod + l.timing.SafetyMargin, beginsAt
+	case l.record.IsReleased:
+		beginsAt = max(beginsAt, l.afterOtherPromiseAt())
 		return beginsAt, beginsAt, beginsAt
 	}
 	return afterSilenceAt, afterSilenceAt, afterSilenceAt
@@ -308,7 +313,7 @@
 
 // mayTakeAtOnce reports whether the record shows that nobody else uses the lease.
 func (l Lease) mayTakeAtOnce(now time.Duration) bool {
-	if l.isRecordOfEarlierEra() || l.hasOtherPromise() && now < l.ownPromiseEndsAt {
+	if l.isRecordOfEarlierEra() || l.promisedEpoch != l.record.Epoch && now < l.ownPromiseEndsAt {
 		return false
 	}
 	return !l.recordExists() || l.record.IsReleased || l.stoppedEpoch == l.record.Epoch || l.HolderIsEarlierProcess() && now >= l.ownPromiseEndsAt
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -198,6 +198,21 @@
 	require.Equal(t, ActionWait, action)
 }
 
+// Guards against handovers that wait as for a silent holder ever after one outage with a promise.
+func TestOldPromiseDoesNotDelayHandover(t *testing.T) {
+	record := Record{Holder: "n", Machine: "vm-n", Epoch: 6}
+	b := New("b", "vm-b", testTiming).WithOwnPromise(5, 4*time.Second).WithReadRecord(record, 9, time.Minute)
+	stopped := b.WithHolderStopped(6, time.Minute)
+	action, r := stopped.NextAction(time.Minute)
+	require.Equal(t, ActionWrite, action)
+	require.True(t, stopped.WithWrittenRecord(r, 10, time.Minute, time.Minute).IsUsable(time.Minute))
+	record.IsReleased = true
+	released := New("b", "vm-b", testTiming).WithOwnPromise(5, 4*time.Second).WithReadRecord(record, 9, time.Minute)
+	_, r = released.NextAction(time.Minute)
+	released = released.WithWrittenRecord(r, 10, time.Minute, time.Minute)
+	require.Equal(t, time.Minute+testTiming.QuietPeriod+testTiming.SafetyMargin, released.ownUseBeginsAt)
+}
+
 // Guards against a holder that restarts before its first use, or after a stop message from the previous holder, and then uses
 // the lease too early: the new process does not know when the previous holder last used it.
 func TestRestartBeforeFirstUse(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
 	'case l.HolderIsEarlierProcess() && l.record.IsQuietPeriodOver && l.ownPromiseEndsAt == 0:' 'case l.HolderIsEarlierProcess():' \
 	./pkg/aflease TestRestartBeforeFirstUse
 mutant gateway-era-wait pkg/aflease/lease.go \
-	'if l.isRecordOfEarlierEra() || l.has' 'if l.has' \
+	'if l.isRecordOfEarlierEra() || l.promised' 'if l.promised' \
 	./pkg/aflease TestNoTwoHoldersWhenStoreGoesBack
 mutant gateway-era-epoch pkg/aflease/lease.go \
 	'		return l.version
