afgateway: ask the budget for the repeat of a silent request seldom

A request at a silent endpoint asked for a repeat at each change of the roster while the budget was used up, hundreds of times a second under load, and each refusal was counted.

TestUsedUpBudgetIsAskedForSeldom counts 2 refusals instead of 51 before.

--- a/internal/afgateway/queue_test.go
+++ b/internal/afgateway/queue_test.go
@@ -4,7 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/internal/afroster"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afroute"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
 // Guards against a request at a hung endpoint that never leaves it because later requests get each place that becomes free, and
@@ -48,3 +54,33 @@
 	_, ok := q.retry(silent)
 	require.True(t, ok)
 }
+
+// Guards against a repeat of the budget that is asked for at each change of the roster while the budget is used up.
+func TestUsedUpBudgetIsAskedForSeldom(t *testing.T) {
+	timer := &aftimer.Service{}
+	timer.AdvanceTo(time.Unix(1000, 0))
+	registry := prometheus.NewRegistry()
+	s := &Server{
+		Roster: &afroster.Roster{Now: timer.Now}, Timer: timer, Metrics: NewMetrics(registry), ListedVMCount: func() int { return 1 },
+		RetryBudget: RetryBudget{Window: time.Second},
+	}
+	s.Roster.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app", Slots: 4})
+	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}}
+	pick := p.replacementPicker(map[string]bool{}, map[string]bool{})
+	for range 50 {
+		_, ok := pick()
+		require.False(t, ok)
+	}
+	timer.AdvanceTo(timer.Now().Add(replacementRetryDelay))
+	_, ok := pick()
+	require.False(t, ok)
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, f := range families {
+		if f.GetName() == "arbutusfork_gateway_repeats_total" {
+			require.InDelta(t, 2, f.GetMetric()[0].GetCounter().GetValue(), 0)
+			return
+		}
+	}
+	require.Fail(t, "no repeat was asked for")
+}
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -148,7 +148,7 @@
 		waiting := &waitingRequest{
 			service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
 			acquired: make(chan acquiredEndpoint, 1), isReplacement: true,
-			pickEndpoint: func() (acquiredEndpoint, bool) { return p.pickReplacement(w.excluded, w.timedOut) },
+			pickEndpoint: p.replacementPicker(w.excluded, w.timedOut),
 		}
 		if e, ok := q.acquireOrAdd(waiting); ok {
 			return &replacement{endpoint: e}
@@ -181,22 +181,30 @@
 	endpoint acquiredEndpoint
 }
 
-// pickReplacement chooses an endpoint with capacity that is not excluded and takes a retry of the budget. It may be called while
-// an attempt is in progress. The caller holds the lock of the queue.
-func (p *proxiedRequest) pickReplacement(excluded, timedOut map[string]bool) (acquiredEndpoint, bool) {
+// replacementPicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
+// It may be called while an attempt is in progress, with the lock of the queue.
+func (p *proxiedRequest) replacementPicker(excluded, timedOut map[string]bool) func() (acquiredEndpoint, bool) {
 	s := p.server
-	needs := p.requirements(excluded, 0)
-	candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
-	if _, ok := chooseEndpoint(candidates, needs); !ok {
-		needs.excluded = timedOut // An endpoint that failed before is better than a silent one.
+	var nextTryAt time.Time // The queue tries again with each change of the roster, which may be hundreds of times a second.
+	return func() (acquiredEndpoint, bool) {
+		now := s.Timer.Now()
+		if now.Before(nextTryAt) {
+			return acquiredEndpoint{}, false
+		}
+		needs := p.requirements(excluded, 0)
+		candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
 		if _, ok := chooseEndpoint(candidates, needs); !ok {
+			needs.excluded = timedOut // An endpoint that failed before is better than a silent one.
+			if _, ok := chooseEndpoint(candidates, needs); !ok {
+				return acquiredEndpoint{}, false
+			}
+		}
+		if !s.takeRetry(p.service.Name) {
+			nextTryAt = now.Add(replacementRetryDelay)
 			return acquiredEndpoint{}, false
 		}
+		return p.pickCandidate(candidates, needs)
 	}
-	if !s.takeRetry(p.service.Name) {
-		return acquiredEndpoint{}, false
-	}
-	return p.pickCandidate(candidates, needs)
 }
 
 // release gives the endpoint up. The retry stays used, since budgets count what might have been sent.
