--- a/internal/afgateway/queue_test.go
+++ b/internal/afgateway/queue_test.go
@@ -64,6 +64,7 @@
 		Roster: &afroster.Roster{Now: timer.Now}, Timer: timer, Metrics: NewMetrics(registry), ListedVMCount: func() int { return 1 },
 		RetryBudget: RetryBudget{Window: time.Second},
 	}
+	s.init()
 	s.Roster.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app", Slots: 4})
 	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}}
 	pick := p.replacementPicker(map[string]bool{}, map[string]bool{})
