afgateway: encode a request before its connection is used

A VM ended with a nil pointer when an endpoint answered before the request was written: the request was encoded in the background, while the listener used it again for the next one. All requests in progress on the VM ended without an answer.

The head is encoded first now.

--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -61,11 +61,12 @@
 	ex.stopCancelWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := make(chan struct{})
 	// The endpoint may send a response before it has read a long body, so that the request is written in the
-	// background.
+	// background. The caller's request may be used again by then and must not be read there.
+	requestHead := encodeRequestHead(r, h, body)
 	go func() {
 		defer close(written)
 		// A failed write is not reported, since reading the response fails then.
-		if _, err := conn.Write(encodeRequestHead(r, h, body)); err == nil && len(body) > 0 {
+		if _, err := conn.Write(requestHead); err == nil && len(body) > 0 {
 			_, _ = conn.Write(body)
 		}
 	}()
