aflease: keep the wait after a promise beside a late stop

A VM that had promised the holder of epoch 5 that it may go on, and then took the lease after a holder of epoch 6, gave up the wait for the first one when the second announced its stop: 2.3 s instead of 5 s with the times of the test. It needs a VM outside the holder's list, and was found by a review. TestLateStopKeepsWaitAfterPromise fails before.

--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -183,6 +183,9 @@
 		l.stoppedEpoch, l.successorBeginsAt = epoch, beginsAt
 	}
 	if l.record.Holder == l.self && epoch == l.record.Epoch-1 {
+		if l.promisedEpoch != epoch && l.ownPromiseEndsAt > 0 {
+			beginsAt = max(beginsAt, l.ownPromiseEndsAt+l.timing.QuietPeriod+l.timing.SafetyMargin)
+		}
 		l.ownUseBeginsAt, l.handoverAt = min(l.ownUseBeginsAt, beginsAt), min(l.handoverAt, beginsAt)
 	}
 	return l
--- a/pkg/aflease/lease_test.go
+++ b/pkg/aflease/lease_test.go
@@ -213,6 +213,22 @@
 	require.Equal(t, time.Minute+testTiming.QuietPeriod+testTiming.SafetyMargin, released.ownUseBeginsAt)
 }
 
+// Guards against a successor that begins within the quiet period of a holder whom it had promised that it may go on, since another
+// holder announces late that it has stopped.
+func TestLateStopKeepsWaitAfterPromise(t *testing.T) {
+	promiseEnds := 2 * time.Second
+	c := New("c", "vm-c", testTiming).WithReadRecord(Record{Holder: "a", Machine: "vm-a", Epoch: 5}, 20, 0)
+	c = c.WithOwnPromise(5, promiseEnds)
+	c = c.WithReadRecord(Record{Holder: "b", Machine: "vm-b", Epoch: 6}, 30, 0) // Taken by a VM that had promised nothing.
+	now := testTiming.TTL + testTiming.SafetyMargin
+	action, r := c.NextAction(now)
+	require.Equal(t, ActionWrite, action)
+	c = c.WithWrittenRecord(r, 31, now, now)
+	require.GreaterOrEqual(t, c.ownUseBeginsAt, promiseEnds+testTiming.QuietPeriod)
+	c = c.WithHolderStopped(6, now)
+	require.GreaterOrEqual(t, c.ownUseBeginsAt, promiseEnds+testTiming.QuietPeriod, "the holder of epoch 5 may have ordered until its promise ended")
+}
+
 // Guards against a holder that restarts before its first use, or after a stop message from the previous holder, and then uses
 // the lease too early: the new process does not know when the previous holder last used it.
 func TestRestartBeforeFirstUse(t *testing.T) {
