--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -108,6 +108,7 @@
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
 	odd := make(oddObjects)
 	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
+		odd.keep(objects)
 		listed := make(map[string]bool, len(objects))
 		for _, o := range objects {
 			listed[o.Name] = true
