afretry: take back a retry that was not sent

For requests that take a retry together with a place and then do not need it. TestReturnedRetryCanBeTakenAgain shows that the budget does not shrink and is not exceeded.

--- a/pkg/afretry/window.go
+++ b/pkg/afretry/window.go
@@ -39,6 +39,21 @@
 // CountRequest counts the first attempt of a request.
 func (w *RetryWindow) CountRequest(now time.Time) { w.currentBucket(now).requests++ }
 
+// ReturnRetry takes back the latest retry of the window, which was not sent.
+func (w *RetryWindow) ReturnRetry(now time.Time) {
+	current := w.currentBucket(now).index
+	var latest *windowBucket
+	for i := range w.buckets {
+		bucket := &w.buckets[i]
+		if bucket.retries > 0 && bucket.index > current-int64(len(w.buckets)) && bucket.index <= current && (latest == nil || bucket.index > latest.index) {
+			latest = bucket
+		}
+	}
+	if latest != nil {
+		latest.retries--
+	}
+}
+
 // TakeRetry counts a retry and returns true if the window allows one. Otherwise it counts nothing and returns false.
 func (w *RetryWindow) TakeRetry(now time.Time) bool {
 	current := w.currentBucket(now)
--- a/pkg/afretry/window_test.go
+++ b/pkg/afretry/window_test.go
@@ -38,3 +38,15 @@
 	}
 	require.Greater(t, len(retries), 20)
 }
+
+// Guards against a budget that shrinks by retries that were taken and not sent.
+func TestReturnedRetryCanBeTakenAgain(t *testing.T) {
+	w := RetryWindow{ExtraRetries: 1, Length: time.Second}
+	now := time.Unix(1000, 0)
+	w.ReturnRetry(now)
+	require.True(t, w.TakeRetry(now))
+	require.False(t, w.TakeRetry(now))
+	w.ReturnRetry(now.Add(500 * time.Millisecond))
+	require.True(t, w.TakeRetry(now.Add(500*time.Millisecond)))
+	require.False(t, w.TakeRetry(now.Add(500*time.Millisecond)))
+}
