afgateway: count a silent endpoint once, and return to it

A model whose only replica was silent for a moment went out of service for up to 8 s, since silence counted against the endpoint although no other one had the model; and it counted twice if the request moved. A request was moved to an endpoint that had refused it a moment before, and was lost when that refused again. Repeats were used up without sending.

Silence counts once, and only if another endpoint has the model. An endpoint that failed the request is used in place of a silent one only after 2 s, and if the request may still return. A request returns to the silent endpoint if the other one refuses or has no slot, also before its first event. Each part of a body counts as progress. A repeat that is not sent goes back to the budget. Silent requests at one endpoint wait for each other in a dispatch.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -72,7 +72,7 @@
 			return p.endCancelled(ctx)
 		case slotDenied:
 			endpoint.request.End(afroster.HealthUnaffected)
-			if isReplacement && p.responseStarted {
+			if isReplacement {
 				// The silent endpoint is better than none.
 				p.avoidedEndpoint = endpoint.ID
 				excluded[endpoint.ID] = true
--- a/internal/afgateway/pick.go
+++ b/internal/afgateway/pick.go
@@ -25,10 +25,9 @@
 	endpoint, ok := p.pickCandidate(candidates, needs)
 	if !ok && len(excluded) > 0 {
 		// An endpoint whose previous attempt failed is better than none, since no other endpoint may load the model or
-		// adapter. An endpoint that timed out is overloaded and stays excluded. A response that has begun would break without an
-		// endpoint: only the one that refused or was silent last is left out.
+		// adapter. If the latest one has refused, one that was silent before is better too.
 		needs.excluded = p.timedOutEndpoints
-		if p.responseStarted {
+		if p.responseStarted || p.avoidedEndpoint != "" && !p.timedOutEndpoints[p.avoidedEndpoint] && len(p.timedOutEndpoints) > 0 {
 			needs.excluded = map[string]bool{p.avoidedEndpoint: true}
 		}
 		endpoint, ok = p.pickCandidate(candidates, needs)
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -33,6 +33,8 @@
 	// isReplacement means that the request is at a silent endpoint and waits for another one. It does not keep later requests
 	// from endpoints that it cannot use, and is not counted as waiting.
 	isReplacement bool
+	// silentEndpoint is the endpoint of a replacement, and empty for other requests.
+	silentEndpoint string
 }
 
 // waitingQueue holds the requests that wait for an endpoint, sorted by priority and time of arrival. Requests may
@@ -120,16 +122,18 @@
 func (q *waitingQueue) dispatch() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	type requestClass struct{ service, model, adapter string }
+	type requestClass struct{ service, model, adapter, silentEndpoint string }
 	blocked := map[requestClass]bool{}
 	q.requests = slices.DeleteFunc(q.requests, func(request *waitingRequest) bool {
-		class := requestClass{request.service, request.model, request.adapter}
-		if !blocked[class] {
+		// A request at a silent endpoint can use fewer endpoints than the others of its model, and not more.
+		ordinary := requestClass{request.service, request.model, request.adapter, ""}
+		class := requestClass{request.service, request.model, request.adapter, request.silentEndpoint}
+		if !blocked[ordinary] && !blocked[class] {
 			if e, ok := request.pickEndpoint(); ok {
 				request.acquired <- e
 				return true
 			}
-			blocked[class] = blocked[class] || !request.isReplacement
+			blocked[class] = true
 		}
 		if !request.isReplacement && request.isUnservable() {
 			close(request.unservable)
--- a/internal/afgateway/queue_test.go
+++ b/internal/afgateway/queue_test.go
@@ -18,8 +18,12 @@
 func TestSilentRequestWaitsInItsTurn(t *testing.T) {
 	places, usable := 0, 0
 	newRequest := func(at int64, isReplacement bool) *waitingRequest {
+		silentEndpoint := ""
+		if isReplacement {
+			silentEndpoint = "i-1"
+		}
 		return &waitingRequest{
-			service: "llm", model: "m1", arrivedAt: time.Unix(at, 0), isReplacement: isReplacement, acquired: make(chan acquiredEndpoint, 1),
+			service: "llm", model: "m1", arrivedAt: time.Unix(at, 0), isReplacement: isReplacement, silentEndpoint: silentEndpoint, acquired: make(chan acquiredEndpoint, 1),
 			isUnservable: func() bool { return false },
 			pickEndpoint: func() (acquiredEndpoint, bool) {
 				available := &places
@@ -67,7 +71,7 @@
 	s.init()
 	s.Roster.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app", Slots: 4})
 	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}}
-	pick := p.replacementPicker(map[string]bool{}, map[string]bool{})
+	pick := p.replacementPicker(map[string]bool{}, map[string]bool{}, timer.Now())
 	for range 50 {
 		_, ok := pick()
 		require.False(t, ok)
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -78,6 +78,7 @@
 		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
+	ex.response.Body = bodyReader{ex.response.Body, watchdog}
 	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0, watchdog)
 	result.progress = max(result.progress, progressHead)
 	return result
@@ -95,8 +96,12 @@
 		// endpoint.
 		health = afroster.HealthUnaffected
 	}
-	endpoint.request.End(health)
 	timedOut := errors.Is(context.Cause(ctx), errIdleTimeout)
+	if timedOut {
+		endpoint.request.End(afroster.HealthUnaffected) // The watchdog has recorded the silence.
+	} else {
+		endpoint.request.End(health)
+	}
 	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: timedOut, brokenOff: health == afroster.HealthFailure && !timedOut && mayHaveReachedEndpoint(err), cause: cause}
 }
 
@@ -114,6 +119,7 @@
 	}
 	if !isWhole {
 		if w.stop() != nil {
+			w.cancel(errIdleTimeout) // The watchdog may not have come to it.
 			return p.classifyFailure(ctx, endpoint, errIdleTimeout)
 		}
 		return p.relayLong(ctx, endpoint, ex, body)
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -222,6 +222,13 @@
 	return allowed
 }
 
+// returnRetry gives back a retry that was taken and not sent.
+func (s *Server) returnRetry(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryWindow(service).ReturnRetry(s.Timer.Now())
+}
+
 // newRefusal returns the refusal of a request that did not run, with the time after which a retry may succeed.
 func newRefusal(code arbutusfork.RefusalCode, message string, retryAfter time.Duration) *arbutusfork.Refusal {
 	return arbutusfork.NewRefusal(code, message).WithRetryAfter(retryAfter)
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	// request waits for its response before it is sent to another endpoint.
 	responseTimeoutFactor = 3
 	minResponseTimeout    = 300 * time.Millisecond
+	// certainSilence is the silence from which an endpoint is worse than one that failed the request before.
+	certainSilence = 2 * time.Second
 	// replacementRetryDelay is the time between two searches for an endpoint that takes the place of a silent one.
 	replacementRetryDelay = 100 * time.Millisecond
 )
@@ -115,6 +119,28 @@
 	return interval
 }
 
+// recordBytes records that a part of a body has arrived.
+func (w *idleWatchdog) recordBytes() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaveQueue()
+	w.progressAt = w.request.server.Timer.Now()
+}
+
+// bodyReader tells the watchdog of each part of a body.
+type bodyReader struct {
+	io.ReadCloser
+	watchdog *idleWatchdog
+}
+
+func (r bodyReader) Read(b []byte) (int, error) {
+	n, err := r.ReadCloser.Read(b)
+	if n > 0 {
+		r.watchdog.recordBytes()
+	}
+	return n, err
+}
+
 // setContinuable sets whether another endpoint can continue what was relayed.
 func (w *idleWatchdog) setContinuable(canContinue bool) {
 	w.mu.Lock()
@@ -144,14 +170,16 @@
 	}
 	q := &p.server.queue
 	if w.waiting == nil {
-		w.endpoint.request.RecordSilence()
+		if p.hasOtherEndpoint(w.timedOut) {
+			w.endpoint.request.RecordSilence()
+		}
 		waiting := &waitingRequest{
 			service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
-			acquired: make(chan acquiredEndpoint, 1), isReplacement: true,
-			pickEndpoint: p.replacementPicker(w.excluded, w.timedOut),
+			acquired: make(chan acquiredEndpoint, 1), isReplacement: true, silentEndpoint: w.endpoint.ID,
+			pickEndpoint: p.replacementPicker(w.excluded, w.timedOut, w.progressAt),
 		}
 		if e, ok := q.acquireOrAdd(waiting); ok {
-			return &replacement{endpoint: e}
+			return &replacement{request: p, endpoint: e}
 		}
 		w.waiting = waiting
 		return nil
@@ -162,7 +190,7 @@
 		return nil
 	}
 	w.waiting = nil
-	return &replacement{endpoint: e}
+	return &replacement{request: p, endpoint: e}
 }
 
 // leaveQueue ends the wait for another endpoint and gives up one that was assigned. The caller holds mu.
@@ -171,19 +199,20 @@
 		return
 	}
 	if e, ok := w.request.server.queue.remove(w.waiting); ok {
-		(&replacement{endpoint: e}).release()
+		(&replacement{request: w.request, endpoint: e}).release()
 	}
 	w.waiting = nil
 }
 
 // replacement is an endpoint that takes the place of a silent one, with a retry of the retry budget.
 type replacement struct {
+	request  *proxiedRequest
 	endpoint acquiredEndpoint
 }
 
 // replacementPicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
 // It may be called while an attempt is in progress, with the lock of the queue.
-func (p *proxiedRequest) replacementPicker(excluded, timedOut map[string]bool) func() (acquiredEndpoint, bool) {
+func (p *proxiedRequest) replacementPicker(excluded, timedOut map[string]bool, silentSince time.Time) func() (acquiredEndpoint, bool) {
 	s := p.server
 	var nextTryAt time.Time // The queue tries again with each change of the roster, which may be hundreds of times a second.
 	return func() (acquiredEndpoint, bool) {
@@ -194,7 +223,11 @@
 		needs := p.requirements(excluded, 0)
 		candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
 		if _, ok := chooseEndpoint(candidates, needs); !ok {
-			needs.excluded = timedOut // An endpoint that failed before is better than a silent one.
+			// An endpoint that failed before is better only than one that is hung, and if the request could still return.
+			if now.Sub(silentSince) < certainSilence || p.attempts+1 >= maxTotalAttempts {
+				return acquiredEndpoint{}, false
+			}
+			needs.excluded = timedOut
 			if _, ok := chooseEndpoint(candidates, needs); !ok {
 				return acquiredEndpoint{}, false
 			}
@@ -207,9 +240,15 @@
 	}
 }
 
-// release gives the endpoint up. The retry stays used, since budgets count what might have been sent.
+// hasOtherEndpoint reports whether an endpoint that is not excluded can serve the request, whatever its load.
+func (p *proxiedRequest) hasOtherEndpoint(excluded map[string]bool) bool {
+	return slices.ContainsFunc(p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints, func(e afroster.Endpoint) bool { return !excluded[e.ID] })
+}
+
+// release gives the endpoint and the retry up.
 func (r *replacement) release() {
 	if r != nil {
 		r.endpoint.request.End(afroster.HealthUnaffected)
+		r.request.server.returnRetry(r.request.service.Name)
 	}
 }
