afstandin: give a free address to one daemon only

Cause: FreeAddress drew a random port of 15,000, listened, closed and returned it. Until the daemon listened, a second draw, in this process or in the tests of another package that run beside it, could return the same port. The VM that failed had not run before, so it was not its own earlier listener; ports below 32768 are not taken by outgoing connections. Which daemon held the port in that run is not recorded.

Change: a process reserves a block of ports by listening on the block's first port until it ends, and gives the others out in turn; up to four blocks, then the first ones again.

--- a/internal/afstandin/address_test.go
+++ b/internal/afstandin/address_test.go
@@ -24,3 +24,50 @@
 		require.NoError(t, l.Close())
 	}
 }
+
+// Guards against two daemons that are told the same address before either of them listens.
+func TestFreeAddressIsGivenOutOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 500 {
+		address, err := FreeAddress()
+		require.NoError(t, err)
+		require.NotContains(t, seen, address)
+		seen[address] = true
+	}
+}
+
+func TestPortsOfTwoProcessesDiffer(t *testing.T) {
+	var p, other portRange
+	defer p.release()
+	defer other.release()
+	seen := map[string]bool{}
+	for range 300 {
+		for _, r := range []*portRange{&p, &other} {
+			address, err := r.next()
+			require.NoError(t, err)
+			require.NotContains(t, seen, address)
+			seen[address] = true
+		}
+	}
+}
+
+func TestPortsAreUsedAgainAfterAllOthers(t *testing.T) {
+	var p portRange
+	defer p.release()
+	seen := map[string]bool{}
+	for range (blockPorts - 1) * maxBlocks {
+		address, err := p.next()
+		require.NoError(t, err)
+		seen[address] = true
+	}
+	address, err := p.next()
+	require.NoError(t, err)
+	require.Contains(t, seen, address)
+}
+
+// release ends the reservation as the end of the process does.
+func (p *portRange) release() {
+	for _, l := range p.locks {
+		_ = l.Close()
+	}
+}
