cmd/arbutusfork: receive signals from the initialisation on

Callers saw a VM stay away when a reload came just after its start: SIGHUP ended the gateway without a line. SIGTERM and SIGINT did so too, with the status of the signal.

Cause: the handler of SIGHUP was installed by runReload, once all parts ran, and those of SIGTERM and SIGINT in main. Before that the default action holds.

A SIGHUP waits in a channel that the node reads: the settings are read again then, with the line of any reload. A stop before the daemon ran ends it with status 0 and a line. Operators' verbs and serve give SIGHUP its default action back, also one received before. The handler stays until the process ends, no longer only until runReload ends.

--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -87,6 +87,8 @@
 	Platform Platform
 	// LogOutput receives the log. Nil means standard output.
 	LogOutput io.Writer
+	// Hangups receives SIGHUP, after which the settings are read. Signals from before Run may wait in it. Nil means none.
+	Hangups <-chan os.Signal
 
 	self           arbutusfork.Incarnation
 	timer          *aftimer.Service
@@ -133,6 +135,11 @@
 		debug.SetMemoryLimit(int64(n.Settings.MemoryLimitMB * softMemoryShare * (1 << 20)))
 	}
 	n.createParts()
+	if ctx.Err() != nil {
+		n.log.Info("node stopped")
+		n.logWriter.Close()
+		return nil
+	}
 	if err := n.listenAll(); err != nil {
 		n.log.Error("node not started", "error", err)
 		n.logWriter.Close()
--- a/internal/afnode/reload.go
+++ b/internal/afnode/reload.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"arbutusfork.example/arbutusfork/internal/afgateway"
@@ -14,18 +11,15 @@
 // without one.
 const settingsCheckInterval = 2 * time.Second
 
-// runReload reloads the settings after SIGHUP and every settingsCheckInterval.
+// runReload reloads the settings after each of Hangups and every settingsCheckInterval.
 func (n *Node) runReload(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticks, sub := n.timer.TickChannel(settingsCheckInterval)
 	defer sub.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-n.Hangups:
 			n.reloadSettings(true)
 		case <-ticks:
 			n.reloadSettings(false)
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -35,9 +35,13 @@
 	Stdin  io.Reader
 	// RunServer runs the daemon until ctx ends. Nil makes the serve verb fail.
 	RunServer func(ctx context.Context, s afsettings.Settings) error
-	// RunGateway runs the daemon with the settings file that the platform writes, until ctx ends. Nil makes the gateway verb
-	// fail.
-	RunGateway func(ctx context.Context) error
+	// RunGateway runs the daemon with the settings file that the platform writes, until ctx ends, and reloads the file after
+	// each of hangups. Nil makes the gateway verb fail.
+	RunGateway func(ctx context.Context, hangups <-chan os.Signal) error
+	// Hangups receives SIGHUP from before Run on.
+	Hangups <-chan os.Signal
+	// ReleaseHangups gives SIGHUP its default action. It is called before a verb that does not read Hangups. Nil does nothing.
+	ReleaseHangups func()
 	// SendRequest sends an HTTP request to the server. Nil means the Do method of an http.Client.
 	SendRequest func(*http.Request) (*http.Response, error)
 	// ReadFile returns the content of a file. Nil means os.ReadFile.
@@ -102,13 +106,32 @@
 
 // registerVerb sets the function that runs the verb.
 func (p *Program) registerVerb(cmd *kingpin.CmdClause, run func(ctx context.Context) error) {
-	p.verbFuncs[cmd.FullCommand()] = run
+	p.verbFuncs[cmd.FullCommand()] = func(ctx context.Context) error {
+		if p.ReleaseHangups != nil {
+			p.ReleaseHangups()
+		}
+		return run(ctx)
+	}
+}
+
+// registerDaemonVerb sets the function that runs a daemon. It is not called if ctx has ended before.
+func (p *Program) registerDaemonVerb(cmd *kingpin.CmdClause, run func(ctx context.Context) error) {
+	p.verbFuncs[cmd.FullCommand()] = func(ctx context.Context) error {
+		if ctx.Err() != nil {
+			p.printError("stopped by a signal before the daemon ran")
+			return nil
+		}
+		return run(ctx)
+	}
 }
 
 func (p *Program) addServeVerb(app *kingpin.Application) {
 	cmd := app.Command("serve", "Run the daemon of this VM.")
 	flagValues := afsettings.DefineFlags(cmd)
-	p.registerVerb(cmd, func(ctx context.Context) error {
+	p.registerDaemonVerb(cmd, func(ctx context.Context) error {
+		if p.ReleaseHangups != nil {
+			p.ReleaseHangups()
+		}
 		s, err := flagValues.ParseSettings()
 		if err != nil {
 			return &Error{Op: "serve", Kind: UsageError, Err: err}
@@ -122,11 +145,11 @@
 
 func (p *Program) addGatewayVerb(app *kingpin.Application) {
 	cmd := app.Command("gateway", "Run the daemon of this VM on a platform that writes its settings file.")
-	p.registerVerb(cmd, func(ctx context.Context) error {
+	p.registerDaemonVerb(cmd, func(ctx context.Context) error {
 		if p.RunGateway == nil {
 			return errors.New("gateway: this program is built without the daemon")
 		}
-		return p.RunGateway(ctx)
+		return p.RunGateway(ctx, p.Hangups)
 	})
 }
 
