afserve: keep running after a SIGHUP

Callers saw their requests cut: SIGHUP ended serve at any age without a line, also long after the start (10 of 10 after 1.5 s, 10 of 10 after 20 ms).

Cause: serve never received SIGHUP, so its default action held. It is not the gap at the start that ended the gateway.

Change: serve reads the signals that the program receives from its initialisation on. It has no settings to read again and logs a line. It no longer ends with its terminal either, as the gateway does not.

At 0 ms 10 of 10 still end, before the Go runtime has started.

--- a/cmd/arbutusfork/main_test.go
+++ b/cmd/arbutusfork/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,9 @@
 // The program of TestHangupBeforeMain sends itself SIGHUP at the initialisation of this package.
 var _ = os.Getenv("HANGUP_AT_INIT") == "" || syscall.Kill(os.Getpid(), syscall.SIGHUP) == nil
 
+// ownIP is a loopback address that other processes of the tests do not use.
+var ownIP = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255)
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"arbutusfork": main})
 }
@@ -34,8 +38,7 @@
 
 // TestHangupBeforeSettings guards against a SIGHUP that ends the gateway, or is lost, while the settings are read at the start.
 func TestHangupBeforeSettings(t *testing.T) {
-	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255) // Not shared with other tests.
-	settings := fmt.Appendf(nil, `{"node-name":"vm1","ip":%q,"internal-ports":[7101],"listen":{"front":"%[1]s:7103","ready":"%[1]s:7104"},"platform":{"address":"%[1]s:7105"}}`, ip)
+	settings := fmt.Appendf(nil, `{"node-name":"vm1","ip":%q,"internal-ports":[7101],"listen":{"front":"%[1]s:7103","ready":"%[1]s:7104"},"platform":{"address":"%[1]s:7105"}}`, ownIP)
 	path := filepath.Join(t.TempDir(), "settings")
 	require.NoError(t, syscall.Mkfifo(path, 0o600))
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
@@ -59,12 +62,33 @@
 	require.NoError(t, err)
 	require.NoError(t, fifo.Close())
 
+	waitForLine(t, out, "settings reloaded")
+}
+
+// TestHangupServe guards against a SIGHUP that ends serve, whose requests would be cut.
+func TestHangupServe(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, "arbutusfork", "serve", "--vm=vm1", "--centre=z1", "--callers="+ownIP+":7111", "--operators="+ownIP+":7112",
+		"--peers="+ownIP+":7113", "--platform=http://"+ownIP+":7114", "--operator-token=0123456789abcdef0123456789abcdef")
+	cmd.Env = append(os.Environ(), "HANGUP_AT_INIT=1")
+	out, err := cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	defer func() { cancel(); _ = cmd.Wait() }()
+	waitForLine(t, out, "SIGHUP ignored")
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	waitForLine(t, out, "SIGHUP ignored")
+}
+
+// waitForLine reads lines until one contains text.
+func waitForLine(t *testing.T, out io.Reader, text string) {
 	var lines []string
 	for s := bufio.NewScanner(out); s.Scan(); {
 		lines = append(lines, s.Text())
-		if strings.Contains(s.Text(), "settings reloaded") {
+		if strings.Contains(s.Text(), text) {
 			return
 		}
 	}
-	require.Fail(t, "no line about the reload", lines)
+	require.Fail(t, "no line with "+text, lines)
 }
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -35,9 +35,11 @@
 // need further ones: with GOMAXPROCS=1, the API for callers serves about half as many requests a second as with 3.
 const minProcs = 3
 
-// Server is the daemon of one VM. Set Settings before calling Run.
+// Server is the daemon of one VM. Set the exported fields before calling Run.
 type Server struct {
 	Settings afsettings.Settings
+	// Hangups receives SIGHUP, which changes nothing, since the settings are read only at the start. Nil means none.
+	Hangups <-chan os.Signal
 
 	self  arbutusfork.Incarnation
 	log   *slog.Logger
@@ -67,9 +69,9 @@
 
 // Run runs the daemon until ctx ends or an operator drains the VM, and then shuts it down gracefully. It returns an error
 // if a component fails.
-func Run(ctx context.Context, settings afsettings.Settings) error {
+func Run(ctx context.Context, settings afsettings.Settings, hangups <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), minProcs))
-	s := &Server{Settings: settings}
+	s := &Server{Settings: settings, Hangups: hangups}
 	return s.Run(ctx)
 }
 
@@ -128,6 +130,19 @@
 		{"dispatch", s.dispatch.Run},
 		{"entry", s.entry.Run},
 		{"operator", s.operator.Run},
+		{"hangups", withoutError(s.runHangups)},
+	}
+}
+
+// runHangups logs each of Hangups.
+func (s *Server) runHangups(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Hangups:
+			s.log.Warn("SIGHUP ignored, settings are read only at the start")
+		}
 	}
 }
 
--- a/internal/afserve/server_test.go
+++ b/internal/afserve/server_test.go
@@ -76,7 +76,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	d.stop = cancel
-	go func() { d.done <- Run(ctx, d.settings) }()
+	go func() { d.done <- Run(ctx, d.settings, nil) }()
 	return d
 }
 
--- a/internal/afverb/daemon_test.go
+++ b/internal/afverb/daemon_test.go
@@ -21,7 +21,7 @@
 		isRun := false
 		p := afverb.Program{
 			Stderr:     &stderr,
-			RunServer:  func(context.Context, afsettings.Settings) error { isRun = true; return nil },
+			RunServer:  func(context.Context, afsettings.Settings, <-chan os.Signal) error { isRun = true; return nil },
 			RunGateway: func(context.Context, <-chan os.Signal) error { isRun = true; return nil },
 		}
 		require.Equal(t, afverb.ExitOK, p.Run(ctx, []string{verb}), stderr.String())
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -34,7 +34,7 @@
 	Stderr io.Writer
 	Stdin  io.Reader
 	// RunServer runs the daemon until ctx ends. Nil makes the serve verb fail.
-	RunServer func(ctx context.Context, s afsettings.Settings) error
+	RunServer func(ctx context.Context, s afsettings.Settings, hangups <-chan os.Signal) error
 	// RunGateway runs the daemon with the settings file that the platform writes, until ctx ends, and reloads the file after
 	// each of hangups. Nil makes the gateway verb fail.
 	RunGateway func(ctx context.Context, hangups <-chan os.Signal) error
@@ -129,9 +129,6 @@
 	cmd := app.Command("serve", "Run the daemon of this VM.")
 	flagValues := afsettings.DefineFlags(cmd)
 	p.registerDaemonVerb(cmd, func(ctx context.Context) error {
-		if p.ReleaseHangups != nil {
-			p.ReleaseHangups()
-		}
 		s, err := flagValues.ParseSettings()
 		if err != nil {
 			return &Error{Op: "serve", Kind: UsageError, Err: err}
@@ -139,7 +136,7 @@
 		if p.RunServer == nil {
 			return errors.New("serve: this program is built without the daemon")
 		}
-		return p.RunServer(ctx, s)
+		return p.RunServer(ctx, s, p.Hangups)
 	})
 }
 
