afnotice: keep a stated pause of minutes to its end

An endpoint that answered 503 with Retry-After: 120 got requests again after 30 s, and from then on whenever 30 s were over, since a pause was cut at that bound. Each time all requests that waited reached it.

The bound is now an hour. A longer value is cut and logged as before. What was ruled out: a renewal of the pause at the bound, which needs the stated time on all VMs anyway.

The case above the bound in TestPauses states two hours instead of one, which is no longer above the bound.

--- a/pkg/afnotice/notice.go
+++ b/pkg/afnotice/notice.go
@@ -27,9 +27,9 @@
 // kinds is the number of kinds.
 const kinds = int(Pause) + 1
 
-// MaxPause bounds the pause that an answer asks for. A wrong value must not take an endpoint out of use for long, and an endpoint
-// that needs longer says so again in its next answer.
-const MaxPause = 30 * time.Second
+// MaxPause bounds the pause that an answer asks for, so that a wrong value does not take an endpoint out of use for good. Stated
+// times of minutes are kept whole: after a bound of 30 s, each waiting request would reach the endpoint before it stated.
+const MaxPause = time.Hour
 
 // Statement is what an endpoint says about itself in one answer.
 type Statement struct {
--- a/pkg/afnotice/view_test.go
+++ b/pkg/afnotice/view_test.go
@@ -44,7 +44,7 @@
 	}{
 		"one":              {[]time.Duration{2 * time.Second}, 2 * time.Second, 1},
 		"none":             {[]time.Duration{0}, 0, 0},
-		"above the bound":  {[]time.Duration{time.Hour}, MaxPause, 1},
+		"above the bound":  {[]time.Duration{2 * time.Hour}, MaxPause, 1},
 		"shorter later":    {[]time.Duration{2 * time.Second, time.Second}, 2 * time.Second, 1},
 		"a little longer":  {[]time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second}, 2*time.Second + 20*time.Millisecond, 1},
 		"much longer":      {[]time.Duration{time.Second, 2 * time.Second}, 2*time.Second + 10*time.Millisecond, 2},
