afassign: keep the last serving replica of a requested model

Callers of a model with demand waited, or were refused, for the time of a load (seconds): the holder unloaded the only replica that served the model while another one was still being loaded. Two unloads in one plan could also take both serving replicas.

The last replica that accepts requests now stays if requests wait for its model or its rate is at least lastReplicaMinRate.

--- a/pkg/afassign/option.go
+++ b/pkg/afassign/option.go
@@ -100,15 +100,19 @@
 	for _, h := range e.LoadedModels {
 		isServing := e.RunningRequests[h.Model] > 0
 		remainingReplicas := p.replicas[h.Model] - 1
+		// Replicas that are being loaded serve no requests yet.
+		remainingServing := p.servingReplicas[h.Model] - p.plannedUnloads[h.Model] - 1
 		if slices.Contains(e.ClosingModels, h.Model) {
 			victims = append(victims, victim{h.Model, 0, isServing})
 			continue
 		}
 		// The model may replace a replica of a busy model if its demand exceeds half of the busy model's request rate. The
-		// last replica of a busy model stays.
+		// last replica that serves a busy model stays.
 		mayReplaceBusy := reason == ReasonWaitingRequests && remainingReplicas > 0 && float64(p.waitingRequests[model])+p.requestRates[model] > p.requestRates[h.Model]/2
 		switch {
-		case remainingReplicas < p.desiredReplicas(h.Model) && !mayReplaceBusy, remainingReplicas == 0 && p.waitingRequests[h.Model] > 0:
+		case remainingReplicas < p.desiredReplicas(h.Model) && !mayReplaceBusy:
+			continue
+		case remainingServing <= 0 && (p.waitingRequests[h.Model] > 0 || p.requestRates[h.Model] >= lastReplicaMinRate):
 			continue
 		case isServing && reason == ReasonDiskCopy:
 			continue
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -41,8 +41,8 @@
 	// lateRequestWeight is the weight of a request that can no longer be answered within its latency target. Other requests
 	// have weight 1.
 	lateRequestWeight = 0.3
-	// lastReplicaMinRate is the request rate, in requests per second, from which the last replica of a model is not unloaded
-	// for another model.
+	// lastReplicaMinRate is the request rate, in requests per second, from which the last replica that serves a model is not
+	// unloaded for another model.
 	lastReplicaMinRate = 0.8
 )
 
@@ -67,6 +67,8 @@
 	replicas map[string]int
 	// servingReplicas counts the replicas that accept requests now.
 	servingReplicas map[string]int
+	// plannedUnloads counts those of servingReplicas that this call unloads or closes.
+	plannedUnloads map[string]int
 	// diskCopies counts the engines that could load a model from their disk.
 	diskCopies map[string]int
 	// adapterReserveMB is the memory that each engine keeps free for adapters.
@@ -98,7 +100,7 @@
 	p := &planner{
 		Snapshot: v, demandByKey: map[string]Demand{}, waitingRequests: map[string]int{}, onTimeRequests: map[string]int{}, longestWaits: map[string]time.Duration{},
 		requestRates: map[string]float64{}, promptTokenRates: map[string]float64{}, replicas: map[string]int{}, diskCopies: map[string]int{},
-		claimedEngines: map[string]bool{}, servingReplicas: map[string]int{}, adapterRequestRates: map[string]float64{},
+		claimedEngines: map[string]bool{}, servingReplicas: map[string]int{}, plannedUnloads: map[string]int{}, adapterRequestRates: map[string]float64{},
 	}
 	p.adapterReserveMB = computeAdapterReserve(v)
 	p.Engines = slices.SortedFunc(slices.Values(v.Engines), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
@@ -205,6 +207,7 @@
 	closing := slices.Contains(o.engine.ClosingModels, victim)
 	if !closing {
 		p.replicas[victim]--
+		p.plannedUnloads[victim]++
 	}
 	if o.engine.RunningRequests[victim] > 0 {
 		p.decision.ClosingReplicas = append(p.decision.ClosingReplicas, ClosingReplica{EngineID: o.engine.ID, Model: victim})
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -349,3 +349,37 @@
 	require.Equal(t, "a", d.Orders[0].EngineID)
 	require.True(t, d.Orders[0].Order.IsUnload)
 }
+
+// Guards against unloading the only replica that serves a requested model while another one is still being loaded.
+func TestKeepsLastServingReplica(t *testing.T) {
+	loading := Engine{ID: "b", LoadingModel: "m1", IsExecutingOrder: true, TimeUntilFree: 6 * time.Second}
+	waiting := Demand{Model: "m4", WaitingRequests: 6, OnTimeRequests: 6, LongestWait: time.Second}
+	for name, m1 := range map[string]Demand{
+		"requested often":  {Model: "m1", RequestRate: 1},
+		"requests wait":    {Model: "m1", RequestRate: 0.5, WaitingRequests: 1},
+		"has a backlog":    {Model: "m1", RequestRate: 0.5, WaitingRequests: minBacklogRequests, LongestWait: time.Second},
+		"asks for several": {Model: "m1", RequestRate: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newSnapshot(Engine{ID: "a", LoadedModels: heldModels("m1", "m2"), ModelsOnDisk: []string{"m4"}}, loading)
+			v.MaxStoreLoads = 0
+			v.Demand = []Demand{m1, {Model: "m2", RequestRate: 1}, waiting}
+			d := PlanOrders(v)
+			require.Empty(t, d.Orders)
+			v.Engines[0].RunningRequests = map[string]int{"m1": 1, "m2": 1}
+			require.Empty(t, PlanOrders(v).ClosingReplicas)
+		})
+	}
+}
+
+// Guards against two unloads in one plan that together take all replicas that serve a model.
+func TestUnloadsOfOnePlanKeepServingReplica(t *testing.T) {
+	v := newSnapshot(Engine{ID: "a", LoadedModels: heldModels("m1"), ModelsOnDisk: []string{"m4"}}, Engine{ID: "b", LoadedModels: heldModels("m1"), ModelsOnDisk: []string{"m5"}},
+		Engine{ID: "c", LoadingModel: "m1", IsExecutingOrder: true, TimeUntilFree: 6 * time.Second})
+	v.EngineSpec.MemoryMB = 80
+	v.MaxStoreLoads = 0
+	v.Demand = []Demand{{Model: "m1", RequestRate: 1}, {Model: "m4", WaitingRequests: 6}, {Model: "m5", WaitingRequests: 6}}
+	d := PlanOrders(v)
+	require.Len(t, d.Orders, 1)
+	require.Equal(t, afengine.Order{IsUnload: true, Model: "m1"}, d.Orders[0].Order)
+}
