afnotice: number pauses by their end

Two VMs that hear the same pauses in another order then disagree on the end of a pause, by 899 ms in the smallest case. A VM with the earlier end would send requests before the stated time is over.

Cause: a pause is numbered by the VM that heard it, by the time of the answer, and a VM does not take a pause with a lower number than the known one. A VM that restarts no longer knows the pause that it heard before; if the endpoint then states one that ends earlier, the later number belongs to the earlier end, and VMs that got it first refuse the longer one.

Ruled out: a fault of the test's cases only. Within one life a VM keeps no statement that ends earlier, but across a restart both exist.

Change: the number is the end of the pause at the VM that heard it, so that a higher number is always a later end; one more than the last number, as before, if the clock was stepped back. The test's cases get their numbers in this way, otherwise it is unchanged.

--- a/pkg/afnotice/notice.go
+++ b/pkg/afnotice/notice.go
@@ -55,8 +55,8 @@
 type Notice struct {
 	// HeardBy is the VM that got the answer.
 	HeardBy string
-	// Number rises with each pause that HeardBy hears from the endpoint. A VM takes each number once, so that VMs that pass a pause
-	// on with some delay do not prolong it without end. It is 0 for Leaving.
+	// Number rises with the end of the pauses that HeardBy hears from the endpoint, also across its restarts. A VM takes each number
+	// once, so that VMs that pass a pause on with some delay do not prolong it without end. It is 0 for Leaving.
 	Number int64
 	// HeardAt is when the answer arrived and Until when a pause ends. On other VMs both are later by the delay of the messages.
 	HeardAt, Until time.Time
--- a/pkg/afnotice/view.go
+++ b/pkg/afnotice/view.go
@@ -80,7 +80,8 @@
 	}
 	if said.Pause > 0 {
 		k := Key{EndpointStart: e, Kind: Pause, HeardBy: vm}
-		heard[k] = Notice{HeardBy: vm, HeardAt: now, Until: now.Add(min(said.Pause, MaxPause)), Number: max(v.notices[k].Number+1, now.UnixMilli())}
+		until := now.Add(min(said.Pause, MaxPause))
+		heard[k] = Notice{HeardBy: vm, HeardAt: now, Until: until, Number: max(v.notices[k].Number+1, until.UnixMilli())}
 	}
 	// Requests of this VM must wait for the exact end of the pause, although other VMs need not learn of a small change.
 	return v.with(heard, now, nil, 0)
--- a/pkg/afnotice/view_test.go
+++ b/pkg/afnotice/view_test.go
@@ -100,6 +100,22 @@
 	})
 }
 
+// Guards against a pause that ends early on some VMs because a VM restarted and then heard a shorter one.
+func TestPauseHeardBeforeRestartIsKept(t *testing.T) {
+	e := afengine.EndpointStart{Endpoint: "e"}
+	now := begin.Add(101 * time.Millisecond)
+	_, long := View{}.WithStatement(e, Statement{Pause: 7 * time.Second}, "a", begin)
+	_, short := View{}.WithStatement(e, Statement{Pause: 6 * time.Second}, "a", now)
+	for _, received := range [][]map[Key]Notice{{long, short}, {short, long}} {
+		var v View
+		for _, r := range received {
+			v, _ = v.WithNotices(r, now, nil)
+		}
+		until, _ := v.PausedUntil(e, now)
+		require.Equal(t, begin.Add(7*time.Second), until)
+	}
+}
+
 // Guards against VMs that know different things after they have heard the same things in another order, against changes of a
 // shared view, and against notices without a bound.
 func TestViewsConverge(t *testing.T) {
@@ -111,8 +127,8 @@
 				Endpoint: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "endpoint")), StartUnixMs: rapid.Int64Range(0, 2).Draw(t, "born"),
 			}, Kind: Kind(rapid.IntRange(-1, kinds).Draw(t, "kind"))}
 			if k.Kind == Pause {
-				k.HeardBy, n.Number = n.HeardBy, at.UnixMilli()
 				n.Until = at.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second)
+				k.HeardBy, n.Number = n.HeardBy, n.Until.UnixMilli() // As WithStatement numbers it on a VM that knows nothing.
 			}
 			return map[Key]Notice{k: n}
 		}), 0, 20).Draw(t, "heard")
