afgateway: keep a silent stream open until another endpoint answers

Callers saw a stream that was cut although its sound endpoint would have gone on a second later: the watchdog gave the silent endpoint up when another one had room and the budget gave a repeat. If that one then refused, broke off or failed and no repeat was left, nothing was left to return to. The same happened if the other endpoint began no answer until the deadline.

A stream that has begun now keeps its connection while a standby sends the request to the other endpoint. The silent endpoint is left when the head of the other answer (200, a stream) has arrived; the connection of the one that is not relayed is closed at once. One mutex decides which of them speaks: an event that arrives after the change of place is not relayed. The request counts as load at both endpoints meanwhile. If the silent endpoint breaks off while the standby is in progress, the standby is waited for and not dropped.

Repeats are not widened: the standby starts under the conditions under which the first endpoint was left before (repeatable route, max-attempts, attempts in total, continuable stream, a repeat of the budget). Each standby that may have reached its endpoint counts as an attempt and a run. One that is dropped because the silent endpoint went on uses up a run of max-attempts.

Leaving only at the other endpoint's first event was ruled out: more standbys would be dropped after they had used up that run. Requests without an event yet are left as before.

--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -39,7 +39,10 @@
 type idleWatchdog struct {
 	request  *proxiedRequest
 	endpoint acquiredEndpoint
-	// excluded holds the endpoints that cannot take the request, including the one of the attempt. It does not change.
+	// requestCtx is the context of the request, which lasts longer than the attempt.
+	requestCtx context.Context
+	// excluded holds the endpoints that cannot take the request, including the one of the attempt. The map is replaced and not
+	// changed, since the queue may read it.
 	excluded map[string]bool
 	// timedOut holds those of excluded that were silent. It does not change.
 	timedOut map[string]bool
@@ -48,12 +51,19 @@
 	mu sync.Mutex
 	// progressAt is the time of the latest event, or the start of the attempt.
 	progressAt time.Time
+	// silenceRecordedAt is progressAt at the latest silence that counted against the endpoint.
+	silenceRecordedAt time.Time
 	// timeout is the longest allowed time without an event or response.
 	timeout time.Duration
 	timer   *aftimer.Subscription
 	stopped bool
-	// cannotContinue means that no endpoint can continue what was relayed, so that the attempt must not be left.
-	cannotContinue bool
+	// relayedEvents is the number of events of the stream that were relayed, up to position.
+	relayedEvents int
+	position      streamPosition
+	// standby is the attempt at an endpoint that may take the place of the silent one of a stream that has begun, or nil.
+	standby *standby
+	// endedStandbys are those that were sent and took no place.
+	endedStandbys []endedStandby
 	// waiting is in the queue while the endpoint is silent and no other one has room. It is nil before.
 	waiting *waitingRequest
 	// replacement is the endpoint that takes the place of the silent one, or nil.
@@ -61,11 +71,14 @@
 }
 
 // startWatchdog returns the watchdog of an attempt. The watchdog has no timer if the request may not be retried.
-func (p *proxiedRequest) startWatchdog(endpoint acquiredEndpoint, excluded map[string]bool, cancel context.CancelCauseFunc) *idleWatchdog {
-	w := &idleWatchdog{request: p, endpoint: endpoint, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true}, timedOut: map[string]bool{endpoint.ID: true}}
+func (p *proxiedRequest) startWatchdog(requestCtx context.Context, endpoint acquiredEndpoint, excluded map[string]bool, cancel context.CancelCauseFunc) *idleWatchdog {
+	w := &idleWatchdog{
+		request: p, endpoint: endpoint, requestCtx: requestCtx, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true},
+		timedOut: map[string]bool{endpoint.ID: true}, relayedEvents: p.relayedEvents, position: p.position,
+	}
 	maps.Copy(w.excluded, excluded)
 	maps.Copy(w.timedOut, p.timedOutEndpoints)
-	if !p.route.IsRepeatable() || p.possibleRuns+1 >= p.route.MaxAttempts || p.attempts >= maxTotalAttempts {
+	if !w.mayTryAnother() {
 		return w
 	}
 	w.timeout = max(responseTimeoutFactor*p.route.TargetLatency, minResponseTimeout)
@@ -93,7 +106,7 @@
 	}
 	remaining := w.timeout - now.Sub(w.progressAt)
 	if remaining <= 0 {
-		if w.replacement = w.findReplacement(); w.replacement == nil {
+		if w.replacement = w.tryAnother(); w.replacement == nil {
 			remaining = replacementRetryDelay
 		}
 	}
@@ -107,16 +120,21 @@
 }
 
 // recordProgress records an event and returns the time since the previous event or the start of the attempt. After the
-// first event, the timeout applies to the time between two events.
-func (w *idleWatchdog) recordProgress() time.Duration {
+// first event, the timeout applies to the time between two events. IsLeft means that another endpoint has taken the place, so that
+// the event must not be relayed.
+func (w *idleWatchdog) recordProgress() (interval time.Duration, isLeft bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.replacement != nil {
+		return 0, true
+	}
 	w.leaveQueue()
+	w.standby.drop()
 	now := w.request.server.Timer.Now()
-	interval := now.Sub(w.progressAt)
+	interval = now.Sub(w.progressAt)
 	w.progressAt = now
 	w.timeout = max(eventTimeoutFactor*w.request.route.TargetEventInterval, minEventTimeout)
-	return interval
+	return interval, false
 }
 
 // recordBytes records that a part of a body has arrived.
@@ -124,6 +142,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leaveQueue()
+	w.standby.drop()
 	w.progressAt = w.request.server.Timer.Now()
 }
 
@@ -141,22 +160,38 @@
 	return n, err
 }
 
-// setContinuable sets whether another endpoint can continue what was relayed.
-func (w *idleWatchdog) setContinuable(canContinue bool) {
+// setPosition sets how far the stream to the caller has come.
+func (w *idleWatchdog) setPosition(position streamPosition, relayedEvents int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cannotContinue = !canContinue
+	w.position, w.relayedEvents = position, relayedEvents
+}
+
+// cannotContinue reports whether no endpoint can continue what was relayed, so that the attempt must not be left. The caller holds
+// mu.
+func (w *idleWatchdog) cannotContinue() bool {
+	return w.relayedEvents > 0 && !w.position.canBeContinued()
 }
 
-// stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil.
-func (w *idleWatchdog) stop() *replacement {
+// stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil. It waits for the end of a
+// standby, which it drops unless keepsStandby is set.
+func (w *idleWatchdog) stop(keepsStandby bool) *replacement {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 	w.leaveQueue()
+	if !keepsStandby {
+		w.standby.drop()
+	}
+	standby := w.standby
+	w.mu.Unlock()
+	if standby != nil {
+		<-standby.done
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return w.replacement
 }
 
@@ -164,19 +199,24 @@
 // its own time of arrival, so that later requests do not get each place that becomes free. The caller holds mu.
 func (w *idleWatchdog) findReplacement() *replacement {
 	p := w.request
-	if w.cannotContinue || p.refuseQuarantined() != nil {
+	if w.cannotContinue() || p.refuseQuarantined() != nil {
 		w.leaveQueue()
 		return nil
 	}
 	q := &p.server.queue
 	if w.waiting == nil {
-		if p.hasOtherEndpoint(w.timedOut) {
+		if !w.silenceRecordedAt.Equal(w.progressAt) && p.hasOtherEndpoint(w.timedOut) {
 			w.endpoint.request.RecordSilence()
+			w.silenceRecordedAt = w.progressAt
+		}
+		timedOut := w.timedOut
+		if p.attempts+len(w.endedStandbys)+1 >= maxTotalAttempts {
+			timedOut = w.excluded // The last attempt is not for an endpoint that failed before.
 		}
 		waiting := &waitingRequest{
 			service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
 			acquired: make(chan acquiredEndpoint, 1), isReplacement: true, silentEndpoint: w.endpoint.ID,
-			pickEndpoint: p.replacementPicker(w.excluded, w.timedOut, w.progressAt),
+			pickEndpoint: p.replacementPicker(w.excluded, timedOut, w.progressAt),
 		}
 		if e, ok := q.acquireOrAdd(waiting); ok {
 			return &replacement{request: p, endpoint: e}
@@ -208,6 +248,8 @@
 type replacement struct {
 	request  *proxiedRequest
 	endpoint acquiredEndpoint
+	// answer is the endpoint's answer if the request was sent already, or nil.
+	answer *openAnswer
 }
 
 // replacementPicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
@@ -245,10 +287,15 @@
 	return slices.ContainsFunc(p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints, func(e afroster.Endpoint) bool { return !excluded[e.ID] })
 }
 
-// release gives the endpoint and the retry up.
+// release gives the endpoint up, and the retry unless it was sent.
 func (r *replacement) release() {
-	if r != nil {
-		r.endpoint.request.End(afroster.HealthUnaffected)
-		r.request.server.returnRetry(r.request.service.Name)
+	if r == nil {
+		return
+	}
+	r.endpoint.request.End(afroster.HealthUnaffected)
+	if r.answer != nil {
+		r.answer.abandon()
+		return
 	}
+	r.request.server.returnRetry(r.request.service.Name)
 }
