afnotice, affact: let operators lift a notice

An endpoint that said by mistake that it leaves, or asked for too long a pause, got no requests until it was restarted or the pause ended: nobody could take a notice back.

arbutusfork notice lift ENDPOINT KIND lifts it on one VM and notice list shows what is in force, both by the VM's metrics address. The lift is kept and spread like a notice (news, digests, at most 4,096 together). Each lift has a number, and each notice carries that of the latest lift that the VM knew when it got the answer: a lift covers all notices with a lower one, so that an old answer that arrives late brings nothing back. Times do not decide this between VMs, since messages make them later. A VM that got an answer after a lift of which it did not know yet gives the notice the lift's number and spreads it again. The numbers of notices travel beside them, since VMs of an earlier version refuse longer arrays. The placement holder kept the end of a pause until it was over; it now follows the lift.

--- a/internal/affact/error.go
+++ b/internal/affact/error.go
@@ -9,6 +9,10 @@
 const (
 	// MalformedMessage means that a message could not be decoded.
 	MalformedMessage ErrorKind = iota // malformed message
+	// UnknownEndpoint means that an endpoint is not listed and said nothing.
+	UnknownEndpoint // unknown endpoint
+	// NoSuchNotice means that no notice of a kind about an endpoint is in force.
+	NoSuchNotice // no such notice
 )
 
 // Error describes a failed operation.
--- a/internal/affact/error_string.go
+++ b/internal/affact/error_string.go
@@ -9,11 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[MalformedMessage-0]
+	_ = x[UnknownEndpoint-1]
+	_ = x[NoSuchNotice-2]
 }
 
-const _ErrorKind_name = "malformed message"
+const _ErrorKind_name = "malformed messageunknown endpointno such notice"
 
-var _ErrorKind_index = [...]uint8{0, 17}
+var _ErrorKind_index = [...]uint8{0, 17, 33, 47}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -24,6 +24,11 @@
 type noticesMessage struct {
 	Leaving []leavingMessage `msgpack:"l,omitempty"`
 	Pauses  []pauseMessage   `msgpack:"p,omitempty"`
+	Lifts   []liftMessage    `msgpack:"u,omitempty"`
+	// LeavingAfter and PausesAfter hold the numbers of the lifts after which notices were heard, by the position of the notice. They
+	// are no fields of the notices, since VMs of an earlier version refuse arrays with more of them.
+	LeavingAfter map[int]int64 `msgpack:"la,omitempty"`
+	PausesAfter  map[int]int64 `msgpack:"pa,omitempty"`
 	// Reply are the buckets of the digest whose notices the receiver answers with, bit by bit.
 	Reply uint32 `msgpack:"reply,omitempty"`
 }
@@ -81,15 +86,40 @@
 	LeftMs      int64
 }
 
+// liftMessage is one lift of a notice.
+type liftMessage struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack looks the field up by name.
+
+	Endpoint    string
+	StartUnixMs int64
+	// Kind is afnotice.LeavingLift or afnotice.PauseLift.
+	Kind     int
+	LiftedBy string
+	AgeMs    int64
+	Number   int64
+}
+
 // encodeNotices returns the message with the notices.
 func encodeNotices(notices map[afnotice.Key]afnotice.Notice, now time.Time) noticesMessage {
 	var out noticesMessage
 	for k, n := range notices {
 		ageMs := now.Sub(n.HeardAt).Milliseconds()
-		if k.Kind == afnotice.Leaving {
+		switch k.Kind {
+		case afnotice.LeavingLift, afnotice.PauseLift:
+			out.Lifts = append(out.Lifts, liftMessage{
+				Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, Kind: int(k.Kind), LiftedBy: n.HeardBy, AgeMs: ageMs, Number: n.Number,
+			})
+			continue
+		case afnotice.Leaving:
+			if n.AfterLift != 0 {
+				out.LeavingAfter = withEntry(out.LeavingAfter, len(out.Leaving), n.AfterLift)
+			}
 			out.Leaving = append(out.Leaving, leavingMessage{Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs})
 			continue
 		}
+		if n.AfterLift != 0 {
+			out.PausesAfter = withEntry(out.PausesAfter, len(out.Pauses), n.AfterLift)
+		}
 		out.Pauses = append(out.Pauses, pauseMessage{
 			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs, Number: n.Number, LeftMs: max(n.Until.Sub(now).Milliseconds(), 0),
 		})
@@ -97,6 +127,15 @@
 	return out
 }
 
+// withEntry sets an entry of a map that may be nil.
+func withEntry(m map[int]int64, i int, v int64) map[int]int64 {
+	if m == nil {
+		m = make(map[int]int64)
+	}
+	m[i] = v
+	return m
+}
+
 // maxAgeMs bounds the age in a message, so that it is a time.Duration. It is a year.
 const maxAgeMs = 365 * 24 * 3600 * 1000
 
@@ -106,14 +145,20 @@
 		return now.Add(-time.Duration(min(max(ageMs, 0), maxAgeMs)) * time.Millisecond)
 	}
 	out := make(map[afnotice.Key]afnotice.Notice, len(m.Leaving)+len(m.Pauses))
-	for _, n := range m.Leaving {
+	for _, n := range m.Lifts {
+		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Kind(n.Kind)}
+		if k.Kind == afnotice.LeavingLift || k.Kind == afnotice.PauseLift {
+			out[k] = afnotice.Notice{HeardBy: n.LiftedBy, HeardAt: heardAt(n.AgeMs), Number: n.Number}
+		}
+	}
+	for i, n := range m.Leaving {
 		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Leaving}
-		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs)}
+		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), AfterLift: m.LeavingAfter[i]}
 	}
-	for _, n := range m.Pauses {
+	for i, n := range m.Pauses {
 		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Pause, HeardBy: n.HeardBy}
 		left := time.Duration(min(max(n.LeftMs, 0), afnotice.MaxPause.Milliseconds())) * time.Millisecond
-		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), Number: n.Number, Until: now.Add(left)}
+		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), Number: n.Number, Until: now.Add(left), AfterLift: m.PausesAfter[i]}
 	}
 	return out
 }
--- a/internal/affact/service.go
+++ b/internal/affact/service.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -138,6 +141,30 @@
 	}
 }
 
+// Lift ends the notices of a kind, Leaving or Pause, about an endpoint on all VMs, and returns the starts of the endpoint that they
+// concerned. What endpoints say later counts again. IsListed tells an unknown endpoint from one that said nothing. Its errors are of kind UnknownEndpoint or NoSuchNotice and change nothing.
+func (s *Service) Lift(endpoint string, kind afnotice.Kind, isListed bool) ([]afengine.EndpointStart, error) {
+	now := s.Timer.Now()
+	lifted := slices.Collect(maps.Keys(s.View().InForce(endpoint, kind, now)))
+	if len(lifted) == 0 {
+		e := &Error{Op: "lift", Kind: NoSuchNotice, Err: errors.Errorf("no notice %s of endpoint %q is in force", kind, endpoint)}
+		if !isListed {
+			e.Kind, e.Err = UnknownEndpoint, errors.Errorf("no endpoint %q", endpoint)
+		}
+		return nil, e
+	}
+	s.learn(func(v afnotice.View) (afnotice.View, map[afnotice.Key]afnotice.Notice) {
+		news := make(map[afnotice.Key]afnotice.Notice)
+		for _, e := range lifted {
+			changed, lift := v.WithLift(e, kind, s.Self, now)
+			v = changed
+			maps.Copy(news, lift)
+		}
+		return v, news
+	})
+	return lifted, nil
+}
+
 // learn changes the view, and schedules the sending of the notices that are new.
 func (s *Service) learn(change func(v afnotice.View) (changed afnotice.View, news map[afnotice.Key]afnotice.Notice)) {
 	s.mu.Lock()
@@ -155,6 +182,10 @@
 	for k, n := range news {
 		s.pending[k] = n
 		s.Metrics.countNotice(k.Kind)
+		if k.Kind == afnotice.LeavingLift || k.Kind == afnotice.PauseLift {
+			s.Log.Info("endpoint notice lifted", "kind", k.Kind.String(), "endpoint", k.Endpoint, "born", k.StartUnixMs, "lifted_by", n.HeardBy, "age", now.Sub(n.HeardAt))
+			continue
+		}
 		left := time.Duration(0)
 		if k.Kind == afnotice.Pause {
 			left = n.Until.Sub(now)
--- a/internal/affact/service_test.go
+++ b/internal/affact/service_test.go
@@ -137,3 +137,57 @@
 		require.LessOrEqual(t, perSecond, targetBytes-otherBytes, name)
 	}
 }
+
+// Guards against a lift that does not reach all VMs within a second, also one that was cut off with the old notice or has restarted,
+// against one that ends what the endpoint says later, and against a wrong request that changes something.
+func TestLiftReachesAllVMs(t *testing.T) {
+	for _, vms := range []int{6, 380} {
+		f := newFleet(vms)
+		e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+		said := afnotice.Statement{IsLeaving: true, Pause: time.Minute}
+		vm := func(i int) *Service { return f.services[f.vms[i].Name] }
+		lift := func() {
+			for _, kind := range []afnotice.Kind{afnotice.Leaving, afnotice.Pause} {
+				lifted, err := vm(1).Lift("i-1", kind, true)
+				require.NoError(t, err)
+				require.Equal(t, []afengine.EndpointStart{e}, lifted)
+			}
+		}
+		vm(0).Record(e, said)
+		f.advance(time.Second)
+		f.isDown[f.vms[3].Name] = true
+		f.advance(time.Second)
+		lift()
+		f.advance(time.Second)
+		require.Equal(t, 1, f.countKnowing(e), "the VM that is cut off")
+		f.isDown[f.vms[3].Name] = false
+		f.advance(time.Second)
+		require.Zero(t, f.countKnowing(e), "it has the old notice")
+		f.restart(2)
+		f.advance(time.Second)
+		old := encodeNotices(map[afnotice.Key]afnotice.Notice{{EndpointStart: e, Kind: afnotice.Leaving}: {HeardBy: "front-z1-000", HeardAt: f.now}}, f.now)
+		require.NoError(t, f.send(f.vms[0].Name, f.vms[2].Name, KindNotices, old))
+		f.advance(10 * time.Millisecond)
+		require.Zero(t, vm(2).View().LeavingCount(), "a VM that has restarted gets an old notice")
+
+		vm(2).Record(e, said)
+		f.advance(time.Second)
+		require.Equal(t, vms, f.countKnowing(e), "the endpoint says it again")
+		lift()
+		f.advance(50 * time.Millisecond)
+		vm(2).Record(e, said)
+		f.advance(time.Second)
+		require.Equal(t, vms, f.countKnowing(e), "the endpoint says it again before the lift arrives")
+		f.advance(time.Second)
+		f.messages = 0
+		f.advance(10 * time.Second)
+		require.LessOrEqual(t, f.messages, vms*int(10*time.Second/compareInterval), "messages of VMs that know the same")
+
+		before := vm(1).View()
+		_, err := vm(1).Lift("i-2", afnotice.Pause, true)
+		require.ErrorContains(t, err, "no such notice")
+		_, err = vm(1).Lift("i-2", afnotice.Pause, false)
+		require.ErrorContains(t, err, "unknown endpoint")
+		require.Equal(t, before, vm(1).View())
+	}
+}
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -104,6 +104,7 @@
 		}
 		e.State = s.Roster.State(e)
 		es.entry = e
+		es.pausedUntil = time.Time{} // An operator may have lifted the pause.
 		if until, isPaused := s.Roster.PausedUntil(e.Start()); isPaused {
 			es.pausedUntil = until
 		}
--- a/internal/afkeeper/notice_test.go
+++ b/internal/afkeeper/notice_test.go
@@ -74,4 +74,7 @@
 	s.sendOrder(t.Context(), afassign.PlannedOrder{EngineID: "i-1", Order: afengine.Order{Model: "m1"}}, s.lease.Epoch(), now)
 	require.Equal(t, afengine.ResultRefused, (<-s.orderResults).result)
 	require.Equal(t, map[string]int{"i-2": 1}, ordered)
+	hasSaid = false // An operator lifts the notice.
+	s.refreshEngines(t.Context())
+	require.Len(t, s.listLoadedModels(now), 1)
 }
--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -97,6 +97,7 @@
 	p.addSheetVerbs(app)
 	p.addApplyVerb(app)
 	p.addSystemVerbs(app)
+	p.addNoticeVerbs(app)
 	return app
 }
 
--- a/pkg/afnotice/digest.go
+++ b/pkg/afnotice/digest.go
@@ -27,7 +27,7 @@
 	var d Digest
 	counted := make(map[afengine.EndpointStart]bool)
 	for k, n := range v.notices {
-		if now.Sub(n.HeardAt) < minDigestAge {
+		if now.Sub(n.HeardAt) < minDigestAge || isOldLift(k, n, now) {
 			continue
 		}
 		if k.Kind == Pause {
@@ -36,8 +36,11 @@
 			}
 			counted[k.EndpointStart] = true
 		}
-		hash := xxhash.Sum64String(k.Endpoint + "\x00" + strconv.FormatInt(k.StartUnixMs, 10) + "\x00" + strconv.Itoa(int(k.Kind)))
-		d[bucket(k)] += uint32(hash >> 32)
+		text := k.Endpoint + "\x00" + strconv.FormatInt(k.StartUnixMs, 10) + "\x00" + strconv.Itoa(int(k.Kind))
+		if k.Kind.isLift() {
+			text += "\x00" + strconv.FormatInt(n.Number, 10)
+		}
+		d[bucket(k)] += uint32(xxhash.Sum64String(text) >> 32)
 	}
 	return d
 }
@@ -56,11 +59,11 @@
 	return differing
 }
 
-// InBuckets returns the notices in the buckets whose bits are set, without pauses that have ended.
+// InBuckets returns the notices in the buckets whose bits are set, without pauses that have ended and lifts that nobody needs.
 func (v View) InBuckets(buckets uint32, now time.Time) map[Key]Notice {
 	out := make(map[Key]Notice)
 	for k, n := range v.notices {
-		if buckets&(1<<bucket(k)) != 0 && (k.Kind != Pause || n.Until.After(now)) {
+		if buckets&(1<<bucket(k)) != 0 && (k.Kind != Pause || n.Until.After(now)) && !isOldLift(k, n, now) {
 			out[k] = n
 		}
 	}
--- a/pkg/afnotice/notice.go
+++ b/pkg/afnotice/notice.go
@@ -22,9 +22,13 @@
 	Leaving Kind = iota // leaving
 	// Pause means that the endpoint takes no requests until a time.
 	Pause // pause
+	// LeavingLift and PauseLift mean that an operator lifted the notices of the other kinds: what the endpoint said before does not
+	// count.
+	LeavingLift // leaving-lift
+	PauseLift   // pause-lift
 )
 
-// kinds is the number of kinds.
+// kinds is the number of kinds of which endpoints speak.
 const kinds = int(Pause) + 1
 
 // MaxPause bounds the pause that an answer asks for, so that a wrong value does not take an endpoint out of use for good. Stated
@@ -47,17 +51,23 @@
 type Key struct {
 	afengine.EndpointStart
 	Kind Kind
-	// HeardBy is the VM that got the answer with a pause. It is empty for Leaving, since all such answers say the same.
+	// HeardBy is the VM that got the answer with a pause. It is empty for other kinds: all answers of an endpoint that leaves say the
+	// same, and a lift concerns what all VMs heard.
 	HeardBy string
 }
 
 // Notice is what an endpoint said and what all VMs act on.
 type Notice struct {
-	// HeardBy is the VM that got the answer.
+	// HeardBy is the VM that got the answer, or on which an operator lifted a notice.
 	HeardBy string
 	// Number rises with each pause that HeardBy hears from the endpoint. A VM takes each number once, so that VMs that pass a pause
-	// on with some delay do not prolong it without end. It is 0 for Leaving.
+	// on with some delay do not prolong it without end. It is 0 for Leaving. Each lift of a notice has a higher one than those before.
 	Number int64
+	// AfterLift is the Number of the latest lift that HeardBy knew when it got the answer. A lift with a higher one covers the notice.
+	// Times would not tell this, since messages arrive late by different delays.
+	AfterLift int64
 	// HeardAt is when the answer arrived and Until when a pause ends. On other VMs both are later by the delay of the messages.
 	HeardAt, Until time.Time
+	// SaidAt is when this VM last got such an answer itself. It is zero if it did not, and other VMs are not told.
+	SaidAt time.Time
 }
--- a/pkg/afnotice/notice_string.go
+++ b/pkg/afnotice/notice_string.go
@@ -10,11 +10,13 @@
 	var x [1]struct{}
 	_ = x[Leaving-0]
 	_ = x[Pause-1]
+	_ = x[LeavingLift-2]
+	_ = x[PauseLift-3]
 }
 
-const _Kind_name = "leavingpause"
+const _Kind_name = "leavingpauseleaving-liftpause-lift"
 
-var _Kind_index = [...]uint8{0, 7, 12}
+var _Kind_index = [...]uint8{0, 7, 12, 24, 34}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pkg/afnotice/view.go
+++ b/pkg/afnotice/view.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxNotices bounds the notices that are kept. Pauses are dropped first, and of each kind those that were heard longest ago. The
-	// largest deployment has 750 endpoints.
+	// maxNotices bounds the notices and lifts that are kept. Pauses are dropped first, and of each kind those that were heard longest
+	// ago. The largest deployment has 750 endpoints.
 	maxNotices = 4096
 	// unlistedTimeout is the age from which a notice about an endpoint that is not listed is dropped. An endpoint whose entry was
 	// lost in an outage of the platform writes it again within seconds.
@@ -76,11 +76,14 @@
 func (v View) WithStatement(e afengine.EndpointStart, said Statement, vm string, now time.Time) (changed View, news map[Key]Notice) {
 	heard := make(map[Key]Notice)
 	if said.IsLeaving {
-		heard[Key{EndpointStart: e, Kind: Leaving}] = Notice{HeardBy: vm, HeardAt: now}
+		heard[Key{EndpointStart: e, Kind: Leaving}] = Notice{HeardBy: vm, HeardAt: now, SaidAt: now, AfterLift: v.liftNumber(e, Leaving)}
 	}
 	if said.Pause > 0 {
 		k := Key{EndpointStart: e, Kind: Pause, HeardBy: vm}
-		heard[k] = Notice{HeardBy: vm, HeardAt: now, Until: now.Add(min(said.Pause, MaxPause)), Number: max(v.notices[k].Number+1, now.UnixMilli())}
+		heard[k] = Notice{
+			HeardBy: vm, HeardAt: now, SaidAt: now, Until: now.Add(min(said.Pause, MaxPause)), Number: max(v.notices[k].Number+1, now.UnixMilli()),
+			AfterLift: v.liftNumber(e, Pause),
+		}
 	}
 	// Requests of this VM must wait for the exact end of the pause, although other VMs need not learn of a small change.
 	return v.with(heard, now, nil, 0)
@@ -95,9 +98,17 @@
 // with returns the view with those notices that say more than what is known. A pause does if it ends later by more than extension.
 func (v View) with(heard map[Key]Notice, now time.Time, isListed func(afengine.EndpointStart) bool, extension time.Duration) (changed View, news map[Key]Notice) {
 	news = make(map[Key]Notice)
+	v, hasLifts := v.withLifts(heard, now, isListed, news)
 	var added map[Key]Notice
 	for k, n := range heard {
-		if !isValid(k, n) || isOver(k, n, now, isListed) || !v.saysMore(k, n, now, extension) {
+		if k.Kind.isLift() || !isValid(k, n) || isOver(k, n, now, isListed) {
+			continue
+		}
+		known, isKnown := v.notices[k]
+		if saysMore := v.saysMore(k, n, now, extension); !saysMore && isKnown && k.Kind == Leaving && n.SaidAt.Sub(known.SaidAt) >= minExtension {
+			known.SaidAt, known.HeardBy = n.SaidAt, n.HeardBy // It shows later whether a lift covers the answer.
+			n = known
+		} else if !saysMore {
 			continue
 		}
 		if added == nil {
@@ -108,7 +119,7 @@
 			news[k] = n
 		}
 	}
-	if len(added) == 0 {
+	if len(added) == 0 && !hasLifts {
 		return v, nil
 	}
 	changed.notices = make(map[Key]Notice, len(v.notices)+len(added))
@@ -128,6 +139,8 @@
 		return k.HeardBy == ""
 	case Pause:
 		return k.HeardBy == n.HeardBy
+	case LeavingLift, PauseLift:
+		return k.HeardBy == "" && n.Number > 0
 	}
 	return false
 }
@@ -135,14 +148,19 @@
 // saysMore reports whether a notice says more than what is known.
 func (v View) saysMore(k Key, n Notice, now time.Time, extension time.Duration) bool {
 	known, isKnown := v.notices[k]
+	lift := v.liftNumber(k.EndpointStart, k.Kind)
+	if n.AfterLift < lift {
+		return false
+	}
+	isNewer := !isKnown || n.AfterLift > known.AfterLift
 	if k.Kind == Leaving {
-		return !isKnown
+		return isNewer
 	}
 	until := v.pausedUntil[k.EndpointStart]
-	if until.Before(now) {
+	if until.Before(now) || n.AfterLift > lift { // Other pauses are covered by a lift that has not arrived yet.
 		until = now
 	}
-	return (!isKnown || n.Number > known.Number) && n.Until.Sub(until) > extension
+	return (isNewer || n.Number > known.Number) && n.Until.Sub(until) > extension
 }
 
 // WithoutEnded returns the view without the notices that need not be kept any more.
@@ -163,8 +181,11 @@
 
 // isOver reports whether a notice need not be kept any more.
 func isOver(k Key, n Notice, now time.Time, isListed func(afengine.EndpointStart) bool) bool {
-	if k.Kind == Pause {
+	switch k.Kind {
+	case Pause:
 		return now.Sub(n.Until) >= endedPauseTime
+	case PauseLift:
+		return now.Sub(n.HeardAt) >= pauseLiftTime
 	}
 	return now.Sub(n.HeardAt) >= unlistedTimeout && isListed != nil && !isListed(k.EndpointStart)
 }
@@ -175,7 +196,7 @@
 		return
 	}
 	leastNeededFirst := slices.SortedFunc(maps.Keys(v.notices), func(a, b Key) int {
-		return cmp.Or(cmp.Compare(b.Kind, a.Kind), v.notices[a].HeardAt.Compare(v.notices[b].HeardAt))
+		return cmp.Or(cmp.Compare(a.Kind.dropOrder(), b.Kind.dropOrder()), v.notices[a].HeardAt.Compare(v.notices[b].HeardAt))
 	})
 	for _, k := range leastNeededFirst[:len(leastNeededFirst)-maxNotices] {
 		delete(v.notices, k)
