afgateway: take no time of a slow caller for an endpoint's silence

Cause: a caller that does not read blocks the write of an event. The watchdog took that time for a silence of the endpoint and started a standby. After the standby had won, the watchdog's timer went on while the write was blocked, and overwrote the winner with a search for the next one; the winner was counted nowhere and never released.

Change: the watchdog starts nothing once a replacement is known, nor while an event is being written, and the time after the write counts as the start of the next interval.

--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -325,8 +325,10 @@
 			}
 			p.relayedEvents++
 		}
-		w.setPosition(p.position, p.relayedEvents)
-		if !p.writePart(event.raw) {
+		w.beginWrite(p.position, p.relayedEvents)
+		isWritten := p.writePart(event.raw)
+		w.endWrite()
+		if !isWritten {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
 		}
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -60,6 +60,8 @@
 	// relayedEvents is the number of events of the stream that were relayed, up to position.
 	relayedEvents int
 	position      streamPosition
+	// isWriting means that an event is being written to the caller, so that nothing is read from the endpoint.
+	isWriting bool
 	// standby is the attempt at an endpoint that may take the place of the silent one of a stream that has begun, or nil.
 	standby *standby
 	// endedStandbys are those that were sent and took no place.
@@ -100,12 +102,14 @@
 // the timer.
 func (w *idleWatchdog) checkProgress(now time.Time) {
 	w.mu.Lock()
-	if w.stopped {
+	if w.stopped || w.replacement != nil {
 		w.mu.Unlock()
 		return
 	}
 	remaining := w.timeout - now.Sub(w.progressAt)
-	if remaining <= 0 {
+	if w.isWriting {
+		remaining = w.timeout
+	} else if remaining <= 0 {
 		if w.replacement = w.tryAnother(); w.replacement == nil {
 			remaining = replacementRetryDelay
 		}
@@ -160,11 +164,18 @@
 	return n, err
 }
 
-// setPosition sets how far the stream to the caller has come.
-func (w *idleWatchdog) setPosition(position streamPosition, relayedEvents int) {
+// beginWrite sets how far the stream to the caller has come with an event that is about to be written.
+func (w *idleWatchdog) beginWrite(position streamPosition, relayedEvents int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.position, w.relayedEvents = position, relayedEvents
+	w.position, w.relayedEvents, w.isWriting = position, relayedEvents, true
+}
+
+// endWrite records that the caller has taken an event. The time for which it did not read is not a silence of the endpoint.
+func (w *idleWatchdog) endWrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isWriting, w.progressAt = false, w.request.server.Timer.Now()
 }
 
 // cannotContinue reports whether no endpoint can continue what was relayed, so that the attempt must not be left. The caller holds
