afgateway: return the retry of a standby only if it was not sent

Seen in review, read and shown by a trial: a standby that was refused with 503 just before the silent endpoint went on gave its retry back to the budget although it had been sent. With a pause of 300 ms put in at that point, a budget of one repeat gave two sends. The window is microseconds in practice. The reverse was read in the code: a standby whose dial was cancelled by the caller's leave could keep its retry.

Cause: the retry was returned whenever the standby was dropped and the request had not run, which a refusal says too.

Change: an attempt that ended before its endpoint was connected says so, and only such a standby returns its retry.

It has no test here, since it needs the pause inside the gateway.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -29,6 +29,8 @@
 	responseEnded bool
 	// notRun means that the endpoint cannot have run the request or reported that it did not.
 	notRun bool
+	// isUnsent means that the context ended before the endpoint was connected.
+	isUnsent bool
 	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
 	timedOut bool
 	// replacement is the endpoint that takes the place of one that timed out, or nil.
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -133,7 +133,11 @@
 	} else {
 		endpoint.request.End(health)
 	}
-	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: timedOut, brokenOff: health == afroster.HealthFailure && !timedOut && mayHaveReachedEndpoint(err), cause: cause}
+	notRun := !mayHaveReachedEndpoint(err)
+	return attemptResult{
+		notRun: notRun, isUnsent: notRun && ctx.Err() != nil, timedOut: timedOut,
+		brokenOff: health == afroster.HealthFailure && !timedOut && !notRun, cause: cause,
+	}
 }
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
--- a/internal/afgateway/standby.go
+++ b/internal/afgateway/standby.go
@@ -91,7 +91,7 @@
 		result = attemptResult{progress: progressHead, cause: errWentOn.Error()}
 	}
 	b.cancel(nil)
-	if !isSent || b.isDropped && result.notRun {
+	if !isSent {
 		r.release()
 		return
 	}
@@ -110,7 +110,7 @@
 	}
 	answer, result = p.requestAnswer(ctx, endpoint, lastEventID)
 	if answer == nil || p.isStreamAnswer(answer) {
-		return answer, result, true
+		return answer, result, !result.isUnsent
 	}
 	status := answer.response.StatusCode
 	health := healthResult(status < http.StatusInternalServerError)
