afgateway: leave a standby that is silent too

Cause: only the deadline of the request bounded a standby, where the endpoint that took the place of a silent one had a watchdog of its own.

Change: a standby without an answer after the time that a stream's first event may take is left, its silence counts against its endpoint, and another one is asked. It is kept if the request may not run once more or if no other endpoint serves it.

Known limits: the budget is not asked before it is left, and the time includes the wait for a slot.

--- a/internal/afgateway/standby.go
+++ b/internal/afgateway/standby.go
@@ -38,22 +38,22 @@
 	result   attemptResult
 }
 
-// mayTryAnother reports whether the request may run at another endpoint beside that of the attempt. The caller holds mu.
-func (w *idleWatchdog) mayTryAnother() bool {
+// mayRunAt reports whether the request may run at a number of other endpoints beside that of the attempt. The caller holds mu.
+func (w *idleWatchdog) mayRunAt(others int) bool {
 	p := w.request
-	runs := p.possibleRuns + 1
+	runs := p.possibleRuns + others
 	for _, b := range w.endedStandbys {
 		if !b.result.notRun {
 			runs++
 		}
 	}
-	return p.route.IsRepeatable() && runs < p.route.MaxAttempts && p.attempts+len(w.endedStandbys) < maxTotalAttempts
+	return p.route.IsRepeatable() && runs < p.route.MaxAttempts && p.attempts+len(w.endedStandbys)+others <= maxTotalAttempts
 }
 
 // tryAnother returns an endpoint that takes the place of the silent one, or nil. For a stream that has begun, it starts a standby
 // instead. The caller holds mu.
 func (w *idleWatchdog) tryAnother() *replacement {
-	if w.standby != nil || !w.mayTryAnother() {
+	if w.standby != nil || !w.mayRunAt(1) {
 		return nil
 	}
 	r := w.findReplacement()
@@ -62,16 +62,20 @@
 	}
 	ctx, cancel := context.WithCancelCause(w.requestCtx)
 	w.standby = &standby{cancel: cancel, done: make(chan struct{})}
-	go w.runStandby(ctx, w.standby, r, w.position.lastEventID, w.request.maxWait())
+	go w.runStandby(ctx, w.standby, r, w.position.lastEventID, w.request.maxWait(), w.mayRunAt(2))
 	return nil
 }
 
 // runStandby sends the request to the endpoint of r and makes r the replacement when its answer begins, unless the silent endpoint
-// has gone on before.
-func (w *idleWatchdog) runStandby(ctx context.Context, b *standby, r *replacement, lastEventID string, maxSlotWait time.Duration) {
+// has gone on before. MayLeave means that the request may run at one more endpoint, so that r is left if it is silent too.
+func (w *idleWatchdog) runStandby(ctx context.Context, b *standby, r *replacement, lastEventID string, maxSlotWait time.Duration, mayLeave bool) {
 	defer close(b.done)
 	p := w.request
 	defer p.server.cancelAfter(p.timeLeft(), b.cancel, errDeadline)()
+	if mayLeave {
+		timer := p.server.Timer.CallAfter(p.firstEventTimeout(), func(time.Time) { w.leaveStandby(b, r) })
+		defer timer.Stop()
+	}
 	answer, result, isSent := p.openStandby(ctx, r.endpoint, lastEventID, maxSlotWait)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -150,3 +154,15 @@
 		a.close()
 	}
 }
+
+// leaveStandby ends a standby whose endpoint is silent if another endpoint can serve the request.
+func (w *idleWatchdog) leaveStandby(b *standby, r *replacement) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	excluded := maps.Clone(w.excluded)
+	excluded[r.endpoint.ID] = true
+	if w.standby == b && !b.isDropped && w.request.hasOtherEndpoint(excluded) {
+		r.endpoint.request.RecordSilence()
+		b.cancel(errIdleTimeout)
+	}
+}
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -80,12 +80,12 @@
 	}
 	maps.Copy(w.excluded, excluded)
 	maps.Copy(w.timedOut, p.timedOutEndpoints)
-	if !w.mayTryAnother() {
+	if !w.mayRunAt(1) {
 		return w
 	}
 	w.timeout = max(responseTimeoutFactor*p.route.TargetLatency, minResponseTimeout)
 	if isStream(p.route) {
-		w.timeout = max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
+		w.timeout = p.firstEventTimeout()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -93,6 +93,11 @@
 	return w
 }
 
+// firstEventTimeout is how long a stream's first event may take before another endpoint is tried.
+func (p *proxiedRequest) firstEventTimeout() time.Duration {
+	return max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
+}
+
 // startTimer starts the timer for the next check. The caller holds mu.
 func (w *idleWatchdog) startTimer(delay time.Duration) {
 	w.timer = w.request.server.Timer.CallAfter(delay, w.checkProgress)
