Revert the standby for silent streams

Cause: the watchdog of one attempt cannot also be that of a second one; each mend added a rule of the second attempt to the first.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -29,16 +29,12 @@
 	responseEnded bool
 	// notRun means that the endpoint cannot have run the request or reported that it did not.
 	notRun bool
-	// isUnsent means that the context ended before the endpoint was connected.
-	isUnsent bool
 	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
 	timedOut bool
 	// replacement is the endpoint that takes the place of one that timed out, or nil.
 	replacement *replacement
 	// brokenOff means that the endpoint ended the connection before its answer was complete.
 	brokenOff bool
-	// namedLimit is the limit that the endpoint named in its refusal, in requests a second, or 0.
-	namedLimit float64
 	// progress is how far the endpoint's answer had come.
 	progress answerProgress
 	// cause is the cause of a failed attempt.
@@ -58,7 +54,7 @@
 	var next *replacement // next is the endpoint that took the place of a silent one.
 	for {
 		endpoint, refusal := p.nextEndpoint(ctx, next, excluded)
-		isReplacement, answer := next != nil, next.takeAnswer()
+		isReplacement := next != nil
 		hasRetry, next = hasRetry || isReplacement, nil
 		if refusal != nil {
 			if ctx.Err() != nil {
@@ -68,14 +64,9 @@
 		}
 		if ctx.Err() != nil {
 			endpoint.request.End(afroster.HealthUnaffected)
-			answer.abandon()
 			return p.endCancelled(ctx)
 		}
-		slot := slotTaken
-		if answer == nil {
-			slot = p.waitForSlot(ctx, endpoint.Endpoint)
-		}
-		switch slot {
+		switch p.waitForSlot(ctx, endpoint.Endpoint) {
 		case slotAborted:
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.endCancelled(ctx)
@@ -93,12 +84,12 @@
 		case slotTaken:
 		}
 		// The prompt may have been quarantined during the waits above.
-		if refusal := p.refuseQuarantined(); refusal != nil && answer == nil {
+		if refusal := p.refuseQuarantined(); refusal != nil {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
 		// The endpoint may have said during the waits above that it leaves or wants a pause.
-		if answer == nil && !s.takesRequests(endpoint.Endpoint) {
+		if !s.takesRequests(endpoint.Endpoint) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			continue
 		}
@@ -107,10 +98,9 @@
 			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
 		}
 		p.attempts++
-		attempt := p.attempts // Standbys are counted before the end of the attempt.
 		hasRetry = false
 		p.lastEndpoint = endpoint.ID
-		result := p.attemptEndpoint(ctx, endpoint, answer, excluded)
+		result := p.attemptEndpoint(ctx, endpoint, excluded)
 		switch {
 		case result.responseEnded:
 			return nil
@@ -119,7 +109,9 @@
 			return p.endCancelled(ctx)
 		}
 		cause = result.cause
-		p.logFailedAttempt(endpoint.Endpoint, attempt, p.relayedEvents, result)
+		s.Log.Info("attempt failed", "request", p.headers.RequestID, "endpoint", endpoint.ID, "attempt", p.attempts, "cause", result.cause,
+			"not_run", result.notRun, "progress", result.progress.String(), "events", p.relayedEvents, "parts", formatSharedParts(p.headers), "left", p.timeLeft())
+		s.Metrics.countFailedAttempt(result)
 		if !result.notRun {
 			p.possibleRuns++
 		}
@@ -151,14 +143,6 @@
 	}
 }
 
-// logFailedAttempt logs and counts an attempt that did not answer the request, after which the caller had a number of events.
-func (p *proxiedRequest) logFailedAttempt(endpoint afroster.Endpoint, attempt, events int, result attemptResult) {
-	s := p.server
-	s.Log.Info("attempt failed", "request", p.headers.RequestID, "endpoint", endpoint.ID, "attempt", attempt, "cause", result.cause,
-		"not_run", result.notRun, "progress", result.progress.String(), "events", events, "parts", formatSharedParts(p.headers), "left", p.timeLeft())
-	s.Metrics.countFailedAttempt(result)
-}
-
 // nextEndpoint returns the endpoint that took the place of a silent one, or waits for an endpoint.
 func (p *proxiedRequest) nextEndpoint(ctx context.Context, next *replacement, excluded map[string]bool) (acquiredEndpoint, *arbutusfork.Refusal) {
 	if next != nil {
--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -80,12 +80,6 @@
 	return ex, nil
 }
 
-// bindTo makes the end of ctx close the connection, instead of the end of the context with which it was opened.
-func (ex *exchange) bindTo(ctx context.Context) {
-	ex.stopCancelWatch()
-	ex.stopCancelWatch = context.AfterFunc(ctx, func() { _ = ex.conn.Close() })
-}
-
 // readResponseHead reads the head of the response and skips interim (1xx) responses.
 func (ex *exchange) readResponseHead(r *http.Request) (*http.Response, error) {
 	const maxInterimResponses = 5
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -26,18 +26,16 @@
 	errStopping    = errors.New("the server is stopping")
 )
 
-// attemptEndpoint sends the request to one endpoint, unless its answer is open already, and relays its response. If the endpoint is
-// silent for too long, the result contains the endpoint that takes its place.
-func (p *proxiedRequest) attemptEndpoint(requestCtx context.Context, endpoint acquiredEndpoint, answer *openAnswer, excluded map[string]bool) attemptResult {
-	ctx, cancel := context.WithCancelCause(requestCtx)
+// attemptEndpoint sends the request to one endpoint and relays its response. If the endpoint is silent for too long, the result
+// contains the endpoint that takes its place.
+func (p *proxiedRequest) attemptEndpoint(ctx context.Context, endpoint acquiredEndpoint, excluded map[string]bool) attemptResult {
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer p.server.cancelAfter(p.timeLeft(), cancel, errDeadline)()
-	watchdog := p.startWatchdog(requestCtx, endpoint, excluded, cancel)
-	result := p.exchangeWith(ctx, endpoint, answer, watchdog)
-	// If the endpoint has failed, the one that was to take its place is the only one left.
-	replacement := watchdog.stop(!result.responseEnded && requestCtx.Err() == nil)
-	p.countStandbys(watchdog, excluded)
-	if result.timedOut || replacement.hasAnswer() && !result.responseEnded {
+	watchdog := p.startWatchdog(endpoint, excluded, cancel)
+	result := p.exchangeWith(ctx, endpoint, watchdog)
+	replacement := watchdog.stop()
+	if result.timedOut {
 		result.replacement = replacement
 	} else {
 		replacement.release()
@@ -45,72 +43,43 @@
 	return result
 }
 
-// openAnswer is an answer whose head has arrived.
-type openAnswer struct {
-	*exchange
-	headers ResponseHeaders
-}
-
-// isStreamAnswer reports whether an answer is the stream that the route asks for.
-func (p *proxiedRequest) isStreamAnswer(answer *openAnswer) bool {
-	return isStream(p.route) && answer.response.StatusCode == http.StatusOK && strings.HasPrefix(answer.response.Header.Get("Content-Type"), "text/event-stream")
-}
-
-// requestAnswer sends the request to an endpoint, for the events after one with an ID, and reads the head of the answer. If the
-// endpoint fails or refuses, it ends the attempt and returns its result without an answer. It changes no field of the request.
-func (p *proxiedRequest) requestAnswer(ctx context.Context, endpoint acquiredEndpoint, lastEventID string) (*openAnswer, attemptResult) {
+// exchangeWith sends the request to one endpoint and relays its response until the context ends.
+func (p *proxiedRequest) exchangeWith(ctx context.Context, endpoint acquiredEndpoint, watchdog *idleWatchdog) attemptResult {
 	s := p.server
 	h := s.HeaderCodec.BuildForwarded(p.r.Header, ForwardedHeaders{
 		EndpointID: endpoint.ID, Timeout: p.timeLeft(), Customer: p.customer.Name, Priority: min(max(p.priority, 0), priorityLevels-1),
-		HasPriority: p.service.Engine != nil, LastEventID: lastEventID, RequestID: p.headers.RequestID,
+		HasPriority: p.service.Engine != nil, LastEventID: p.position.lastEventID, RequestID: p.headers.RequestID,
 	})
 	ex, err := s.openExchange(ctx, endpoint.Address, p.r, h, p.body)
 	if err != nil {
-		return nil, p.classifyFailure(ctx, endpoint, err)
+		return p.classifyFailure(ctx, endpoint, err)
 	}
+	defer ex.close()
 	headers := s.HeaderCodec.ParseResponse(ex.response.StatusCode, ex.response.Header)
 	s.recordStatement(endpoint.Endpoint, headers.Said)
 	if headers.RequestID != "" && headers.RequestID != p.headers.RequestID {
-		ex.close()
 		endpoint.request.End(afroster.HealthFailure)
-		return nil, attemptResult{cause: "answer to another request"}
+		return attemptResult{cause: "answer to another request"}
 	}
+	p.namedLimit = headers.Limit
 	s.Metrics.countLimit(headers.Limit)
 	if s.EndpointLimits.RecordAnswer != nil {
 		s.EndpointLimits.RecordAnswer(endpointStart(endpoint.Endpoint), headers.Limit)
 	}
-	if !headers.NotRun {
-		return &openAnswer{ex, headers}, attemptResult{}
-	}
-	ex.close()
-	endpoint.request.End(afroster.HealthUnaffected)
-	result := attemptResult{notRun: true, namedLimit: headers.Limit, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run"}
-	if headers.RequestID == "" {
+	switch {
+	case headers.NotRun && headers.RequestID == "":
 		// It may be the second copy of the refusal of another request.
-		result.notRun, result.progress, result.cause = false, progressHead, result.cause+", without the request's ID"
-	}
-	return nil, result
-}
-
-// exchangeWith sends the request to one endpoint, unless its answer is open already, and relays its response until the context ends.
-func (p *proxiedRequest) exchangeWith(ctx context.Context, endpoint acquiredEndpoint, answer *openAnswer, watchdog *idleWatchdog) attemptResult {
-	if answer == nil {
-		var result attemptResult
-		if answer, result = p.requestAnswer(ctx, endpoint, p.position.lastEventID); answer == nil {
-			p.namedLimit = result.namedLimit
-			return result
-		}
-	} else {
-		answer.bindTo(ctx)
-	}
-	defer answer.close()
-	p.namedLimit = answer.headers.Limit
-	ex := answer.exchange
-	if p.isStreamAnswer(answer) {
+		endpoint.request.End(afroster.HealthUnaffected)
+		return attemptResult{progress: progressHead, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run, without the request's ID"}
+	case headers.NotRun:
+		endpoint.request.End(afroster.HealthUnaffected)
+		return attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(ex.response.StatusCode) + ", not run"}
+	case isStream(p.route) && ex.response.StatusCode == http.StatusOK &&
+		strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream"):
 		return p.relayStream(ctx, endpoint, ex, watchdog)
 	}
 	ex.response.Body = bodyReader{ex.response.Body, watchdog}
-	result := p.relayBuffered(ctx, endpoint, ex, answer.headers.Said.Pause > 0, watchdog)
+	result := p.relayBuffered(ctx, endpoint, ex, headers.Said.Pause > 0, watchdog)
 	result.progress = max(result.progress, progressHead)
 	return result
 }
@@ -133,11 +102,7 @@
 	} else {
 		endpoint.request.End(health)
 	}
-	notRun := !mayHaveReachedEndpoint(err)
-	return attemptResult{
-		notRun: notRun, isUnsent: notRun && ctx.Err() != nil, timedOut: timedOut,
-		brokenOff: health == afroster.HealthFailure && !timedOut && !notRun, cause: cause,
-	}
+	return attemptResult{notRun: !mayHaveReachedEndpoint(err), timedOut: timedOut, brokenOff: health == afroster.HealthFailure && !timedOut && mayHaveReachedEndpoint(err), cause: cause}
 }
 
 // relayBuffered relays a response that is not a stream. It is received in full first, so that a request that may be
@@ -153,7 +118,7 @@
 		p.recordAnswer(p.server.Timer.Now())
 	}
 	if !isWhole {
-		if w.stop(false) != nil {
+		if w.stop() != nil {
 			w.cancel(errIdleTimeout) // The watchdog may not have come to it.
 			return p.classifyFailure(ctx, endpoint, errIdleTimeout)
 		}
@@ -296,13 +261,7 @@
 		}
 		interval := time.Duration(0)
 		if event.hasContent {
-			var isLeft bool
-			if interval, isLeft = w.recordProgress(); isLeft {
-				w.cancel(errIdleTimeout) // The watchdog may not have come to it.
-				result := p.classifyFailure(ctx, endpoint, errIdleTimeout)
-				result.progress = streamProgress(events)
-				return result
-			}
+			interval = w.recordProgress()
 		}
 		if isContinuation && events == 0 && !event.hasContent {
 			continue // Nothing shows yet that the endpoint continues the stream.
@@ -329,10 +288,8 @@
 			}
 			p.relayedEvents++
 		}
-		w.beginWrite(p.position, p.relayedEvents)
-		isWritten := p.writePart(event.raw)
-		w.endWrite()
-		if !isWritten {
+		w.setContinuable(p.relayedEvents == 0 || p.position.canBeContinued())
+		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
 		}
--- a/internal/afgateway/slot.go
+++ b/internal/afgateway/slot.go
@@ -56,32 +56,26 @@
 
 // waitForSlot takes a slot of the endpoint, if the endpoint is limited, and waits for it.
 func (p *proxiedRequest) waitForSlot(ctx context.Context, endpoint afroster.Endpoint) slotResult {
-	result, wait := p.takeSlot(ctx, endpoint, p.maxWait())
-	p.waitTime += wait
-	return result
-}
-
-// takeSlot takes a slot of the endpoint, if the endpoint is limited, and waits for it. It returns how long it was to wait.
-func (p *proxiedRequest) takeSlot(ctx context.Context, endpoint afroster.Endpoint, maxWait time.Duration) (slotResult, time.Duration) {
 	s := p.server
 	if s.EndpointLimits.TakeSlot == nil {
-		return slotTaken, 0
+		return slotTaken
 	}
-	wait, isGranted := s.EndpointLimits.TakeSlot(ctx, endpointStart(endpoint), maxWait)
+	wait, isGranted := s.EndpointLimits.TakeSlot(ctx, endpointStart(endpoint), p.maxWait())
 	if !isGranted {
-		return slotDenied, 0
+		return slotDenied
 	}
 	if wait <= 0 {
-		return slotTaken, 0
+		return slotTaken
 	}
+	p.waitTime += wait
 	defer s.queue.addSlotWaiter(&waitingRequest{model: p.headers.Model, adapter: p.headers.Adapter, arrivedAt: p.arrivedAt, targetLatency: p.route.TargetLatency})()
 	if !s.Timer.Sleep(ctx, wait) {
-		return slotAborted, wait
+		return slotAborted
 	}
 	if !s.isServing(endpoint) {
-		return slotDenied, wait
+		return slotDenied
 	}
-	return slotTaken, wait
+	return slotTaken
 }
 
 // refuseWithoutSlot returns the refusal of a request for which no slot was free, with the time until one may be free.
--- a/internal/afgateway/watchdog.go
+++ b/internal/afgateway/watchdog.go
@@ -39,10 +39,7 @@
 type idleWatchdog struct {
 	request  *proxiedRequest
 	endpoint acquiredEndpoint
-	// requestCtx is the context of the request, which lasts longer than the attempt.
-	requestCtx context.Context
-	// excluded holds the endpoints that cannot take the request, including the one of the attempt. The map is replaced and not
-	// changed, since the queue may read it.
+	// excluded holds the endpoints that cannot take the request, including the one of the attempt. It does not change.
 	excluded map[string]bool
 	// timedOut holds those of excluded that were silent. It does not change.
 	timedOut map[string]bool
@@ -51,21 +48,12 @@
 	mu sync.Mutex
 	// progressAt is the time of the latest event, or the start of the attempt.
 	progressAt time.Time
-	// silenceRecordedAt is progressAt at the latest silence that counted against the endpoint.
-	silenceRecordedAt time.Time
 	// timeout is the longest allowed time without an event or response.
 	timeout time.Duration
 	timer   *aftimer.Subscription
 	stopped bool
-	// relayedEvents is the number of events of the stream that were relayed, up to position.
-	relayedEvents int
-	position      streamPosition
-	// isWriting means that an event is being written to the caller, so that nothing is read from the endpoint.
-	isWriting bool
-	// standby is the attempt at an endpoint that may take the place of the silent one of a stream that has begun, or nil.
-	standby *standby
-	// endedStandbys are those that were sent and took no place.
-	endedStandbys []endedStandby
+	// cannotContinue means that no endpoint can continue what was relayed, so that the attempt must not be left.
+	cannotContinue bool
 	// waiting is in the queue while the endpoint is silent and no other one has room. It is nil before.
 	waiting *waitingRequest
 	// replacement is the endpoint that takes the place of the silent one, or nil.
@@ -73,19 +61,16 @@
 }
 
 // startWatchdog returns the watchdog of an attempt. The watchdog has no timer if the request may not be retried.
-func (p *proxiedRequest) startWatchdog(requestCtx context.Context, endpoint acquiredEndpoint, excluded map[string]bool, cancel context.CancelCauseFunc) *idleWatchdog {
-	w := &idleWatchdog{
-		request: p, endpoint: endpoint, requestCtx: requestCtx, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true},
-		timedOut: map[string]bool{endpoint.ID: true}, relayedEvents: p.relayedEvents, position: p.position,
-	}
+func (p *proxiedRequest) startWatchdog(endpoint acquiredEndpoint, excluded map[string]bool, cancel context.CancelCauseFunc) *idleWatchdog {
+	w := &idleWatchdog{request: p, endpoint: endpoint, cancel: cancel, progressAt: p.server.Timer.Now(), excluded: map[string]bool{endpoint.ID: true}, timedOut: map[string]bool{endpoint.ID: true}}
 	maps.Copy(w.excluded, excluded)
 	maps.Copy(w.timedOut, p.timedOutEndpoints)
-	if !w.mayRunAt(1) {
+	if !p.route.IsRepeatable() || p.possibleRuns+1 >= p.route.MaxAttempts || p.attempts >= maxTotalAttempts {
 		return w
 	}
 	w.timeout = max(responseTimeoutFactor*p.route.TargetLatency, minResponseTimeout)
 	if isStream(p.route) {
-		w.timeout = p.firstEventTimeout()
+		w.timeout = max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -93,11 +78,6 @@
 	return w
 }
 
-// firstEventTimeout is how long a stream's first event may take before another endpoint is tried.
-func (p *proxiedRequest) firstEventTimeout() time.Duration {
-	return max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout)
-}
-
 // startTimer starts the timer for the next check. The caller holds mu.
 func (w *idleWatchdog) startTimer(delay time.Duration) {
 	w.timer = w.request.server.Timer.CallAfter(delay, w.checkProgress)
@@ -107,15 +87,13 @@
 // the timer.
 func (w *idleWatchdog) checkProgress(now time.Time) {
 	w.mu.Lock()
-	if w.stopped || w.replacement != nil {
+	if w.stopped {
 		w.mu.Unlock()
 		return
 	}
 	remaining := w.timeout - now.Sub(w.progressAt)
-	if w.isWriting {
-		remaining = w.timeout
-	} else if remaining <= 0 {
-		if w.replacement = w.tryAnother(); w.replacement == nil {
+	if remaining <= 0 {
+		if w.replacement = w.findReplacement(); w.replacement == nil {
 			remaining = replacementRetryDelay
 		}
 	}
@@ -129,21 +107,16 @@
 }
 
 // recordProgress records an event and returns the time since the previous event or the start of the attempt. After the
-// first event, the timeout applies to the time between two events. IsLeft means that another endpoint has taken the place, so that
-// the event must not be relayed.
-func (w *idleWatchdog) recordProgress() (interval time.Duration, isLeft bool) {
+// first event, the timeout applies to the time between two events.
+func (w *idleWatchdog) recordProgress() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.replacement != nil {
-		return 0, true
-	}
 	w.leaveQueue()
-	w.standby.drop()
 	now := w.request.server.Timer.Now()
-	interval = now.Sub(w.progressAt)
+	interval := now.Sub(w.progressAt)
 	w.progressAt = now
 	w.timeout = max(eventTimeoutFactor*w.request.route.TargetEventInterval, minEventTimeout)
-	return interval, false
+	return interval
 }
 
 // recordBytes records that a part of a body has arrived.
@@ -151,7 +124,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leaveQueue()
-	w.standby.drop()
 	w.progressAt = w.request.server.Timer.Now()
 }
 
@@ -169,45 +141,22 @@
 	return n, err
 }
 
-// beginWrite sets how far the stream to the caller has come with an event that is about to be written.
-func (w *idleWatchdog) beginWrite(position streamPosition, relayedEvents int) {
+// setContinuable sets whether another endpoint can continue what was relayed.
+func (w *idleWatchdog) setContinuable(canContinue bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.position, w.relayedEvents, w.isWriting = position, relayedEvents, true
+	w.cannotContinue = !canContinue
 }
 
-// endWrite records that the caller has taken an event. The time for which it did not read is not a silence of the endpoint.
-func (w *idleWatchdog) endWrite() {
+// stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil.
+func (w *idleWatchdog) stop() *replacement {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isWriting, w.progressAt = false, w.request.server.Timer.Now()
-}
-
-// cannotContinue reports whether no endpoint can continue what was relayed, so that the attempt must not be left. The caller holds
-// mu.
-func (w *idleWatchdog) cannotContinue() bool {
-	return w.relayedEvents > 0 && !w.position.canBeContinued()
-}
-
-// stop stops the timer and returns the endpoint that was to take the place of the silent one, or nil. It waits for the end of a
-// standby, which it drops unless keepsStandby is set.
-func (w *idleWatchdog) stop(keepsStandby bool) *replacement {
-	w.mu.Lock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 	w.leaveQueue()
-	if !keepsStandby {
-		w.standby.drop()
-	}
-	standby := w.standby
-	w.mu.Unlock()
-	if standby != nil {
-		<-standby.done
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	return w.replacement
 }
 
@@ -215,24 +164,19 @@
 // its own time of arrival, so that later requests do not get each place that becomes free. The caller holds mu.
 func (w *idleWatchdog) findReplacement() *replacement {
 	p := w.request
-	if w.cannotContinue() || p.refuseQuarantined() != nil {
+	if w.cannotContinue || p.refuseQuarantined() != nil {
 		w.leaveQueue()
 		return nil
 	}
 	q := &p.server.queue
 	if w.waiting == nil {
-		if !w.silenceRecordedAt.Equal(w.progressAt) && p.hasOtherEndpoint(w.timedOut) {
+		if p.hasOtherEndpoint(w.timedOut) {
 			w.endpoint.request.RecordSilence()
-			w.silenceRecordedAt = w.progressAt
-		}
-		timedOut := w.timedOut
-		if p.attempts+len(w.endedStandbys)+1 >= maxTotalAttempts {
-			timedOut = w.excluded // The last attempt is not for an endpoint that failed before.
 		}
 		waiting := &waitingRequest{
 			service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
 			acquired: make(chan acquiredEndpoint, 1), isReplacement: true, silentEndpoint: w.endpoint.ID,
-			pickEndpoint: p.replacementPicker(w.excluded, timedOut, w.progressAt),
+			pickEndpoint: p.replacementPicker(w.excluded, w.timedOut, w.progressAt),
 		}
 		if e, ok := q.acquireOrAdd(waiting); ok {
 			return &replacement{request: p, endpoint: e}
@@ -264,8 +208,6 @@
 type replacement struct {
 	request  *proxiedRequest
 	endpoint acquiredEndpoint
-	// answer is the endpoint's answer if the request was sent already, or nil.
-	answer *openAnswer
 }
 
 // replacementPicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
@@ -303,15 +245,10 @@
 	return slices.ContainsFunc(p.server.findCandidates(p.service, p.headers.Model, p.headers.Adapter).Endpoints, func(e afroster.Endpoint) bool { return !excluded[e.ID] })
 }
 
-// release gives the endpoint up, and the retry unless it was sent.
+// release gives the endpoint and the retry up.
 func (r *replacement) release() {
-	if r == nil {
-		return
-	}
-	r.endpoint.request.End(afroster.HealthUnaffected)
-	if r.answer != nil {
-		r.answer.abandon()
-		return
+	if r != nil {
+		r.endpoint.request.End(afroster.HealthUnaffected)
+		r.request.server.returnRetry(r.request.service.Name)
 	}
-	r.request.server.returnRetry(r.request.service.Name)
 }
