afnotice: keep a shorter pause that was stated after a lift

Seen in review, shown by a test: an endpoint states a pause of an hour, an operator lifts it, the endpoint states one of 10 s. A VM that learns of the short pause, then the long one, then the lift ends without any pause and sends requests to the endpoint until the next comparison with another VM; the other five orders are right.

Cause: pauses of one VM are ordered by their ends, so that the long one took the place of the short one although it was stated before a lift that the short one already counted.

Change: a notice with a lower number of lifts than the known one never takes its place.

Not mended: a VM that hears a shorter pause after a lift of which it has not learnt yet does not keep it; the next refusal states it again (read).

--- a/pkg/afnotice/lift_test.go
+++ b/pkg/afnotice/lift_test.go
@@ -10,6 +10,21 @@
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 )
 
+// Guards against a pause of before a lift that takes the place of a shorter one of after it.
+func TestShorterPauseAfterLiftIsKept(t *testing.T) {
+	a, long := View{}.WithStatement(first, Statement{Pause: time.Hour}, "a", begin)
+	a, lift := a.WithLift(first, Pause, "a", begin.Add(time.Second))
+	_, short := a.WithStatement(first, Statement{Pause: 10 * time.Second}, "a", begin.Add(2*time.Second))
+	for _, order := range [][]map[Key]Notice{{long, lift, short}, {long, short, lift}, {lift, long, short}, {lift, short, long}, {short, long, lift}, {short, lift, long}} {
+		var v View
+		for _, received := range order {
+			v, _ = v.WithNotices(received, begin.Add(3*time.Second), nil)
+		}
+		until, _ := v.PausedUntil(first, begin.Add(3*time.Second))
+		require.Equal(t, begin.Add(12*time.Second), until)
+	}
+}
+
 // Guards against a lifted notice that an old answer, arriving late from another VM, brings back, against a lift that ends what an
 // endpoint says later, and against VMs that differ after they have heard the same things in another order.
 func TestLiftCoversWhatWasSaidBefore(t *testing.T) {
--- a/pkg/afnotice/view.go
+++ b/pkg/afnotice/view.go
@@ -149,7 +149,7 @@
 func (v View) saysMore(k Key, n Notice, now time.Time, extension time.Duration) bool {
 	known, isKnown := v.notices[k]
 	lift := v.liftNumber(k.EndpointStart, k.Kind)
-	if n.AfterLift < lift {
+	if n.AfterLift < max(lift, known.AfterLift) { // A lift that has not arrived yet may cover it too.
 		return false
 	}
 	isNewer := !isKnown || n.AfterLift > known.AfterLift
