--- a/review/_kit/fleet.go
+++ b/review/_kit/fleet.go
@@ -221,7 +221,7 @@
 	return false
 }
 
-// memoryMB returns the resident memory of the gateway's process.
+// memoryMB returns the memory of the gateway's process, without that of mapped files.
 func (g *gateway) memoryMB() int {
 	g.mu.Lock()
 	pid := g.cmd.Process.Pid
@@ -231,7 +231,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(raw)) {
-		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if v, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(v)[0])
 			return kb / 1024
 		}
--- a/review/_kit/plain.go
+++ b/review/_kit/plain.go
@@ -17,19 +17,13 @@
 	// onRun is called for each request that begins to run.
 	onRun func(r *plainRunner, id string, req *http.Request)
 
-	mu      sync.Mutex
-	leaving bool
-	ran     map[string]int
+	mu  sync.Mutex
+	ran map[string]int
 }
 
 func (r *plainRunner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Arbutusfork-Request-Id")
 	w.Header().Set("X-Arbutusfork-Request-Id", id)
-	r.mu.Lock()
-	if r.leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	r.mu.Unlock()
 	if req.Header.Get("X-Arbutusfork-Expect-Instance") != r.id {
 		w.Header().Set("X-Arbutusfork-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/_kit/engine.go
+++ b/review/_kit/stream.go
@@ -15,18 +15,6 @@
 	eventPause   = 100 * time.Millisecond
 )
 
-// engineConfig is a configuration with one service of engines.
-func engineConfig(version int, routes ...any) map[string]any {
-	c := plainConfig(version, nil, routes...)
-	c["services"] = []any{map[string]any{
-		"name": "llm", "health-check": "/health", "max-connections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-			"slots": 64, "kv-capacity": 142642, "weights-mb": 200000.0, "adapter-slots": 8, "loads-per-s": 2.6,
-			"models": []any{map[string]any{"name": modelName, "weights-mb": 72700.0, "load-s": 6.0, "adapters": 0, "adapter-mb": 66.0, "warm-s": 0.6, "disk-s": 1.3}},
-		},
-	}}
-	return c
-}
-
 // streamRoute is a route whose streams can't be resumed.
 func streamRoute(name, service string) map[string]any {
 	return map[string]any{
@@ -35,22 +23,6 @@
 	}
 }
 
-// addEngine starts an engine of the project's stand-ins that holds the model.
-func (f *fleet) addEngine(n int, onRun func(afplatform.ExecutedRequest)) (*afplatform.Endpoint, *http.Server, error) {
-	e := &afplatform.Endpoint{
-		ID: fmt.Sprintf("i-%d", n), Service: "llm", Centre: "z1", Store: f.store, ModelSizes: map[string]float64{modelName: 72700}, MemoryMB: 200000,
-		LoadTime: 1300 * time.Millisecond, StreamEvents: streamEvents, ResponseDelay: eventPause, OnExecute: onRun,
-	}
-	l, s, err := f.serveRunner(100+n, e)
-	if err != nil {
-		return nil, nil, err
-	}
-	e.Address = l.Addr().String()
-	e.AddModel(modelName)
-	e.WriteEntry("ready")
-	return e, s, nil
-}
-
 // keepStreaming sends one stream after another to a gateway until a time.
 func keepStreaming(rec *recorder, g *gateway, name, path string, end time.Time, onAnswer func(answer)) {
 	client := &http.Client{Timeout: 35 * time.Second}
