--- a/review/_kit/bodies.go
+++ b/review/_kit/bodies.go
@@ -19,7 +19,13 @@
 const (
 	bodyBytes     = 4_000_000
 	memoryLimitMB = 284
-	usualCallers  = 10
+	// usualCallers are the clients that the site file has in cairo-c, which has one machine. Each sends a small and a large request
+	// in turn, which takes roundTime together.
+	usualCallers = 17
+	roundTime    = 11400 * time.Millisecond
+	// hotFactor is how many times its usual the tenant sends, for hotTime.
+	hotFactor = 7.5
+	hotTime   = 6500 * time.Millisecond
 	// smallBody is the length of a body below which an answer has one event.
 	smallBody = 100_000
 	// firstEventDelay is the time from a large prompt to the first event, within the aim of 3 s.
@@ -108,9 +114,10 @@
 		return exitNotRun, fmt.Sprint("gateway not ready ", err)
 	}
 	time.Sleep(2 * time.Second)
-	callers := usualCallers
+	callers, interval := usualCallers, roundTime/usualCallers
 	if trouble {
-		callers = usualCallers * 75 / 10
+		interval = time.Duration(float64(interval) / hotFactor)
+		callers = int(hotTime / interval)
 	}
 	stop := make(chan struct{})
 	killed, peak := false, 0
@@ -137,10 +144,10 @@
 	for i := range callers {
 		wg.Go(func() {
 			client := &http.Client{Timeout: 30 * time.Second}
-			time.Sleep(time.Duration(i) * 80 * time.Millisecond)
-			// The first request is small and opens the channel; the others use it again.
-			for k := range 3 {
-				a := callBody(rec, client, g, fmt.Sprintf("c%02d-%d", i, k), k > 0)
+			time.Sleep(time.Duration(i) * interval)
+			// Small and large requests in turn. The first one opens the channel; the others use it again.
+			for k := range 4 {
+				a := callBody(rec, client, g, fmt.Sprintf("c%02d-%d", i, k), k%2 == 1)
 				got.add(a)
 				if a.err != nil {
 					return
