afgateway: say why an answer was broken off

Callers saw answers that end in the middle; the log said only that an answer was broken. The line 'request ended' now has broken_by and the version of the configuration at the end, beside the version by which the request was served, and a counter has the causes. No decision changes. go test ./internal/afgateway passes.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -205,11 +205,13 @@
 	if p.attempts == 0 {
 		return newRefusal(arbutusfork.CodeShuttingDown, errStopping.Error(), stopRetryAfter)
 	}
+	p.breakCause = breakByStop
 	return p.endWithUnknownOutcome(errStopping.Error())
 }
 
 // endAfterDisconnect returns the refusal of a request whose caller disconnected. It only records the outcome.
 func (p *proxiedRequest) endAfterDisconnect() *arbutusfork.Refusal {
+	p.breakCause = breakByCaller
 	p.breakResponse("caller disconnected")
 	outcome := arbutusfork.OutcomeNotRun
 	if p.attempts > 0 {
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -93,6 +93,8 @@
 	held *afmemory.Holder
 	// responseBroken means that the connection to the caller was closed before the response was complete.
 	responseBroken bool
+	// breakCause is why the latest attempt, or the response, was not completed.
+	breakCause breakCause
 	// statusCode is the status of the response to the caller.
 	statusCode    int
 	relayedEvents int
@@ -310,7 +312,10 @@
 		attrs = append(attrs, slog.Float64("limit", p.namedLimit))
 	}
 	if p.responseBroken {
-		attrs = append(attrs, slog.Bool("broken", true))
+		attrs = append(attrs, slog.Bool("broken", true), slog.String("broken_by", p.breakCause.String()))
+		if table := s.Table(); table != nil {
+			attrs = append(attrs, slog.Int64("config_at_end", table.Version))
+		}
 	}
 	if p.detail != "" {
 		attrs = append(attrs, slog.String("detail", p.detail))
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -18,6 +18,7 @@
 	retries        *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
 	limitedAnswers prometheus.Counter
+	brokenAnswers  *prometheus.CounterVec
 	firstEventTime *prometheus.HistogramVec
 	waitTime       prometheus.Histogram
 }
@@ -45,6 +46,9 @@
 		limitedAnswers: f.NewCounter(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_limited_answers_total", Help: "Answers in which an endpoint named a limit of its requests.",
 		}),
+		brokenAnswers: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_broken_answers_total", Help: "Answers that ended before they were whole, by the cause.",
+		}, []string{"cause"}),
 		firstEventTime: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "arbutusfork_gateway_first_seconds", Help: "Time to the first event of a stream or to a whole answer.", Buckets: buckets,
 		}, []string{"kind"}),
@@ -96,6 +100,9 @@
 	kind := p.route.Kind.String()
 	m.requests.WithLabelValues(kind, outcome.String()).Inc()
 	m.attempts.Add(float64(p.attempts))
+	if p.responseBroken {
+		m.brokenAnswers.WithLabelValues(p.breakCause.String()).Inc()
+	}
 	if refusal != nil {
 		m.refusals.WithLabelValues(refusal.Code.String()).Inc()
 	}
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -87,6 +87,7 @@
 // classifyFailure ends an attempt without a complete response and returns its result.
 func (p *proxiedRequest) classifyFailure(ctx context.Context, endpoint acquiredEndpoint, err error) attemptResult {
 	cause := err.Error()
+	p.breakCause = breakCauseOf(ctx)
 	if c := context.Cause(ctx); c != nil {
 		cause = c.Error()
 	}
@@ -186,6 +187,7 @@
 		err = p.caller.Flush()
 	}
 	if err != nil {
+		p.breakCause = breakByCaller
 		p.breakResponse("caller disconnected: " + err.Error())
 	}
 	return err == nil
