afgateway: keep a silent endpoint until another one has spoken

Callers saw streams end in the middle, and requests without an answer, although their endpoint was sound and only silent for a second; beside a change of the configuration nothing excuses that.

Cause: the watchdog of an attempt closed the connection to the silent endpoint once another one had room by this VM's own count. If that one refused, had no slot, or the budget for repeats was used up by then, the way back needed a repeat of its own, and the request was cut. All VMs decided it in the same moment and each knew only its own load.

Class: what works is given up before what replaces it is certain.

Change: one owner holds the attempts of a request, at most two of them live. A silent attempt keeps its connection and its place until a second one has a part of the answer for the caller: the first event of a stream that follows what was relayed, or a body. Then the first is closed; if the first speaks before, the second is closed. The way back sends nothing and costs no repeat. Which attempt answers, what is closed and what is given back is decided in race.go, pure code with a table test and a property test over all orders of events (one answer, no event twice or out of order, each place and each repeat given back once). A request that may run once has no second attempt. The times after which an endpoint counts as silent have a random part of up to a quarter, and silent requests may use only half of the budget. A write to a caller that reads nothing is no silence of the endpoint any more. The watchdog, its replacements and the way back in runAttempts are gone.

An attempt is not closed at the head of the second answer but at its first event: a head alone shows no progress, and an engine begins to run a request with its first token, so that the first endpoint is closed within the same millisecond.

Ruled out: a change of the configuration acts on no running request (read; nothing in the gateway holds the table after the admission); the line 'request ended' names the version at the end now.

Two mutants of the race are caught.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -29,14 +29,14 @@
 	responseEnded bool
 	// notRun means that the endpoint cannot have run the request or reported that it did not.
 	notRun bool
-	// timedOut means that the attempt ended because the endpoint sent nothing for too long.
-	timedOut bool
-	// replacement is the endpoint that takes the place of one that timed out, or nil.
-	replacement *replacement
 	// brokenOff means that the endpoint ended the connection before its answer was complete.
 	brokenOff bool
 	// progress is how far the endpoint's answer had come.
 	progress answerProgress
+	// serverError is a response with a server error, which the caller gets if no other endpoint answers.
+	serverError *bufferedResponse
+	// breakCause is why the answer was not completed.
+	breakCause breakCause
 	// cause is the cause of a failed attempt.
 	cause string
 }
@@ -48,124 +48,118 @@
 	if p.service.Engine != nil {
 		s.demandRates.recordRequest(p.headers.Model, p.headers.Adapter, p.headers.PromptTokens, p.arrivedAt)
 	}
-	excluded := map[string]bool{}
-	cause := ""
-	hasRetry := false     // hasRetry means that a retry of the budget was taken for the next attempt.
-	var next *replacement // next is the endpoint that took the place of a silent one.
+	p.timeoutSpread = maxTimeoutSpread * s.Random()
+	o := newAttemptOwner(ctx, p)
+	defer func() {
+		o.end()
+		p.sends, _, _, _ = o.snapshot()
+	}()
 	for {
-		endpoint, refusal := p.nextEndpoint(ctx, next, excluded)
-		isReplacement := next != nil
-		hasRetry, next = hasRetry || isReplacement, nil
+		endpoint, refusal := p.takeEndpoint(ctx, o)
 		if refusal != nil {
+			return refusal
+		}
+		a := o.begin(endpoint)
+		result := p.runFirst(o, a)
+		for !result.responseEnded {
 			if ctx.Err() != nil {
-				return p.endCancelled(ctx)
+				return p.endCancelled(ctx, o)
+			}
+			o.fail(a, result)
+			next := o.await()
+			if next == nil {
+				break
 			}
-			return p.refuseWithoutEndpoint(refusal, cause)
+			a = next.liveAttempt
+			result = p.relayAnswer(o, a, next.answer)
+		}
+		if result.responseEnded {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return p.endCancelled(ctx, o)
+		}
+		_, _, _, result = o.snapshot()
+		p.breakCause = result.breakCause
+		if !p.mayRetry(o, result) {
+			return p.refuseAfterAttempt(o, result)
+		}
+		if result.notRun && s.takesRequests(endpoint.Endpoint) {
+			s.Timer.Sleep(ctx, rejectedRetryDelay)
+		}
+	}
+}
+
+// takeEndpoint waits for an endpoint and for what else an attempt needs: a slot, if the endpoint named a limit, and a retry of the
+// budget, unless it is the first attempt.
+func (p *proxiedRequest) takeEndpoint(ctx context.Context, o *attemptOwner) (acquiredEndpoint, *arbutusfork.Refusal) {
+	s := p.server
+	sends, _, _, failure := o.snapshot()
+	refuse := func(refusal *arbutusfork.Refusal) (acquiredEndpoint, *arbutusfork.Refusal) {
+		if ctx.Err() != nil {
+			return acquiredEndpoint{}, p.endCancelled(ctx, o)
+		}
+		return acquiredEndpoint{}, p.refuseWithoutEndpoint(o, refusal, failure.cause)
+	}
+	excluded := o.excludedEndpoints()
+	for {
+		endpoint, refusal := p.acquireEndpoint(ctx, excluded)
+		if refusal != nil {
+			return refuse(refusal)
 		}
+		giveUp := func() { endpoint.request.End(afroster.HealthUnaffected) }
 		if ctx.Err() != nil {
-			endpoint.request.End(afroster.HealthUnaffected)
-			return p.endCancelled(ctx)
+			giveUp()
+			return refuse(nil)
 		}
-		switch p.waitForSlot(ctx, endpoint.Endpoint) {
+		result, wait := p.waitForSlot(ctx, endpoint.Endpoint, p.maxWait())
+		p.waitTime += wait
+		switch result {
 		case slotAborted:
-			endpoint.request.End(afroster.HealthUnaffected)
-			return p.endCancelled(ctx)
+			giveUp()
+			return refuse(nil)
 		case slotDenied:
-			endpoint.request.End(afroster.HealthUnaffected)
-			if isReplacement {
-				// The silent endpoint is better than none.
-				p.avoidedEndpoint = endpoint.ID
-				excluded[endpoint.ID] = true
-			}
+			giveUp()
 			if p.slotDenials++; p.slotDenials >= maxSlotDenials || p.maxWait() <= 0 {
-				return p.refuseWithoutEndpoint(p.refuseWithoutSlot(endpoint.Endpoint), cause)
+				return refuse(p.refuseWithoutSlot(endpoint.Endpoint))
 			}
 			continue
 		case slotTaken:
 		}
 		// The prompt may have been quarantined during the waits above.
 		if refusal := p.refuseQuarantined(); refusal != nil {
-			endpoint.request.End(afroster.HealthUnaffected)
-			return p.refuseWithoutEndpoint(refusal, cause)
+			giveUp()
+			return refuse(refusal)
 		}
 		// The endpoint may have said during the waits above that it leaves or wants a pause.
 		if !s.takesRequests(endpoint.Endpoint) {
-			endpoint.request.End(afroster.HealthUnaffected)
+			giveUp()
 			continue
 		}
-		if p.attempts > 0 && !hasRetry && !s.takeRetry(p.service.Name) {
-			endpoint.request.End(afroster.HealthUnaffected)
-			return p.refuseWithoutEndpoint(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter), cause)
-		}
-		p.attempts++
-		hasRetry = false
-		p.lastEndpoint = endpoint.ID
-		result := p.attemptEndpoint(ctx, endpoint, excluded)
-		switch {
-		case result.responseEnded:
-			return nil
-		case ctx.Err() != nil:
-			result.replacement.release()
-			return p.endCancelled(ctx)
-		}
-		cause = result.cause
-		s.Log.Info("attempt failed", "request", p.headers.RequestID, "endpoint", endpoint.ID, "attempt", p.attempts, "cause", result.cause,
-			"not_run", result.notRun, "progress", result.progress.String(), "events", p.relayedEvents, "parts", formatSharedParts(p.headers), "left", p.timeLeft())
-		s.Metrics.countFailedAttempt(result)
-		if !result.notRun {
-			p.possibleRuns++
-		}
-		if result.brokenOff {
-			p.checkCrash(endpoint.Endpoint, result.progress)
-			if result.progress.isBeginning() {
-				p.breaksAtBegin++
-			}
-		}
-		if !p.mayRetry(result) {
-			result.replacement.release()
-			return p.refuseAfterAttempt(result)
+		if sends == 0 || s.takeRetry(p.service.Name) {
+			return endpoint, nil
 		}
-		next = result.replacement
-		excluded[endpoint.ID] = true
-		p.avoidedEndpoint = ""
-		if result.notRun || result.timedOut {
-			p.avoidedEndpoint = endpoint.ID
-		}
-		if result.timedOut {
-			if p.timedOutEndpoints == nil {
-				p.timedOutEndpoints = map[string]bool{}
-			}
-			p.timedOutEndpoints[endpoint.ID] = true
-		}
-		if result.notRun && s.takesRequests(endpoint.Endpoint) {
-			s.Timer.Sleep(ctx, rejectedRetryDelay)
-		}
-	}
-}
-
-// nextEndpoint returns the endpoint that took the place of a silent one, or waits for an endpoint.
-func (p *proxiedRequest) nextEndpoint(ctx context.Context, next *replacement, excluded map[string]bool) (acquiredEndpoint, *arbutusfork.Refusal) {
-	if next != nil {
-		return next.endpoint, nil
+		giveUp()
+		return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter))
 	}
-	return p.acquireEndpoint(ctx, excluded)
 }
 
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
-func (p *proxiedRequest) mayRetry(result attemptResult) bool {
-	if p.relayedEvents > 0 && !p.position.canBeContinued() {
+func (p *proxiedRequest) mayRetry(o *attemptOwner, result attemptResult) bool {
+	sends, possibleRuns, breaksAtBegin, _ := o.snapshot()
+	if p.position.events > 0 && !p.position.canBeContinued() {
 		return false
 	}
-	if p.isRelayingLong || p.attempts >= maxTotalAttempts || p.breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
+	if p.isRelayingLong || sends >= maxTotalAttempts || breaksAtBegin >= maxBreaksAtBegin || p.timeLeft() <= 0 {
 		return false
 	}
-	return result.notRun && p.possibleRuns == 0 || p.route.IsRepeatable() && p.possibleRuns < p.route.MaxAttempts
+	return result.notRun && possibleRuns == 0 || p.route.IsRepeatable() && possibleRuns < p.route.MaxAttempts
 }
 
 // refuseAfterAttempt returns the refusal of a request that may not be retried, or nil after it sent the response with a
 // server error that was kept for the caller.
-func (p *proxiedRequest) refuseAfterAttempt(result attemptResult) *arbutusfork.Refusal {
-	if p.possibleRuns == 0 && !p.responseStarted {
+func (p *proxiedRequest) refuseAfterAttempt(o *attemptOwner, result attemptResult) *arbutusfork.Refusal {
+	if _, possibleRuns, _, _ := o.snapshot(); possibleRuns == 0 && !p.responseStarted {
 		return newRefusal(arbutusfork.CodeNoCapacity, "no endpoint took the request: "+result.cause, busyRetryAfter)
 	}
 	return p.endWithUnknownOutcome(result.cause)
@@ -189,8 +183,8 @@
 
 // refuseWithoutEndpoint ends a request for which no endpoint is available. It returns the given refusal if the request
 // has not run.
-func (p *proxiedRequest) refuseWithoutEndpoint(refusal *arbutusfork.Refusal, cause string) *arbutusfork.Refusal {
-	if p.possibleRuns == 0 {
+func (p *proxiedRequest) refuseWithoutEndpoint(o *attemptOwner, refusal *arbutusfork.Refusal, cause string) *arbutusfork.Refusal {
+	if _, possibleRuns, _, _ := o.snapshot(); possibleRuns == 0 {
 		return refusal
 	}
 	return p.endWithUnknownOutcome(cause + "; " + refusal.Message)
@@ -198,11 +192,12 @@
 
 // endCancelled returns the refusal of a request whose context was cancelled because the caller disconnected or the
 // process stops.
-func (p *proxiedRequest) endCancelled(ctx context.Context) *arbutusfork.Refusal {
+func (p *proxiedRequest) endCancelled(ctx context.Context, o *attemptOwner) *arbutusfork.Refusal {
+	sends, _, _, _ := o.snapshot()
 	if !errors.Is(context.Cause(ctx), errStopping) {
-		return p.endAfterDisconnect()
+		return p.endAfterDisconnect(sends > 0)
 	}
-	if p.attempts == 0 {
+	if sends == 0 {
 		return newRefusal(arbutusfork.CodeShuttingDown, errStopping.Error(), stopRetryAfter)
 	}
 	p.breakCause = breakByStop
@@ -210,11 +205,11 @@
 }
 
 // endAfterDisconnect returns the refusal of a request whose caller disconnected. It only records the outcome.
-func (p *proxiedRequest) endAfterDisconnect() *arbutusfork.Refusal {
+func (p *proxiedRequest) endAfterDisconnect(wasSent bool) *arbutusfork.Refusal {
 	p.breakCause = breakByCaller
 	p.breakResponse("caller disconnected")
 	outcome := arbutusfork.OutcomeNotRun
-	if p.attempts > 0 {
+	if wasSent {
 		outcome = arbutusfork.OutcomeUnknown
 	}
 	return arbutusfork.NewRefusal(arbutusfork.CodeDeadlineExceeded, "the caller left").WithOutcome(outcome)
--- a/internal/afgateway/breakcause.go
+++ b/internal/afgateway/breakcause.go
@@ -1,10 +1,6 @@
 package afgateway
 
-import (
-	"context"
-
-	"github.com/go-faster/errors"
-)
+import "github.com/go-faster/errors"
 
 //go:generate stringer -type=breakCause -linecomment -output=breakcause_string.go
 
@@ -14,8 +10,6 @@
 const (
 	// breakByEndpoint means that the endpoint broke its answer off or sent something that cannot be relayed.
 	breakByEndpoint breakCause = iota // endpoint
-	// breakBySilence means that the endpoint was given up because it sent nothing.
-	breakBySilence // silence
 	// breakByDeadline means that the deadline of the request passed.
 	breakByDeadline // deadline
 	// breakByStop means that the process was about to end.
@@ -24,13 +18,11 @@
 	breakByCaller // caller
 )
 
-// breakCauseOf returns the cause of the end of an attempt with the context.
-func breakCauseOf(ctx context.Context) breakCause {
-	switch cause := context.Cause(ctx); {
-	case cause == nil:
+// breakCauseOf returns the cause of the end of an attempt whose context was cancelled with a cause, or was not.
+func breakCauseOf(cause error) breakCause {
+	switch {
+	case cause == nil, errors.Is(cause, errReplaced):
 		return breakByEndpoint
-	case errors.Is(cause, errIdleTimeout):
-		return breakBySilence
 	case errors.Is(cause, errDeadline):
 		return breakByDeadline
 	case errors.Is(cause, errStopping):
--- a/internal/afgateway/breakcause_string.go
+++ b/internal/afgateway/breakcause_string.go
@@ -9,15 +9,14 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[breakByEndpoint-0]
-	_ = x[breakBySilence-1]
-	_ = x[breakByDeadline-2]
-	_ = x[breakByStop-3]
-	_ = x[breakByCaller-4]
+	_ = x[breakByDeadline-1]
+	_ = x[breakByStop-2]
+	_ = x[breakByCaller-3]
 }
 
-const _breakCause_name = "endpointsilencedeadlinestopcaller"
+const _breakCause_name = "endpointdeadlinestopcaller"
 
-var _breakCause_index = [...]uint8{0, 8, 15, 23, 27, 33}
+var _breakCause_index = [...]uint8{0, 8, 16, 20, 26}
 
 func (i breakCause) String() string {
 	idx := int(i) - 0
--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -45,8 +45,8 @@
 	// engine is nil for services without model engines.
 	engine *afroute.EngineSpec
 	now    time.Time
-	// isPaused reports whether an endpoint is in a pause for which it asked. Nil means that none is.
-	isPaused func(e afroster.Endpoint) bool
+	// isUnavailable reports whether an endpoint is in a pause for which it asked, or was full a moment ago. Nil means that none is.
+	isUnavailable func(e afroster.Endpoint) bool
 	// slotWait returns how long a request to an endpoint probably waits for a slot. Nil means not at all. Endpoints with a longer
 	// wait than maxSlotWait have no capacity.
 	slotWait    func(e afroster.Endpoint) time.Duration
@@ -92,7 +92,7 @@
 		found, foundEjected       bool
 	)
 	for _, e := range candidates.Endpoints {
-		if needs.excluded[e.ID] || !hasCapacity(e, needs) || needs.isPaused != nil && needs.isPaused(e) {
+		if needs.excluded[e.ID] || !hasCapacity(e, needs) || needs.isUnavailable != nil && needs.isUnavailable(e) {
 			continue
 		}
 		slotWait := needs.slotWaitFor(e)
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -12,7 +12,6 @@
 
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afentry"
-	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/pkg/afroute"
 )
@@ -59,45 +58,42 @@
 	// chargedUnits is the number of units that were taken from the customer's limit.
 	chargedUnits int64
 
-	// endpointError is a response with a server error, which the caller gets if no other endpoint answers.
+	// endpointError is a response with a server error, which the caller gets if no other endpoint answers. While an attempt is live,
+	// it belongs to the attemptOwner, as do timedOutEndpoints, avoidedEndpoint and lastEndpoint.
 	endpointError *bufferedResponse
 
-	// timedOutEndpoints holds the IDs of the endpoints at which an attempt timed out.
+	// timedOutEndpoints holds the IDs of the silent endpoints that another one has replaced.
 	timedOutEndpoints map[string]bool
 
-	// attempts is the number of attempts to send the request to an endpoint.
-	attempts int
-	// possibleRuns is the number of attempts in which an endpoint may have run the request.
-	possibleRuns int
+	// sends is the number of times that the request was sent to an endpoint. It is set when all attempts have ended.
+	sends int
+	// timeoutSpread is the random part of the request's timeouts, as a fraction of them.
+	timeoutSpread float64
 	// waitTime is the total time for which the request waited for an endpoint.
 	waitTime time.Duration
 	// firstEventAt is the time at which the response to the caller began.
 	firstEventAt time.Time
-	// maxEventInterval is the longest time between two relayed events.
+	// lastEventAt is the time of the latest relayed event, and maxEventInterval the longest time between two of them.
+	lastEventAt      time.Time
 	maxEventInterval time.Duration
-	// lastEndpoint is the ID of the endpoint of the latest attempt.
+	// lastEndpoint is the ID of the endpoint of the latest attempt or of the one that has answered.
 	lastEndpoint string
 	// avoidedEndpoint is the ID of the endpoint of the latest attempt if it refused or was silent, or empty.
 	avoidedEndpoint string
 	// responseStarted means that the head of the response was sent to the caller.
 	responseStarted bool
-	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
-	breaksAtBegin int
 	// slotDenials is the number of times that a limited endpoint had no slot for the request.
 	slotDenials int
 	// namedLimit is the limit that the endpoint of the latest attempt named, in requests a second, or 0.
 	namedLimit float64
 	// isRelayingLong means that a part of a long body was sent to the caller, so that the request cannot be sent again.
 	isRelayingLong bool
-	// held is the request's part of the server's memory budget.
-	held *afmemory.Holder
 	// responseBroken means that the connection to the caller was closed before the response was complete.
 	responseBroken bool
 	// breakCause is why the latest attempt, or the response, was not completed.
 	breakCause breakCause
 	// statusCode is the status of the response to the caller.
-	statusCode    int
-	relayedEvents int
+	statusCode int
 	// position is how far the stream to the caller has come.
 	position streamPosition
 	// detail is an addition to the log line of the request.
@@ -295,11 +291,11 @@
 		slog.String("customer", p.customer.Name), slog.Int64("cost", p.cost), slog.String("service", p.service.Name),
 		slog.String("outcome", outcome.String()), slog.Int("status", p.statusCode),
 		slog.Duration("total", s.Timer.Now().Sub(p.arrivedAt)), slog.Duration("waited", p.waitTime),
-		slog.Int("sends", p.attempts), slog.String("endpoint", p.lastEndpoint),
+		slog.Int("sends", p.sends), slog.String("endpoint", p.lastEndpoint),
 	}
 	if p.headers.Model != "" {
 		attrs = append(attrs, slog.String("model", p.headers.Model), slog.String("adapter", p.headers.Adapter),
-			slog.Int("events", p.relayedEvents), slog.String("parts", formatSharedParts(p.headers)))
+			slog.Int("events", p.position.events), slog.String("parts", formatSharedParts(p.headers)))
 		if !p.firstEventAt.IsZero() {
 			attrs = append(attrs, slog.Duration("first", p.firstEventAt.Sub(p.arrivedAt)), slog.Duration("pause", p.maxEventInterval))
 		}
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -99,7 +99,7 @@
 	}
 	kind := p.route.Kind.String()
 	m.requests.WithLabelValues(kind, outcome.String()).Inc()
-	m.attempts.Add(float64(p.attempts))
+	m.attempts.Add(float64(p.sends))
 	if p.responseBroken {
 		m.brokenAnswers.WithLabelValues(p.breakCause.String()).Inc()
 	}
--- a/internal/afgateway/queue_test.go
+++ b/internal/afgateway/queue_test.go
@@ -71,12 +71,12 @@
 	s.init()
 	s.Roster.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app", Slots: 4})
 	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}}
-	pick := p.replacementPicker(map[string]bool{}, map[string]bool{}, timer.Now())
+	pick := p.placePicker(map[string]bool{}, map[string]bool{}, timer.Now())
 	for range 50 {
 		_, ok := pick()
 		require.False(t, ok)
 	}
-	timer.AdvanceTo(timer.Now().Add(replacementRetryDelay))
+	timer.AdvanceTo(timer.Now().Add(placeRetryDelay))
 	_, ok := pick()
 	require.False(t, ok)
 	families, err := registry.Gather()
--- /dev/null
+++ b/internal/afgateway/race_test.go
@@ -0,0 +1,177 @@
+package afgateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against an attempt that is given up before another one has spoken, and against two that answer.
+func TestRace(t *testing.T) {
+	type step struct {
+		event string
+		id    attemptID
+		// want are the expected effects.
+		want raceEffects
+	}
+	closed := func(racers ...racer) raceEffects {
+		e := raceEffects{}
+		copy(e.closed[:], racers)
+		return e
+	}
+	start := func(id attemptID, racers ...racer) raceEffects {
+		e := closed(racers...)
+		e.started = id
+		return e
+	}
+	seek, rejected, stopSeeking := raceEffects{seek: true}, raceEffects{isRejected: true}, raceEffects{stopSeeking: true}
+	over := closed(racer{id: 1, isSent: true})
+	over.stopSeeking = true
+	for name, steps := range map[string][]step{
+		"second speaks":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 2, closed(racer{1, true, true})}, {"speech", 1, rejected}},
+		"first speaks while second is": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 1, closed(racer{2, true, false})}, {"speech", 2, rejected}},
+		"first speaks before the send": {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 1, closed(racer{2, false, false})}, {"send", 2, rejected}},
+		"first speaks before a place":  {{"silence", 1, seek}, {"speech", 1, stopSeeking}, {"place", 0, raceEffects{unneededPlace: true}}},
+		"second refuses":               {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 2, closed(racer{2, true, false})}, {"speech", 1, raceEffects{}}},
+		"second has no slot":           {{"silence", 1, seek}, {"place", 0, start(2)}, {"end", 2, closed(racer{2, false, false})}, {"silence", 1, seek}},
+		"first breaks off":             {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 1, closed(racer{1, true, true})}, {"speech", 2, raceEffects{}}},
+		"both are silent":              {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, seek}, {"place", 0, start(3, racer{2, true, true})}, {"speech", 2, rejected}},
+		"last allowed run":             {{"final silence", 1, raceEffects{}}, {"speech", 1, raceEffects{}}},
+		"over while it seeks":          {{"silence", 1, seek}, {"over", 0, raceEffects{stopSeeking: true, closed: [2]racer{{1, true, true}}}}, {"place", 0, raceEffects{unneededPlace: true}}},
+		"speech without a send":        {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 2, rejected}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := race{}.withFirst()
+			for i, s := range steps {
+				var got raceEffects
+				switch s.event {
+				case "silence":
+					r, got = r.withSilence(s.id, true)
+				case "final silence":
+					r, got = r.withSilence(s.id, false)
+				case "place":
+					r, got = r.withPlace()
+				case "send":
+					r, got = r.withSend(s.id)
+				case "speech":
+					r, got = r.withSpeech(s.id)
+				case "end":
+					r, got = r.withEnd(s.id)
+				case "over":
+					r, got = r.withOver()
+				}
+				require.Equal(t, s.want, got, "step %d: %s", i, s.event)
+			}
+		})
+	}
+}
+
+// raceModel plays one stream with the race: its attempts send numbered events from where the answer was as they were sent.
+type raceModel struct {
+	t         *rapid.T
+	race      race
+	relayed   int
+	nextEvent map[attemptID]int
+	// places and retries are what each live attempt holds.
+	places, retries map[attemptID]bool
+	// isSeeking means that the request is in the queue.
+	isSeeking bool
+	// spoken is the attempt that has spoken last.
+	spoken attemptID
+}
+
+func (m *raceModel) apply(r race, e raceEffects) bool {
+	m.race = r
+	require.False(m.t, e.seek && m.isSeeking, "the request waits twice")
+	m.isSeeking = (m.isSeeking || e.seek) && !e.stopSeeking && e.started == 0
+	for _, c := range e.closed {
+		if c.id == 0 {
+			continue
+		}
+		require.True(m.t, m.places[c.id], "the place of %d is given back twice", c.id)
+		delete(m.places, c.id)
+		if !c.isSent {
+			require.True(m.t, m.retries[c.id], "the retry of %d is given back twice", c.id)
+		}
+		delete(m.retries, c.id)
+	}
+	if e.started != 0 {
+		m.places[e.started], m.retries[e.started] = true, true
+	}
+	require.LessOrEqual(m.t, len(m.places), maxLiveAttempts)
+	require.Equal(m.t, m.race.liveCount(), len(m.places), "places without an attempt")
+	return !e.isRejected
+}
+
+// Guards against events that are relayed twice, out of order or from two attempts, and places or retries that are kept or given
+// back twice, in any order of what happens.
+func TestRaceInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &raceModel{t: t, nextEvent: map[attemptID]int{}, places: map[attemptID]bool{}, retries: map[attemptID]bool{}}
+		begin := func() {
+			r, id := m.race.withFirst()
+			m.race, m.places[id], m.nextEvent[id] = r, true, m.relayed
+		}
+		begin()
+		anyID := rapid.Custom(func(t *rapid.T) attemptID { return attemptID(rapid.IntRange(1, int(m.race.lastID)).Draw(t, "id")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"silence": func(t *rapid.T) {
+				m.apply(m.race.withSilence(anyID.Draw(t, "attempt"), rapid.Bool().Draw(t, "may repeat")))
+			},
+			"place": func(*rapid.T) {
+				wasSeeking := m.isSeeking
+				r, e := m.race.withPlace()
+				m.apply(r, e)
+				require.Equal(t, wasSeeking, !e.unneededPlace)
+			},
+			"send": func(t *rapid.T) {
+				id := anyID.Draw(t, "attempt")
+				wasSent := m.nextEvent[id] != 0 || id == 1
+				if m.apply(m.race.withSend(id)) && !wasSent {
+					m.nextEvent[id] = m.relayed
+				}
+			},
+			"event": func(t *rapid.T) {
+				id := anyID.Draw(t, "attempt")
+				if m.apply(m.race.withSpeech(id)) {
+					require.Equal(t, m.relayed, m.nextEvent[id], "attempt %d repeats or skips events", id)
+					require.Equal(t, 1, m.race.liveCount(), "another attempt may speak too")
+					m.nextEvent[id]++
+					m.relayed++
+					m.spoken = id
+				}
+			},
+			"second attempt": func(*rapid.T) {
+				for _, racer := range m.race.racers {
+					m.apply(m.race.withSilence(racer.id, true))
+				}
+				m.apply(m.race.withPlace())
+				id := m.race.lastID
+				if wasSent := m.nextEvent[id] != 0 || id == 1; m.apply(m.race.withSend(id)) && !wasSent {
+					m.nextEvent[id] = m.relayed
+				}
+			},
+			"end": func(t *rapid.T) {
+				if m.apply(m.race.withEnd(anyID.Draw(t, "attempt"))) && m.race.liveCount() == 0 && !m.race.isOver {
+					require.False(t, m.isSeeking, "a request without an attempt waits in the wrong turn")
+					begin()
+				}
+			},
+			"over": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					m.apply(m.race.withOver())
+				}
+			},
+			"": func(t *rapid.T) {
+				for id := range m.places {
+					require.GreaterOrEqual(t, m.race.find(id), 0)
+				}
+			},
+		})
+		m.apply(m.race.withOver())
+		require.Empty(t, m.places)
+		require.Empty(t, m.retries)
+		require.False(t, m.isSeeking)
+	})
+}
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -165,8 +165,7 @@
 // ServeRequest serves one request of a caller.
 func (s *Server) ServeRequest(c *afentry.CallerConn, w http.ResponseWriter, r *http.Request) {
 	s.init()
-	p := &proxiedRequest{server: s, caller: c, w: w, r: r, arrivedAt: s.Timer.Now(), held: s.AnswerMemory.Hold()}
-	defer p.held.Release()
+	p := &proxiedRequest{server: s, caller: c, w: w, r: r, arrivedAt: s.Timer.Now()}
 	refusal := p.serve()
 	if refusal != nil {
 		p.writeRefusal(refusal)
@@ -202,6 +201,9 @@
 	s.RetryBudget = r
 }
 
+// spareRetryFraction is the fraction of the budget that requests at silent endpoints may use.
+const spareRetryFraction = 0.5
+
 // retryBudgetFraction is the fraction of the retry ratio that each VM uses, since the windows of the VMs do not begin
 // at the same time.
 const retryBudgetFraction = 0.75
@@ -222,6 +224,15 @@
 	return allowed
 }
 
+// takeSpareRetry takes a retry like takeRetry, but leaves a part of the budget for requests that have no attempt in progress.
+func (s *Server) takeSpareRetry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	allowed := s.retryWindow(service).TakeRetryWithin(s.Timer.Now(), spareRetryFraction)
+	s.Metrics.countRetry(allowed)
+	return allowed
+}
+
 // returnRetry gives back a retry that was taken and not sent.
 func (s *Server) returnRetry(service string) {
 	s.mu.Lock()
--- a/internal/afgateway/slot.go
+++ b/internal/afgateway/slot.go
@@ -54,28 +54,27 @@
 	slotAborted
 )
 
-// waitForSlot takes a slot of the endpoint, if the endpoint is limited, and waits for it.
-func (p *proxiedRequest) waitForSlot(ctx context.Context, endpoint afroster.Endpoint) slotResult {
+// waitForSlot takes a slot of the endpoint, if the endpoint is limited, and waits for it. It returns the time of the wait.
+func (p *proxiedRequest) waitForSlot(ctx context.Context, endpoint afroster.Endpoint, maxWait time.Duration) (slotResult, time.Duration) {
 	s := p.server
 	if s.EndpointLimits.TakeSlot == nil {
-		return slotTaken
+		return slotTaken, 0
 	}
-	wait, isGranted := s.EndpointLimits.TakeSlot(ctx, endpointStart(endpoint), p.maxWait())
+	wait, isGranted := s.EndpointLimits.TakeSlot(ctx, endpointStart(endpoint), maxWait)
 	if !isGranted {
-		return slotDenied
+		return slotDenied, 0
 	}
 	if wait <= 0 {
-		return slotTaken
+		return slotTaken, 0
 	}
-	p.waitTime += wait
 	defer s.queue.addSlotWaiter(&waitingRequest{model: p.headers.Model, adapter: p.headers.Adapter, arrivedAt: p.arrivedAt, targetLatency: p.route.TargetLatency})()
 	if !s.Timer.Sleep(ctx, wait) {
-		return slotAborted
+		return slotAborted, wait
 	}
 	if !s.isServing(endpoint) {
-		return slotDenied
+		return slotDenied, wait
 	}
-	return slotTaken
+	return slotTaken, wait
 }
 
 // refuseWithoutSlot returns the refusal of a request for which no slot was free, with the time until one may be free.
--- a/pkg/afretry/window.go
+++ b/pkg/afretry/window.go
@@ -55,18 +55,31 @@
 }
 
 // TakeRetry counts a retry and returns true if the window allows one. Otherwise it counts nothing and returns false.
-func (w *RetryWindow) TakeRetry(now time.Time) bool {
+func (w *RetryWindow) TakeRetry(now time.Time) bool { return w.TakeRetryWithin(now, 1) }
+
+// TakeRetryWithin is like TakeRetry for retries that may use only a fraction of what the window allows, so that others find some left.
+func (w *RetryWindow) TakeRetryWithin(now time.Time, fraction float64) bool {
 	current := w.currentBucket(now)
-	requests, retries := 0, 0
+	requests, retries := w.count(current.index, current.index)
+	if !w.allows(requests, retries+1, fraction) {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// allows reports whether a fraction of what the window allows covers the retries.
+func (w *RetryWindow) allows(requests, retries int, fraction float64) bool {
+	return float64(retries) <= fraction*(w.RetryRatio*float64(requests)+w.ExtraRetries)
+}
+
+// count returns the requests and retries up to the current bucket that are in the window which ends with the bucket last.
+func (w *RetryWindow) count(current, last int64) (requests, retries int) {
 	for _, bucket := range w.buckets {
-		if bucket.index > current.index-int64(len(w.buckets)) && bucket.index <= current.index {
+		if bucket.index > last-int64(len(w.buckets)) && bucket.index <= current {
 			retries += bucket.retries
 			requests += bucket.requests
 		}
 	}
-	if float64(retries+1) > w.RetryRatio*float64(requests)+w.ExtraRetries {
-		return false
-	}
-	current.retries++
-	return true
+	return requests, retries
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -127,8 +127,16 @@
 	'(b.availableUnits - b.grantedUnits); missingUnits > 0' '(b.availableUnits + b.grantedUnits); missingUnits > 0' \
 	./internal/afkeeper TestLedgerKeepsTheLimit
 mutant gateway-twice internal/afgateway/attempt.go \
-	'result.notRun && p.possibleRuns == 0 || p.route.IsRepeatable() && p.possibleRuns < p.route.MaxAttempts' 'p.possibleRuns < 3' \
+	'result.notRun && possibleRuns == 0 || p.route.IsRepeatable() && possibleRuns < p.route.MaxAttempts' 'possibleRuns < 3' \
 	./platform TestUnsafeRunsOnce
+mutant gateway-race internal/afgateway/race.go \
+	'effects.closed[0] = r.racers[1-i]' 'effects.closed[1] = racer{}' \
+	./internal/afgateway TestRaceInAnyOrder
+mutant gateway-silent internal/afgateway/race.go \
+	'		if racer.id == 0 {
+			slot = i' '		if racer.isSilent {
+			slot = i' \
+	./internal/afgateway 'TestRace$'
 mutant gateway-order internal/afgateway/event.go \
 	'if e.unreadBytes() == 0 {' 'if true {' \
 	./platform TestBrokenStreamIsVisible
