afgateway: let requests that were not run wait for a place and a repeat

Callers saw new streams refused after 42 ms with 'the budget for repeats is used up', though they had 30 s left and a place became free a moment later: with one of two endpoints silent for a moment the other one is full, each refusal of it costs a repeat, and five refusals end a request.

Change: a VM remembers that an endpoint has refused a request as full, with the number of its own requests there, and sends one more only after a request has ended or a time of 150 ms, which doubles up to 1.2 s with each refusal. Waiting requests stay in the queue until then. If the budget allows no repeat, a request that has not run waits until it does, if that is within the time that it may wait; otherwise it is refused at once with the time until then as Retry-After.

--- a/internal/afgateway/answer.go
+++ b/internal/afgateway/answer.go
@@ -82,8 +82,12 @@
 			// It may be the second copy of the refusal of another request.
 			return nil, attemptResult{progress: progressHead, cause: "endpoint answered " + strconv.Itoa(status) + ", not run, without the request's ID"}
 		}
+		if status == http.StatusServiceUnavailable && headers.Said.Pause <= 0 {
+			s.full.recordRefusal(s, endpoint.Endpoint)
+		}
 		return nil, attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(status) + ", not run"}
 	}
+	s.full.recordAnswer(endpoint.Endpoint, a.progressAt)
 	ans := &answer{exchange: ex, headers: headers, held: s.AnswerMemory.Hold()}
 	ans.isStream = isStream(p.route) && ex.response.StatusCode == http.StatusOK && strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream")
 	if ans.isStream {
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -19,6 +19,8 @@
 	rejectedRetryDelay = 40 * time.Millisecond
 	// busyRetryAfter is the Retry-After if every endpoint is full.
 	busyRetryAfter = 500 * time.Millisecond
+	// maxBudgetRetryAfter bounds the Retry-After if the budget for repeats is used up. Other VMs may have repeats left.
+	maxBudgetRetryAfter = 2 * time.Second
 	// loadRetryAfter is the Retry-After if a model was not loaded in time and the time of its loading is unknown.
 	loadRetryAfter = time.Second
 )
@@ -94,7 +96,7 @@
 // budget, unless it is the first attempt.
 func (p *proxiedRequest) takeEndpoint(ctx context.Context, o *attemptOwner) (acquiredEndpoint, *arbutusfork.Refusal) {
 	s := p.server
-	sends, _, _, failure := o.snapshot()
+	sends, possibleRuns, _, failure := o.snapshot()
 	refuse := func(refusal *arbutusfork.Refusal) (acquiredEndpoint, *arbutusfork.Refusal) {
 		if ctx.Err() != nil {
 			return acquiredEndpoint{}, p.endCancelled(ctx, o)
@@ -140,7 +142,14 @@
 			return endpoint, nil
 		}
 		giveUp()
-		return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", busyRetryAfter))
+		wait = s.timeUntilRetry(p.service.Name)
+		if possibleRuns > 0 || wait > p.maxWait() {
+			return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", max(min(wait, maxBudgetRetryAfter), busyRetryAfter)))
+		}
+		p.waitTime += wait
+		if !s.Timer.Sleep(ctx, wait) {
+			return refuse(nil)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/afgateway/full_test.go
@@ -0,0 +1,42 @@
+package afgateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that are sent one after the other to an endpoint that refuses each because it is full, and against an
+// endpoint that gets none although it has room again.
+func TestFullEndpointGetsOneMoreRequestAtATime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	once := fullEndpoint{}.withRefusal(3, start)
+	twice := once.withRefusal(4, after(200*time.Millisecond))
+	burst := once.withRefusal(4, after(time.Millisecond))
+	for _, c := range []struct {
+		name        string
+		state       fullEndpoint
+		ownRequests int
+		at          time.Duration
+		want        bool
+	}{
+		{"never refused", fullEndpoint{}, 99, 0, false},
+		{"just refused", once, 3, time.Millisecond, true},
+		{"a request has ended", once, 2, time.Millisecond, false},
+		{"one more", once, 3, 150 * time.Millisecond, false},
+		{"not two more", once, 4, 299 * time.Millisecond, true},
+		{"two more", once, 4, 300 * time.Millisecond, false},
+		{"refused again, the time is twice as long", twice, 4, 400 * time.Millisecond, true},
+		{"refused again, later", twice, 4, 500 * time.Millisecond, false},
+		{"refusals of requests that were on their way count once", burst, 4, 152 * time.Millisecond, false},
+	} {
+		require.Equal(t, c.want, c.state.isFull(c.ownRequests, after(c.at)), c.name)
+	}
+	long := once
+	for i := range 10 {
+		long = long.withRefusal(0, after(time.Duration(i+1)*time.Minute))
+	}
+	require.Equal(t, maxFullTime, long.fullTime)
+}
--- a/internal/afgateway/pick.go
+++ b/internal/afgateway/pick.go
@@ -13,7 +13,7 @@
 	return requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), isUnavailable: s.isPaused, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
+		now: s.Timer.Now(), isUnavailable: s.isPausedOrFull, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
 	}
 }
 
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -64,6 +64,7 @@
 	initOnce    sync.Once
 	dialer      net.Dialer
 	queue       waitingQueue
+	full        fullEndpoints
 	limits      customerLimits
 	demandRates demandRates
 	loadDelays  loadDelays
@@ -233,6 +234,13 @@
 	return allowed
 }
 
+// timeUntilRetry returns the time after which the retry window of the service allows a retry if nothing else happens.
+func (s *Server) timeUntilRetry(service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryWindow(service).TimeUntilRetry(s.Timer.Now())
+}
+
 // returnRetry gives back a retry that was taken and not sent.
 func (s *Server) returnRetry(service string) {
 	s.mu.Lock()
--- a/internal/afroster/running.go
+++ b/internal/afroster/running.go
@@ -134,3 +134,13 @@
 	}
 	return loads, running
 }
+
+// OwnRequests returns the number of this VM's requests in progress at an endpoint.
+func (r *Roster) OwnRequests(endpointID string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.endpoints[endpointID]; e != nil {
+		return e.ownLoad.Requests
+	}
+	return 0
+}
--- a/pkg/afretry/window_test.go
+++ b/pkg/afretry/window_test.go
@@ -50,3 +50,19 @@
 	require.True(t, w.TakeRetry(now.Add(500*time.Millisecond)))
 	require.False(t, w.TakeRetry(now.Add(500*time.Millisecond)))
 }
+
+// Guards against requests that wait for a retry which the window does not allow in time, or that are refused although it does.
+func TestTimeUntilRetry(t *testing.T) {
+	start := time.Unix(1000, 0)
+	w := &RetryWindow{ExtraRetries: 2, Length: 10 * time.Second}
+	require.Zero(t, w.TimeUntilRetry(start))
+	require.True(t, w.TakeRetryWithin(start, 0.5))
+	require.False(t, w.TakeRetryWithin(start, 0.5), "the other half is for others")
+	require.True(t, w.TakeRetry(start.Add(3*time.Second)))
+	now := start.Add(3 * time.Second)
+	wait := w.TimeUntilRetry(now)
+	require.Positive(t, wait)
+	require.False(t, w.TakeRetry(now.Add(wait-time.Millisecond)))
+	require.True(t, w.TakeRetry(now.Add(wait)))
+	require.LessOrEqual(t, w.TimeUntilRetry(now.Add(wait)), 11*time.Second)
+}
