afgateway: refuse a request that waits for a repeat at a stop

A request that has not run and waits for a repeat of the budget did not hear of a stop: it was sent after the server had begun to refuse waiting requests, and at the end of the grace period its caller would have been told that it may have run. The wait ends with the other waits, and a request of which no attempt may have run is refused as not run.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -146,13 +146,29 @@
 		if possibleRuns > 0 || wait > p.maxWait() {
 			return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", max(min(wait, maxBudgetRetryAfter), busyRetryAfter)))
 		}
-		p.waitTime += wait
-		if !s.Timer.Sleep(ctx, wait) {
-			return refuse(nil)
+		if refusal := p.waitForRetry(ctx, wait); refusal != nil || ctx.Err() != nil {
+			return refuse(refusal)
 		}
 	}
 }
 
+// waitForRetry waits until the budget may allow a retry. It returns a refusal if the server refuses waiting requests meanwhile.
+func (p *proxiedRequest) waitForRetry(ctx context.Context, wait time.Duration) *arbutusfork.Refusal {
+	s := p.server
+	over := make(chan struct{})
+	timer := s.Timer.CallAfter(max(wait, rejectedRetryDelay), func(time.Time) { close(over) })
+	defer timer.Stop()
+	startedAt := s.Timer.Now()
+	defer func() { p.waitTime += s.Timer.Now().Sub(startedAt) }()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	case <-s.waitingRefused:
+		return newRefusal(arbutusfork.CodeShuttingDown, "the server is stopping", stopRetryAfter)
+	}
+	return nil
+}
+
 // mayRetry reports whether the request may be sent to another endpoint after an attempt.
 func (p *proxiedRequest) mayRetry(o *attemptOwner, result attemptResult) bool {
 	sends, possibleRuns, breaksAtBegin, _ := o.snapshot()
@@ -206,7 +222,7 @@
 	if !errors.Is(context.Cause(ctx), errStopping) {
 		return p.endAfterDisconnect(sends > 0)
 	}
-	if sends == 0 {
+	if !o.mayHaveRun() {
 		return newRefusal(arbutusfork.CodeShuttingDown, errStopping.Error(), stopRetryAfter)
 	}
 	p.breakCause = breakByStop
--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -330,6 +330,13 @@
 	return o.sends, o.possibleRuns, o.breaksAtBegin, o.failure
 }
 
+// mayHaveRun reports whether an endpoint may have run the request or may still do so.
+func (o *attemptOwner) mayHaveRun() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.possibleRuns > 0 || slices.ContainsFunc(o.race.racers[:], func(r racer) bool { return r.isSent })
+}
+
 // excludedEndpoints returns the endpoints that failed the request.
 func (o *attemptOwner) excludedEndpoints() map[string]bool {
 	o.mu.Lock()
