afroster: keep the hold of a missing entry from being prolonged

An endpoint whose entry disappeared in an outage stays in use for 1.7 s, in which a running one writes its entry again. Each list after a failed call began that time anew, so that an endpoint that was gone got requests for as long as single calls to the platform failed.

RemoveEntry now sets the time only for an entry that is not held yet. An entry that is seen again ends the hold, as before.

TestHoldOfMissingEntryIsNotProlonged printed before, four lists 0.57 s apart: expected: []string{"i-1"} actual : []string(nil)

--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -139,7 +139,9 @@
 	r.initMaps()
 	if e := r.endpoints[id]; e != nil {
 		if mayReturn {
-			e.lapsedAt = r.Now()
+			if e.lapsedAt.IsZero() {
+				e.lapsedAt = r.Now()
+			}
 		} else {
 			// Soon after the store went back, the entry may be missing because its endpoint has not written it again.
 			if !r.Now().Before(r.doubtEndsAt) {
--- a/internal/afroster/roster_test.go
+++ b/internal/afroster/roster_test.go
@@ -25,6 +25,18 @@
 	require.Len(t, r.Entries(), 1)
 }
 
+// Guards against a hold that each list prolongs, so that an endpoint that is gone stays in use.
+func TestHoldOfMissingEntryIsNotProlonged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Roster{Now: func() time.Time { return now }}
+	r.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app"})
+	for range 4 {
+		r.RemoveEntry("i-1", true)
+		now = now.Add(lapsedEntryTimeout / 3)
+	}
+	require.Equal(t, []string{"i-1"}, r.RemoveLapsedEntries())
+}
+
 // Guards against requests to a departed endpoint after the platform's store came back from a copy that shows it as ready.
 func TestDepartedEndpointStaysOutWhenStoreGoesBack(t *testing.T) {
 	now := time.Unix(1000, 0)
