afroster: keep the latest start of an endpoint when an old copy shows up

Callers' streams were cut: a VM sent them to an endpoint 5 s after the store had accepted that it drains, and the endpoint exited as announced. The endpoint had started again under its ID; the store came back from a copy that showed its first start as ready.

Entries, departures and notices belong to an ID and a start, but nothing compared a start with the latest one. An entry of an earlier start passed for another process: it replaced the entry, deleted the departure, and no notice held for it.

An entry of an earlier one changes nothing; the entry of the latest one counts as missing, for which the hold of 1.7 s exists. After 10 s (ContestTime) without an entry of the latest start the earlier one counts, so that a wrong start far in the future does not shut an endpoint out for good. The 10 s begin again when the store goes back or was away for a heartbeat. Lists, changes, and relays of other VMs go the same way. When the 10 s are over, the endpoints are listed once more, as for departed endpoints; no other call is added.

TestEntryOfEarlierStartIsLeftOut printed before, for a list: expected: []int64{8} actual : []int64{7} and TestEarlierStartChangesNothing found the endpoint usable, its latest start ready.

Ruled out: keeping departures by ID and start instead. An entry of an earlier start of an endpoint that is ready would still replace the later one.

--- a/internal/afnode/era.go
+++ b/internal/afnode/era.go
@@ -48,7 +48,10 @@
 	d.mu.Lock()
 	isDue := false
 	for id, e := range d.entries {
-		if !n.roster.IsDoubtful(e) {
+		switch {
+		case n.roster.IsOutdated(e):
+			delete(d.entries, id)
+		case !n.roster.IsDoubtful(e):
 			delete(d.entries, id)
 			isDue = true
 		}
--- a/internal/afnode/era_test.go
+++ b/internal/afnode/era_test.go
@@ -1,13 +1,16 @@
 package afnode
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afstart"
 )
 
 // Guards against a VM that never uses a living endpoint whose entry was doubtful when the holder relayed it, since the holder
@@ -29,3 +32,50 @@
 	n.recheckDoubtful()
 	require.Empty(t, n.doubtful.entries, "the endpoints are listed again")
 }
+
+// Guards against an endpoint in use that is removed at once, or used as an earlier process, because a list, a change or a relay shows
+// its earlier start; and against one that is never used again if only the earlier start remains.
+func TestEntryOfEarlierStartIsLeftOut(t *testing.T) {
+	n, _ := newOddNode(t)
+	now := time.Unix(1000, 0)
+	n.timer.AdvanceTo(now)
+	n.Platform.DecodeEndpointEntry = func(id string, spec []byte) (afengine.EndpointEntry, error) {
+		start, err := strconv.ParseInt(string(spec), 10, 64)
+		return afengine.EndpointEntry{ID: id, Service: "app", Address: "x", StartUnixMs: start}, err
+	}
+	f := n.newEndpointFeed()
+	starts := func() (out []int64) {
+		for _, e := range n.roster.UsableEndpoints("app") {
+			out = append(out, e.StartUnixMs)
+		}
+		return out
+	}
+	advance := func(d time.Duration) {
+		now = now.Add(d)
+		n.timer.AdvanceTo(now)
+		n.removeExpiredEndpoints()
+	}
+	f.OnList([]afobject.Object{object("i-1", 1, "7")}, affeed.Gap{})
+	f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("i-1", 2, "8")})
+	for name, show := range map[string]func(){
+		"list":   func() { f.OnList([]afobject.Object{object("i-1", 3, "7")}, affeed.Gap{}) },
+		"change": func() { f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("i-1", 3, "7")}) },
+		"relay": func() {
+			n.applyRelayedEndpoints([]afengine.EndpointEntry{{ID: "i-1", Service: "app", Address: "x", StartUnixMs: 7}}, nil, true)
+		},
+	} {
+		show()
+		require.Equal(t, []int64{8}, starts(), name)
+		f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("i-1", 4, "8")})
+		advance(2 * time.Second)
+		require.Equal(t, []int64{8}, starts(), name)
+		require.Empty(t, n.doubtful.entries, name)
+	}
+	f.OnList([]afobject.Object{object("i-1", 3, "7")}, affeed.Gap{Outage: time.Second, WentBack: true})
+	advance(2 * time.Second)
+	require.Empty(t, starts(), "the entry of the latest start is missing for too long")
+	advance(afstart.ContestTime)
+	require.Empty(t, n.doubtful.entries, "the endpoints are listed again")
+	f.OnList([]afobject.Object{object("i-1", 3, "7")}, affeed.Gap{})
+	require.Equal(t, []int64{7}, starts())
+}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -16,6 +16,10 @@
 // recoveryWindow is how long after an outage a removed entry may still belong to a live endpoint.
 const recoveryWindow = 2500 * time.Millisecond
 
+// missedWriteTime is the length of an outage from which a running endpoint may not have written its entry, which it does about every
+// 1.2 s. Lost answers to single calls are shorter.
+const missedWriteTime = 1200 * time.Millisecond
+
 const (
 	// pollTimeoutWithoutHolder is how long the platform may hold one call to wait for a change while this VM receives nothing
 	// from a placement holder. A configuration must be in force within 2 s even if the connection of a held call has died.
@@ -152,13 +156,19 @@
 		if gap.MayLackEntries() {
 			recoveredAt = n.timer.Now()
 		}
+		if gap.Outage >= missedWriteTime {
+			n.roster.RecordStoreReturned()
+		}
 		odd.keep(objects)
-		seenIDs := make(map[string]bool, len(objects))
+		seenIDs, outdatedIDs := make(map[string]bool, len(objects)), make(map[string]bool)
 		var changedEntries []afengine.EndpointEntry
 		for _, o := range objects {
-			e, isListed, isChanged := n.putEndpoint(o, odd)
-			if isListed {
+			e, found, isChanged := n.putEndpoint(o, odd)
+			switch found {
+			case entryCounts:
 				seenIDs[o.Name] = true
+			case entryDoubtful:
+				outdatedIDs[o.Name] = true
 			}
 			if isChanged {
 				changedEntries = append(changedEntries, e)
@@ -181,7 +191,7 @@
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
 				// An entry that another writer replaced is not one that the platform lost.
 				_, isOdd := odd[id]
-				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd || outdatedIDs[id]
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -197,15 +207,20 @@
 	f.OnChange = func(e afobject.Event) {
 		id := e.Object.Name
 		var (
-			entry               afengine.EndpointEntry
-			isListed, isChanged bool
+			entry     afengine.EndpointEntry
+			found     entryResult
+			isChanged bool
 		)
 		if e.Type == afobject.Deleted {
 			odd.remove(id)
 		} else {
-			entry, isListed, isChanged = n.putEndpoint(e.Object, odd)
+			entry, found, isChanged = n.putEndpoint(e.Object, odd)
+		}
+		if found == entryDoubtful {
+			n.roster.RemoveEntry(id, true) // A running endpoint writes the entry of its latest start again.
+			return
 		}
-		if !isListed {
+		if found == entryOdd {
 			if listedIDs[id] {
 				isHeld := e.Type == afobject.Deleted && !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
 				n.log.Info("endpoint removed", "endpoint", id, "held", isHeld, "source", "platform")
@@ -223,27 +238,40 @@
 	return f
 }
 
-// putEndpoint adds or updates the endpoint of an entry in the roster. It reports whether the entry describes an endpoint and
-// whether the endpoint changed in more than its counters.
-func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
+// entryResult is what an entry in the store is taken for.
+type entryResult int
+
+// The results of reading an entry.
+const (
+	// entryOdd means that the entry describes no endpoint, or that there is none.
+	entryOdd entryResult = iota
+	// entryDoubtful means that the entry may be an old copy. What is known about the endpoint stays.
+	entryDoubtful
+	// entryCounts means that the endpoint is as its entry says.
+	entryCounts
+)
+
+// putEndpoint adds or updates the endpoint of an entry in the roster. It reports what the entry was taken for, and whether the
+// endpoint changed in more than its counters.
+func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, found entryResult, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
 	if err != nil {
 		if odd.add(o) {
 			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
 		}
-		return e, false, false
+		return e, entryOdd, false
 	}
 	odd.remove(o.Name)
-	if n.roster.IsDoubtful(e) {
+	if !n.roster.Admit(e) {
 		n.holdDoubtful(e)
-		return e, false, false
+		return e, entryDoubtful, false
 	}
 	e = n.roster.EffectiveEntry(e)
 	isChanged = n.roster.PutEntry(e)
 	if isChanged {
 		n.logEndpoint(e, "platform")
 	}
-	return e, true, isChanged
+	return e, entryCounts, isChanged
 }
 
 // logEndpoint logs a new or changed endpoint. The source is "platform" or "holder".
--- a/internal/afroster/departure.go
+++ b/internal/afroster/departure.go
@@ -28,12 +28,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.doubtEndsAt = r.Now().Add(departureDoubtTime)
+	r.renewContests()
 }
 
-// IsDoubtful reports whether an entry may be an old copy of the entry of an endpoint process that has departed.
+// IsDoubtful reports whether an entry may be an old copy: of the entry of an endpoint process that has departed, or of an earlier
+// start of the endpoint.
 func (r *Roster) IsDoubtful(e afengine.EndpointEntry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.isDoubtful(e)
+}
+
+// isDoubtful is IsDoubtful. The caller holds mu.
+func (r *Roster) isDoubtful(e afengine.EndpointEntry) bool {
+	if !r.starts[e.ID].Accepts(e.StartUnixMs, r.Now()) {
+		return true
+	}
 	d, ok := r.departures[e.ID]
 	return ok && d.isRemoved && !d.isDraining && d.startUnixMs == e.StartUnixMs && r.Now().Before(r.doubtEndsAt)
 }
--- a/internal/afroster/notice.go
+++ b/internal/afroster/notice.go
@@ -17,9 +17,19 @@
 	HasPauses func() bool
 }
 
-// State returns the state of an endpoint: that of its entry, or draining if the endpoint said that it leaves. Its entry may say so
-// later or, while the platform is away, never.
+// State returns the state of an endpoint: that of its entry, or draining if the endpoint said that it leaves or a later start of it
+// is known. Its entry may say so later or, while the platform is away, never.
 func (r *Roster) State(e afengine.EndpointEntry) afengine.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state(e)
+}
+
+// state is State. The caller holds mu.
+func (r *Roster) state(e afengine.EndpointEntry) afengine.State {
+	if r.starts[e.ID].IsSuperseded(e.StartUnixMs) {
+		return afengine.StateDraining
+	}
 	if r.Notices.IsLeaving != nil && r.Notices.IsLeaving(e.Start()) {
 		return afengine.StateDraining
 	}
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -11,6 +11,7 @@
 
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afhealth"
+	"arbutusfork.example/arbutusfork/pkg/afstart"
 )
 
 const (
@@ -62,7 +63,7 @@
 type Roster struct {
 	// Now returns the current time.
 	Now func() time.Time
-	// OnDoubtful is called with a relayed entry that was left out because it may be an old copy. It must not block.
+	// OnDoubtful is called with an entry that may be an old copy, if it was relayed and left out, or is in use. It must not block.
 	OnDoubtful func(e afengine.EndpointEntry)
 	// OnChange is called after each change that may allow a waiting request to run. It must not block.
 	OnChange func()
@@ -76,6 +77,8 @@
 	viewReceivedAt time.Time
 	// departures holds the endpoint processes that drain or were removed, by endpoint ID.
 	departures map[string]departure
+	// starts holds the latest start of each endpoint by ID, also of endpoints that are not listed.
+	starts map[string]afstart.Latest
 	// doubtEndsAt is until when entries of departed processes may be old copies.
 	doubtEndsAt time.Time
 	// runningByEndpoint counts this VM's requests by endpoint and by model or model/adapter.
@@ -110,11 +113,15 @@
 }
 
 // PutEntry adds or replaces the entry of an endpoint. It reports whether the endpoint is new, has restarted, was lapsed, or
-// has another state or address.
+// has another state or address. An entry of an earlier start than the latest one changes nothing.
 func (r *Roster) PutEntry(e afengine.EndpointEntry) (changed bool) {
 	e = r.EffectiveEntry(e)
 	r.mu.Lock()
 	r.initMaps()
+	if !r.recordStart(e) {
+		r.mu.Unlock()
+		return false
+	}
 	r.recordEntry(e)
 	old := r.endpoints[e.ID]
 	updated := &endpointState{EndpointEntry: e, changedAt: r.Now()}
@@ -189,9 +196,10 @@
 // not contain models, so that the known models of an endpoint are kept until the next view. IsComplete means that entries
 // contains all endpoints; endpoints that are missing from it are removed.
 func (r *Roster) ApplyRelayedEntries(entries []afengine.EndpointEntry, removed []string, isComplete bool) (changed []afengine.EndpointEntry) {
-	listed := make(map[string]bool, len(entries))
+	listed, doubtful := make(map[string]bool, len(entries)), make(map[string]bool)
 	for _, e := range entries {
-		if r.IsDoubtful(e) {
+		if !r.Admit(e) {
+			doubtful[e.ID] = true
 			if r.OnDoubtful != nil {
 				r.OnDoubtful(e)
 			}
@@ -207,7 +215,11 @@
 	}
 	if isComplete {
 		for _, e := range r.Entries() {
-			if !listed[e.ID] {
+			switch {
+			case doubtful[e.ID]:
+				// A running endpoint writes the entry of its latest start again.
+				r.RemoveEntry(e.ID, true)
+			case !listed[e.ID]:
 				removed = append(removed, e.ID)
 			}
 		}
@@ -241,7 +253,7 @@
 	isViewRecent := now.Sub(r.viewReceivedAt) < viewTimeout
 	var candidates Candidates
 	for _, e := range r.endpoints {
-		if e.Service != service || r.State(e.EndpointEntry) != afengine.StateReady {
+		if e.Service != service || r.state(e.EndpointEntry) != afengine.StateReady {
 			continue
 		}
 		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) > lapsedEntryTimeout {
