afnode: learn later starts of endpoints from reports and other VMs

A VM that had just started, or that was behind, used an endpoint by an old copy of its entry although its report, or a notice, limit or crash that another VM passed on, named a later start. The notice itself had no effect, since it belongs to the later start.

affact, afslot and afcrash now tell the roster of the starts about which something new was heard, and afkeeper of a start that a report names. An endpoint whose entry is of an earlier start counts as draining until its entry arrives. Reports that were requested after the latest start was heard of may also name an earlier one, which ends a wrong start at once.

No message or call is added. TestLaterStartIsLearntFromOtherVMs and TestReportOfLaterStartTakesEngineOutOfUse fail before: "Should be empty, but was [{{i-1 app 0 ready ...", and "expected: 1, actual: 0" for the state.

--- a/internal/afcrash/service.go
+++ b/internal/afcrash/service.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afquarantine"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
@@ -39,6 +40,8 @@
 	HeartbeatPeers func() []arbutusfork.VM
 	// SendToVM sends a message to a VM. It must not block.
 	SendToVM func(vm, kind string, message any) error
+	// OnStart is called with each start of an endpoint that crashed. It must not block. Nil does nothing.
+	OnStart func(e afengine.EndpointStart)
 	// OnQuarantine is called after the quarantines changed. It must not block.
 	OnQuarantine func()
 	// WallClock returns the time of day for notes, which outlive the process. Nil means time.Now.
@@ -151,6 +154,11 @@
 	s.mu.Lock()
 	hasChanged := s.addFacts(facts)
 	s.mu.Unlock()
+	if s.OnStart != nil {
+		for _, c := range facts.crashes {
+			s.OnStart(afengine.EndpointStart{Endpoint: c.Endpoint, StartUnixMs: c.StartUnixMs})
+		}
+	}
 	if hasChanged && s.OnQuarantine != nil {
 		s.OnQuarantine()
 	}
--- a/internal/affact/service.go
+++ b/internal/affact/service.go
@@ -44,6 +44,8 @@
 	SendToVM func(vm, kind string, message any) error
 	// IsListed reports whether an endpoint is known to exist.
 	IsListed func(e afengine.EndpointStart) bool
+	// OnStart is called with each start of an endpoint about which something new was heard. It must not block. Nil does nothing.
+	OnStart func(e afengine.EndpointStart)
 	// OnChange is called when requests and placement should be checked again. It must not block.
 	OnChange func()
 	// Metrics counts notices and messages. The zero value counts nothing.
@@ -194,6 +196,11 @@
 		s.Log.Info("endpoint notice", "kind", k.Kind.String(), "endpoint", k.Endpoint, "born", k.StartUnixMs, "heard_by", n.HeardBy, "age", now.Sub(n.HeardAt), "left", left)
 	}
 	s.mu.Unlock()
+	if s.OnStart != nil {
+		for k := range news {
+			s.OnStart(k.EndpointStart)
+		}
+	}
 	if s.OnChange != nil {
 		s.OnChange()
 	}
--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -149,6 +149,7 @@
 		return
 	}
 	if r.report.StartUnixMs != 0 && es.entry.StartUnixMs != 0 && r.report.StartUnixMs != es.entry.StartUnixMs {
+		s.Roster.RecordWord(afengine.EndpointStart{Endpoint: r.endpointID, StartUnixMs: r.report.StartUnixMs}, r.requestedAt)
 		// The engine restarted, and its new entry has not arrived yet.
 		return
 	}
--- a/internal/afkeeper/notice_test.go
+++ b/internal/afkeeper/notice_test.go
@@ -78,3 +78,19 @@
 	s.refreshEngines(t.Context())
 	require.Len(t, s.listLoadedModels(now), 1)
 }
+
+// Guards against orders and requests to an engine as an earlier process, although its report shows that it has started again.
+func TestReportOfLaterStartTakesEngineOutOfUse(t *testing.T) {
+	now := time.Unix(100, 0)
+	timer := &aftimer.Service{}
+	timer.AdvanceTo(now)
+	s := &Service{Timer: timer, Log: slog.New(slog.DiscardHandler), Roster: &afroster.Roster{Now: timer.Now}}
+	entry := afengine.EndpointEntry{ID: "i-1", Service: "llm", StartUnixMs: 1}
+	s.Roster.PutEntry(entry)
+	s.engines = map[string]*engineState{"i-1": {entry: entry}}
+	s.handleReport(reportResult{endpointID: "i-1", born: 1, requestedAt: now, report: afengine.Report{StartUnixMs: 2}})
+	require.Equal(t, afengine.StateDraining, s.Roster.State(entry))
+	entry.StartUnixMs = 2
+	s.Roster.PutEntry(entry)
+	require.Equal(t, afengine.StateReady, s.Roster.State(entry))
+}
--- a/internal/afnode/era_test.go
+++ b/internal/afnode/era_test.go
@@ -9,7 +9,9 @@
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
+	"arbutusfork.example/arbutusfork/pkg/afnotice"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/afquarantine"
 	"arbutusfork.example/arbutusfork/pkg/afstart"
 )
 
@@ -79,3 +81,26 @@
 	f.OnList([]afobject.Object{object("i-1", 3, "7")}, affeed.Gap{})
 	require.Equal(t, []int64{7}, starts())
 }
+
+// Guards against a VM that uses an endpoint by an old copy of its entry although it has heard of a later start from another VM, and
+// against a contest that nobody ends.
+func TestLaterStartIsLearntFromOtherVMs(t *testing.T) {
+	later := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 9}
+	for name, hear := range map[string]func(n *Node){
+		"notice": func(n *Node) { n.facts.Record(later, afnotice.Statement{Pause: time.Second}) },
+		"limit":  func(n *Node) { n.slots.RecordAnswer(later, 5) },
+		"crash":  func(n *Node) { n.crashes.RecordCrash(afquarantine.Crash{Endpoint: "i-1", StartUnixMs: 9}) },
+	} {
+		n, _ := newOddNode(t)
+		n.timer.AdvanceTo(time.Unix(1000, 0))
+		n.newEndpointFeed()
+		n.roster.PutEntry(afengine.EndpointEntry{ID: "i-1", Service: "app", StartUnixMs: 8})
+		hear(n)
+		require.Empty(t, n.roster.UsableEndpoints("app"), name)
+		require.NotEmpty(t, n.doubtful.entries, name)
+		n.timer.AdvanceTo(time.Unix(1000, 0).Add(afstart.ContestTime))
+		n.recheckDoubtful()
+		n.applyRelayedEndpoints([]afengine.EndpointEntry{{ID: "i-1", Service: "app", StartUnixMs: 8}}, nil, true)
+		require.NotEmpty(t, n.roster.UsableEndpoints("app"), name)
+	}
+}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -239,7 +239,7 @@
 // createCrashes creates the service that shares which prompts crash endpoints.
 func (n *Node) createCrashes() {
 	n.crashes = &afcrash.Service{
-		Timer: n.timer, Log: n.log, Metrics: afcrash.NewMetrics(n.registry), OnQuarantine: n.requestRecheck,
+		Timer: n.timer, Log: n.log, Metrics: afcrash.NewMetrics(n.registry), OnQuarantine: n.requestRecheck, OnStart: n.roster.RecordHearsay,
 		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
 	}
 	n.peers.Handle(afcrash.KindFacts, n.crashes.HandleFacts)
@@ -249,7 +249,7 @@
 // createSlots creates the service that keeps the limits that endpoints name.
 func (n *Node) createSlots() {
 	n.slots = &afslot.Service{
-		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: afslot.NewMetrics(n.registry), OnSlotFree: n.requestRecheck,
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: afslot.NewMetrics(n.registry), OnSlotFree: n.requestRecheck, OnStart: n.roster.RecordHearsay,
 		LiveVMs: n.peers.LiveMembers, HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() },
 		SendToVM: n.peers.Send, CallVM: n.peers.Call,
 	}
@@ -272,7 +272,7 @@
 // createFacts creates the service that shares what endpoints say about themselves.
 func (n *Node) createFacts() {
 	n.facts = &affact.Service{
-		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.IsListed,
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.IsListed, OnStart: n.roster.RecordHearsay,
 		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
 		OnChange: func() {
 			n.requestRecheck()
--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -54,6 +54,8 @@
 	SendToVM func(vm, kind string, message any) error
 	// CallVM sends a message to a VM and waits for the answer.
 	CallVM func(ctx context.Context, vm, kind string, message, answer any) error
+	// OnStart is called with each start of an endpoint about which something new was heard. It must not block. Nil does nothing.
+	OnStart func(e afengine.EndpointStart)
 	// OnSlotFree is called when waiting requests should be checked again. It must not block.
 	OnSlotFree func()
 	// Metrics counts slots. The zero value counts nothing.
@@ -137,6 +139,11 @@
 		s.Timer.CallAfter(spreadInterval, s.spread)
 	}
 	s.mu.Unlock()
+	if s.OnStart != nil {
+		for e := range news {
+			s.OnStart(e)
+		}
+	}
 	if isLifted && s.OnSlotFree != nil {
 		s.OnSlotFree()
 	}
