afroster: keep an engine's models when an old copy of its entry shows up

After the store came back from an older copy, an entry of the same start replaced the newer one with its models of before, until the engine wrote it again. A VM without a recent view of the holder then chose engines that no longer held the model.

An engine's count of accepted orders rises until it ends.

--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -124,6 +124,10 @@
 	}
 	r.recordEntry(e)
 	old := r.endpoints[e.ID]
+	if old != nil && old.StartUnixMs == e.StartUnixMs && e.AcceptedOrders < old.AcceptedOrders && r.Now().Before(r.doubtEndsAt) {
+		// The entry is an old copy: an engine's count of accepted orders rises until it ends.
+		e.Models, e.ModelsInMemory, e.ModelsOnDisk, e.AcceptedOrders = old.Models, old.ModelsInMemory, old.ModelsOnDisk, old.AcceptedOrders
+	}
 	updated := &endpointState{EndpointEntry: e, changedAt: r.Now()}
 	changed = true
 	if old != nil {
--- a/internal/afroster/start_test.go
+++ b/internal/afroster/start_test.go
@@ -73,3 +73,20 @@
 	require.Len(t, r.starts, maxStarts)
 	require.True(t, r.IsOutdated(first))
 }
+
+// Guards against requests for models that an engine no longer holds, after the platform's store came back from an older copy.
+func TestOldCopyOfEntryKeepsModels(t *testing.T) {
+	r, _, second, now, _ := newStartRoster()
+	old := second
+	old.Models, old.AcceptedOrders = []afengine.LoadedModel{{Model: "m1"}}, 3
+	newer := second
+	newer.Models, newer.ModelsOnDisk, newer.AcceptedOrders = []afengine.LoadedModel{{Model: "m2"}}, []string{"m1"}, 5
+	r.PutEntry(old)
+	r.PutEntry(newer)
+	r.RecordStoreWentBack()
+	r.PutEntry(old)
+	require.Equal(t, newer, r.UsableEndpoints("app")[0].EndpointEntry)
+	*now = now.Add(departureDoubtTime)
+	r.PutEntry(old)
+	require.Equal(t, old, r.UsableEndpoints("app")[0].EndpointEntry, "a wrong count of orders does not stay")
+}
