afroster: keep old notices while an entry is missing for a moment

A notice is kept for an hour after the entry of its endpoint is gone. The code took the hour from when the notice was heard: an endpoint that had said more than an hour ago that it leaves was used again, if its entry was missing for a moment while the store was away or after it went back. The next comparison of digests, within 0.4 s, dropped the notice.

The roster keeps when the entry of the latest start was removed, and the notices ask for endpoints that were listed within the last hour.

TestOldNoticeOutlivesMomentWithoutEntry fails before: "Should be true".

--- a/internal/affact/service.go
+++ b/internal/affact/service.go
@@ -42,7 +42,7 @@
 	HeartbeatPeers func() []arbutusfork.VM
 	// SendToVM sends a message to a VM. It must not block.
 	SendToVM func(vm, kind string, message any) error
-	// IsListed reports whether an endpoint is known to exist.
+	// IsListed reports whether an endpoint is known to exist, or did not long ago.
 	IsListed func(e afengine.EndpointStart) bool
 	// OnStart is called with each start of an endpoint about which something new was heard. It must not block. Nil does nothing.
 	OnStart func(e afengine.EndpointStart)
--- a/internal/afnode/era_test.go
+++ b/internal/afnode/era_test.go
@@ -104,3 +104,20 @@
 		require.NotEmpty(t, n.roster.UsableEndpoints("app"), name)
 	}
 }
+
+// Guards against an endpoint that is used again although it said that it leaves, since the notice is forgotten, an hour after it was
+// heard, at the first moment at which the endpoint is not listed.
+func TestOldNoticeOutlivesMomentWithoutEntry(t *testing.T) {
+	n, _ := newOddNode(t)
+	now := time.Unix(1000, 0)
+	n.timer.AdvanceTo(now)
+	e := afengine.EndpointEntry{ID: "i-1", Service: "app", Address: "x", StartUnixMs: 5}
+	n.roster.PutEntry(e)
+	n.facts.Record(e.Start(), afnotice.Statement{IsLeaving: true})
+	now = now.Add(2 * time.Hour)
+	n.timer.AdvanceTo(now)
+	n.roster.RemoveEntry(e.ID, true)
+	n.timer.AdvanceTo(now.Add(2 * time.Second))
+	n.removeExpiredEndpoints()
+	require.True(t, n.facts.View().WithoutEnded(n.timer.Now(), n.facts.IsListed).IsLeaving(e.Start()))
+}
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -272,7 +272,7 @@
 // createFacts creates the service that shares what endpoints say about themselves.
 func (n *Node) createFacts() {
 	n.facts = &affact.Service{
-		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.IsListed, OnStart: n.roster.RecordHearsay,
+		Self: n.self.VM, Timer: n.timer, Log: n.log, Metrics: affact.NewMetrics(n.registry), IsListed: n.roster.WasListedLately, OnStart: n.roster.RecordHearsay,
 		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send,
 		OnChange: func() {
 			n.requestRecheck()
--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -11,7 +11,6 @@
 
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afhealth"
-	"arbutusfork.example/arbutusfork/pkg/afstart"
 )
 
 const (
@@ -78,7 +77,7 @@
 	// departures holds the endpoint processes that drain or were removed, by endpoint ID.
 	departures map[string]departure
 	// starts holds the latest start of each endpoint by ID, also of endpoints that are not listed.
-	starts map[string]afstart.Latest
+	starts map[string]knownStart
 	// doubtEndsAt is until when entries of departed processes may be old copies.
 	doubtEndsAt time.Time
 	// runningByEndpoint counts this VM's requests by endpoint and by model or model/adapter.
@@ -158,7 +157,7 @@
 			if !r.Now().Before(r.doubtEndsAt) {
 				r.recordDeparture(e.EndpointEntry, true)
 			}
-			delete(r.endpoints, id)
+			r.removeEndpoint(e)
 		}
 	}
 	r.mu.Unlock()
@@ -173,7 +172,7 @@
 	now := r.Now()
 	for id, e := range r.endpoints {
 		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) > lapsedEntryTimeout {
-			delete(r.endpoints, id)
+			r.removeEndpoint(e)
 			removed = append(removed, id)
 		}
 	}
--- a/internal/afroster/start.go
+++ b/internal/afroster/start.go
@@ -11,6 +11,36 @@
 // forgotten first. The largest deployment has 750 endpoints.
 const maxStarts = 4096
 
+// noticeTimeout is how long after its entry is gone what an endpoint said about itself is kept.
+const noticeTimeout = time.Hour
+
+// knownStart is the latest start of an endpoint.
+type knownStart struct {
+	afstart.Latest
+	// removedAt is when the entry of the latest start was last removed, or zero if it was not.
+	removedAt time.Time
+}
+
+// removeEndpoint removes an endpoint. The caller holds mu.
+func (r *Roster) removeEndpoint(e *endpointState) {
+	if known := r.starts[e.ID]; known.StartUnixMs() == e.StartUnixMs {
+		known.removedAt = r.Now()
+		r.starts[e.ID] = known
+	}
+	delete(r.endpoints, e.ID)
+}
+
+// WasListedLately reports whether an endpoint is listed, or was some time ago and is not known to have started again.
+func (r *Roster) WasListedLately(e afengine.EndpointStart) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry := r.endpoints[e.Endpoint]; entry != nil && entry.Start() == e {
+		return true
+	}
+	known := r.starts[e.Endpoint]
+	return known.StartUnixMs() == e.StartUnixMs && !known.removedAt.IsZero() && r.Now().Sub(known.removedAt) < noticeTimeout
+}
+
 // Admit records that an entry was seen, and reports whether it counts. Otherwise it may be an old copy and must change nothing.
 func (r *Roster) Admit(e afengine.EndpointEntry) bool {
 	r.mu.Lock()
@@ -22,7 +52,7 @@
 func (r *Roster) IsOutdated(e afengine.EndpointEntry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	latest := r.starts[e.ID]
+	latest := r.starts[e.ID].Latest
 	return latest.IsSuperseded(e.StartUnixMs) && !latest.IsContested(r.Now())
 }
 
@@ -39,7 +69,7 @@
 // changeStart changes the latest start of an endpoint. The entry in use may have become doubtful by it.
 func (r *Roster) changeStart(id string, change func(afstart.Latest) afstart.Latest) {
 	r.mu.Lock()
-	before := r.starts[id]
+	before := r.starts[id].Latest
 	after := change(before)
 	r.setStart(id, after)
 	e := r.endpoints[id]
@@ -64,9 +94,14 @@
 // setStart sets the latest start of an endpoint. The caller holds mu.
 func (r *Roster) setStart(id string, latest afstart.Latest) {
 	if r.starts == nil {
-		r.starts = make(map[string]afstart.Latest)
+		r.starts = make(map[string]knownStart)
+	}
+	known := r.starts[id]
+	if known.StartUnixMs() != latest.StartUnixMs() {
+		known.removedAt = time.Time{}
 	}
-	r.starts[id] = latest
+	known.Latest = latest
+	r.starts[id] = known
 	if len(r.starts) <= maxStarts {
 		return
 	}
@@ -89,6 +124,7 @@
 // renewContests begins the contests of latest starts again. The caller holds mu.
 func (r *Roster) renewContests() {
 	for id, l := range r.starts {
-		r.starts[id] = l.WithStoreReturned(r.Now())
+		l.Latest = l.WithStoreReturned(r.Now())
+		r.starts[id] = l
 	}
 }
--- a/internal/afroster/start_test.go
+++ b/internal/afroster/start_test.go
@@ -64,6 +64,19 @@
 	require.Len(t, r.UsableEndpoints("app"), 1, "the endpoint itself says that it did not start again")
 }
 
+// Guards against a notice that is forgotten, an hour after it was heard, at the first moment at which the endpoint is not listed.
+func TestEndpointWasListedLately(t *testing.T) {
+	r, first, second, now, _ := newStartRoster()
+	require.False(t, r.WasListedLately(first.Start()))
+	require.True(t, r.WasListedLately(second.Start()))
+	r.RemoveEntry("i-1", false)
+	*now = now.Add(noticeTimeout - 1)
+	r.PutEntry(first)
+	require.True(t, r.WasListedLately(second.Start()))
+	*now = now.Add(1)
+	require.False(t, r.WasListedLately(second.Start()))
+}
+
 // Guards against memory that grows with each endpoint that has ever been listed, and against a listed endpoint that is forgotten.
 func TestStartsAreBounded(t *testing.T) {
 	r, first, _, _, _ := newStartRoster()
