afpace, afslot: order the answers of endpoints by numbers

VMs tell each other how long ago an endpoint named its limit. A message that is late makes the answer look later by its delay: a limit that the endpoint had lifted held again on all VMs, or a higher one replaced a lower one, until the endpoint's next answer.

Each answer now has a number above those of all answers that the VM that got it knew, and at least its time in ms. The higher number wins. The numbers travel in a field of their own, which earlier builds leave out and skip; without it the times decide as before, so that VMs of both builds exchange limits.

TestLateMessageChangesNoLimit printed before: "Max difference between 0 and 20 allowed is 0, but difference was -20".

What remains: an answer that repeats the known limit is not recorded for a minute, so that a late message may still go before it, until the next answer.

--- a/internal/afslot/message.go
+++ b/internal/afslot/message.go
@@ -23,6 +23,8 @@
 // limitsMessage carries limits.
 type limitsMessage struct {
 	Limits []limitMessage `msgpack:"limits"`
+	// Numbers holds the numbers of the limits in the same order. Earlier builds send none and don't read them.
+	Numbers []int64 `msgpack:"numbers,omitempty"`
 	// WantsReply means that the receiver answers with the limits that it knows.
 	WantsReply bool `msgpack:"reply,omitempty"`
 }
@@ -74,6 +76,7 @@
 	out := limitsMessage{Limits: make([]limitMessage, 0, len(limits))}
 	for e, limit := range limits {
 		out.Limits = append(out.Limits, limitMessage{Endpoint: e.Endpoint, StartUnixMs: e.StartUnixMs, PerSecond: limit.PerSecond, AgeMs: now.Sub(limit.NamedAt).Milliseconds()})
+		out.Numbers = append(out.Numbers, limit.Number)
 	}
 	return out
 }
@@ -89,12 +92,14 @@
 		s.send(from.VM, KindLimits, encodeLimits(s.Limits().ByEndpoint(), now))
 	}
 	named := make(map[afengine.EndpointStart]afpace.Limit, len(message.Limits))
-	for _, m := range message.Limits {
-		named[afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = afpace.Limit{
-			PerSecond: max(m.PerSecond, 0), NamedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond),
+	for i, m := range message.Limits {
+		limit := afpace.Limit{PerSecond: max(m.PerSecond, 0), NamedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond)}
+		if len(message.Numbers) == len(message.Limits) {
+			limit.Number = message.Numbers[i]
 		}
+		named[afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = limit
 	}
-	s.learn(named)
+	s.learn(func(l afpace.Limits) (afpace.Limits, map[afengine.EndpointStart]afpace.Limit) { return l.WithAnswers(named, now) })
 	return nil, nil
 }
 
--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -115,13 +115,15 @@
 	if perSecond == 0 && !s.Limits().Knows(e) {
 		return
 	}
-	s.learn(map[afengine.EndpointStart]afpace.Limit{e: {PerSecond: perSecond, NamedAt: s.Timer.Now()}})
+	s.learn(func(l afpace.Limits) (afpace.Limits, map[afengine.EndpointStart]afpace.Limit) {
+		return l.WithOwnAnswer(e, perSecond, s.Timer.Now())
+	})
 }
 
-// learn adds limits, and schedules the sending of those that are new.
-func (s *Service) learn(named map[afengine.EndpointStart]afpace.Limit) {
+// learn changes the limits, and schedules the sending of those that are new.
+func (s *Service) learn(change func(l afpace.Limits) (changed afpace.Limits, news map[afengine.EndpointStart]afpace.Limit)) {
 	s.mu.Lock()
-	limits, news := s.Limits().WithAnswers(named, s.Timer.Now())
+	limits, news := change(s.Limits())
 	wasPending, isLifted := len(s.pending) > 0, false
 	for e, limit := range news {
 		if s.pending == nil {
--- a/internal/afslot/service_test.go
+++ b/internal/afslot/service_test.go
@@ -315,6 +315,30 @@
 	}
 }
 
+// Guards against a limit that holds again, or is too high, because a message with an older answer of the endpoint is late.
+func TestLateMessageChangesNoLimit(t *testing.T) {
+	f := newFleet(2, 1)
+	e := afengine.EndpointStart{Endpoint: "i-1", StartUnixMs: 1}
+	a, b := f.services[f.vms[0].Name], f.services[f.vms[1].Name]
+	a.RecordAnswer(e, 10)
+	f.advance(time.Second)
+	require.Equal(t, 2, f.countLimited(e))
+	for _, perSecond := range []float64{0, 2} {
+		a.RecordAnswer(e, perSecond+20)
+		late, err := msgpack.Marshal(encodeLimits(a.Limits().ByEndpoint(), f.now))
+		require.NoError(t, err)
+		f.advance(time.Second)
+		b.RecordAnswer(e, perSecond)
+		f.advance(time.Second)
+		_, err = b.HandleLimits(arbutusfork.Incarnation{VM: f.vms[0].Name}, late)
+		require.NoError(t, err)
+		f.advance(time.Second)
+		for _, s := range f.services {
+			require.InDelta(t, perSecond, s.Limits().ByEndpoint()[e].PerSecond, 0)
+		}
+	}
+}
+
 // Guards against limits that reach the other VMs of a large fleet late, and against messages that grow with its square.
 func TestLimitsReachLargeFleet(t *testing.T) {
 	const vms, endpoints = 380, 100
--- a/pkg/afpace/limit.go
+++ b/pkg/afpace/limit.go
@@ -32,8 +32,11 @@
 type Limit struct {
 	// PerSecond is the number of requests a second that the endpoint takes. Zero means that the limit was lifted.
 	PerSecond float64
-	// NamedAt is when the answer arrived.
+	// NamedAt is when the answer arrived. On other VMs it is later by the delay of the messages.
 	NamedAt time.Time
+	// Number orders the answers of an endpoint, since the times of late messages do not: an answer has a higher one than all that the
+	// VM that got it knew. It is 0 for answers from VMs of earlier builds.
+	Number int64
 }
 
 // Interval returns the time between two requests at the limit.
@@ -76,6 +79,12 @@
 	return ok
 }
 
+// WithOwnAnswer returns the limits after this VM got an answer of an endpoint, as WithAnswers does.
+func (l Limits) WithOwnAnswer(e afengine.EndpointStart, perSecond float64, now time.Time) (changed Limits, news map[afengine.EndpointStart]Limit) {
+	number := max(l.byEndpoint[e].Number+1, now.UnixMilli())
+	return l.WithAnswers(map[afengine.EndpointStart]Limit{e: {PerSecond: perSecond, NamedAt: now, Number: number}}, now)
+}
+
 // WithAnswers returns the limits after answers of endpoints that named a limit, or none if PerSecond is zero. Answers may be
 // reported in any order. It also returns those of which other VMs should learn.
 func (l Limits) WithAnswers(named map[afengine.EndpointStart]Limit, now time.Time) (changed Limits, news map[afengine.EndpointStart]Limit) {
@@ -103,12 +112,20 @@
 	switch {
 	case !isKnown:
 		return limit.PerSecond > 0
-	case !limit.NamedAt.After(known.NamedAt):
+	case !limit.isLater(known):
 		return false
 	}
 	return isRelevant(known.PerSecond, limit.PerSecond) || limit.PerSecond > 0 && limit.NamedAt.Sub(known.NamedAt) >= refreshInterval
 }
 
+// isLater reports whether the answer with the limit was given after that with another one.
+func (l Limit) isLater(other Limit) bool {
+	if l.Number == 0 || other.Number == 0 {
+		return l.NamedAt.After(other.NamedAt)
+	}
+	return l.Number > other.Number
+}
+
 // isRelevant reports whether two limits differ by more than relevantChange.
 func isRelevant(a, b float64) bool {
 	return (a == 0) != (b == 0) || max(a, b)-min(a, b) > relevantChange*max(a, b)
