afkeeper: ignore a list of endpoints that updates have overtaken

A VM that missed an update asks the holder for all endpoints. If the missing update and further ones arrived before the answer, the older list undid them: an endpoint that the holder had removed was used again until the next view, some 0.1 s to 0.3 s later.

The answer is ignored if the VM has complete updates of a later number or epoch.

TestLateEndpointListChangesNothing printed before: "Should be empty, but was [i-1]".

--- a/internal/afkeeper/relay.go
+++ b/internal/afkeeper/relay.go
@@ -160,7 +160,9 @@
 	err := s.CallVM(ctx, holder, KindEndpointListRequest, struct{}{}, &m)
 	s.mu.Lock()
 	s.endpointSync.isFetching = false
-	ok := err == nil && m.IsFullList
+	// Updates may have overtaken the answer.
+	isOlder := s.endpointSync.isComplete && (m.Epoch < s.endpointSync.epoch || m.Epoch == s.endpointSync.epoch && m.Seq < s.endpointSync.seq)
+	ok := err == nil && m.IsFullList && !isOlder
 	if ok {
 		s.endpointSync = endpointSyncState{epoch: m.Epoch, seq: m.Seq, isComplete: true}
 	}
--- /dev/null
+++ b/internal/afkeeper/relay_test.go
@@ -0,0 +1,53 @@
+package afkeeper
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/pkg/afengine"
+)
+
+// Guards against an endpoint that is used again because a full list, which the holder sent before its latest update, arrives after it.
+func TestLateEndpointListChangesNothing(t *testing.T) {
+	var listed []string
+	s := &Service{Log: slog.New(slog.DiscardHandler), holder: "h", endpointSync: endpointSyncState{epoch: 1, seq: 5, isComplete: true}}
+	s.ApplyEndpoints = func(entries []afengine.EndpointEntry, removed []string, isFullList bool) {
+		if isFullList {
+			listed = nil
+		}
+		for _, e := range entries {
+			listed = append(listed, e.ID)
+		}
+		if len(removed) > 0 {
+			listed = nil
+		}
+	}
+	update := func(m endpointUpdate) {
+		body, err := msgpack.Marshal(m)
+		require.NoError(t, err)
+		_, err = s.HandleEndpointUpdate(arbutusfork.Incarnation{VM: "h"}, body)
+		require.NoError(t, err)
+	}
+	entries := []endpointEntry{{ID: "i-1"}}
+	s.CallVM = func(_ context.Context, _, _ string, _, answer any) error {
+		*answer.(*endpointUpdate) = endpointUpdate{Epoch: 1, Seq: 6, IsFullList: true, Entries: entries}
+		update(endpointUpdate{Epoch: 1, Seq: 6, Entries: entries})
+		update(endpointUpdate{Epoch: 1, Seq: 7, Removed: []string{"i-1"}})
+		return nil
+	}
+	s.fetchEndpointList("h")
+	require.Empty(t, listed)
+	require.Equal(t, endpointSyncState{epoch: 1, seq: 7, isComplete: true}, s.endpointSync)
+	s.ResyncEndpoints()
+	s.CallVM = func(_ context.Context, _, _ string, _, answer any) error {
+		*answer.(*endpointUpdate) = endpointUpdate{Epoch: 1, Seq: 7, IsFullList: true, Entries: entries}
+		return nil
+	}
+	s.fetchEndpointList("h")
+	require.Equal(t, []string{"i-1"}, listed)
+}
