--- a/internal/afslot/message.go
+++ b/internal/afslot/message.go
@@ -99,7 +99,9 @@
 		}
 		named[afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = limit
 	}
-	s.learn(func(l afpace.Limits) (afpace.Limits, map[afengine.EndpointStart]afpace.Limit) { return l.WithAnswers(named, now) })
+	s.learn(func(l afpace.Limits) (afpace.Limits, map[afengine.EndpointStart]afpace.Limit) {
+		return l.WithAnswers(named, now)
+	})
 	return nil, nil
 }
 
