scripts: add mutants of the rule on the latest start of an endpoint

They take the time until an earlier start counts, the end of a wrong start, and the guard of the roster away. The two tests catch all three.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -92,6 +92,15 @@
 mutant gateway-era-watch pkg/afobject/era.go \
 	'if k.basis == 0 || afversion.Era(k.basis) == era {' 'if k.basis >= 0 {' \
 	./pkg/afobject TestWatchFromEarlierEraExpires
+mutant gateway-start pkg/afstart/latest.go \
+	'now.Sub(l.contestedAt) >= ContestTime' 'true' \
+	./pkg/afstart TestLatestStartInAnyOrderOfFacts
+mutant gateway-start-for-good pkg/afstart/latest.go \
+	'|| l.IsContested(now) && now.Sub' '|| l.contestedAt.IsZero() && now.Sub' \
+	./pkg/afstart TestLatestStartInAnyOrderOfFacts
+mutant gateway-start-entry internal/afroster/roster.go \
+	'if !r.recordStart(e) {' 'if !r.recordStart(e) && e.ID == "" {' \
+	./internal/afroster TestEarlierStartChangesNothing
 mutant gateway-promise-wait pkg/aflease/lease.go \
 	'max(l.recordSeenAt+l.timing.TTL, l.waitEndsAt()) +' 'l.recordSeenAt + l.timing.TTL +' \
 	./pkg/aflease TestSuccessorWaitsAfterPromise
