--- a/internal/afslot/service.go
+++ b/internal/afslot/service.go
@@ -54,6 +54,8 @@
 	SendToVM func(vm, kind string, message any) error
 	// CallVM sends a message to a VM and waits for the answer.
 	CallVM func(ctx context.Context, vm, kind string, message, answer any) error
+	// OnStart is called with each start of an endpoint about which something new was heard. It must not block. Nil does nothing.
+	OnStart func(e afengine.EndpointStart)
 	// OnSlotFree is called when waiting requests should be checked again. It must not block.
 	OnSlotFree func()
 	// Metrics counts slots. The zero value counts nothing.
@@ -113,13 +115,15 @@
 	if perSecond == 0 && !s.Limits().Knows(e) {
 		return
 	}
-	s.learn(map[afengine.EndpointStart]afpace.Limit{e: {PerSecond: perSecond, NamedAt: s.Timer.Now()}})
+	s.learn(func(l afpace.Limits) (afpace.Limits, map[afengine.EndpointStart]afpace.Limit) {
+		return l.WithOwnAnswer(e, perSecond, s.Timer.Now())
+	})
 }
 
-// learn adds limits, and schedules the sending of those that are new.
-func (s *Service) learn(named map[afengine.EndpointStart]afpace.Limit) {
+// learn changes the limits, and schedules the sending of those that are new.
+func (s *Service) learn(change func(l afpace.Limits) (changed afpace.Limits, news map[afengine.EndpointStart]afpace.Limit)) {
 	s.mu.Lock()
-	limits, news := s.Limits().WithAnswers(named, s.Timer.Now())
+	limits, news := change(s.Limits())
 	wasPending, isLifted := len(s.pending) > 0, false
 	for e, limit := range news {
 		if s.pending == nil {
@@ -137,6 +141,11 @@
 		s.Timer.CallAfter(spreadInterval, s.spread)
 	}
 	s.mu.Unlock()
+	if s.OnStart != nil {
+		for e := range news {
+			s.OnStart(e)
+		}
+	}
 	if isLifted && s.OnSlotFree != nil {
 		s.OnSlotFree()
 	}
