--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -127,7 +127,7 @@
 		models = append(models, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
 	return map[string]any{
-		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": 64, "state": e.state, "seq": e.seq,
+		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": 64, "state": e.state, "cold-remaining-ms": 0, "seq": e.seq,
 		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100000,
 		"coming": []string{}, "at-hand": map[string]any{"in-memory": []string{}, "on-disk": e.disk},
 	}
