afnode: refuse an entry without a start after one with a start

An entry in which only born is missing was used although the endpoint's earlier entry named it. The platform says that an endpoint always names its start, but its printed example of an entry lacks it, so the field cannot be required of all entries. It is required now of an ID whose start an earlier entry named, as far as this VM knows; a version of an object that was refused once stays refused.

TestEntryWithoutStartReplacesNoneWithStart printed before: "expected: 1 actual: 2 Messages: the entry without a start is used". With the change the tests of afnode and afroster pass.

--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -33,6 +35,9 @@
 	configPollDelay = 50 * time.Millisecond
 )
 
+// errNoStart means that an entry does not name the start of an endpoint, although an earlier one with its ID did.
+var errNoStart = errors.New("the start is missing, which an earlier entry named")
+
 // newFeed creates the feed of a kind with its metrics.
 func (n *Node) newFeed(kind string) *affeed.Feed {
 	f := &affeed.Feed{
@@ -227,6 +232,10 @@
 // whether the endpoint changed in more than its counters.
 func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
+	if err == nil && e.StartUnixMs == 0 && (n.roster.HasNamedStart(o.Name) || odd.has(o)) {
+		// An endpoint that names its start always does, so that another writer replaced the entry.
+		err = errNoStart
+	}
 	if err != nil {
 		if odd.add(o) {
 			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
--- a/internal/afnode/odd.go
+++ b/internal/afnode/odd.go
@@ -17,6 +17,12 @@
 	return !known || version != o.Version
 }
 
+// has reports whether this version of an object was added.
+func (m oddObjects) has(o afobject.Object) bool {
+	version, known := m[o.Name]
+	return known && version == o.Version
+}
+
 // remove removes an object that is sound again or that no longer exists.
 func (m oddObjects) remove(name string) { delete(m, name) }
 
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -69,6 +69,27 @@
 	require.Equal(t, 4, strings.Count(logOutput.String(), "endpoint entry ignored"))
 }
 
+// Guards against an entry without a start that another writer put in place of one with a start and that is used.
+func TestEntryWithoutStartReplacesNoneWithStart(t *testing.T) {
+	n, logOutput := newOddNode(t)
+	n.Platform.DecodeEndpointEntry = func(id string, spec []byte) (afengine.EndpointEntry, error) {
+		start, err := strconv.ParseInt(string(spec), 10, 64)
+		return afengine.EndpointEntry{ID: id, Service: "app", StartUnixMs: start}, err
+	}
+	f := n.newEndpointFeed()
+	count := func() int { return len(n.roster.UsableEndpoints("app")) }
+	f.OnList([]afobject.Object{object("i-1", 1, "5"), object("i-2", 2, "0")}, affeed.Gap{})
+	require.Equal(t, 2, count())
+	n.roster.RecordStoreWentBack() // No departures are recorded for a while.
+	for range 3 {
+		f.OnList([]afobject.Object{object("i-1", 3, "0"), object("i-2", 2, "0")}, affeed.Gap{})
+		require.Equal(t, 1, count(), "the entry without a start is used")
+	}
+	require.Equal(t, 1, strings.Count(logOutput.String(), "endpoint entry ignored"))
+	f.OnChange(afobject.Event{Type: afobject.Modified, Object: object("i-1", 4, "5")})
+	require.Equal(t, 2, count())
+}
+
 // Guards against a VM entry that names no VM and takes a part of the limits, and against a VM that is forgotten, or never
 // removed and never listed again, because its entry became odd.
 func TestOddVMEntry(t *testing.T) {
--- a/internal/afroster/departure.go
+++ b/internal/afroster/departure.go
@@ -38,6 +38,14 @@
 	return ok && d.isRemoved && !d.isDraining && d.startUnixMs == e.StartUnixMs && r.Now().Before(r.doubtEndsAt)
 }
 
+// HasNamedStart reports whether an entry with this ID has named the start of its endpoint, as far as this VM knows.
+func (r *Roster) HasNamedStart(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	return e != nil && e.StartUnixMs != 0 || r.departures[id].startUnixMs != 0
+}
+
 // EffectiveEntry returns the entry as it is after what is known about its endpoint process: one that drains never becomes ready
 // again, whatever an old copy of its entry says.
 func (r *Roster) EffectiveEntry(e afengine.EndpointEntry) afengine.EndpointEntry {
