afnode: count odd objects and log each fault of one once

A line was logged for each version of an odd object, so that a writer that writes one with every heartbeat fills the log, and the text of a line was not bounded. Nothing counted the objects that were left out.

TestSameFaultIsLoggedOnceAndEachVersionCounted, without its count, printed before: "expected: 1 actual: 5". TestOddObjectsThatAreGoneAreForgotten uses the new form of the set and requires the same.

--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -151,7 +151,7 @@
 	f := n.newFeed(n.Platform.EndpointKind)
 	f.PollDelay = func() time.Duration { return endpointPollDelay }
 	f.IsSuspended = n.keeper.ReceivesEndpoints
-	listedIDs, odd := make(map[string]bool), make(oddObjects)
+	listedIDs, odd := make(map[string]bool), n.newOddObjects(n.Platform.EndpointKind)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
 	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
 		if gap.MayLackEntries() {
@@ -185,8 +185,7 @@
 			if !seenIDs[id] {
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
 				// An entry that another writer replaced is not one that the platform lost.
-				_, isOdd := odd[id]
-				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !odd.contains(id)
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -230,15 +229,15 @@
 
 // putEndpoint adds or updates the endpoint of an entry in the roster. It reports whether the entry describes an endpoint and
 // whether the endpoint changed in more than its counters.
-func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
+func (n *Node) putEndpoint(o afobject.Object, odd *oddObjects) (e afengine.EndpointEntry, isListed, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
 	if err == nil && e.StartUnixMs == 0 && (n.roster.HasNamedStart(o.Name) || odd.has(o)) {
 		// An endpoint that names its start always does, so that another writer replaced the entry.
 		err = errNoStart
 	}
 	if err != nil {
-		if odd.add(o) {
-			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		if fault, isNew := odd.add(o, err); isNew {
+			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", fault)
 		}
 		return e, false, false
 	}
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -106,7 +106,7 @@
 	f.PollDelay = n.vmFeedPollDelay
 	// The holder's views show whether VMs came or went since this copy was read.
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
-	odd := make(oddObjects)
+	odd := n.newOddObjects(vmKind)
 	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
 		odd.keep(objects)
 		listed := make(map[string]bool, len(objects))
@@ -151,13 +151,13 @@
 // putVM adds or updates the VM of an entry in the copy. A known VM whose entry another writer replaced by an odd one stays
 // known, since it may still use its part of the customers' limits. It writes its entry again, or is removed once it is
 // unreachable.
-func (n *Node) putVM(o afobject.Object, odd oddObjects) {
+func (n *Node) putVM(o afobject.Object, odd *oddObjects) {
 	spec, err := decodeVMSpec(o.Spec)
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
 	if err != nil {
-		if odd.add(o) {
-			n.log.Warn("VM entry ignored", "name", o.Name, "error", err)
+		if fault, isNew := odd.add(o, err); isNew {
+			n.log.Warn("VM entry ignored", "name", o.Name, "error", fault)
 		}
 		if _, known := n.vmList.versions[o.Name]; known {
 			n.vmList.versions[o.Name], n.vmList.startTimes[o.Name] = o.Version, 0
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -90,11 +90,13 @@
 	// Hangups receives SIGHUP, after which the settings are read. Signals from before Run may wait in it. Nil means none.
 	Hangups <-chan os.Signal
 
-	self           arbutusfork.Incarnation
-	timer          *aftimer.Service
-	log            *slog.Logger
-	logWriter      *aflog.AsyncWriter
-	registry       *prometheus.Registry
+	self      arbutusfork.Incarnation
+	timer     *aftimer.Service
+	log       *slog.Logger
+	logWriter *aflog.AsyncWriter
+	registry  *prometheus.Registry
+	// ignoredObjects counts the versions of objects of the platform that were left out, by kind.
+	ignoredObjects *prometheus.CounterVec
 	platformClient *afobject.Client
 	roster         *afroster.Roster
 	peers          *afpeer.Service
@@ -220,6 +222,7 @@
 	n.log = slog.New(slog.NewJSONHandler(n.logWriter, nil)).With("vm", n.Settings.VM)
 	aflog.RouteEngineLog(n.log)
 	n.registry = prometheus.NewRegistry()
+	n.ignoredObjects = newIgnoredObjects(n.registry)
 	n.platformClient = &afobject.Client{BaseURL: n.Settings.PlatformURL, Timeout: platformCallTimeout, Dialect: n.Platform.Dialect, HTTPClient: newPlatformHTTPClient(), OnEraChange: n.handleEraChange}
 	n.roster = &afroster.Roster{Now: n.timer.Now, OnChange: n.requestRecheck, OnDoubtful: n.holdDoubtful}
 	n.vmList.initMaps()
@@ -263,6 +266,7 @@
 func (n *Node) createTables() {
 	n.tables = &aftable.Service{
 		Timer: n.timer, Log: n.log, Decode: n.Platform.DecodeTable, OnChange: n.requestRecheck,
+		OnRefused:      n.ignoredObjects.WithLabelValues(n.Platform.ConfigKind).Inc,
 		HeartbeatPeers: func() []arbutusfork.VM { return n.peers.Membership().HeartbeatPeers() }, SendToVM: n.peers.Send, CallVM: n.peers.Call,
 	}
 	n.peers.Handle(aftable.KindVersion, n.tables.HandleVersion)
--- a/internal/afnode/odd_test.go
+++ b/internal/afnode/odd_test.go
@@ -120,9 +120,48 @@
 
 // Guards against memory that grows with each odd object that was ever listed.
 func TestOddObjectsThatAreGoneAreForgotten(t *testing.T) {
-	odd := make(oddObjects)
-	require.True(t, odd.add(afobject.Object{Name: "a", Version: 1}))
-	require.True(t, odd.add(afobject.Object{Name: "b", Version: 2}))
+	n, _ := newOddNode(t)
+	odd := n.newOddObjects("servers")
+	for _, o := range []afobject.Object{{Name: "a", Version: 1}, {Name: "b", Version: 2}} {
+		_, isNew := odd.add(o, errors.New("odd"))
+		require.True(t, isNew)
+	}
 	odd.keep([]afobject.Object{{Name: "b", Version: 2}})
-	require.Equal(t, oddObjects{"b": 2}, odd)
+	require.Equal(t, map[string]oddObject{"b": {2, "odd"}}, odd.byName)
+}
+
+// ignoredCount returns the number of versions of objects that a node left out, of all kinds.
+func ignoredCount(t *testing.T, n *Node) (sum float64) {
+	t.Helper()
+	families, err := n.registry.Gather()
+	require.NoError(t, err)
+	for _, f := range families {
+		if f.GetName() == "arbutusfork_platform_ignored_total" {
+			for _, m := range f.GetMetric() {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+// Guards against a log line for each poll or each write of the same odd entry, and against one of any length.
+func TestSameFaultIsLoggedOnceAndEachVersionCounted(t *testing.T) {
+	n, logOutput := newOddNode(t)
+	fault := "odd"
+	n.Platform.DecodeEndpointEntry = func(string, []byte) (afengine.EndpointEntry, error) {
+		return afengine.EndpointEntry{}, errors.New(fault)
+	}
+	f := n.newEndpointFeed()
+	for version := range int64(5) {
+		for range 3 {
+			f.OnList([]afobject.Object{object("i-1", version, "odd")}, affeed.Gap{})
+		}
+	}
+	require.Equal(t, 1, strings.Count(logOutput.String(), "endpoint entry ignored"))
+	require.EqualValues(t, 5, ignoredCount(t, n))
+	fault = strings.Repeat("x", 1<<20)
+	f.OnList([]afobject.Object{object("i-1", 9, "odd")}, affeed.Gap{})
+	require.Equal(t, 2, strings.Count(logOutput.String(), "endpoint entry ignored"))
+	require.Less(t, logOutput.Len(), 4*maxFaultBytes)
 }
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
@@ -81,6 +82,13 @@
 	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdleConnTimeout, MaxResponseHeaderBytes: platformMaxHeadBytes}
 }
 
+// newIgnoredObjects registers and returns the counter of the objects of the platform that were left out.
+func newIgnoredObjects(r prometheus.Registerer) *prometheus.CounterVec {
+	return promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutusfork_platform_ignored_total", Help: "Versions of the platform's objects that were left out because they could not be decoded.",
+	}, []string{"kind"})
+}
+
 // registerFeedMetrics registers the metrics of the feed of a kind.
 func (n *Node) registerFeedMetrics(kind string, f *affeed.Feed) {
 	labels := prometheus.Labels{"kind": kind}
--- a/internal/aftable/service.go
+++ b/internal/aftable/service.go
@@ -40,6 +40,8 @@
 	Decode func(spec []byte) (*afroute.Table, error)
 	// OnChange is called after another configuration came into force. It must not block.
 	OnChange func()
+	// OnRefused is called once for each version of an object that is refused. It must not block.
+	OnRefused func()
 	// HeartbeatPeers returns the VMs with which versions are compared.
 	HeartbeatPeers func() []arbutusfork.VM
 	// SendToVM sends a message to a VM. It must not block.
@@ -96,6 +98,7 @@
 		if isLogged {
 			return // Every list contains the object.
 		}
+		s.OnRefused()
 		s.Log.Error("configuration refused", "object", o.Name, "object_version", o.Version, "error", err)
 		return
 	}
--- a/internal/aftable/service_test.go
+++ b/internal/aftable/service_test.go
@@ -35,7 +35,7 @@
 	go timer.Run(ctx)
 	newService := func(self, other string) *Service {
 		s := &Service{
-			Timer: timer, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
+			Timer: timer, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, OnRefused: func() {},
 			Decode: func(spec []byte) (*afroute.Table, error) {
 				version, err := strconv.ParseInt(string(spec), 10, 64)
 				return afroute.NewTable(version, afroute.Limits{}, nil, nil, nil, nil), err
