afkeeper: refuse values in messages that no VM sends

Messages between VMs were used whatever their values. A relayed entry without a service, address or known state was listed; a rate that is no number spoilt the sums of the demand of all VMs; a negative cost added units to a limit; the age of an order in the future, or one that overflows, blocked its engine.

A relayed entry that names no endpoint is left out, and the endpoint of its ID is removed, as with an odd entry in the store. Reports, views, announcements of a stop and spend requests with values out of range are refused as malformed. Fractions in grants are bounded.

FuzzMessages decodes each of these messages and the record of the lease.

--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -170,6 +170,19 @@
 	OrderAgesMs map[string]int64 `msgpack:"orders,omitempty"`
 }
 
+// maxSuccessorDelay is far above the time between the orders of two holders. A longer one would leave the engines without a holder.
+const maxSuccessorDelay = time.Hour
+
+// isSound reports whether a holder can have sent the announcement. An order in the future would block its engine.
+func (m holderStop) isSound() bool {
+	for _, ms := range m.OrderAgesMs {
+		if ms < 0 || !isMessageTime(ms) {
+			return false
+		}
+	}
+	return m.Epoch >= 0 && m.Epoch <= maxLeaseCount && m.SuccessorDelayMs >= 0 && m.SuccessorDelayMs <= maxSuccessorDelay.Milliseconds()
+}
+
 // announceStop stops the use of the lease for good. It sends the other VMs the age of the last order to each engine, so that
 // the next holder waits no longer than necessary.
 func (s *Service) announceStop(epoch int64) {
@@ -202,6 +215,9 @@
 	if err := msgpack.Unmarshal(body, &m); err != nil {
 		return nil, &Error{Op: "stop", Kind: MalformedMessage, Err: err}
 	}
+	if !m.isSound() {
+		return nil, &Error{Op: "stop", Kind: MalformedMessage, Err: errOutOfRange}
+	}
 	now := s.BootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/afkeeper/message.go
+++ b/internal/afkeeper/message.go
@@ -1,8 +1,10 @@
 package afkeeper
 
 import (
+	"math"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
@@ -114,6 +116,33 @@
 // millionthsPerUnit converts RateFractionMillionths.
 const millionthsPerUnit = 1_000_000
 
+// maxMessageTime bounds the durations in messages, so that they do not overflow. It is far above all that VMs tell each other.
+const maxMessageTime = 365 * 24 * time.Hour
+
+// isMessageTime reports whether a number of milliseconds in a message is within maxMessageTime.
+func isMessageTime(ms int64) bool {
+	return ms >= -maxMessageTime.Milliseconds() && ms <= maxMessageTime.Milliseconds()
+}
+
+// errOutOfRange means that a message has the documented form but a value that no VM sends.
+var errOutOfRange = errors.New("a value is missing or out of range")
+
+// isSound reports whether another VM can have sent the report. One number that is none would spoil the sums over all VMs.
+func (r vmReport) isSound() bool {
+	for _, d := range r.Demand {
+		isRate := d.RequestRate >= 0 && d.PromptTokenRate >= 0 && !math.IsInf(d.RequestRate, 0) && !math.IsInf(d.PromptTokenRate, 0)
+		if !isRate || d.WaitingRequests < 0 || d.OnTimeRequests < 0 || !isMessageTime(d.LongestWaitMs) {
+			return false
+		}
+	}
+	return true
+}
+
+// isSound reports whether a holder can have sent the view. The bounds are those of the record of the lease.
+func (v placementView) isSound() bool {
+	return v.Holder != "" && v.Epoch >= 0 && v.Epoch <= maxLeaseCount && v.RenewalCount >= 0 && v.RenewalCount <= maxLeaseCount && v.LeaseVersion >= 0
+}
+
 func encodeLoad(l afroster.Load) endpointLoad {
 	return endpointLoad{Requests: l.Requests, PromptTokens: l.UnreadPromptTokens, Tokens: l.TotalTokens}
 }
@@ -145,6 +174,9 @@
 	if err := msgpack.Unmarshal(body, &report); err != nil {
 		return nil, &Error{Op: "beat", Kind: MalformedMessage, Err: err}
 	}
+	if !report.isSound() {
+		return nil, &Error{Op: "beat", Kind: MalformedMessage, Err: errOutOfRange}
+	}
 	s.mu.Lock()
 	s.vmReports[from.VM] = receivedVMReport{receivedAt: s.Timer.Now(), from: from, report: report}
 	s.mu.Unlock()
@@ -159,6 +191,9 @@
 	if err := msgpack.Unmarshal(body, &v); err != nil {
 		return nil, &Error{Op: "view", Kind: MalformedMessage, Err: err}
 	}
+	if !v.isSound() {
+		return nil, &Error{Op: "view", Kind: MalformedMessage, Err: errOutOfRange}
+	}
 	s.mu.Lock()
 	if v.LeaseVersion < s.lease.Version() {
 		s.mu.Unlock()
@@ -185,7 +220,7 @@
 func decodeGrants(messages map[string]limitGrantMessage) map[string]LimitGrant {
 	out := make(map[string]LimitGrant, len(messages))
 	for name, g := range messages {
-		out[name] = LimitGrant{AvailableUnits: g.AvailableUnits, ReportedSpentUnits: g.ReportedSpentUnits, RateFraction: float64(g.RateFractionMillionths) / millionthsPerUnit}
+		out[name] = LimitGrant{AvailableUnits: g.AvailableUnits, ReportedSpentUnits: g.ReportedSpentUnits, RateFraction: float64(min(max(g.RateFractionMillionths, 0), millionthsPerUnit)) / millionthsPerUnit}
 	}
 	return out
 }
--- a/internal/afkeeper/relay.go
+++ b/internal/afkeeper/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -47,6 +48,18 @@
 	}
 }
 
+// maxRelayedSlots is the largest number of slots of a relayed entry. Sums of it stay far below the largest int.
+const maxRelayedSlots = 1_000_000
+
+// isSound reports whether an entry names an endpoint that a holder may have listed. A field that is missing in the message is
+// zero.
+func (e endpointEntry) isSound() bool {
+	a, err := netip.ParseAddrPort(e.Address)
+	isAddress := err == nil && a.Port() > 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+	isState := e.State == int(afengine.StateReady) || e.State == int(afengine.StateDraining)
+	return e.ID != "" && e.Service != "" && isAddress && isState && e.Slots >= 0 && e.Slots <= maxRelayedSlots && e.Born >= 0 && isMessageTime(e.LeavesMs)
+}
+
 func (e endpointEntry) decode() afengine.EndpointEntry {
 	return afengine.EndpointEntry{
 		ID: e.ID, Service: e.Service, Address: e.Address, Centre: e.Centre, Slots: e.Slots, State: afengine.State(e.State),
@@ -104,13 +117,19 @@
 	return nil, nil
 }
 
-// applyEndpointUpdate decodes an update and passes it to ApplyEndpoints.
+// applyEndpointUpdate decodes an update and passes it to ApplyEndpoints. An entry that names no endpoint is left out, and the
+// endpoint of its ID is removed, as if the platform had shown it.
 func (s *Service) applyEndpointUpdate(m endpointUpdate) {
-	entries := make([]afengine.EndpointEntry, 0, len(m.Entries))
+	entries, removed := make([]afengine.EndpointEntry, 0, len(m.Entries)), m.Removed
 	for _, e := range m.Entries {
+		if !e.isSound() {
+			s.Log.Debug("relayed endpoint entry ignored", "endpoint", e.ID)
+			removed = append(removed, e.ID)
+			continue
+		}
 		entries = append(entries, e.decode())
 	}
-	s.ApplyEndpoints(entries, m.Removed, m.IsFullList)
+	s.ApplyEndpoints(entries, removed, m.IsFullList)
 }
 
 // HandleEndpointListRequest returns all endpoints to another VM. The answer is not a full list if this VM does not hold the
--- a/internal/afkeeper/share.go
+++ b/internal/afkeeper/share.go
@@ -251,6 +251,10 @@
 	if err := msgpack.Unmarshal(body, &r); err != nil {
 		return nil, &Error{Op: "spend", Kind: MalformedMessage, Err: err}
 	}
+	if r.Cost < 0 {
+		// It would add units to the customer's limit.
+		return nil, &Error{Op: "spend", Kind: MalformedMessage, Err: errOutOfRange}
+	}
 	if s.HoldsLease() {
 		return s.spendAsHolder(r), nil
 	}
