afslot, afcrash, affact: leave out facts that no VM sends

A limit of another VM that is no number was learnt and never replaced, since no comparison with it holds; an age that overflows put a limit into the future. A quarantine without parts, for a service without a name or until a year far ahead was taken from messages and from the stored note.

A request for a slot with such a limit is refused.

--- a/internal/afcrash/message.go
+++ b/internal/afcrash/message.go
@@ -1,6 +1,7 @@
 package afcrash
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -87,11 +88,28 @@
 	return m
 }
 
+const (
+	// maxMessageTime bounds the ages in messages, so that they do not overflow. It is far above the age of any fact.
+	maxMessageTime = 365 * 24 * time.Hour
+	// maxRemaining bounds the rest of a quarantine. It is three times the longest one.
+	maxRemaining = 24 * time.Hour
+)
+
+// isQuarantine reports whether a quarantine of another VM or of the stored note names prompts of a service and ends in time.
+func isQuarantine(service string, parts []string, remaining time.Duration) bool {
+	return service != "" && len(parts) > 0 && !slices.Contains(parts, "") && remaining <= maxRemaining
+}
+
 func (s *Service) decodeFacts(m factsMessage) pendingFacts {
 	now := s.Timer.Now()
-	before := func(ageMs int64) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	before := func(ageMs int64) time.Time {
+		return now.Add(-time.Duration(min(max(ageMs, -maxMessageTime.Milliseconds()), maxMessageTime.Milliseconds())) * time.Millisecond)
+	}
 	var facts pendingFacts
 	for _, c := range m.Crashes {
+		if c.Service == "" || c.Endpoint == "" {
+			continue // No VM sends such a crash.
+		}
 		decoded := afquarantine.Crash{Service: c.Service, Endpoint: c.Endpoint, StartUnixMs: c.StartUnixMs, At: before(c.AgeMs)}
 		for _, suspect := range c.Suspects {
 			decoded.Suspects = append(decoded.Suspects, afquarantine.Suspect{Parts: suspect.Parts, HasBegun: suspect.HasBegun, HasEvent: suspect.HasEvent})
@@ -102,6 +120,9 @@
 		facts.addAnswer(afquarantine.PartKey{Service: a.Service, Part: a.Part}, before(a.AgeMs))
 	}
 	for _, q := range m.Quarantines {
+		if !isQuarantine(q.Service, q.Parts, before(-q.RemainingMs).Sub(now)) {
+			continue // No VM sends such a quarantine.
+		}
 		facts.quarantines = append(facts.quarantines, afquarantine.Quarantine{
 			Service: q.Service, Parts: q.Parts, Since: before(q.AgeMs), Until: before(-q.RemainingMs), Renewals: q.Renewals,
 		})
--- a/internal/afcrash/note.go
+++ b/internal/afcrash/note.go
@@ -61,6 +61,9 @@
 	timeOf := func(unix int64) time.Time { return now.Add(time.Unix(unix, 0).Sub(wall)) }
 	var facts pendingFacts
 	for _, e := range entries {
+		if !isQuarantine(e.Service, e.Parts, timeOf(e.Until).Sub(now)) {
+			continue // No VM stores such a quarantine.
+		}
 		facts.quarantines = append(facts.quarantines, afquarantine.Quarantine{
 			Service: e.Service, Parts: e.Parts, Since: timeOf(e.Since), Until: timeOf(e.Until), Renewals: e.Renewals,
 		})
--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -152,10 +152,16 @@
 		}
 	}
 	for i, n := range m.Leaving {
+		if n.Endpoint == "" {
+			continue // No VM sends such a notice.
+		}
 		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Leaving}
 		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), AfterLift: m.LeavingAfter[i]}
 	}
 	for i, n := range m.Pauses {
+		if n.Endpoint == "" || n.HeardBy == "" {
+			continue
+		}
 		k := afnotice.Key{EndpointStart: afengine.EndpointStart{Endpoint: n.Endpoint, StartUnixMs: n.StartUnixMs}, Kind: afnotice.Pause, HeardBy: n.HeardBy}
 		left := time.Duration(min(max(n.LeftMs, 0), afnotice.MaxPause.Milliseconds())) * time.Millisecond
 		out[k] = afnotice.Notice{HeardBy: n.HeardBy, HeardAt: heardAt(n.AgeMs), Number: n.Number, Until: now.Add(left), AfterLift: m.PausesAfter[i]}
--- a/internal/afslot/message.go
+++ b/internal/afslot/message.go
@@ -1,8 +1,10 @@
 package afslot
 
 import (
+	"math"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"arbutusfork.example/arbutusfork"
@@ -60,6 +62,18 @@
 	WaitMicros int64
 }
 
+// maxMessageTime bounds the durations in messages, so that they do not overflow. It is far above all that VMs tell each other.
+const maxMessageTime = 365 * 24 * time.Hour
+
+// decodeMillis returns the duration of a number of milliseconds in a message, from 0 to maxMessageTime.
+func decodeMillis(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxMessageTime.Milliseconds())) * time.Millisecond
+}
+
+// isRate reports whether v is a rate that an endpoint can name, or zero. A value that is no number would keep the rate of the
+// endpoint from ever changing.
+func isRate(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+
 func (m slotMessage) decode() afpace.Slot {
 	return afpace.Slot{IsGranted: m.IsGranted, Wait: time.Duration(m.WaitMicros) * time.Microsecond}
 }
@@ -90,8 +104,11 @@
 	}
 	named := make(map[afengine.EndpointStart]afpace.Limit, len(message.Limits))
 	for _, m := range message.Limits {
+		if m.Endpoint == "" || !isRate(m.PerSecond) {
+			continue // No VM sends such a limit.
+		}
 		named[afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}] = afpace.Limit{
-			PerSecond: max(m.PerSecond, 0), NamedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond),
+			PerSecond: m.PerSecond, NamedAt: now.Add(-decodeMillis(m.AgeMs)),
 		}
 	}
 	s.learn(named)
@@ -120,9 +137,12 @@
 	if err := msgpack.Unmarshal(body, &m); err != nil {
 		return nil, &Error{Op: "slot", Kind: MalformedMessage, Err: err}
 	}
+	if m.Endpoint == "" || !isRate(m.PerSecond) {
+		return nil, &Error{Op: "slot", Kind: MalformedMessage, Err: errors.New("the endpoint is missing or its limit is no rate")}
+	}
 	slot := s.takeOwnSlot(afpace.Request{
 		Endpoint: afengine.EndpointStart{Endpoint: m.Endpoint, StartUnixMs: m.StartUnixMs}, PerSecond: m.PerSecond,
-		MaxWait: time.Duration(m.MaxWaitMs) * time.Millisecond,
+		MaxWait: decodeMillis(m.MaxWaitMs),
 	})
 	return slotMessage{IsGranted: slot.IsGranted, WaitMicros: slot.Wait.Microseconds()}, nil
 }
