platform, docs: fuzz every decoder and describe the wire forms

One fuzz target decoded entries, configurations and answers of the store alike, and nothing fuzzed reports, headers, settings, VM entries or notices. Which field is required, and by which statement of the platform, stood nowhere.

Each decoder has its own target, which also checks that nothing of a refused object is returned and that an accepted one has its required fields. The checks of FuzzStoreObjects on entries moved to FuzzEntry unchanged. Seeds lie in the tests and under platform/testdata/fuzz; `go test` replays them.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure bench bench-short slopes demo demo-umurongo up recover mutants soak soak-short
+.PHONY: build test generate model measure bench bench-short slopes demo demo-umurongo up recover mutants fuzz fuzz-short soak soak-short
 
 build:
 	@mkdir -p $(BIN)
@@ -51,6 +51,14 @@
 mutants:
 	scripts/mutants.sh
 
+# Every decoder for a minute. Inputs that failed are stored under testdata/fuzz, where `make test` replays them.
+fuzz:
+	scripts/fuzz.sh 1m
+
+# A short run for CI: the decoders of what other writers and endpoints send.
+fuzz-short:
+	scripts/fuzz.sh 2s 'FuzzEntry|FuzzConfiguration|FuzzReport|FuzzHeaders|afkeeper'
+
 # Seeds that failed once, and one more, for some minutes by hand.
 soak: build
 	for s in $$(sed -n 's/^\([0-9]*\) .*/\1/p' internal/afsoak/seeds.txt) 7; do $(BIN)/arbutusfork-soak --seed $$s || exit 1; done
