--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
@@ -37,6 +39,9 @@
 	configPollDelay = 50 * time.Millisecond
 )
 
+// errNoStart means that an entry does not name the start of an endpoint, although an earlier one with its ID did.
+var errNoStart = errors.New("the start is missing, which an earlier entry named")
+
 // newFeed creates the feed of a kind with its metrics.
 func (n *Node) newFeed(kind string) *affeed.Feed {
 	f := &affeed.Feed{
@@ -150,7 +155,7 @@
 	f := n.newFeed(n.Platform.EndpointKind)
 	f.PollDelay = func() time.Duration { return endpointPollDelay }
 	f.IsSuspended = n.keeper.ReceivesEndpoints
-	listedIDs, odd := make(map[string]bool), make(oddObjects)
+	listedIDs, odd := make(map[string]bool), n.newOddObjects(n.Platform.EndpointKind)
 	var recoveredAt time.Time // recoveredAt is when the platform was last reached again after an outage.
 	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
 		if gap.MayLackEntries() {
@@ -190,8 +195,7 @@
 			if !seenIDs[id] {
 				n.log.Info("endpoint no longer listed", "endpoint", id, "outage", gap.Outage, "store_went_back", gap.WentBack, "missing", missingCount)
 				// An entry that another writer replaced is not one that the platform lost.
-				_, isOdd := odd[id]
-				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !isOdd || outdatedIDs[id]
+				isHeld := gap.MayLackEntries() && missingCount >= minMissingToHold && !odd.contains(id) || outdatedIDs[id]
 				n.roster.RemoveEntry(id, isHeld)
 				if !isHeld {
 					removed = append(removed, id)
@@ -253,11 +257,15 @@
 
 // putEndpoint adds or updates the endpoint of an entry in the roster. It reports what the entry was taken for, and whether the
 // endpoint changed in more than its counters.
-func (n *Node) putEndpoint(o afobject.Object, odd oddObjects) (e afengine.EndpointEntry, found entryResult, isChanged bool) {
+func (n *Node) putEndpoint(o afobject.Object, odd *oddObjects) (e afengine.EndpointEntry, found entryResult, isChanged bool) {
 	e, err := n.Platform.DecodeEndpointEntry(o.Name, o.Spec)
+	if err == nil && e.StartUnixMs == 0 && (n.roster.HasNamedStart(o.Name) || odd.has(o)) {
+		// An endpoint that names its start always does, so that another writer replaced the entry.
+		err = errNoStart
+	}
 	if err != nil {
-		if odd.add(o) {
-			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", err)
+		if fault, isNew := odd.add(o, err); isNew {
+			n.log.Warn("endpoint entry ignored", "endpoint", o.Name, "error", fault)
 		}
 		return e, entryOdd, false
 	}
