afgateway: close a second attempt only for one that speaks

Change: a third attempt replaces only one that is silent for longer than a sound endpoint ever is. Refused second attempts do not count as sends. Whether a second answer can go on is judged when it speaks. A long answer that has begun is not watched for silence. The budget is asked before a slot is taken, and a repeat is given back to the moment in which it was taken. Requests at endpoints that are hung may use the whole budget, those at endpoints that are silent for a moment half of it. The random part of the timeouts is up to 15 %.

TestReturnedRetryCanBeTakenAgain gives the time of the take now, as the method asks for it; its check is the same.

--- a/internal/afgateway/answer.go
+++ b/internal/afgateway/answer.go
@@ -83,11 +83,11 @@
 			return nil, attemptResult{progress: progressHead, cause: "endpoint answered " + strconv.Itoa(status) + ", not run, without the request's ID"}
 		}
 		if status == http.StatusServiceUnavailable && headers.Said.Pause <= 0 {
-			s.full.recordRefusal(s, endpoint.Endpoint)
+			p.recordFull(endpoint.Endpoint)
 		}
 		return nil, attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(status) + ", not run"}
 	}
-	s.full.recordAnswer(endpoint.Endpoint, a.progressAt)
+	s.full.recordAnswer(p.fullKey(endpoint.Endpoint), a.progressAt)
 	ans := &answer{exchange: ex, headers: headers, held: s.AnswerMemory.Hold()}
 	ans.isStream = isStream(p.route) && ex.response.StatusCode == http.StatusOK && strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream")
 	if ans.isStream {
@@ -126,6 +126,7 @@
 	}
 	if !o.hand(a, ans) {
 		ans.close()
+		o.fail(a, attemptResult{progress: progressHead, cause: "the answer cannot go on with the one that has begun"})
 	}
 }
 
@@ -151,6 +152,9 @@
 			e.raw = append([]byte(nil), e.raw...) // The reader uses its buffer again.
 			ans.pending = append(ans.pending, e)
 			bytes += len(e.raw)
+			if bytes > afmemory.FreeBytes && !ans.held.Reserve(len(e.raw)) {
+				return p.classifyFailure(a, afmemory.ErrExhausted), false
+			}
 		}
 		switch {
 		case e.hasContent && !position.isFollowedBy(e.id, true, p.headers.LastEventID):
@@ -172,8 +176,13 @@
 		result.progress = progressHead
 		return result, false
 	}
+	if !ans.isWhole {
+		if err := p.checkLong(ans.exchange); err != nil {
+			return p.classifyFailure(a, err), false
+		}
+	}
 	status := ans.exchange.response.StatusCode
-	if status < http.StatusInternalServerError && !position.isStarted {
+	if status < http.StatusInternalServerError && !position.isStarted && http.StatusText(status) != "" {
 		return attemptResult{}, true
 	}
 	a.endpoint.request.End(healthResult(status < http.StatusInternalServerError))
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -54,7 +54,7 @@
 	o := newAttemptOwner(ctx, p)
 	defer func() {
 		o.end()
-		p.sends, _, _, _ = o.snapshot()
+		p.sends = o.sends // No other goroutine uses the owner any more.
 	}()
 	for {
 		endpoint, refusal := p.takeEndpoint(ctx, o)
@@ -114,6 +114,25 @@
 			giveUp()
 			return refuse(nil)
 		}
+		// A slot cannot be given back, so that the budget is asked first.
+		retryAt := s.Timer.Now()
+		if sends > 0 && !s.takeRetry(p.service.Name, retryAt) {
+			giveUp()
+			wait := s.timeUntilRetry(p.service.Name)
+			if possibleRuns > 0 || wait > p.maxWait() {
+				return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", max(min(wait, maxBudgetRetryAfter), busyRetryAfter)))
+			}
+			if refusal := p.waitForRetry(ctx, wait); refusal != nil || ctx.Err() != nil {
+				return refuse(refusal)
+			}
+			continue
+		}
+		giveUp = func() {
+			endpoint.request.End(afroster.HealthUnaffected)
+			if sends > 0 {
+				s.returnRetry(p.service.Name, retryAt)
+			}
+		}
 		result, wait := p.waitForSlot(ctx, endpoint.Endpoint, p.maxWait())
 		p.waitTime += wait
 		switch result {
@@ -138,17 +157,7 @@
 			giveUp()
 			continue
 		}
-		if sends == 0 || s.takeRetry(p.service.Name) {
-			return endpoint, nil
-		}
-		giveUp()
-		wait = s.timeUntilRetry(p.service.Name)
-		if possibleRuns > 0 || wait > p.maxWait() {
-			return refuse(newRefusal(arbutusfork.CodeNoCapacity, "the budget for repeats is used up", max(min(wait, maxBudgetRetryAfter), busyRetryAfter)))
-		}
-		if refusal := p.waitForRetry(ctx, wait); refusal != nil || ctx.Err() != nil {
-			return refuse(refusal)
-		}
+		return endpoint, nil
 	}
 }
 
@@ -156,7 +165,9 @@
 func (p *proxiedRequest) waitForRetry(ctx context.Context, wait time.Duration) *arbutusfork.Refusal {
 	s := p.server
 	over := make(chan struct{})
-	timer := s.Timer.CallAfter(max(wait, rejectedRetryDelay), func(time.Time) { close(over) })
+	// The random part keeps requests that wait for the same retry from asking at the same time.
+	wait = max(wait, rejectedRetryDelay) + time.Duration(s.Random()*float64(rejectedRetryDelay))
+	timer := s.Timer.CallAfter(wait, func(time.Time) { close(over) })
 	defer timer.Stop()
 	startedAt := s.Timer.Now()
 	defer func() { p.waitTime += s.Timer.Now().Sub(startedAt) }()
--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -20,6 +20,8 @@
 type liveAttempt struct {
 	id       attemptID
 	endpoint acquiredEndpoint
+	// isSecond means that the attempt began while another one was silent.
+	isSecond bool
 	// ctx ends when the attempt is closed, at the deadline, and with the request.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -62,8 +64,9 @@
 	cannotMove bool
 	// excluded holds the endpoints that failed the request, including those that were replaced.
 	excluded map[string]bool
-	// sends is the number of attempts that were sent, and possibleRuns the number of those that have ended and may have run.
-	sends, possibleRuns int
+	// sends is the number of attempts that were sent, possibleRuns the number of those that have ended and may have run, and
+	// refusedSeconds that of second attempts that were refused as not run.
+	sends, possibleRuns, refusedSeconds int
 	// breaksAtBegin is the number of endpoints that broke off the answer as it began.
 	breaksAtBegin int
 	// failure is the result of the attempt that failed last.
@@ -142,15 +145,23 @@
 func (o *attemptOwner) speakFinally(a *liveAttempt) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.speakLocked(a) {
+		return false
+	}
 	o.cannotMove = true
-	return o.speakLocked(a)
+	return true
 }
 
-// mayRelay reports whether the attempt is the one that answers the caller.
-func (o *attemptOwner) mayRelay(a *liveAttempt) bool {
+// start records that the answer to the caller begins with the head of an attempt and without an event. It returns false if another
+// attempt has spoken instead.
+func (o *attemptOwner) start(a *liveAttempt) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.race.find(a.id) >= 0
+	if o.race.find(a.id) < 0 {
+		return false
+	}
+	o.position.isStarted = true
+	return true
 }
 
 // speakEvent is like speak for an event of a stream, which is written to the caller until relayed is called.
@@ -176,11 +187,12 @@
 	o.position = position
 }
 
-// hand gives an attempt that has spoken to the goroutine of the request.
+// hand gives an attempt that has spoken to the goroutine of the request. It returns false if another attempt has spoken instead, or if
+// the answer cannot go on with one that has begun meanwhile.
 func (o *attemptOwner) hand(a *liveAttempt, ans *answer) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.speakLocked(a) {
+	if !ans.isStream && o.position.isStarted || !o.speakLocked(a) {
 		return false
 	}
 	o.spoken = &spokenAttempt{a, ans}
@@ -203,6 +215,9 @@
 	wasSent := o.race.racers[i].isSent
 	if wasSent && result.notRun {
 		o.possibleRuns-- // apply counts each attempt that was sent.
+		if a.isSecond {
+			o.refusedSeconds++
+		}
 	}
 	o.race.racers[i].isSilent = false // Its endpoint did not stay silent.
 	next, effects := o.race.withEnd(a.id)
@@ -293,7 +308,7 @@
 		if c.isSent {
 			o.possibleRuns++
 		} else {
-			s.returnRetry(p.service.Name)
+			s.returnRetry(p.service.Name, a.endpoint.retryAt)
 		}
 		if c.isSilent {
 			o.excluded[a.endpoint.ID] = true
@@ -307,7 +322,7 @@
 	if effects.stopSeeking && o.waiting != nil {
 		if e, ok := s.queue.remove(o.waiting); ok {
 			e.request.End(afroster.HealthUnaffected)
-			s.returnRetry(p.service.Name)
+			s.returnRetry(p.service.Name, e.retryAt)
 		}
 		o.waiting = nil
 	}
@@ -319,15 +334,15 @@
 // mayRepeat reports whether one more attempt may be sent beside those that are live. The caller holds mu.
 func (o *attemptOwner) mayRepeat() bool {
 	p := o.request
-	return p.route.IsRepeatable() && !o.cannotMove && (o.position.events == 0 || o.position.canBeContinued()) && o.sends < maxTotalAttempts && o.breaksAtBegin < maxBreaksAtBegin &&
+	return p.route.IsRepeatable() && !o.cannotMove && (o.position.events == 0 || o.position.canBeContinued()) && o.sends-o.refusedSeconds < maxTotalAttempts && o.breaksAtBegin < maxBreaksAtBegin &&
 		o.possibleRuns+o.race.liveCount() < p.route.MaxAttempts && p.timeLeft() > 0 && p.refuseQuarantined() == nil
 }
 
-// snapshot returns the counts of the attempts.
+// snapshot returns the counts of the attempts without the second ones that were refused, and the latest failure.
 func (o *attemptOwner) snapshot() (sends, possibleRuns, breaksAtBegin int, failure attemptResult) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.sends, o.possibleRuns, o.breaksAtBegin, o.failure
+	return o.sends - o.refusedSeconds, o.possibleRuns, o.breaksAtBegin, o.failure
 }
 
 // mayHaveRun reports whether an endpoint may have run the request or may still do so.
--- a/internal/afgateway/pick.go
+++ b/internal/afgateway/pick.go
@@ -13,7 +13,7 @@
 	return requirements{
 		model: p.headers.Model, adapter: p.headers.Adapter, promptTokens: p.headers.PromptTokens, totalTokens: p.headers.PromptTokens + p.headers.MaxOutputTokens,
 		centre: s.Centre, excluded: excluded, sessionEndpoint: s.sessions.findEndpoint(p.headers), sharedTokens: sharedPromptTokens(p.headers), engine: p.service.Engine,
-		now: s.Timer.Now(), isUnavailable: s.isPausedOrFull, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
+		now: s.Timer.Now(), isUnavailable: p.isPausedOrFull, slotWait: s.expectedSlotWait, maxSlotWait: maxSlotWait,
 	}
 }
 
@@ -45,7 +45,8 @@
 	if s.EndpointLimits.ExpectRequest != nil {
 		s.EndpointLimits.ExpectRequest(endpointStart(endpoint))
 	}
-	return acquiredEndpoint{endpoint, s.Roster.BeginRequest(endpoint.ID, p.headers.Model, p.headers.Adapter, p.headers.PromptTokens, p.headers.PromptTokens+p.headers.MaxOutputTokens)}, true
+	request := s.Roster.BeginRequest(endpoint.ID, p.headers.Model, p.headers.Adapter, p.headers.PromptTokens, p.headers.PromptTokens+p.headers.MaxOutputTokens)
+	return acquiredEndpoint{Endpoint: endpoint, request: request}, true
 }
 
 // sharedPromptTokens returns the number of tokens of the prompt that other requests of the session may have in common.
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -13,6 +13,8 @@
 type acquiredEndpoint struct {
 	afroster.Endpoint
 	request *afroster.RunningRequest
+	// retryAt is when a retry of the budget was taken for a second attempt at the endpoint, or zero.
+	retryAt time.Time
 }
 
 // waitingRequest is a request that waits for an endpoint.
--- a/internal/afgateway/race.go
+++ b/internal/afgateway/race.go
@@ -12,8 +12,8 @@
 	// isSent means that bytes of the request may have been sent. Before, the attempt holds a place at its endpoint and, unless it is
 	// the first of the request, a retry of the budget.
 	isSent bool
-	// isSilent means that the endpoint has sent nothing for too long.
-	isSilent bool
+	// isSilent means that the endpoint has sent nothing for too long, and isHung that it has for longer than a sound one ever does.
+	isSilent, isHung bool
 }
 
 // race decides which of the live attempts of a request answers the caller. An attempt at a silent endpoint stays live until
@@ -73,13 +73,13 @@
 }
 
 // withSilence records that an attempt has got nothing for too long. Another one is sought if all live attempts are silent and the
-// request may be sent once more.
-func (r race) withSilence(id attemptID, mayRepeat bool) (race, raceEffects) {
+// request may be sent once more, beside two live ones only if one of them is hung.
+func (r race) withSilence(id attemptID, isHung, mayRepeat bool) (race, raceEffects) {
 	i := r.find(id)
 	if i < 0 || !r.racers[i].isSent {
 		return r, raceEffects{isRejected: true}
 	}
-	r.racers[i].isSilent = true
+	r.racers[i].isSilent, r.racers[i].isHung = true, isHung
 	if r.isOver || r.isSeeking || !mayRepeat {
 		return r, raceEffects{}
 	}
@@ -88,27 +88,36 @@
 			return r, raceEffects{}
 		}
 	}
+	if r.freeSlot() < 0 {
+		return r, raceEffects{}
+	}
 	r.isSeeking = true
 	return r, raceEffects{seek: true}
 }
 
-// withPlace begins an attempt with the place that was found. If two attempts are live and silent, the later one makes room.
-func (r race) withPlace() (race, raceEffects) {
-	if !r.isSeeking || r.isOver {
-		return r, raceEffects{unneededPlace: true}
-	}
-	effects := raceEffects{}
-	r.isSeeking = false
-	slot := 0
+// freeSlot returns the index in racers for one more attempt: an unused one, or that of the earliest attempt that is hung. It returns
+// -1 if there is none.
+func (r race) freeSlot() int {
+	slot := -1
 	for i, racer := range r.racers {
 		if racer.id == 0 {
-			slot = i
-			break
+			return i
 		}
-		if racer.id > r.racers[slot].id {
+		if racer.isHung && (slot < 0 || racer.id < r.racers[slot].id) {
 			slot = i
 		}
 	}
+	return slot
+}
+
+// withPlace begins an attempt with the place that was found. If two attempts are live, one that is hung is closed for it.
+func (r race) withPlace() (race, raceEffects) {
+	slot := r.freeSlot()
+	if !r.isSeeking || r.isOver || slot < 0 {
+		return r, raceEffects{unneededPlace: true}
+	}
+	effects := raceEffects{}
+	r.isSeeking = false
 	effects.closed[0] = r.racers[slot]
 	r.lastID++
 	r.racers[slot] = racer{id: r.lastID}
@@ -134,7 +143,7 @@
 	}
 	effects := raceEffects{stopSeeking: r.isSeeking}
 	r.isSeeking = false
-	r.racers[i].isSilent = false
+	r.racers[i].isSilent, r.racers[i].isHung = false, false
 	effects.closed[0] = r.racers[1-i]
 	r.racers[1-i] = racer{}
 	return r, effects
--- a/internal/afgateway/race_test.go
+++ b/internal/afgateway/race_test.go
@@ -29,16 +29,17 @@
 	over := closed(racer{id: 1, isSent: true})
 	over.stopSeeking = true
 	for name, steps := range map[string][]step{
-		"second speaks":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 2, closed(racer{1, true, true})}, {"speech", 1, rejected}},
-		"first speaks while second is": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 1, closed(racer{2, true, false})}, {"speech", 2, rejected}},
-		"first speaks before the send": {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 1, closed(racer{2, false, false})}, {"send", 2, rejected}},
+		"second speaks":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 2, closed(racer{id: 1, isSent: true, isSilent: true})}, {"speech", 1, rejected}},
+		"first speaks while second is": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 1, closed(racer{id: 2, isSent: true})}, {"speech", 2, rejected}},
+		"first speaks before the send": {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 1, closed(racer{id: 2})}, {"send", 2, rejected}},
 		"first speaks before a place":  {{"silence", 1, seek}, {"speech", 1, stopSeeking}, {"place", 0, raceEffects{unneededPlace: true}}},
-		"second refuses":               {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 2, closed(racer{2, true, false})}, {"speech", 1, raceEffects{}}},
-		"second has no slot":           {{"silence", 1, seek}, {"place", 0, start(2)}, {"end", 2, closed(racer{2, false, false})}, {"silence", 1, seek}},
-		"first breaks off":             {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 1, closed(racer{1, true, true})}, {"speech", 2, raceEffects{}}},
-		"both are silent":              {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, seek}, {"place", 0, start(3, racer{2, true, true})}, {"speech", 2, rejected}},
+		"second refuses":               {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 2, closed(racer{id: 2, isSent: true})}, {"speech", 1, raceEffects{}}},
+		"second has no slot":           {{"silence", 1, seek}, {"place", 0, start(2)}, {"end", 2, closed(racer{id: 2})}, {"silence", 1, seek}},
+		"first breaks off":             {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 1, closed(racer{id: 1, isSent: true, isSilent: true})}, {"speech", 2, raceEffects{}}},
+		"both are silent for a moment": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, raceEffects{}}, {"speech", 2, closed(racer{id: 1, isSent: true, isSilent: true})}},
+		"first is hung":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, raceEffects{}}, {"long silence", 1, seek}, {"place", 0, start(3, racer{1, true, true, true})}, {"speech", 1, rejected}, {"speech", 2, closed(racer{id: 3})}},
 		"last allowed run":             {{"final silence", 1, raceEffects{}}, {"speech", 1, raceEffects{}}},
-		"over while it seeks":          {{"silence", 1, seek}, {"over", 0, raceEffects{stopSeeking: true, closed: [2]racer{{1, true, true}}}}, {"place", 0, raceEffects{unneededPlace: true}}},
+		"over while it seeks":          {{"silence", 1, seek}, {"over", 0, raceEffects{stopSeeking: true, closed: [2]racer{{id: 1, isSent: true, isSilent: true}}}}, {"place", 0, raceEffects{unneededPlace: true}}},
 		"speech without a send":        {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 2, rejected}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -47,9 +48,11 @@
 				var got raceEffects
 				switch s.event {
 				case "silence":
-					r, got = r.withSilence(s.id, true)
+					r, got = r.withSilence(s.id, false, true)
+				case "long silence":
+					r, got = r.withSilence(s.id, true, true)
 				case "final silence":
-					r, got = r.withSilence(s.id, false)
+					r, got = r.withSilence(s.id, false, false)
 				case "place":
 					r, got = r.withPlace()
 				case "send":
@@ -117,7 +120,7 @@
 		anyID := rapid.Custom(func(t *rapid.T) attemptID { return attemptID(rapid.IntRange(1, int(m.race.lastID)).Draw(t, "id")) })
 		t.Repeat(map[string]func(*rapid.T){
 			"silence": func(t *rapid.T) {
-				m.apply(m.race.withSilence(anyID.Draw(t, "attempt"), rapid.Bool().Draw(t, "may repeat")))
+				m.apply(m.race.withSilence(anyID.Draw(t, "attempt"), rapid.Bool().Draw(t, "hung"), rapid.Bool().Draw(t, "may repeat")))
 			},
 			"place": func(*rapid.T) {
 				wasSeeking := m.isSeeking
@@ -142,9 +145,9 @@
 					m.spoken = id
 				}
 			},
-			"second attempt": func(*rapid.T) {
+			"second attempt": func(t *rapid.T) {
 				for _, racer := range m.race.racers {
-					m.apply(m.race.withSilence(racer.id, true))
+					m.apply(m.race.withSilence(racer.id, rapid.Bool().Draw(t, "hung"), true))
 				}
 				m.apply(m.race.withPlace())
 				id := m.race.lastID
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -103,12 +103,11 @@
 func (p *proxiedRequest) relayLong(o *attemptOwner, a *liveAttempt, ans *answer) attemptResult {
 	ex := ans.exchange
 	length := ex.response.ContentLength
-	if p.responseStarted || http.StatusText(ex.response.StatusCode) == "" {
-		return p.classifyFailure(a, errors.Errorf("a long answer with status %d cannot be relayed", ex.response.StatusCode))
+	if p.responseStarted {
+		return p.classifyFailure(a, errors.New("a long answer cannot go on with a stream"))
 	}
-	if length < 0 && !p.r.ProtoAtLeast(1, 1) {
-		// A caller with HTTP/1.0 could not tell a response that breaks off from a complete one.
-		return p.classifyFailure(a, errors.New("a long answer of unknown length cannot be relayed by HTTP/1.0"))
+	if err := p.checkLong(ex); err != nil {
+		return p.classifyFailure(a, err)
 	}
 	if !o.speakFinally(a) {
 		return attemptResult{cause: errReplaced.Error()}
@@ -138,6 +137,18 @@
 	}
 }
 
+// checkLong returns an error if a long answer cannot be relayed as it arrives.
+func (p *proxiedRequest) checkLong(ex *exchange) error {
+	if http.StatusText(ex.response.StatusCode) == "" {
+		return errors.Errorf("a long answer with status %d cannot be relayed", ex.response.StatusCode)
+	}
+	if ex.response.ContentLength < 0 && !p.r.ProtoAtLeast(1, 1) {
+		// A caller with HTTP/1.0 could not tell a response that breaks off from a complete one.
+		return errors.New("a long answer of unknown length cannot be relayed by HTTP/1.0")
+	}
+	return nil
+}
+
 // writePart sends a part of a response to the caller. If the caller has disconnected, it breaks the response and returns
 // false.
 func (p *proxiedRequest) writePart(part []byte) bool {
@@ -227,7 +238,7 @@
 			endpoint.request.End(afroster.HealthFailure)
 			return attemptResult{cause: "event " + strconv.Quote(event.id) + " does not follow " + p.position.lastEventID}
 		}
-		if event.hasContent && !o.speakEvent(a) || !event.hasContent && !o.mayRelay(a) {
+		if event.hasContent && !o.speakEvent(a) || !event.hasContent && !o.start(a) {
 			return attemptResult{cause: errReplaced.Error(), progress: streamProgress(events)}
 		}
 		p.position = p.position.withEvent(event, events == 0)
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -202,7 +202,7 @@
 	s.RetryBudget = r
 }
 
-// spareRetryFraction is the fraction of the budget that requests at silent endpoints may use.
+// spareRetryFraction is the fraction of the budget that requests at endpoints that are silent for a moment may use.
 const spareRetryFraction = 0.5
 
 // retryBudgetFraction is the fraction of the retry ratio that each VM uses, since the windows of the VMs do not begin
@@ -217,19 +217,15 @@
 }
 
 // takeRetry takes a retry from the retry window of the service and reports whether the window allows it.
-func (s *Server) takeRetry(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	allowed := s.retryWindow(service).TakeRetry(s.Timer.Now())
-	s.Metrics.countRetry(allowed)
-	return allowed
+func (s *Server) takeRetry(service string, now time.Time) bool {
+	return s.takeRetryWithin(service, now, 1)
 }
 
-// takeSpareRetry takes a retry like takeRetry, but leaves a part of the budget for requests that have no attempt in progress.
-func (s *Server) takeSpareRetry(service string) bool {
+// takeRetryWithin is like takeRetry for a request that may use only a fraction of the budget.
+func (s *Server) takeRetryWithin(service string, now time.Time, fraction float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := s.retryWindow(service).TakeRetryWithin(s.Timer.Now(), spareRetryFraction)
+	allowed := s.retryWindow(service).TakeRetryWithin(now, fraction)
 	s.Metrics.countRetry(allowed)
 	return allowed
 }
@@ -241,11 +237,11 @@
 	return s.retryWindow(service).TimeUntilRetry(s.Timer.Now())
 }
 
-// returnRetry gives back a retry that was taken and not sent.
-func (s *Server) returnRetry(service string) {
+// returnRetry gives back a retry that was taken at a time and not sent.
+func (s *Server) returnRetry(service string, takenAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryWindow(service).ReturnRetry(s.Timer.Now())
+	s.retryWindow(service).ReturnRetry(takenAt)
 }
 
 // newRefusal returns the refusal of a request that did not run, with the time after which a retry may succeed.
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -26,8 +26,8 @@
 	minResponseTimeout    = 300 * time.Millisecond
 	// maxTimeoutSpread is the largest random part of these times, as a fraction of them. The VMs see the silence of an endpoint in the
 	// same moment, and each knows only its own load at the others.
-	maxTimeoutSpread = 0.25
-	// certainSilence is the silence from which an endpoint is worse than one that failed the request before.
+	maxTimeoutSpread = 0.15
+	// certainSilence is the silence from which an endpoint counts as hung and is worse than one that failed the request before.
 	certainSilence = 2 * time.Second
 	// placeRetryDelay is the time between two searches for a place beside a silent endpoint.
 	placeRetryDelay = 100 * time.Millisecond
@@ -75,7 +75,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.timer = nil
-	if o.race.isOver {
+	if o.race.isOver || o.cannotMove {
 		return
 	}
 	delay := time.Duration(0)
@@ -88,7 +88,7 @@
 			left = placeRetryDelay
 			if !o.isWriting {
 				o.recordSilence(a)
-				o.apply(o.race.withSilence(a.id, o.mayRepeat()))
+				o.apply(o.race.withSilence(a.id, now.Sub(a.progressAt) >= certainSilence, o.mayRepeat()))
 			}
 		}
 		if delay == 0 || left < delay {
@@ -162,11 +162,12 @@
 	next, effects := o.race.withPlace()
 	if effects.unneededPlace {
 		e.request.End(afroster.HealthUnaffected)
-		o.request.server.returnRetry(o.request.service.Name)
+		o.request.server.returnRetry(o.request.service.Name, e.retryAt)
 		return
 	}
 	o.apply(next, effects)
 	a := o.addAttempt(effects.started, e)
+	a.isSecond = true
 	o.seconds.Go(func() { o.request.runSecond(o, a) })
 }
 
@@ -180,11 +181,15 @@
 		if now.Before(nextTryAt) {
 			return acquiredEndpoint{}, false
 		}
-		needs := p.requirements(excluded, 0)
+		needs, budgetFraction := p.requirements(excluded, 0), spareRetryFraction
+		isHung := now.Sub(silentSince) >= certainSilence
+		if isHung {
+			budgetFraction = 1
+		}
 		candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
 		if _, ok := chooseEndpoint(candidates, needs); !ok {
 			// An endpoint that failed before is better only than one that is hung.
-			if now.Sub(silentSince) < certainSilence {
+			if !isHung {
 				return acquiredEndpoint{}, false
 			}
 			needs.excluded = silent
@@ -192,11 +197,13 @@
 				return acquiredEndpoint{}, false
 			}
 		}
-		if !s.takeSpareRetry(p.service.Name) {
+		if !s.takeRetryWithin(p.service.Name, now, budgetFraction) {
 			nextTryAt = now.Add(placeRetryDelay)
 			return acquiredEndpoint{}, false
 		}
-		return p.pickCandidate(candidates, needs)
+		e, ok := p.pickCandidate(candidates, needs)
+		e.retryAt = now
+		return e, ok
 	}
 }
 
--- a/pkg/afretry/window.go
+++ b/pkg/afretry/window.go
@@ -39,18 +39,11 @@
 // CountRequest counts the first attempt of a request.
 func (w *RetryWindow) CountRequest(now time.Time) { w.currentBucket(now).requests++ }
 
-// ReturnRetry takes back the latest retry of the window, which was not sent.
-func (w *RetryWindow) ReturnRetry(now time.Time) {
-	current := w.currentBucket(now).index
-	var latest *windowBucket
-	for i := range w.buckets {
-		bucket := &w.buckets[i]
-		if bucket.retries > 0 && bucket.index > current-int64(len(w.buckets)) && bucket.index <= current && (latest == nil || bucket.index > latest.index) {
-			latest = bucket
-		}
-	}
-	if latest != nil {
-		latest.retries--
+// ReturnRetry takes back a retry that was taken at a time and not sent. One that has left the window changes nothing.
+func (w *RetryWindow) ReturnRetry(takenAt time.Time) {
+	index := takenAt.UnixNano() / max(int64(w.Length/windowBuckets), 1)
+	if bucket := &w.buckets[index%int64(len(w.buckets))]; bucket.index == index && bucket.retries > 0 {
+		bucket.retries--
 	}
 }
 
--- a/pkg/afretry/window_test.go
+++ b/pkg/afretry/window_test.go
@@ -46,11 +46,24 @@
 	w.ReturnRetry(now)
 	require.True(t, w.TakeRetry(now))
 	require.False(t, w.TakeRetry(now))
-	w.ReturnRetry(now.Add(500 * time.Millisecond))
+	w.ReturnRetry(now)
 	require.True(t, w.TakeRetry(now.Add(500*time.Millisecond)))
 	require.False(t, w.TakeRetry(now.Add(500*time.Millisecond)))
 }
 
+// Guards against more retries in a window than it allows, because a returned one frees the place of a later one that was sent.
+func TestReturnedRetryFreesItsOwnPlace(t *testing.T) {
+	w := RetryWindow{ExtraRetries: 2, Length: 10 * time.Second}
+	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second))) }
+	require.True(t, w.TakeRetry(at(0)))
+	require.True(t, w.TakeRetry(at(9)))
+	w.ReturnRetry(at(0))
+	require.True(t, w.TakeRetry(at(9.5)))
+	require.False(t, w.TakeRetry(at(11.5)), "two were sent in the last ten seconds")
+	w.ReturnRetry(at(-20))
+	require.False(t, w.TakeRetry(at(11.5)), "a retry that has left the window was returned")
+}
+
 // Guards against requests that wait for a retry which the window does not allow in time, or that are refused although it does.
 func TestTimeUntilRetry(t *testing.T) {
 	start := time.Unix(1000, 0)
