afhead: show that a chunked HTTP/1.0 answer broke off

Callers got status 200 with the beginning of a body, or with none, as a whole answer when an endpoint answered with HTTP/1.0 and chunks and then closed the connection. net/http drops the Transfer-Encoding header of such an answer and takes the chunks with their sizes for a body that ends with the connection.

The new test ends answers at every byte of head and body, in HTTP/1.1 and 1.0, with CRLF, LF and CR, with a length, with chunks and with neither, by a close and by a reset, for GET, HEAD and POST. Before, TestCutAnswersAreVisible printed 104 lines, all for HTTP/1.0 with chunks, such as

POST HTTP/1.1: "HTTP/1.0 200 OK\r\nX-Arbutusfork-Request-Id: r1\r\n Transfer-Encoding: chunked\r\n\r\n2" ends as a whole answer with body "2"

and TestCutAnswer of internal/afdispatch (serve) printed

GET "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n": <nil>, body ""

All other places at which an answer can end were visible before: an error status, or a repeat.

The first answer of a connection is now read as HTTP/1.1, so that its chunks count. serve closes such a connection after the answer, since the transport would use it again; without that, TestOldVersionConnectionIsNotKept got "/1" as the answer to "/2". Refusing every HTTP/1.0 answer without a length was ruled out: simple servers send such answers. An answer without a length and without chunks that ends with a clean close cannot be told from a whole one.

Both tests pass after the change.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -105,6 +105,13 @@
 	return t.conn.seal(t.writeMark)
 }
 
+// isOldVersion reports whether the connection answered with HTTP/1.0, so that the endpoint closes it after the response.
+func (t *connTracker) isOldVersion() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.version.IsOldVersion()
+}
+
 func (t *connTracker) isReused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,6 +145,9 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if tracker.isOldVersion() {
+		defer tracker.closeConn() // The transport would use the connection again.
+	}
 	a.RequestWritten = true
 	a.StatusCode = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"arbutusfork.example/arbutusfork/internal/afhead"
 	"arbutusfork.example/arbutusfork/pkg/afretry"
 )
 
@@ -33,11 +34,16 @@
 // learns whether bytes of a request were passed to the operating system.
 type sealableConn struct {
 	net.Conn
+	// version reads from Conn. Only the transport's reader uses it before the head of the first response is complete.
+	version    afhead.VersionReader
 	mu         sync.Mutex
 	writeCount int
 	isSealed   bool
 }
 
+// Read reads received bytes.
+func (c *sealableConn) Read(b []byte) (int, error) { return c.version.Read(b) }
+
 // Write passes the bytes to the operating system unless the connection is sealed.
 func (c *sealableConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -113,7 +119,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: c}, nil
+			return &sealableConn{Conn: c, version: afhead.VersionReader{Reader: c}}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
