afgateway: refuse requests that would outlast a planned stop

Callers of streams got a cut answer at the end of a planned stop. The VM takes requests until 2.5 s after SIGTERM, since the load balancer still sends them, and ends those in progress 7.3 s after it (a grace period of 8 s). Requests that came after 2.5 s were refused before, also on kept connections.

From SIGTERM on, a request is refused at once as not run if it may not have ended when the rest is aborted, both as it comes and directly before it is sent. Its latest end is its deadline, or 1.25 times the slowest answer of its route in the last one to two minutes if that is earlier and there were at least 8 answers. To refuse all streams from SIGTERM on was ruled out: most of them end in time, and the load balancer sends the retries to the same VM for another 2 s.

A grace period below 3.2 s ended in a kill without an answer, since the 2.5 s were waited in any case. They are now at most the grace period without the 0.7 s for the last steps.

TestStopRefusesRequestsThatOutlastIt printed before, with AnnounceStop without effect: "expected: 503, actual: 200" for the request that had waited, and the same without the check before the send. Both tests pass now. A stop of real processes under streams of 2 to 6 s was not run.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -88,6 +88,11 @@
 			endpoint.request.End(afroster.HealthUnaffected)
 			return p.refuseWithoutEndpoint(refusal, cause)
 		}
+		// The process may end soon after the waits above.
+		if refusal := p.refuseBeforeStop(); refusal != nil {
+			endpoint.request.End(afroster.HealthUnaffected)
+			return refusal
+		}
 		// The endpoint may have said during the waits above that it leaves or wants a pause.
 		if !s.takesRequests(endpoint.Endpoint) {
 			endpoint.request.End(afroster.HealthUnaffected)
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -181,6 +181,9 @@
 	if refusal := p.refuseQuarantined(); refusal != nil {
 		return refusal
 	}
+	if refusal := p.refuseBeforeStop(); refusal != nil {
+		return refusal
+	}
 	return p.chargeLimit()
 }
 
@@ -287,6 +290,9 @@
 			p.refundLimit()
 		}
 	}
+	if refusal == nil && !p.responseBroken {
+		s.stop.recordAnswer(p.route.Name, s.Timer.Now().Sub(p.arrivedAt)-p.waitTime, s.Timer.Now())
+	}
 	s.Metrics.countRequest(p, outcome, refusal)
 	attrs := []slog.Attr{
 		slog.String("request", p.headers.RequestID), slog.String("route", p.route.Name), slog.Int64("config", p.configVersion),
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -77,6 +77,8 @@
 	// sessions maps the last part of a prompt to the endpoint that read it last.
 	sessions sessions
 
+	// stop holds what decides whether a request is taken before a stop.
+	stop stopState
 	// stopping means that new requests are refused.
 	stopping atomic.Bool
 	// waitingRefused is closed when requests must not wait for an endpoint any more.
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -373,11 +373,14 @@
 func (n *Node) shutDown(ctx context.Context) {
 	n.isStopping.Store(true)
 	grace := n.currentSettings().GracePeriod
-	n.log.Info("graceful shutdown started", "settle", unreadyDelay, "grace", grace)
-	ctx, cancel := context.WithTimeout(ctx, max(grace-shutdownMargin, unreadyDelay))
+	timeLeft := max(grace-shutdownMargin, 0)
+	settle := min(unreadyDelay, timeLeft)
+	n.log.Info("graceful shutdown started", "settle", settle, "grace", grace)
+	n.gateway.AnnounceStop(n.timer.Now().Add(timeLeft))
+	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
 	n.keeper.ReleaseLease(ctx)
-	n.timer.Sleep(ctx, unreadyDelay)
+	n.timer.Sleep(ctx, settle)
 	n.gateway.RefuseNewRequests()
 	waitTimer := n.timer.CallAfter(shutdownWaitTimeout, func(time.Time) { n.gateway.RefuseWaitingRequests() })
 	defer waitTimer.Stop()
