afgateway: abort requests that were being admitted at the stop too

A caller whose request was being admitted at the end of the grace period got no answer: the request was added to those in progress after these had been aborted, ran on, and its connection was closed with the process. Admission may wait for the placement holder to grant units of the customer's limit.

Requests that are added after the abort are now cancelled at once and, as they were not sent, refused as not run. TestAbortIncludesRequestsBeingAdmitted printed before: "expected: 503, actual: 504", the deadline of the request, which in a stop is after the end of the process.

--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -68,12 +68,14 @@
 	demandRates demandRates
 	loadDelays  loadDelays
 
-	// mu guards retryWindows and cancelByRequest.
+	// mu guards retryWindows, cancelByRequest and isAborted.
 	mu sync.Mutex
 	// retryWindows holds the retry window of each service.
 	retryWindows map[string]*afretry.RetryWindow
 	// cancelByRequest holds the functions that cancel the requests in progress.
 	cancelByRequest map[*proxiedRequest]context.CancelCauseFunc
+	// isAborted means that AbortRunningRequests was called, so that requests that are added later are cancelled too.
+	isAborted bool
 	// sessions maps the last part of a prompt to the endpoint that read it last.
 	sessions sessions
 
@@ -145,6 +147,7 @@
 	s.RefuseWaitingRequests()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isAborted = true
 	for _, cancel := range s.cancelByRequest {
 		cancel(errStopping)
 	}
@@ -155,6 +158,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancelByRequest[p] = cancel
+	if s.isAborted {
+		cancel(errStopping)
+	}
 }
 
 // removeRunning removes a request from the requests in progress.
