afobject: read one long answer of the store at a time

A store that answers with bytes without end takes most of a VM's memory: each answer may have 16 MiB, a VM has up to five calls in progress (three feeds, the lease, its own entry), and growing a buffer takes as much again. The smallest VM has 184 MB.

Of an answer, each call now reads 256 KiB; beyond that, one call at a time goes on, until the timeouts of the others. Renewals of the lease and entries are far shorter. A lower bound for all answers was ruled out, since a list of 20,000 adapters has a few MB.

--- a/pkg/afobject/call.go
+++ b/pkg/afobject/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -117,10 +116,7 @@
 		return 0, k.newError(OutcomeUnknown, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
-	}
+	body, err := c.answers.read(ctx, resp.Body)
 	era, eraErr := c.recordEra(resp.StatusCode, resp.Header)
 	if eraErr != nil {
 		return era, k.lostAnswerError(eraErr)
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -57,7 +57,8 @@
 	// unsound or sound again. It must not block. Nil means that nothing is called.
 	OnEraChange func(EraChange)
 
-	eras eraTracker
+	eras    eraTracker
+	answers answerReader
 
 	watchClientOnce   sync.Once
 	cachedWatchClient *http.Client
