afhealth: repeat a trial that ended without a result

An ejected endpoint got no request any more after its trial request had ended without a result: refused as not run, left by its caller, without a slot, or ended at its deadline. The trial counted as in progress for good, and requests that ended without a result did not change that. Callers got refusals or longer waits while the endpoint was sound; it came back only while half of the service's endpoints were ejected.

The roster now remembers which request is the trial. If it ends without a result, the next request is the trial.

--- a/internal/afroster/running.go
+++ b/internal/afroster/running.go
@@ -8,7 +8,9 @@
 	adapterKey, model string
 	load              Load
 	promptRead        bool
-	ended             bool
+	// isTrial means that the request is the trial after an ejection of its endpoint.
+	isTrial bool
+	ended   bool
 }
 
 // BeginRequest adds a request to the load of an endpoint until the returned RunningRequest ends. Model and adapter are empty
@@ -25,6 +27,7 @@
 		e.ownLoad = e.ownLoad.Add(request.load)
 		if e.healthTracker.IsTrialDue(r.Now()) {
 			e.healthTracker = e.healthTracker.WithTrialStarted()
+			request.isTrial = true
 		}
 	}
 	r.addRunning(request, 1)
@@ -104,8 +107,11 @@
 	request.ended = true
 	if e := r.endpoints[request.endpointID]; e != nil {
 		e.ownLoad = e.ownLoad.Add(Load{Requests: -request.load.Requests, UnreadPromptTokens: -request.load.UnreadPromptTokens, TotalTokens: -request.load.TotalTokens})
-		if result != HealthUnaffected {
+		switch {
+		case result != HealthUnaffected:
 			e.healthTracker = e.healthTracker.WithResult(result == HealthSuccess, r.Now())
+		case request.isTrial:
+			e.healthTracker = e.healthTracker.WithTrialEnded()
 		}
 	}
 	r.addRunning(request, -1)
--- a/pkg/afhealth/tracker.go
+++ b/pkg/afhealth/tracker.go
@@ -66,6 +66,12 @@
 	return t
 }
 
+// WithTrialEnded returns the tracker after the trial request ended without a result, so that the next request is the trial.
+func (t Tracker) WithTrialEnded() Tracker {
+	t.trialInProgress = false
+	return t
+}
+
 // IsEjected reports whether the endpoint should get no requests, because its ejection lasts or its trial is in progress.
 func (t Tracker) IsEjected(now time.Time) bool {
 	return !t.ejectedUntil.IsZero() && (now.Before(t.ejectedUntil) || t.trialInProgress)
