afkeeper: count endpoint changes while a renewal is late

VMs went on sending requests to endpoints that had left, or did not learn of new ones. A holder whose lease ended a moment before its renewal was acknowledged goes on with its epoch. A change that it learned in between was neither sent nor counted, so that its views showed the other VMs nothing that they missed; they keep no watch of their own while they get views.

Every change that a VM learns from the platform is now counted. VMs compare the count only within an epoch, and fetch the list with a new one, so that changes counted by a VM without the lease do no harm.

--- a/internal/afkeeper/relay.go
+++ b/internal/afkeeper/relay.go
@@ -64,15 +64,16 @@
 	isFetching bool
 }
 
-// RelayEndpoints sends a change of the endpoints to the other VMs if this VM holds the lease.
+// RelayEndpoints sends a change of the endpoints to the other VMs if this VM holds the lease. A change that is not sent is
+// counted too: if a renewal that is acknowledged late extends the lease, the next view shows the other VMs that they missed it.
 func (s *Service) RelayEndpoints(changed []afengine.EndpointEntry, removed []string) {
 	s.mu.Lock()
+	s.endpointSeq++
 	isHolder, epoch := s.lease.IsHolder(s.BootTime()), s.lease.Epoch()
 	if !isHolder {
 		s.mu.Unlock()
 		return
 	}
-	s.endpointSeq++
 	m := endpointUpdate{Epoch: epoch, Seq: s.endpointSeq, Removed: removed}
 	s.mu.Unlock()
 	for _, e := range changed {
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -135,7 +135,7 @@
 	lastOrderEpochs map[string]int64
 	// reportedLoads holds the loads in this VM's last report.
 	reportedLoads map[string]endpointLoad
-	// endpointSeq counts the endpoint updates that this VM sent.
+	// endpointSeq counts the changes of the endpoints that this VM learned from the platform, also those that it did not send.
 	endpointSeq int64
 	// endpointSync is the state of the endpoints received from another holder.
 	endpointSync endpointSyncState
