afaccept: go on accepting after a lack of buffers

Callers could not open connections to a VM, while its /ready answered 200 and the load balancer kept it. The loop that accepts callers' connections ended for good with the first error that is not temporary by its type, such as ENOBUFS. The same error on the listeners of /ready and /metrics ended the whole process with its requests.

Accept of these listeners now fails only once the listener is closed; other errors are tried again after 50 ms. The wait ends when the listener is closed, also if the timer service has stopped before, which would have kept the process from ending. Ports for other VMs belong to nbio, whose loop goes on.

TestAcceptGoesOn did not end before ("panic: test timed out after 5s", the caller's request had no answer) and passes now. TestLogLinesDocumented reads the new package too, so that its log line stays documented.

--- a/internal/afentry/listener.go
+++ b/internal/afentry/listener.go
@@ -1,7 +1,6 @@
 package afentry
 
 import (
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -17,8 +16,6 @@
 	reservedDescriptors = 256
 	// fallbackDescriptors is the number of file descriptors for callers if the descriptor limit is unknown or too low.
 	fallbackDescriptors = 512
-	// acceptRetryDelay is the delay after a failed accept. Without it, the accept loop spins at the descriptor limit.
-	acceptRetryDelay = 50 * time.Millisecond
 	// refusalWriteTimeout limits the time for sending the refusal to a connection above MaxConnections.
 	refusalWriteTimeout = 100 * time.Millisecond
 	// maxAcceptBatch limits the new connections that are queued for registration with the poller.
@@ -46,12 +43,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			if ne, ok := err.(interface{ Temporary() bool }); ok && ne.Temporary() {
-				l.server.Log.Warn("connection accept failed", "cause", err)
-				l.server.Timer.Sleep(context.Background(), acceptRetryDelay)
-				continue
-			}
-			return nil, err
+			return nil, err // The listener is closed.
 		}
 		if l.server.countConns() < l.server.MaxConnections {
 			return c, nil
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afaccept"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/aflog"
 	"arbutusfork.example/arbutusfork/pkg/afclaim"
@@ -115,10 +116,15 @@
 	if err != nil {
 		return &Error{Op: "open listener", Kind: OperationUnavailable, Err: err}
 	}
-	s.listener = &limitedListener{Listener: l, server: s}
+	s.serveFrom(l)
 	return nil
 }
 
+// serveFrom makes the server accept its connections from l.
+func (s *Server) serveFrom(l net.Listener) {
+	s.listener = &limitedListener{Listener: afaccept.NewListener(l, s.Timer, s.Log), server: s}
+}
+
 // Addr returns the address of the listener. It must be called after Listen.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"arbutusfork.example/arbutusfork/internal/afaccept"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 )
 
@@ -66,7 +67,7 @@
 	s := &http.Server{Handler: h, ReadTimeout: statusTimeout, IdleTimeout: statusTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	if err := s.Serve(l); err != nil && ctx.Err() == nil {
+	if err := s.Serve(afaccept.NewListener(l, n.timer, n.log)); err != nil && ctx.Err() == nil {
 		return err
 	}
 	return nil
