afsignal: ignore a second SIGTERM

A supervisor that repeated SIGTERM, or an operator who sent it beside one, cut all requests in progress: the second signal had its default effect and ended the process at once, in the middle of its graceful shutdown.

Only a second SIGINT, which comes from a terminal, still ends the process. SIGKILL does so in any case. The handler is now changed before the context ends, since a signal right after that was sometimes lost.

--- a/internal/afsignal/signal.go
+++ b/internal/afsignal/signal.go
@@ -22,15 +22,23 @@
 }
 
 func newStopContext() context.Context {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop) // A second signal has its default effect and ends the process.
+	ctx, cancel := context.WithCancel(context.Background())
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-c
+		// A second interrupt from a terminal ends the process. A second SIGTERM does not, since supervisors may repeat it during
+		// a graceful shutdown.
+		signal.Reset(syscall.SIGINT)
+		cancel()
+	}()
 	return ctx
 }
 
 // Hangups returns the channel that receives SIGHUP. It holds one signal until it is read and drops further ones.
 func Hangups() <-chan os.Signal { return hangups }
 
-// StopContext returns the context that ends with SIGINT or SIGTERM.
+// StopContext returns the context that ends with the first SIGINT or SIGTERM. Further SIGTERMs have no effect.
 func StopContext() context.Context { return stopContext }
 
 // ReleaseHangups gives SIGHUP back the action that it had at the start of the process, also for one that was received before.
