afentry: refuse incomplete requests at the end of a drain

A caller whose request had arrived only in part when the grace period ended got a closed connection without an answer, although the request had not run and a retry elsewhere was safe.

--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -313,6 +313,22 @@
 	s.cancelOnStaleConfig(now)
 }
 
+// refuseIncompleteRequests refuses the requests of which only a part was received, since the process ends before the rest.
+func (s *Server) refuseIncompleteRequests() {
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, sc := range conns {
+		sc.mu.Lock()
+		isIncomplete := !sc.isRunning && !sc.requestStartedAt.IsZero() && sc.closeAt.IsZero()
+		sc.mu.Unlock()
+		if isIncomplete {
+			sc.validator.markTimedOut()
+			sc.rejectRequest(arbutusfork.NewRefusal(arbutusfork.CodeShuttingDown, "the server is stopping").WithRetryAfter(time.Second))
+		}
+	}
+}
+
 // countingConn is the connection that nbhttp writes responses to. It counts the unsent bytes of its serverConn.
 type countingConn struct {
 	net.Conn
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -193,7 +193,7 @@
 
 // Drain waits until all requests have ended. Requests on open connections are still served, but each response closes its
 // connection, and requests on new connections are refused as not run. Drain returns when no request runs and no connection
-// is open, or when ctx ends. The load balancer must have stopped sending requests before.
+// is open, or when ctx ends. It then refuses the requests of which only a part was received. The load balancer must have stopped sending requests before.
 func (s *Server) Drain(ctx context.Context) {
 	s.applyDefaults()
 	s.isDraining.Store(true)
@@ -209,6 +209,7 @@
 	select {
 	case <-idle:
 	case <-ctx.Done():
+		s.refuseIncompleteRequests()
 	}
 	s.Log.Info("drain of caller connections ended", "running", s.countOpenWork())
 }
