--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afaccept"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/aflog"
 	"arbutusfork.example/arbutusfork/pkg/afclaim"
@@ -115,10 +116,15 @@
 	if err != nil {
 		return &Error{Op: "open listener", Kind: OperationUnavailable, Err: err}
 	}
-	s.listener = &limitedListener{Listener: l, server: s}
+	s.serveFrom(l)
 	return nil
 }
 
+// serveFrom makes the server accept its connections from l.
+func (s *Server) serveFrom(l net.Listener) {
+	s.listener = &limitedListener{Listener: afaccept.NewListener(l, s.Timer, s.Log), server: s}
+}
+
 // Addr returns the address of the listener. It must be called after Listen.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -187,7 +193,7 @@
 
 // Drain waits until all requests have ended. Requests on open connections are still served, but each response closes its
 // connection, and requests on new connections are refused as not run. Drain returns when no request runs and no connection
-// is open, or when ctx ends. The load balancer must have stopped sending requests before.
+// is open, or when ctx ends. It then refuses the requests of which only a part was received. The load balancer must have stopped sending requests before.
 func (s *Server) Drain(ctx context.Context) {
 	s.applyDefaults()
 	s.isDraining.Store(true)
@@ -203,6 +209,7 @@
 	select {
 	case <-idle:
 	case <-ctx.Done():
+		s.refuseIncompleteRequests()
 	}
 	s.Log.Info("drain of caller connections ended", "running", s.countOpenWork())
 }
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -152,6 +152,11 @@
 			giveUp()
 			return refuse(refusal)
 		}
+		// The process may end soon after the waits above.
+		if refusal := p.refuseBeforeStop(); refusal != nil && possibleRuns == 0 {
+			giveUp()
+			return refuse(refusal)
+		}
 		// The endpoint may have said during the waits above that it leaves or wants a pause.
 		if !s.takesRequests(endpoint.Endpoint) {
 			giveUp()
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -69,15 +69,19 @@
 	demandRates demandRates
 	loadDelays  loadDelays
 
-	// mu guards retryWindows and cancelByRequest.
+	// mu guards retryWindows, cancelByRequest and isAborted.
 	mu sync.Mutex
 	// retryWindows holds the retry window of each service.
 	retryWindows map[string]*afretry.RetryWindow
 	// cancelByRequest holds the functions that cancel the requests in progress.
 	cancelByRequest map[*proxiedRequest]context.CancelCauseFunc
+	// isAborted means that AbortRunningRequests was called, so that requests that are added later are cancelled too.
+	isAborted bool
 	// sessions maps the last part of a prompt to the endpoint that read it last.
 	sessions sessions
 
+	// stop holds what decides whether a request is taken before a stop.
+	stop stopState
 	// stopping means that new requests are refused.
 	stopping atomic.Bool
 	// waitingRefused is closed when requests must not wait for an endpoint any more.
@@ -144,6 +148,7 @@
 	s.RefuseWaitingRequests()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isAborted = true
 	for _, cancel := range s.cancelByRequest {
 		cancel(errStopping)
 	}
@@ -154,6 +159,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancelByRequest[p] = cancel
+	if s.isAborted {
+		cancel(errStopping)
+	}
 }
 
 // removeRunning removes a request from the requests in progress.
--- a/pkg/afretry/window_test.go
+++ b/pkg/afretry/window_test.go
@@ -54,7 +54,9 @@
 // Guards against more retries in a window than it allows, because a returned one frees the place of a later one that was sent.
 func TestReturnedRetryFreesItsOwnPlace(t *testing.T) {
 	w := RetryWindow{ExtraRetries: 2, Length: 10 * time.Second}
-	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second))) }
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
 	require.True(t, w.TakeRetry(at(0)))
 	require.True(t, w.TakeRetry(at(9)))
 	w.ReturnRetry(at(0))
