gateway: bound what callers and endpoints send together

Callers with 4 MB bodies ended a gateway: each body had a bound and all together had none. The parser's buffer, the parser's body and the copy of the gateway existed at once.

A process now has one budget of half of memory-mb. Bodies being received and kept, heads, requests in progress, buffered answers, unsent parts of responses, connections and feeds count against it. A body of known length is reserved at the end of the head, assembled in one buffer, and handed on without a copy; a request without memory gets 503 and Retry-After before anything is sent to an endpoint, and the rest of its body is read and dropped, so that the connection stays usable. Bodies in chunks are reserved as they arrive. Large bodies leave a quarter of the budget to small requests and answers. A body is let go when its request has ended or when its answer has begun and no attempt can follow.

Refusing was chosen over a pause of reading: nbio has no pause for one connection without one-shot events for all.

TestBodiesOfAllCallersAreBounded failed while bodies were reserved without a bound: "whole: Should be true" (more than 6 MB of 8 held), and for chunks without a reservation: expected "503 1", actual "408 ". TestRequestsInAnyParts guards the assembly of bodies: while the bytes after a body were dropped it got no answer ("panic: test timed out").

--- a/internal/afentry/guard.go
+++ b/internal/afentry/guard.go
@@ -23,7 +23,7 @@
 
 	// refusal is the reason why no further data of the connection is parsed, or nil.
 	refusal *arbutusfork.Refusal
-	// isTimedOut is set when a request did not arrive within the server's ReadTimeout.
+	// isTimedOut is set when a request did not arrive within the header timeout or the server's ReadTimeout.
 	isTimedOut atomic.Bool
 	// isBetweenRequests is set when all requests received so far are complete.
 	isBetweenRequests bool
@@ -38,6 +38,8 @@
 	contentLength string
 	// isChunked is set when the request has a Transfer-Encoding header.
 	isChunked bool
+	// bodyLength is the length of the body if the request has a Content-Length, and negative otherwise.
+	bodyLength int
 	// hostHeaders counts the Host headers of the request.
 	hostHeaders int
 	// isHTTP11 is set when the request's version is HTTP/1.1.
@@ -63,7 +65,7 @@
 	case v.isTimedOut.Load():
 		return nil
 	case v.refusal != nil:
-	case v.isReadingHeaders && v.bytesSinceHeaders > v.conn.server.MaxHeaderBytes, v.headerBytes > v.conn.server.MaxHeaderBytes:
+	case v.isReadingHeaders && v.bytesSinceHeaders > v.conn.receiver.limits.MaxHeaderBytes, v.headerBytes > v.conn.receiver.limits.MaxHeaderBytes:
 		v.setRefusal(arbutusfork.CodeHeadersTooLarge, "the headers are too large")
 	case errors.Is(err, nbhttp.ErrTooLong):
 		v.setRefusal(arbutusfork.CodeBodyTooLarge, "the body is too large")
@@ -133,7 +135,7 @@
 
 // OnContentLength validates the headers as a whole. The parser calls it at the end of the headers.
 func (v *requestValidator) OnContentLength(p *nbhttp.Parser, n int) {
-	v.isReadingHeaders, v.bytesSinceHeaders = false, 0
+	v.isReadingHeaders, v.bytesSinceHeaders, v.bodyLength = false, 0, n
 	switch {
 	case v.isChunked && v.contentLength != "":
 		v.setRefusal(arbutusfork.CodeBadRequest, "both Transfer-Encoding and Content-Length")
@@ -141,16 +143,23 @@
 		v.setRefusal(arbutusfork.CodeBadRequest, "Transfer-Encoding in HTTP/1.0")
 	case v.hostHeaders > 1, v.hostHeaders == 0 && v.isHTTP11:
 		v.setRefusal(arbutusfork.CodeBadRequest, "exactly one Host header is needed")
-	case v.headerBytes > v.conn.server.MaxHeaderBytes:
+	case v.headerBytes > v.conn.receiver.limits.MaxHeaderBytes:
 		v.setRefusal(arbutusfork.CodeHeadersTooLarge, "the headers are too large")
-	case n > v.conn.server.MaxBodyBytes:
+	case n > v.conn.receiver.limits.MaxBodyBytes:
 		v.setRefusal(arbutusfork.CodeBodyTooLarge, "the body is too large")
-	case v.expectsContinue && v.refusal == nil && (n > 0 || v.isChunked):
+	case v.refusal != nil:
+	case !v.isChunked && n > 0 && !v.conn.receiver.admitBody(n):
+	case v.expectsContinue && (n > 0 || v.isChunked):
 		v.conn.enqueueRequest(func() { _, _ = v.conn.Conn.Write([]byte(continueResponse)) })
 	}
 	v.Processor.OnContentLength(p, n)
 }
 
+// OnBody keeps the body instead of the embedded processor, which would copy it.
+func (v *requestValidator) OnBody(_ *nbhttp.Parser, data []byte) error {
+	return v.conn.receiver.addParsed(data)
+}
+
 // OnComplete passes the request on to the server, unless the connection was refused or has timed out.
 func (v *requestValidator) OnComplete(p *nbhttp.Parser) {
 	v.isBetweenRequests, v.headerBytes, v.bytesSinceHeaders = true, 0, 0
--- a/internal/afentry/link.go
+++ b/internal/afentry/link.go
@@ -13,6 +13,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 )
 
 const (
@@ -36,6 +37,16 @@
 	server    *Server
 	nbConn    *nbio.Conn
 	validator *requestValidator
+	receiver  bodyReceiver
+	// held is the memory of the connection.
+	held *afmemory.Holder
+	// heldUnsent is the memory of unsentBytes. It is guarded by unsentMu.
+	heldUnsent *afmemory.Holder
+	unsentMu   sync.Mutex
+	// hasClosed is isClosed for holders of no lock.
+	hasClosed atomic.Bool
+	// hasHeldUnsent means that heldUnsent is not empty.
+	hasHeldUnsent atomic.Bool
 	// openedWhileDraining is set if the connection was opened while the server was draining.
 	openedWhileDraining bool
 	// disconnected is closed when the connection is closed.
@@ -53,8 +64,13 @@
 	pendingRequests []func()
 	// cancel cancels the running request when the caller disconnects. It is nil if no request runs.
 	cancel func(error)
-	// requestStartedAt is when the first byte of an incomplete request arrived. It is zero between requests.
+	// requestStartedAt is when the first byte of an incomplete request arrived, or when its headers were complete. It is zero
+	// between requests.
 	requestStartedAt time.Time
+	// isReceivingBody means that the headers of an incomplete request are complete.
+	isReceivingBody bool
+	// idleTimeout is the idle limit that was in force when the connection became idle.
+	idleTimeout time.Duration
 	// idleStartedAt is when the last request ended or, before the first request, when the connection was opened.
 	idleStartedAt time.Time
 	// closeAt is when the connection is closed after a refusal. It is zero if no refusal was sent.
@@ -85,6 +101,11 @@
 		server: s, nbConn: c, openedWhileDraining: s.isDraining.Load(), idleStartedAt: s.Timer.Now(),
 		disconnected: make(chan struct{}), sendProgress: make(chan struct{}, 1),
 	}
+	sc.idleTimeout = s.limitsInForce().IdleTimeout
+	sc.held = s.Memory.HoldKind(afmemory.Connection)
+	sc.held.Force(connectionBytes)
+	sc.heldUnsent = s.Memory.HoldKind(afmemory.Unsent)
+	sc.receiver.init(sc)
 	sc.validator = &requestValidator{Processor: nbhttp.NewServerProcessor(), conn: sc}
 	sc.Parser = nbhttp.NewParser(&countingConn{Conn: c, owner: sc}, e, sc.validator, false, sc.enqueueRequest)
 	s.mu.Lock()
@@ -100,25 +121,35 @@
 // Parse processes received data. The poller calls it.
 func (sc *serverConn) Parse(data []byte) error {
 	createdConns.Load()
-	if sc.validator.refusal != nil {
-		return nil // The connection was refused and waits for closeAt. Further data is ignored.
+	for len(data) > 0 {
+		if sc.validator.refusal != nil {
+			return nil // The connection was refused and waits for closeAt. Further data is ignored.
+		}
+		n, err := sc.receiver.receive(data)
+		data = data[n:]
+		refusal := sc.validator.afterParse(err)
+		sc.recordReceipt()
+		if refusal != nil {
+			sc.receiver.release()
+			sc.rejectRequest(refusal)
+		}
 	}
-	sc.validator.beforeParse(len(data))
-	err := sc.Parser.Parse(data)
-	refusal := sc.validator.afterParse(err)
+	return nil
+}
+
+// recordReceipt records how far the current request has been received.
+func (sc *serverConn) recordReceipt() {
 	now := sc.server.Timer.Now()
+	isReceivingBody := !sc.validator.isReadingHeaders
 	sc.mu.Lock()
+	defer sc.mu.Unlock()
 	switch {
 	case sc.validator.isBetweenRequests:
-		sc.requestStartedAt = time.Time{}
-	case sc.requestStartedAt.IsZero():
+		sc.requestStartedAt, isReceivingBody = time.Time{}, false
+	case sc.requestStartedAt.IsZero(), isReceivingBody != sc.isReceivingBody:
 		sc.requestStartedAt = now
 	}
-	sc.mu.Unlock()
-	if refusal != nil {
-		sc.rejectRequest(refusal)
-	}
-	return nil
+	sc.isReceivingBody = isReceivingBody
 }
 
 // rejectRequest responds to a request that cannot be parsed, and closes the connection after lingerTimeout.
@@ -153,10 +184,14 @@
 		return
 	}
 	sc.isClosed = true
+	sc.hasClosed.Store(true)
 	sc.pendingRequests = nil
 	cancel := sc.cancel
 	sc.mu.Unlock()
 	sc.Parser.CloseAndClean(err)
+	sc.receiver.close()
+	sc.held.Release()
+	sc.holdUnsent()
 	close(sc.disconnected)
 	if cancel != nil {
 		cancel(&Error{Op: "serve request", Kind: CallerDisconnected, Err: err})
@@ -240,7 +275,7 @@
 	}
 	if len(sc.pendingRequests) == 0 {
 		sc.isRunning = false
-		sc.idleStartedAt = sc.server.Timer.Now()
+		sc.idleStartedAt, sc.idleTimeout = sc.server.Timer.Now(), sc.server.limitsInForce().IdleTimeout
 		return nil
 	}
 	f := sc.pendingRequests[0]
@@ -252,7 +287,11 @@
 func (sc *serverConn) recordSentBytes(n int) {
 	createdConns.Load()
 	sc.lastSentUnixNanos.Store(sc.server.Timer.Now().UnixNano())
-	if sc.unsentBytes.Add(int64(-n)) <= maxUnsentBytes/2 {
+	unsent := sc.unsentBytes.Add(int64(-n))
+	if sc.hasHeldUnsent.Load() {
+		sc.holdUnsent()
+	}
+	if unsent <= maxUnsentBytes/2 {
 		select {
 		case sc.sendProgress <- struct{}{}:
 		default:
@@ -260,6 +299,18 @@
 	}
 }
 
+// holdUnsent holds the memory of the unsent bytes, or none after the connection was closed.
+func (sc *serverConn) holdUnsent() {
+	sc.unsentMu.Lock()
+	defer sc.unsentMu.Unlock()
+	n := max(int(sc.unsentBytes.Load()), 0)
+	if sc.hasClosed.Load() {
+		n = 0
+	}
+	sc.heldUnsent.Force(n)
+	sc.hasHeldUnsent.Store(n > 0)
+}
+
 // waitForUnsent blocks until at most maxUnsent bytes are unsent. It returns an error if the caller disconnects. A caller
 // that does not read is disconnected by applyTimeouts.
 func (sc *serverConn) waitForUnsent(maxUnsent int64) error {
@@ -278,9 +329,15 @@
 	s := sc.server
 	sc.mu.Lock()
 	closeAt, requestStartedAt, idleStartedAt, isRunning := sc.closeAt, sc.requestStartedAt, sc.idleStartedAt, sc.isRunning
+	isReceivingBody, idleTimeout := sc.isReceivingBody, sc.idleTimeout
 	sc.mu.Unlock()
+	limits := s.limitsInForce()
+	receiveTimeout := limits.HeaderTimeout
+	if isReceivingBody {
+		receiveTimeout = max(s.ReadTimeout, limits.HeaderTimeout)
+	}
 	isStalled := sc.unsentBytes.Load() > 0 && now.UnixNano()-sc.lastSentUnixNanos.Load() > int64(s.WriteTimeout)
-	idleTimeout := s.IdleTimeout
+	idleTimeout = max(idleTimeout, limits.IdleTimeout) + idleMargin
 	if s.isDraining.Load() {
 		idleTimeout = drainIdleTimeout
 	}
@@ -293,7 +350,7 @@
 		sc.shutdown()
 	case isRunning:
 	case !requestStartedAt.IsZero():
-		if now.Sub(requestStartedAt) > s.ReadTimeout {
+		if now.Sub(requestStartedAt) > receiveTimeout {
 			sc.validator.markTimedOut()
 			sc.rejectRequest(arbutusfork.NewRefusal(arbutusfork.CodeRequestTimeout, "the request did not arrive in time"))
 		}
@@ -327,7 +384,11 @@
 		sc.lastSentUnixNanos.Store(sc.server.Timer.Now().UnixNano())
 	}
 	sc.unsentBytes.Add(int64(len(b)))
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if sc.unsentBytes.Load() > 0 {
+		sc.holdUnsent()
+	}
+	return n, err
 }
 
 // SetReadDeadline does nothing, because applyTimeouts applies the read timeout.
--- a/internal/afentry/request.go
+++ b/internal/afentry/request.go
@@ -1,15 +1,12 @@
 package afentry
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"path"
 	"strconv"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 )
@@ -67,12 +64,11 @@
 	if p == "" || p[0] != '/' || (path.Clean(p) != p && path.Clean(p)+"/" != p) {
 		return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, "the path is not in its shortest form")
 	}
-	// nbhttp calls the handler only after it has received the whole body.
-	if b, ok := x.r.Body.(*nbhttp.BodyReader); ok {
-		x.body = make([]byte, b.Left())
-		if _, err := io.ReadFull(b, x.body); err != nil {
-			return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, "the body cannot be read")
+	if b, ok := x.r.Body.(*Body); ok {
+		if b.IsRefused() {
+			return outOfMemory()
 		}
+		x.body = b.Bytes()
 	}
 	return nil
 }
--- a/internal/afentry/serve.go
+++ b/internal/afentry/serve.go
@@ -23,6 +23,9 @@
 	if !ok {
 		return
 	}
+	if b, ok := r.Body.(*Body); ok {
+		b.take()
+	}
 	res := &response{Response: nbResponse}
 	x := &exchange{w: res, r: r, conn: conn.owner, arrivedAt: s.Timer.Now()}
 	// The serverConn closes the connection after the whole response has been sent, so nbhttp must not close it.
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -19,6 +20,7 @@
 	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afdispatch"
 	"arbutusfork.example/arbutusfork/internal/aflog"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afclaim"
 	"arbutusfork.example/arbutusfork/pkg/afconfig"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
@@ -27,7 +29,7 @@
 const (
 	// defaultMaxBodyBytes limits the body of a request.
 	defaultMaxBodyBytes = 4 << 20
-	// defaultReadTimeout limits the time from the first to the last byte of a request.
+	// defaultReadTimeout limits the time from the first to the last byte of the headers and of the body of a request.
 	defaultReadTimeout = 10 * time.Second
 	// defaultIdleTimeout is longer than the 60 s after which common load balancers close or reuse an idle connection.
 	defaultIdleTimeout = 120 * time.Second
@@ -67,6 +69,9 @@
 	// one request of a connection at a time, and must flush the response before it returns.
 	ForwardRequest func(c *CallerConn, w http.ResponseWriter, r *http.Request)
 
+	// Memory bounds what callers send. Nil means no bound for all callers together.
+	Memory *afmemory.Budget
+
 	// Dispatcher sends calls to endpoints.
 	Dispatcher *afdispatch.Service
 	// Address is the IP address and port that callers connect to.
@@ -81,7 +86,8 @@
 	MaxHeaderBytes int
 	// MaxConnections limits the open connections. Zero means as many as the descriptor limit allows.
 	MaxConnections int
-	// ReadTimeout limits the time from the first to the last byte of a request. Zero means 10 s.
+	// ReadTimeout limits the time from the first to the last byte of the headers, unless Limits does, and of the body of a
+	// request. Zero means 10 s.
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle between requests. Zero means 120 s.
 	IdleTimeout time.Duration
@@ -133,13 +139,14 @@
 		Name: "entry",
 		// The pollerBarrier works only if all connections have the same poller. Two pollers gave no measurable gain in
 		// throughput.
-		NPoller:           1,
-		ReadLimit:         s.MaxBodyBytes + 2*s.MaxHeaderBytes,
-		MaxHTTPBodySize:   s.MaxBodyBytes,
+		NPoller: 1,
+		// The bodyReceiver bounds what the parser holds, since the limits may change.
+		ReadLimit:         math.MaxInt,
 		Handler:           http.HandlerFunc(s.serveRequest),
 		SupportServerOnly: true,
 		ReadBufferSize:    readBufferBytes,
 	})
+	e.OnRequest = attachBody
 	// acceptConns accepts the connections instead of nbhttp, so nbhttp does not set its own close handler.
 	e.Engine.OnClose(func(c *nbio.Conn, err error) {
 		if sc, ok := c.Session().(*serverConn); ok {
@@ -174,6 +181,23 @@
 	return nil
 }
 
+// attachBody replaces the parser's body of a request by that of the bodyReceiver.
+func attachBody(w http.ResponseWriter, r *http.Request) {
+	res, ok := w.(*nbhttp.Response)
+	if !ok {
+		return
+	}
+	c, ok := res.Parser.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	b := c.owner.receiver.finishRequest()
+	r.Body = b
+	if b.isRefused && c.owner.validator.expectsContinue {
+		r.Close = true // The caller may send the body or not, so that the next request cannot be found.
+	}
+}
+
 // closeConns closes all connections and cancels their requests. A stopped engine no longer reports closed connections.
 func (s *Server) closeConns() {
 	s.mu.Lock()
@@ -227,6 +251,9 @@
 		s.IdleTimeout = positiveOr(s.IdleTimeout, defaultIdleTimeout)
 		s.WriteTimeout = positiveOr(s.WriteTimeout, defaultWriteTimeout)
 		s.StaleConfigTimeout = positiveOr(s.StaleConfigTimeout, defaultStaleConfigTimeout)
+		if s.Memory == nil {
+			s.Memory = afmemory.NewProcessBudget(0)
+		}
 		if s.NewRequestID == nil {
 			s.NewRequestID = randomRequestID
 		}
--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 	"arbutusfork.example/arbutusfork/pkg/afversion"
@@ -58,6 +59,13 @@
 	return other.Version > p.Version || other.Version == p.Version && other.ObjectCount != p.ObjectCount
 }
 
+const (
+	// objectCopies is how many forms of an object exist at once: as received and decoded.
+	objectCopies = 2
+	// objectOverheadBytes is what an object needs beside its content.
+	objectOverheadBytes = 256
+)
+
 // Gap is what may be missing from a list although it existed a moment before.
 type Gap struct {
 	// Outage is how long the platform had been unreachable before the list, or zero. Entries may have expired meanwhile.
@@ -94,14 +102,16 @@
 	IsSuspended func() bool
 	// OnExpired is called when the platform no longer has the history that the watch needs. It may be nil.
 	OnExpired func()
-	Timer     *aftimer.Service
-	Log       *slog.Logger
+	// Held is the memory of the copy. It may be nil.
+	Held  *afmemory.Holder
+	Timer *aftimer.Service
+	Log   *slog.Logger
 
 	// mu protects the fields up to staleTimeout.
 	mu       sync.Mutex
 	position Position
-	// objectNames holds the names of the objects in the copy.
-	objectNames map[string]bool
+	// objectBytes holds the sizes of the objects in the copy by name.
+	objectBytes map[string]int
 	// cancelWatch ends the running watch. It is nil while none runs.
 	cancelWatch context.CancelFunc
 	// staleSince is when the copy was first found to be behind another VM's copy, or when the watch was last restarted for
@@ -255,15 +265,28 @@
 func (f *Feed) recordList(objects []afobject.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.objectNames = make(map[string]bool, len(objects))
+	f.objectBytes = make(map[string]int, len(objects))
 	for _, o := range objects {
-		f.objectNames[o.Name] = true
+		f.objectBytes[o.Name] = len(o.Spec)
 		f.position.Version = max(f.position.Version, o.Version)
 	}
-	f.position.ObjectCount = len(f.objectNames)
+	f.position.ObjectCount = len(f.objectBytes)
+	f.holdObjects()
 	f.resetStale()
 }
 
+// holdObjects holds the memory of the objects. The caller holds mu.
+func (f *Feed) holdObjects() {
+	if f.Held == nil {
+		return
+	}
+	n := 0
+	for _, size := range f.objectBytes {
+		n += size + objectOverheadBytes
+	}
+	f.Held.Force(n * objectCopies)
+}
+
 // IsInStep reports whether the copy has not differed from other VMs' copies for maxLag or longer.
 func (f *Feed) IsInStep(maxLag time.Duration) bool {
 	f.mu.Lock()
@@ -280,11 +303,12 @@
 	defer f.mu.Unlock()
 	f.position.Version = max(f.position.Version, e.Object.Version)
 	if e.Type == afobject.Deleted {
-		delete(f.objectNames, e.Object.Name)
+		delete(f.objectBytes, e.Object.Name)
 	} else {
-		f.objectNames[e.Object.Name] = true
+		f.objectBytes[e.Object.Name] = len(e.Object.Spec)
 	}
-	f.position.ObjectCount = len(f.objectNames)
+	f.position.ObjectCount = len(f.objectBytes)
+	f.holdObjects()
 	f.resetStale()
 }
 
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -230,19 +230,6 @@
 	}
 }
 
-// readBody reads the body, which the listener has already received in full.
-func (p *proxiedRequest) readBody() *arbutusfork.Refusal {
-	if p.r.Body == nil {
-		return nil
-	}
-	body, err := readRequestBody(p.r)
-	if err != nil {
-		return arbutusfork.NewRefusal(arbutusfork.CodeBadRequest, "the body cannot be read: "+err.Error())
-	}
-	p.body = body
-	return nil
-}
-
 // timeLeft returns the time until the deadline.
 func (p *proxiedRequest) timeLeft() time.Duration { return p.deadline.Sub(p.server.Timer.Now()) }
 
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -154,6 +154,7 @@
 		return p.classifyFailure(ctx, endpoint, errors.New("a long answer of unknown length cannot be relayed by HTTP/1.0"))
 	}
 	p.isRelayingLong = true
+	p.releaseUnrepeatable()
 	p.writeHead(ex.response.StatusCode, ex.response.Header, length)
 	part, buffer := start, make([]byte, relayBufferBytes)
 	var readErr error
@@ -289,6 +290,7 @@
 			p.relayedEvents++
 		}
 		w.setContinuable(p.relayedEvents == 0 || p.position.canBeContinued())
+		p.releaseUnrepeatable()
 		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
--- a/internal/afgateway/server.go
+++ b/internal/afgateway/server.go
@@ -47,8 +47,8 @@
 	SpendBeyondGrant func(ctx context.Context, customer string, cost int64) (time.Duration, bool)
 	// RetryBudget bounds the retries of each service over all VMs. This VM uses its share of the budget.
 	RetryBudget RetryBudget
-	// AnswerMemory bounds the bytes that all answers in progress hold together.
-	AnswerMemory afmemory.Budget
+	// AnswerMemory bounds the bytes that all answers in progress hold together. Nil means a budget of its own.
+	AnswerMemory *afmemory.Budget
 	// CrashWatch keeps prompts that crash endpoints from being sent.
 	CrashWatch afcrash.Watch
 	// EndpointLimits keeps the limits that endpoints name.
@@ -108,6 +108,9 @@
 
 func (s *Server) init() {
 	s.initOnce.Do(func() {
+		if s.AnswerMemory == nil {
+			s.AnswerMemory = &afmemory.Budget{}
+		}
 		if s.Random == nil {
 			s.Random = rand.Float64
 		}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -37,6 +38,7 @@
 func (n *Node) newFeed(kind string) *affeed.Feed {
 	f := &affeed.Feed{
 		Kind: kind, List: n.platformClient.List, PollChanges: n.platformClient.WatchByLongPoll, Timer: n.timer, Log: n.log, Coordinator: &n.retryCoordinator,
+		Held:      n.memory.HoldKind(afmemory.Feed),
 		PollDelay: func() time.Duration { return configPollDelay },
 		PollTimeout: func() time.Duration {
 			if n.keeper.ReceivesPlacementViews() {
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -25,6 +25,7 @@
 	"arbutusfork.example/arbutusfork/internal/afgateway"
 	"arbutusfork.example/arbutusfork/internal/afkeeper"
 	"arbutusfork.example/arbutusfork/internal/aflog"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afpeer"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 	"arbutusfork.example/arbutusfork/internal/afslot"
@@ -104,9 +105,11 @@
 	tables         *aftable.Service
 	facts          *affact.Service
 	gateway        *afgateway.Server
-	entryServer    *afentry.Server
-	vmList         vmList
-	doubtful       doubtfulEntries
+	// memory bounds what callers and endpoints send.
+	memory      *afmemory.Budget
+	entryServer *afentry.Server
+	vmList      vmList
+	doubtful    doubtfulEntries
 	// feeds holds the feeds of the platform's objects by kind. It does not change after the start.
 	feeds map[string]*affeed.Feed
 	// retryCoordinator is shared by all feeds.
@@ -220,6 +223,7 @@
 	n.log = slog.New(slog.NewJSONHandler(n.logWriter, nil)).With("vm", n.Settings.VM)
 	aflog.RouteEngineLog(n.log)
 	n.registry = prometheus.NewRegistry()
+	n.memory = afmemory.NewProcessBudget(int64(n.Settings.MemoryLimitMB * (1 << 20)))
 	n.platformClient = &afobject.Client{BaseURL: n.Settings.PlatformURL, Timeout: platformCallTimeout, Dialect: n.Platform.Dialect, HTTPClient: newPlatformHTTPClient(), OnEraChange: n.handleEraChange}
 	n.roster = &afroster.Roster{Now: n.timer.Now, OnChange: n.requestRecheck, OnDoubtful: n.holdDoubtful}
 	n.vmList.initMaps()
@@ -304,11 +308,12 @@
 		EndpointNotices: afgateway.EndpointNotices{Record: n.facts.Record},
 		Metrics:         afgateway.NewMetrics(n.registry),
 		RetryBudget:     n.Settings.retryBudget(),
+		AnswerMemory:    n.memory,
 	}
 	n.gateway.RegisterGauges(n.registry)
 	n.entryServer = &afentry.Server{
 		ForwardRequest: n.gateway.ServeRequest, IsConfigFresh: func() bool { return true }, Address: n.Settings.CallerAddress, Log: n.log, Timer: n.timer,
-		Registry: n.registry, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 64 << 10,
+		Registry: n.registry, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 64 << 10, Memory: n.memory,
 	}
 	if n.Settings.MaxDescriptors > 0 {
 		n.entryServer.MaxConnections = max((n.Settings.MaxDescriptors-reservedDescriptors)/2, 64)
--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 )
 
 const (
@@ -121,6 +122,13 @@
 		return 0
 	})
 	gauge("arbutusfork_vms", "VMs that answer, this one included.", func() float64 { return float64(len(n.peers.LiveMembers())) })
+	gauge("arbutusfork_memory_limit_bytes", "Bound of the memory for what callers and endpoints send.", func() float64 { return float64(n.memory.LimitBytes()) })
+	for _, kind := range afmemory.Kinds() {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "arbutusfork_memory_held_bytes", Help: "Reserved memory for what callers and endpoints send, by what holds it.",
+			ConstLabels: prometheus.Labels{"kind": kind.String()},
+		}, func() float64 { return float64(n.memory.ReservedBytesOf(kind)) }))
+	}
 	gauge("arbutusfork_endpoints", "Endpoints that are listed.", func() float64 { return float64(len(n.roster.Entries())) })
 	gauge("arbutusfork_platform_era", "Era of the platform's store, which rises when it comes back from an older copy.", func() float64 { return float64(n.platformClient.Era()) })
 	counter("arbutusfork_platform_reads_total", "Reads of the platform.", func() float64 { return float64(n.platformClient.ReadCount.Load()) })
