gateway: apply the configuration's limits to callers

max-header-bytes, max-body-bytes, header-timeout-ms and idle-timeout-ms were read from the configuration and not applied: callers' connections had 64 KB of head, 4 MiB of body, 10 s for a request and 60 s of idle time. A caller that reused a connection after four fifths of a longer idle limit found it closed.

The listener now asks for the limits in force with each request and each check of the timeouts. The idle time ends a second after the limit, since the caller's begins later, and not before the limit that was in force when it began. The header timeout ends with the head; a body then has 10 s, or the header timeout if that is longer.

TestLimitsOfConfiguration failed without the configuration's limits: "expected: 413, actual: 200", and with the limit in force alone and no margin: "expected: 200, actual: 0, closed before the limit".

--- a/internal/afentry/limits.go
+++ b/internal/afentry/limits.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Limits bound what callers may send.
+// Limits bound what callers may send. A zero value means the server's own bound.
 type Limits struct {
 	// MaxHeaderBytes bounds the request line and headers of one request, and MaxBodyBytes its body.
 	MaxHeaderBytes, MaxBodyBytes int
@@ -16,7 +16,14 @@
 // response has arrived.
 const idleMargin = time.Second
 
-// limitsInForce returns the limits that apply to callers.
+// limitsInForce returns the limits of the configuration in force, with the server's own bounds for those that are not set.
 func (s *Server) limitsInForce() Limits {
-	return Limits{MaxHeaderBytes: s.MaxHeaderBytes, MaxBodyBytes: s.MaxBodyBytes, HeaderTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout}
+	var l Limits
+	if s.Limits != nil {
+		l = s.Limits()
+	}
+	return Limits{
+		MaxHeaderBytes: positiveOr(l.MaxHeaderBytes, s.MaxHeaderBytes), MaxBodyBytes: positiveOr(l.MaxBodyBytes, s.MaxBodyBytes),
+		HeaderTimeout: positiveOr(l.HeaderTimeout, s.ReadTimeout), IdleTimeout: positiveOr(l.IdleTimeout, s.IdleTimeout),
+	}
 }
--- a/internal/afentry/memory_test.go
+++ b/internal/afentry/memory_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +133,65 @@
 	}
 	require.Eventually(t, func() bool { return f.Memory.ReservedBytes() == 0 }, time.Minute, time.Millisecond, "memory of ended requests is still held")
 }
+
+// Guards against limits of the configuration that do not apply to open connections, or that close a connection before it has
+// been idle for as long as callers may rely on.
+func TestLimitsOfConfiguration(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{MaxHeaderBytes: 4000, MaxBodyBytes: 4000, HeaderTimeout: time.Hour, IdleTimeout: 2 * time.Hour})
+	f := newFixture(t, func(f *fixture) {
+		f.Limits = func() Limits { return *limits.Load() }
+		f.ForwardRequest = func(c *CallerConn, w http.ResponseWriter, r *http.Request) { echoRequest(w, r); _ = c.Flush() }
+	})
+	open := func() (send func(text string) int) {
+		c, err := net.Dial("tcp", f.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		answers := bufio.NewReader(c)
+		return func(text string) int {
+			_, _ = io.WriteString(c, text)
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return 0 // The connection was closed.
+			}
+			_ = readBody(resp)
+			return resp.StatusCode
+		}
+	}
+	get := func(n int) string { return "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", n) + "\r\n\r\n" }
+	post := func(n int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
+	}
+	one, two, three := open(), open(), open()
+	for _, send := range []func(string) int{one, two, three} {
+		require.Equal(t, http.StatusOK, send(post(2000)))
+		require.Equal(t, http.StatusOK, send(get(2000)))
+	}
+	limits.Store(&Limits{MaxHeaderBytes: 1000, MaxBodyBytes: 1000, HeaderTimeout: time.Hour, IdleTimeout: 2 * time.Hour})
+	require.Equal(t, http.StatusRequestEntityTooLarge, one(post(2000)))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, two(get(2000)))
+
+	f.sweepConns(f.Timer.Now().Add(2 * time.Hour))
+	require.Equal(t, http.StatusOK, three(get(1)), "closed before the limit")
+	limits.Store(&Limits{IdleTimeout: time.Hour})
+	f.sweepConns(f.Timer.Now().Add(2 * time.Hour))
+	require.Equal(t, http.StatusOK, three(get(1)), "closed before the limit in force when it became idle")
+	require.Eventually(t, func() bool {
+		f.sweepConns(f.Timer.Now().Add(time.Hour + 2*idleMargin))
+		return f.countConns() == 0
+	}, time.Minute, time.Millisecond, "open after the limit")
+
+	limits.Store(&Limits{HeaderTimeout: time.Hour, IdleTimeout: 3 * time.Hour})
+	status := make(chan int, 1)
+	late := open()
+	go func() { status <- late("GET / HTTP/1.1\r\nHo") }()
+	require.Never(t, func() bool {
+		f.sweepConns(f.Timer.Now().Add(time.Hour / 2))
+		return len(status) > 0
+	}, 50*time.Millisecond, time.Millisecond, "refused before the header timeout")
+	require.Eventually(t, func() bool {
+		f.sweepConns(f.Timer.Now().Add(time.Hour + time.Minute))
+		return len(status) > 0
+	}, time.Minute, time.Millisecond, "not refused after the header timeout")
+	require.Equal(t, http.StatusRequestTimeout, <-status)
+}
--- a/internal/afentry/server.go
+++ b/internal/afentry/server.go
@@ -69,6 +69,8 @@
 	// one request of a connection at a time, and must flush the response before it returns.
 	ForwardRequest func(c *CallerConn, w http.ResponseWriter, r *http.Request)
 
+	// Limits returns the limits of the configuration in force. Nil means that only the server's own bounds apply.
+	Limits func() Limits
 	// Memory bounds what callers send. Nil means no bound for all callers together.
 	Memory *afmemory.Budget
 
--- a/internal/afnode/node.go
+++ b/internal/afnode/node.go
@@ -292,6 +292,15 @@
 	}
 }
 
+// callerLimits returns the limits for callers of the configuration in force.
+func (n *Node) callerLimits() afentry.Limits {
+	t := n.tables.Table()
+	if t == nil {
+		return afentry.Limits{}
+	}
+	return afentry.Limits(t.Limits)
+}
+
 // createGateway creates the gateway and the server that accepts the callers' connections.
 func (n *Node) createGateway() {
 	n.gateway = &afgateway.Server{
@@ -313,7 +322,7 @@
 	n.gateway.RegisterGauges(n.registry)
 	n.entryServer = &afentry.Server{
 		ForwardRequest: n.gateway.ServeRequest, IsConfigFresh: func() bool { return true }, Address: n.Settings.CallerAddress, Log: n.log, Timer: n.timer,
-		Registry: n.registry, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 64 << 10, Memory: n.memory,
+		Registry: n.registry, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 64 << 10, Limits: n.callerLimits, Memory: n.memory,
 	}
 	if n.Settings.MaxDescriptors > 0 {
 		n.entryServer.MaxConnections = max((n.Settings.MaxDescriptors-reservedDescriptors)/2, 64)
