bench: measure a gateway's peak memory under large bodies

No figure showed how much memory a gateway needs when many callers send large bodies. arbutusfork-bench memory starts a gateway with a memory limit and sends it small and large bodies at a multiple of the usual load, at full speed or at 1 KB a second.

--- a/cmd/arbutusfork-bench/main.go
+++ b/cmd/arbutusfork-bench/main.go
@@ -33,6 +33,12 @@
 	gateway.Flag("program", "Path of the daemon's binary.").Default("bin/arbutusfork").StringVar(&gatewayPlan.ProgramPath)
 	gateway.Flag("length", "Duration of each measurement of speed.").Default("5s").DurationVar(&gatewayPlan.SpeedDuration)
 	gateway.Flag("streams", "Number of open streams.").Default("2000").IntVar(&gatewayPlan.OpenStreams)
+	memoryPlan := afbench.MemoryPlan{Output: os.Stdout}
+	memory := app.Command("memory", "Measures the peak memory of a gateway process whose callers send large bodies.")
+	memory.Flag("program", "Path of the daemon's binary.").Default("bin/arbutusfork").StringVar(&memoryPlan.ProgramPath)
+	memory.Flag("limit", "Memory limit of the process in MB.").Default("284").IntVar(&memoryPlan.MemoryMB)
+	memory.Flag("load", "How many times the usual load is sent.").Default("7.5").Float64Var(&memoryPlan.LoadFactor)
+	memory.Flag("drip", "Send the large bodies at 1 KB a second.").BoolVar(&memoryPlan.IsDripped)
 	placementConfig := afmeasure.PlacementConfig{}
 	policy := app.Command("policy", "Measures placement policies on a simulated day of each deployment.")
 	policy.Flag("seed", "Seed of the simulated day.").Default("1").Uint64Var(&placementConfig.Seed)
@@ -57,6 +63,8 @@
 		err = afbench.MeasureEntry(ctx, entryPlan)
 	case gateway.FullCommand():
 		err = afbench.MeasureGateway(ctx, gatewayPlan)
+	case memory.FullCommand():
+		err = afbench.MeasureMemory(ctx, memoryPlan)
 	case policy.FullCommand():
 		err = afmeasure.RunPlacement(os.Stdout, placementConfig)
 	case limits.FullCommand():
--- a/internal/afbench/gateway.go
+++ b/internal/afbench/gateway.go
@@ -66,6 +66,10 @@
 	// stay open after their first event.
 	engineEndpoint *afplatform.Endpoint
 	lastRequestID  atomic.Int64
+	// memoryLimitMB is the daemon's memory limit. Zero means none.
+	memoryLimitMB int
+	// wrapEngine replaces the handler of the engine. Nil means that it is not replaced.
+	wrapEngine func(http.Handler) http.Handler
 }
 
 // MeasureGateway starts a gateway and prints its processor time for each request, the latency of requests compared with
@@ -113,7 +117,13 @@
 	if err != nil {
 		return err
 	}
-	store.PutObject("config", "main", gatewayConfig().Spec())
+	config := gatewayConfig()
+	for i := range config.Routes {
+		// The body of a stream that can be resumed is kept until its end.
+		config.Routes[i].IsResumable = g.memoryLimitMB > 0
+		config.Routes[i].MaxAttempts += min(g.memoryLimitMB, 1)
+	}
+	store.PutObject("config", "main", config.Spec())
 	g.plainEndpoint = &afplatform.Endpoint{ID: "plain", Service: plainService, Centre: "c", Store: store}
 	sizes := map[string]float64{warmModel: 1, coldModel: 1}
 	g.engineEndpoint = &afplatform.Endpoint{
@@ -124,13 +134,17 @@
 		g.engineEndpoint.AddModel(m)
 	}
 	for _, e := range []*afplatform.Endpoint{g.plainEndpoint, g.engineEndpoint} {
-		if e.Address, err = serveLoopback(e); err != nil {
+		var handler http.Handler = e
+		if e == g.engineEndpoint && g.wrapEngine != nil {
+			handler = g.wrapEngine(e)
+		}
+		if e.Address, err = serveLoopback(handler); err != nil {
 			return err
 		}
 		e.WriteEntry("ready")
 	}
 	raw, err := afplatform.Settings{
-		VM: "vm", IP: gatewayIP, Centre: "c", StoreAddress: address, GracePeriod: gatewayGracePeriod, LeaseDuration: gatewayLeaseTerm, MaxOpenFiles: gatewayMaxFiles,
+		VM: "vm", IP: gatewayIP, Centre: "c", StoreAddress: address, GracePeriod: gatewayGracePeriod, LeaseDuration: gatewayLeaseTerm, MaxOpenFiles: gatewayMaxFiles, MemoryMB: g.memoryLimitMB,
 	}.EncodeFile()
 	if err != nil {
 		return err
@@ -159,8 +173,8 @@
 func gatewayConfig() afplatform.Config {
 	c := afplatform.Config{
 		Version: 1, PlainService: plainService, EngineService: engineService, ModelSizes: map[string]float64{warmModel: 1, coldModel: 1}, EngineMemoryMB: 2,
-		EngineSlots: maxBenchConns,
-		Customers:   []afplatform.Customer{{Name: "bench", APIKeys: []string{benchKey}, TokensPerSecond: 1 << 30, BurstTokens: 1 << 30, PlainRequestTokens: 1}},
+		EngineSlots: maxBenchConns, MaxBodyBytes: 4 << 20,
+		Customers: []afplatform.Customer{{Name: "bench", APIKeys: []string{benchKey}, TokensPerSecond: 1 << 30, BurstTokens: 1 << 30, PlainRequestTokens: 1}},
 	}
 	for _, r := range []struct{ name, kind, service string }{{"look", "safe", plainService}, {"talk", "streaming", engineService}} {
 		c.Routes = append(c.Routes, afplatform.Route{
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -37,6 +37,8 @@
 	Customers                   []Customer
 	// EngineSlots is the number of requests that an engine runs at once. Zero means 64.
 	EngineSlots int
+	// MaxBodyBytes bounds the bodies of requests. Zero means 1 MB.
+	MaxBodyBytes int
 }
 
 // Spec returns the configuration in the form of the store.
@@ -66,7 +68,7 @@
 				"slots": cmp.Or(c.EngineSlots, 64), "kv-capacity": 100000, "weights-mb": c.EngineMemoryMB, "adapter-slots": 4, "loads-per-s": 20, "models": models,
 			}},
 		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": cmp.Or(c.MaxBodyBytes, 1<<20), "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	}
 }
 
@@ -76,6 +78,8 @@
 	GracePeriod, LeaseDuration   time.Duration
 	// MaxOpenFiles bounds the VM's open files. Zero means 4,096.
 	MaxOpenFiles int
+	// MemoryMB bounds the VM's memory. Zero means no bound.
+	MemoryMB int
 }
 
 // The ports of a VM.
@@ -92,7 +96,7 @@
 	return json.Marshal(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": s.Centre, "internal-ports": []int{7600, 7615},
 		"listen":   map[string]any{"front": s.IP + CallersPort, "ready": s.IP + ReadyPort},
-		"platform": map[string]any{"address": s.StoreAddress}, "limits": map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "link-mbps": 1000},
+		"platform": map[string]any{"address": s.StoreAddress}, "limits": map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "memory-mb": s.MemoryMB, "link-mbps": 1000},
 		"bounds": map[string]any{
 			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
 		},
