afentry: test requests that follow a refused body

A body without memory is read and dropped after its refusal, so that the connection stays usable; nothing tested that. TestRequestAfterRefusedBody fails if the rest of the body is not dropped: the next answer is "the headers are too large" instead of that of the next request.

--- a/internal/afentry/memory_test.go
+++ b/internal/afentry/memory_test.go
@@ -195,3 +195,26 @@
 	}, time.Minute, time.Millisecond, "not refused after the header timeout")
 	require.Equal(t, http.StatusRequestTimeout, <-status)
 }
+
+// Guards against a refused body whose bytes are taken for the next request of the connection.
+func TestRequestAfterRefusedBody(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.Memory = &afmemory.Budget{Limit: 1 << 20} })
+	c, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	answers := bufio.NewReader(c)
+	for range 2 {
+		_, err = fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: x\r\n%s\r\nContent-Length: %d\r\n\r\n", authHeader, 1<<20)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, "1", resp.Header.Get("Retry-After"))
+		require.Contains(t, readBody(resp), `"outcome":"not run"`)
+		_, err = io.WriteString(c, strings.Repeat("GET /x HTTP/1.1\n", 1<<16)+"GET /stock/nut HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		resp, err = http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Contains(t, readBody(resp), "stock")
+	}
+}
