--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -113,6 +113,7 @@
 		return attemptResult{cause: errReplaced.Error()}
 	}
 	p.isRelayingLong = true
+	p.releaseUnrepeatable()
 	p.writeHead(ex.response.StatusCode, ex.response.Header, length)
 	part, buffer := ans.body, make([]byte, relayBufferBytes)
 	var readErr error
@@ -256,6 +257,7 @@
 			}
 			p.recordEventTime(s.Timer.Now())
 		}
+		p.releaseUnrepeatable()
 		if !p.writePart(event.raw) {
 			endpoint.request.End(afroster.HealthUnaffected)
 			return attemptResult{responseEnded: true}
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afengine"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
@@ -46,6 +47,7 @@
 func (n *Node) newFeed(kind string) *affeed.Feed {
 	f := &affeed.Feed{
 		Kind: kind, List: n.platformClient.List, PollChanges: n.platformClient.WatchByLongPoll, Timer: n.timer, Log: n.log, Coordinator: &n.retryCoordinator,
+		Held:      n.memory.HoldKind(afmemory.Feed),
 		PollDelay: func() time.Duration { return configPollDelay },
 		PollTimeout: func() time.Duration {
 			if n.keeper.ReceivesPlacementViews() {
