soak: play sound endpoints that are silent for a moment

No test showed streams that end because a sound endpoint sends nothing for a second and goes on, while the other endpoints are nearly full.

`arbutusfork-soak play silence` runs three VMs, two endpoints with 12 slots and a queue of 2, and 20 callers of resumable streams with a deadline of 30 s. One endpoint after the other is silent for 1.0 to 1.4 s, and the configuration changes every 1.7 s. The seed draws the service (engine or plain), whether endpoints tell their load, whether they refuse requests while they are silent, and whether half of the requests allow one attempt only. The play reports streams that are cut, refused, out of order or complete too early, and more second sends in 10 s than the retry budget allows for all VMs together.

The stand-in of endpoints now reads the body of a request that it runs. Before, it did not notice that a VM closed the connection of a request with a body.

--- a/cmd/arbutusfork-soak/main.go
+++ b/cmd/arbutusfork-soak/main.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -22,19 +23,28 @@
 	seed := app.Flag("seed", "Seed of the first run.").Default("1").Uint64()
 	runs := app.Flag("runs", "Number of runs, each with the next seed.").Default("1").Uint64()
 	duration := app.Flag("length", "Time during which faults are injected.").Default("15s").Duration()
-	vms := app.Flag("vms", "Number of VMs.").Default("4").Int()
-	callers := app.Flag("callers", "Number of callers.").Default("12").Int()
-	lease := app.Flag("lease", "Time within which an engine must not get orders from two VMs.").Default("1.5s").Duration()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	soak := app.Command("faults", "Injects faults of all kinds.").Default()
+	vms := soak.Flag("vms", "Number of VMs.").Default("4").Int()
+	callers := soak.Flag("callers", "Number of callers.").Default("12").Int()
+	lease := soak.Flag("lease", "Time within which an engine must not get orders from two VMs.").Default("1.5s").Duration()
+	silence := app.Command("play", "Plays one kind of trouble.").Command("silence", "Sound endpoints are silent for a moment, one after another.")
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	failedRuns := 0
 	for runSeed := *seed; runSeed < *seed+*runs && ctx.Err() == nil; runSeed++ {
-		run := afsoak.Soak{
-			Ctx: ctx, DaemonPath: *program, OutputDir: filepath.Join(*dir, strconv.FormatUint(runSeed, 10)), Seed: runSeed, Duration: *duration, VMCount: *vms, CallerCount: *callers, LeaseDuration: *lease,
-			Output: os.Stdout,
+		outputDir := filepath.Join(*dir, strconv.FormatUint(runSeed, 10))
+		run := func() ([]string, error) {
+			s := afsoak.Soak{
+				Ctx: ctx, DaemonPath: *program, OutputDir: outputDir, Seed: runSeed, Duration: *duration, VMCount: *vms, CallerCount: *callers, LeaseDuration: *lease,
+				Output: os.Stdout,
+			}
+			return s.Run()
 		}
-		violations, err := run.Run()
+		if command == silence.FullCommand() {
+			run = func() ([]string, error) { return playSilence(ctx, *program, outputDir, runSeed, *duration) }
+		}
+		violations, err := run()
 		if err != nil {
 			app.Fatalf("seed %d: %v", runSeed, err)
 		}
@@ -48,3 +58,9 @@
 		os.Exit(1)
 	}
 }
+
+// playSilence runs the play. What happened is in the file play.log of the folder, and what broke is printed.
+func playSilence(ctx context.Context, program, dir string, seed uint64, duration time.Duration) ([]string, error) {
+	p := afsoak.SilencePlay{DaemonPath: program, OutputDir: dir, Seed: seed, Duration: duration, Output: os.Stdout}
+	return p.Run(ctx)
+}
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -39,6 +39,7 @@
 	crashPart = "dead"
 	// crashDelay lets the head of an answer arrive before the engine crashes, and crashedTime is how long the engine is gone.
 	crashDelay, crashedTime = 20 * time.Millisecond, time.Second
+	defaultLeaseDuration    = 1500 * time.Millisecond
 	// firstSubnet is the third byte of the first loopback subnet, 127.0.10.0/24. The seed selects the subnet of a run, so
 	// that runs with different seeds can share a machine.
 	firstSubnet = 10
@@ -75,6 +76,7 @@
 type fleet struct {
 	daemonPath, outputDir string
 	leaseDuration         time.Duration
+	extraRetries          int // extraRetries is in the settings of VMs that are added later.
 	store                 *afplatform.Store
 	storeAddress          string
 	storeServer           *http.Server
@@ -121,15 +123,15 @@
 
 // addEndpoint starts an endpoint and writes its entry to the store. The endpoint is an engine if models is not nil.
 func (f *fleet) addEndpoint(service string, models []string) error {
-	e, err := f.startEndpoint(service, models, false)
+	e, err := f.startEndpoint(service, models, func(*endpoint) {})
 	if err == nil {
 		e.WriteEntry("ready")
 	}
 	return err
 }
 
-// startEndpoint starts an endpoint that has no entry yet.
-func (f *fleet) startEndpoint(service string, models []string, isExtra bool) (*endpoint, error) {
+// startEndpoint starts an endpoint that has no entry yet. Configure may change its fields before it serves.
+func (f *fleet) startEndpoint(service string, models []string, configure func(*endpoint)) (*endpoint, error) {
 	f.mu.Lock()
 	f.lastEndpointNumber++
 	id := "i-" + strconv.Itoa(f.lastEndpointNumber)
@@ -142,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{proxy: p, isExtra: isExtra, Endpoint: &afplatform.Endpoint{
+	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
 		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
 	}}
@@ -151,6 +153,7 @@
 		e.ModelSizes, e.ResponseDelay = modelSizes(), streamEventDelay
 		e.CrashPart, e.OnCrash = crashPart, func() { f.crashEndpoint(e) }
 	}
+	configure(e)
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	f.mu.Lock()
@@ -265,7 +268,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration, ExtraRetries: f.extraRetries}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -356,10 +359,10 @@
 	_ = f.storeServer.Close()
 }
 
-// newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
-func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+// newBareFleet starts a store without objects.
+func newBareFleet(daemonPath, outputDir string, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: leaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -369,6 +372,16 @@
 	f.storeAddress = l.Addr().String()
 	f.storeServer = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.storeServer.Serve(l) }()
+	return f, nil
+}
+
+// newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
+func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+	f, err := newBareFleet(daemonPath, outputDir, reportViolation)
+	if err != nil {
+		return nil, err
+	}
+	f.leaseDuration = leaseDuration
 	f.writeConfig()
 	for range engineCount {
 		if err := f.addEndpoint("llm", modelNames); err != nil {
--- a/internal/afsoak/goback.go
+++ b/internal/afsoak/goback.go
@@ -118,7 +118,7 @@
 	if isEngine {
 		service, models = "llm", modelNames
 	}
-	e, err := s.fleet.startEndpoint(service, models, true)
+	e, err := s.fleet.startEndpoint(service, models, func(e *endpoint) { e.isExtra = true })
 	if err != nil {
 		s.reportViolation("SOAK", "endpoint not added: %v", err)
 		return nil
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -65,6 +66,8 @@
 	// StreamEvents is the number of events of a stream and ResponseDelay the time between two.
 	StreamEvents  int
 	ResponseDelay time.Duration
+	// StreamsWithoutModel makes a plain service answer with streams.
+	StreamsWithoutModel bool
 	// StalledModel is the model whose streams send nothing after their first event. Empty means none.
 	StalledModel string
 	// OnExecute is called for each request that runs. It must not block.
@@ -75,6 +78,16 @@
 	// OnCrash is called when the engine crashes. It closes all connections to the engine.
 	OnCrash func()
 
+	// Slots is the number of requests that the endpoint runs at once, and QueueLength the number that it queues besides. It
+	// refuses any more. Zero slots means no bound.
+	Slots, QueueLength int
+	// RefusesInSilence makes the endpoint refuse requests and send reports while it is silent, but no answers.
+	RefusesInSilence bool
+	// HidesLoad makes entries and reports tell neither the slots nor the load.
+	HidesLoad bool
+	// OnArrival is called with the ID of each request that arrives, whether it runs or not. It must not block.
+	OnArrival func(requestID string)
+
 	// Faults are switched while the endpoint runs.
 	IsFull, TruncatesAnswers atomic.Bool
 	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Zero means none.
@@ -94,6 +107,7 @@
 	orders []Order
 	over   bool
 	pause  pause
+	room   room
 }
 
 // SetDirectHeaders sets the headers of a call that comes without a daemon in between.
@@ -122,13 +136,14 @@
 
 // describe is called with the lock held.
 func (e *Endpoint) describe() map[string]any {
+	running, waiting, slots := e.load()
 	models := []map[string]any{}
 	for _, m := range e.held {
 		models = append(models, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
 	return map[string]any{
-		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": 64, "state": e.state, "seq": e.seq,
-		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100000,
+		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": slots, "state": e.state, "seq": e.seq,
+		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": waiting, "running": running, "kv-used": 0, "kv-total": 100000,
 		"coming": []string{}, "at-hand": map[string]any{"in-memory": []string{}, "on-disk": e.disk},
 	}
 }
@@ -159,7 +174,10 @@
 	if e.IsLeaving.Load() {
 		w.Header().Set(headerLeaving, "1")
 	}
-	if e.refuseInPause(w, r) {
+	if id := r.Header.Get(headerID); id != "" && e.OnArrival != nil {
+		e.OnArrival(id)
+	}
+	if e.refuseInPause(w, r) || !e.RefusesInSilence && !e.awaitSpeech(r.Context()) {
 		return
 	}
 	switch {
@@ -234,6 +252,15 @@
 		refuse(http.StatusServiceUnavailable)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body) // The end of the connection is only seen after the body.
+	leave, ok, isFull := e.enter(r.Context())
+	if isFull {
+		refuse(http.StatusServiceUnavailable)
+	}
+	if !ok {
+		return
+	}
+	defer leave()
 	if e.OnExecute != nil {
 		e.OnExecute(ExecutedRequest{
 			RequestID: id, EndpointID: e.ID, Customer: r.Header.Get(headerCustomer), HasCallerKey: r.Header.Get("Authorization") != "", ExecutedAt: time.Now(),
@@ -241,7 +268,7 @@
 		})
 	}
 	w.Header().Set(headerSigned, e.ID)
-	if e.ModelSizes == nil {
+	if e.ModelSizes == nil && !e.StreamsWithoutModel {
 		e.whole(w, id)
 		return
 	}
@@ -276,6 +303,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	for i := from + 1; i <= e.StreamEvents; i++ {
+		if !e.awaitSpeech(r.Context()) {
+			return
+		}
 		text := StreamEvent(id, i)
 		if e.TruncatesAnswers.Load() && i == e.StreamEvents/2+1 {
 			_, _ = w.Write([]byte(text[:len(text)/2]))
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -76,6 +76,8 @@
 	GracePeriod, LeaseDuration   time.Duration
 	// MaxOpenFiles bounds the VM's open files. Zero means 4,096.
 	MaxOpenFiles int
+	// ExtraRetries is the number of retries that each window of the retry budget allows in addition. Zero means 60.
+	ExtraRetries int
 }
 
 // The ports of a VM.
@@ -94,7 +96,7 @@
 		"listen":   map[string]any{"front": s.IP + CallersPort, "ready": s.IP + ReadyPort},
 		"platform": map[string]any{"address": s.StoreAddress}, "limits": map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "link-mbps": 1000},
 		"bounds": map[string]any{
-			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
+			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": cmp.Or(s.ExtraRetries, 60),
 		},
 	})
 }
