soak: add faults and checks for what the review showed

It now injects these, and endpoints that stop inside a head or send bodies without an end, from a random source of their own, so that the other faults of a seed stay as they were. Half of them come with a change of the configuration. New checks: CUT (an answer ends early although no endpoint that ran it had a fault), SERVICE, RETRIES, MEMORY and DIED.

The stand-in of engines now runs requests without a model instead of refusing them with 421: with the check of the service taken out of the roster, requests of the plain service reached engines and nothing was reported.

Requests with large bodies are left out of LOST, which takes a request as read 300 ms after it was sent; those that ran count under CUT.

--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -36,6 +36,8 @@
 	vmStartCount int
 	// hasCrashPart means that the prompt contains crashPart.
 	hasCrashPart bool
+	// hasLargeBody means that the body may take longer to arrive than requestTransferTime.
+	hasLargeBody bool
 	status       int
 	body         string
 	// isComplete reports whether the response body was read to its end without an error.
@@ -43,6 +45,15 @@
 	err        error
 }
 
+// begin sets what is known of the VM when the request is sent.
+func (req *call) begin() {
+	req.sentAt = time.Now()
+	req.vmFaultFreeTime = req.vm.faultFreeTime(req.sentAt)
+	req.vm.mu.Lock()
+	defer req.vm.mu.Unlock()
+	req.vmStartCount = req.vm.startCount
+}
+
 // callers sends the requests of all callers and records them. Each caller keeps one connection to one VM open and
 // reuses it until it breaks.
 type callers struct {
@@ -103,11 +114,12 @@
 		}
 	}
 	headers.SetOn(r.Header)
-	req.sentAt = time.Now()
-	req.vmFaultFreeTime = v.faultFreeTime(req.sentAt)
-	v.mu.Lock()
-	req.vmStartCount = v.startCount
-	v.mu.Unlock()
+	req.begin()
+	c.finishRequest(req, client, r)
+}
+
+// finishRequest sends a request, checks the answer and records the call.
+func (c *callers) finishRequest(req call, client *http.Client, r *http.Request) {
 	resp, err := client.Do(r)
 	if err != nil {
 		req.err = err
@@ -119,7 +131,7 @@
 			c.fleet.reportViolation("MIXED", "request %s: success without a signature", req.id)
 		}
 	}
-	req.endedAt, req.hadFault = time.Now(), v.hadFaultSince(req.sentAt)
+	req.endedAt, req.hadFault = time.Now(), req.vm.hadFaultSince(req.sentAt)
 	c.checkAnswer(req)
 	c.mu.Lock()
 	c.calls = append(c.calls, req)
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -47,31 +46,6 @@
 	subnetCount = 200
 )
 
-// vm is a VM of the fleet: one daemon that runs as its own process.
-type vm struct {
-	name, ip      string
-	settingsPath  string
-	platformProxy *proxy // platformProxy carries the connections of the VM to the store.
-	logFile       *os.File
-
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{} // exited is closed when the process has ended.
-	// pendingRestart is the exited channel of the last process for which a restart was scheduled.
-	pendingRestart chan struct{}
-	// faultFreeSince is the later of the start of the process and the end of the last fault injected into the VM. It is
-	// zero while a fault lasts.
-	faultFreeSince time.Time
-	// faultAt is when the last fault was injected into the VM.
-	faultAt time.Time
-	// delayEnds holds when a freeze of the process or a fault of its connections to the store ended.
-	delayEnds []time.Time
-	// startCount is the number of processes that were started for the VM.
-	startCount int
-	// isStopping is set when a planned stop is attempted and cleared when the next process starts.
-	isStopping bool
-}
-
 // fleet is the system under test: the platform's store, the endpoints and the VMs.
 type fleet struct {
 	daemonPath, outputDir string
@@ -89,6 +63,8 @@
 	customerByKey      map[string]string // customerByKey maps the API keys in force to their customers.
 	executions         map[string][]afplatform.ExecutedRequest
 	pauseArrivals      []pauseArrival
+	arrivals           map[string][]time.Time // arrivals holds when a request arrived at endpoints, by its ID.
+	endpointFaults     []endpointFault
 	// crashedAt holds when engines crashed that callers could reach until then.
 	crashedAt []time.Time
 	// restarts counts the engines that will start again, unless closing is closed before.
@@ -146,7 +122,7 @@
 	}
 	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
-		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
+		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution, OnArrival: f.recordArrival,
 	}}
 	e.OnPauseArrival = func(a afplatform.PauseArrival) { f.recordPauseArrival(e, a) }
 	if models != nil {
@@ -181,6 +157,7 @@
 	f.mu.Lock()
 	e.isRemoved = true
 	f.mu.Unlock()
+	f.beginEndpointFault(e)
 	e.proxy.close()
 	_ = e.server.Close()
 	f.store.RemoveObject(afplatform.KindEndpoints, e.ID)
@@ -195,6 +172,7 @@
 		return
 	}
 	e.isCrashed = true
+	f.endpointFaults = append(f.endpointFaults, endpointFault{e.ID, period{startedAt: time.Now()}})
 	if e.proxy.currentFault() == NoFault {
 		f.crashedAt = append(f.crashedAt, time.Now())
 	}
@@ -218,6 +196,7 @@
 		f.mu.Lock()
 		e.restartedAt = time.Now()
 		f.mu.Unlock()
+		f.endEndpointFault(e)
 		e.Restart()
 	})
 }
@@ -238,6 +217,7 @@
 			IsResumable: resumable,
 		}
 	}
+	c.MaxBodyBytes = maxBodyBytes
 	c.Routes = []afplatform.Route{
 		route("talk", "streaming", "llm", 2, streamRouteTimeout, true), route("note", "streaming", "llm", 1, streamRouteTimeout, false),
 		route("pay", "unsafe", "app", 1, plainRouteTimeout, false), route("look", "safe", "app", 2, plainRouteTimeout, false),
@@ -268,7 +248,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration, ExtraRetries: f.extraRetries}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration, ExtraRetries: f.extraRetries, MemoryMB: vmMemoryMB}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -279,68 +259,10 @@
 		return err
 	}
 	f.vms = append(f.vms, v)
+	v.onUnexpectedEnd = func(state string) { f.reportViolation("DIED", "%s ended by itself: %s", v.name, state) }
 	return v.startProcess(f.daemonPath)
 }
 
-// startProcess starts the daemon of the VM and marks the VM as fault-free from now on.
-func (v *vm) startProcess(daemonPath string) error {
-	cmd := exec.Command(daemonPath, "gateway")
-	cmd.Env = append(os.Environ(), afplatform.SettingsVariable+"="+v.settingsPath)
-	cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	exited := make(chan struct{})
-	v.mu.Lock()
-	v.cmd, v.exited, v.isStopping, v.faultFreeSince = cmd, exited, false, time.Now()
-	v.startCount++
-	v.mu.Unlock()
-	go func() {
-		_ = cmd.Wait() // The exit status is not checked: processes are also killed on purpose.
-		close(exited)
-	}()
-	return nil
-}
-
-// signalProcess sends a signal to the process of the VM if the process runs.
-func (v *vm) signalProcess(s syscall.Signal) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	select {
-	case <-v.exited:
-	default:
-		_ = v.cmd.Process.Signal(s) // An error means that the process has just ended.
-	}
-}
-
-// setFaulty records that a fault of the VM begins, or that it ended now.
-func (v *vm) setFaulty(isFaulty bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	v.faultFreeSince = now
-	if isFaulty {
-		v.faultFreeSince, v.faultAt = time.Time{}, now
-	}
-}
-
-// faultFreeTime returns the time from faultFreeSince to now, or 0 while a fault lasts.
-func (v *vm) faultFreeTime(now time.Time) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.faultFreeSince.IsZero() {
-		return 0
-	}
-	return now.Sub(v.faultFreeSince)
-}
-
-// hadFaultSince returns whether a fault was injected into the VM after a time.
-func (v *vm) hadFaultSince(at time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.faultAt.After(at)
-}
-
 // close stops all processes, endpoints, proxies and the store.
 func (f *fleet) close() {
 	close(f.closing)
@@ -362,7 +284,7 @@
 // newBareFleet starts a store without objects.
 func newBareFleet(daemonPath, outputDir string, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, arrivals: map[string][]time.Time{}, extraRetries: retryExtra, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/afsoak/judge.go
+++ b/internal/afsoak/judge.go
@@ -37,16 +37,20 @@
 		if isUnsafe && len(executions) > 1 {
 			s.reportViolation("TWICE", "request %s ran %d times", req.id, len(executions))
 		}
-		if isUnsafe && len(executions) > 0 && (req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests) {
-			s.reportViolation("REFUSED", "request %s was answered %d and ran at %s", req.id, req.status, executions[0].EndpointID)
+		if len(executions) > 0 && slices.Contains(notRunStatuses, req.status) {
+			s.reportViolation("REFUSED", "request %s %s was answered %d and ran at %s", req.id, req.path, req.status, executions[0].EndpointID)
 		}
 		for _, r := range executions {
+			if service := s.fleet.serviceOf(r.EndpointID); service != serviceOfRoute(req.path) {
+				s.reportViolation("SERVICE", "request %s %s ran at %s of the service %s", req.id, req.path, r.EndpointID, service)
+			}
 			if r.Customer != req.customer {
 				s.reportViolation("UNASKED", "request %s of customer %q ran for %q", req.id, req.customer, r.Customer)
 			}
 		}
 		s.checkWithdrawnKey(req)
 		s.checkPlannedStops(req)
+		s.checkCut(req, executions)
 		outcome := fmt.Sprint(req.status)
 		if req.status == 0 || !req.isComplete {
 			outcome = "broken"
@@ -61,6 +65,7 @@
 	s.checkOrders()
 	s.checkConfigReverts()
 	s.checkDrains()
+	s.checkRetryBudget()
 	s.logEvent("%d requests: %v", len(s.callers.calls), countByOutcome)
 }
 
@@ -77,10 +82,10 @@
 }
 
 // checkPlannedStops checks that a planned stop aborts no request that the process had read, unless a fault follows before the
-// request ends. A request counts as read if
-// its connection failed more than requestTransferTime after the request was sent.
+// request ends. A request counts as read if its connection failed more than requestTransferTime after the request was sent. A
+// request with a large body may not have been read by then; checkCut covers those that ran.
 func (s *Soak) checkPlannedStops(req call) {
-	if req.status != 0 || req.err == nil || req.hadFault || strings.Contains(req.err.Error(), "refused") {
+	if req.status != 0 || req.err == nil || req.hadFault || req.hasLargeBody || strings.Contains(req.err.Error(), "refused") {
 		return
 	}
 	for _, stop := range s.plannedStops {
--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -20,6 +20,7 @@
 	DropOpenConnectionData            // DropOpenConnectionData drops the data of the connections that are open now and serves new connections.
 	SendWithoutEnd                    // SendWithoutEnd sends bytes that are no answer on new connections until the client closes.
 	DripServerData                    // DripServerData forwards single bytes of the server with pauses between them.
+	StopInsideHead                    // StopInsideHead forwards only the first headStopBytes of what the server sends on a connection.
 )
 
 const (
@@ -27,6 +28,8 @@
 	proxyBufferSize = 16 << 10
 	// dripPause is the time between two bytes of DripServerData.
 	dripPause = 20 * time.Millisecond
+	// headStopBytes is less than the head of any answer.
+	headStopBytes = 20
 )
 
 // proxy forwards TCP connections to a target address on loopback and applies a fault to them.
@@ -43,7 +46,9 @@
 // proxyConnection is a client connection together with its connection to the target.
 type proxyConnection struct {
 	client, server net.Conn
-	dropsData      bool // dropsData makes the proxy drop all data of the connection until it is closed.
+	// serverBytes counts the bytes of the server that were forwarded.
+	serverBytes int
+	dropsData   bool // dropsData makes the proxy drop all data of the connection until it is closed.
 }
 
 func newProxy(listen, target string) (*proxy, error) {
@@ -152,6 +157,13 @@
 	for {
 		n, err := from.Read(buf)
 		p.mu.Lock()
+		if isFromServer {
+			if p.fault == StopInsideHead && conn.serverBytes < headStopBytes {
+				conn.dropsData, n = true, min(n, headStopBytes)
+				_, _ = to.Write(buf[:n]) // The client may have closed the connection.
+			}
+			conn.serverBytes += n
+		}
 		fault, dropsData := p.fault, conn.dropsData
 		p.mu.Unlock()
 		if n > 0 && !dropsData && fault != DropAllData && (fault != DropServerData || !isFromServer) {
--- a/internal/afsoak/silence.go
+++ b/internal/afsoak/silence.go
@@ -305,16 +305,8 @@
 // exceededBudget returns the end of the first window with more retries than the budget allows for the requests that arrived in
 // it, with both numbers. N is 0 if there is none.
 func exceededBudget(requests, retries []time.Time) (end time.Time, n int, allowed float64) {
-	count := func(times []time.Time, end time.Time) (n int) {
-		for _, t := range times {
-			if !t.After(end) && end.Sub(t) < retryWindow {
-				n++
-			}
-		}
-		return n
-	}
 	for _, end := range retries {
-		n, allowed := count(retries, end), retryRatio*float64(count(requests, end))+retryExtra
+		n, allowed := countInWindow(retries, end), retryRatio*float64(countInWindow(requests, end))+retryExtra
 		if float64(n) > allowed {
 			return end, n, allowed
 		}
@@ -322,6 +314,16 @@
 	return time.Time{}, 0, 0
 }
 
+// countInWindow returns the number of times in the window of the retry budget that ends at end.
+func countInWindow(times []time.Time, end time.Time) (n int) {
+	for _, t := range times {
+		if !t.After(end) && end.Sub(t) < retryWindow {
+			n++
+		}
+	}
+	return n
+}
+
 // printCounts prints the figures of the play. The caller holds mu.
 func (p *SilencePlay) printCounts() {
 	count, resent := map[string]int{}, 0
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -64,6 +64,8 @@
 	// noticeRandom chooses the endpoints that leave or ask for a pause.
 	noticeRandom *rand.Rand
 	plannedStops []plannedStop
+	// momentRandom chooses the faults of injectMoment.
+	momentRandom *rand.Rand
 	// backRandom chooses when and how the store goes back.
 	backRandom  *rand.Rand
 	goBacks     []goBack
@@ -108,6 +110,7 @@
 	s.limitRandom = rand.New(rand.NewPCG(s.Seed, 4))
 	s.backRandom = rand.New(rand.NewPCG(s.Seed, 5))
 	s.noticeRandom = rand.New(rand.NewPCG(s.Seed, 6))
+	s.momentRandom = rand.New(rand.NewPCG(s.Seed, 7))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -121,6 +124,7 @@
 	for i := range s.CallerCount {
 		wg.Go(func() { s.callers.sendRequests(ctx, i) })
 	}
+	wg.Go(func() { s.watchMemory(ctx) })
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.injectFault()
@@ -136,6 +140,7 @@
 		case 1:
 			s.pauseEndpoint()
 		}
+		s.injectMoment()
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
 	s.recoveries.Wait()
@@ -203,13 +208,17 @@
 			fault = []ProxyFault{SendWithoutEnd, DripServerData}[n]
 		}
 		s.logEvent("endpoint %s: harm %d", e.ID, fault)
-		e.proxy.setFault(fault)
-		s.scheduleRecovery(500*time.Millisecond, 3*time.Second, func() { e.proxy.setFault(NoFault) })
+		s.beginProxyFault(e, fault)
+		s.scheduleRecovery(500*time.Millisecond, 3*time.Second, func() { s.endProxyFault(e) })
 	case 8:
 		e := s.pickEndpoint(s.random.IntN(2) == 0)
 		s.logEvent("endpoint %s breaks its answers", e.ID)
+		f.beginEndpointFault(e)
 		e.TruncatesAnswers.Store(true)
-		s.scheduleRecovery(500*time.Millisecond, 2*time.Second, func() { e.TruncatesAnswers.Store(false) })
+		s.scheduleRecovery(500*time.Millisecond, 2*time.Second, func() {
+			e.TruncatesAnswers.Store(false)
+			f.endEndpointFault(e)
+		})
 	case 9:
 		e := s.pickEndpoint(s.random.IntN(2) == 0)
 		s.logEvent("endpoint %s is full", e.ID)
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -90,6 +90,8 @@
 
 	// Faults are switched while the endpoint runs.
 	IsFull, TruncatesAnswers atomic.Bool
+	// SendsWithoutEnd makes the endpoint send bytes without an end after the head of an answer, until it is switched off.
+	SendsWithoutEnd atomic.Bool
 	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Zero means none.
 	NamedLimit atomic.Int64
 	// IsLeaving makes the endpoint say in all its answers that it leaves. A restart ends it.
@@ -125,6 +127,23 @@
 	e.Store.PutObject(KindEndpoints, e.ID, spec)
 }
 
+// WriteForeignEntry writes what another writer makes of the endpoint's entry. A nil value takes a field out.
+func (e *Endpoint) WriteForeignEntry(changes map[string]any) {
+	e.mu.Lock()
+	spec := e.describe()
+	e.mu.Unlock()
+	for field, value := range changes {
+		spec[field] = value
+		if value == nil {
+			delete(spec, field)
+		}
+	}
+	e.Store.PutObject(KindEndpoints, e.ID, spec)
+}
+
+// WriteEntryAgain writes the endpoint's entry with its present state.
+func (e *Endpoint) WriteEntryAgain() { e.WriteForeignEntry(nil) }
+
 // Restart begins another run of the endpoint with the models and writes its entry.
 func (e *Endpoint) Restart(models ...string) {
 	e.mu.Lock()
@@ -235,7 +254,7 @@
 }
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerID)
+	id, model := r.Header.Get(headerID), r.Header.Get(headerModel)
 	w.Header().Set(headerID, id)
 	if limit := e.NamedLimit.Load(); limit > 0 {
 		w.Header().Set(headerLimit, strconv.FormatInt(limit, 10))
@@ -245,7 +264,7 @@
 		w.WriteHeader(status)
 	}
 	switch {
-	case r.Header.Get(headerExpect) != e.ID, e.ModelSizes != nil && !e.HasModel(r.Header.Get(headerModel)):
+	case r.Header.Get(headerExpect) != e.ID, e.ModelSizes != nil && model != "" && !e.HasModel(model):
 		refuse(http.StatusMisdirectedRequest)
 		return
 	case e.IsFull.Load():
@@ -268,13 +287,30 @@
 		})
 	}
 	w.Header().Set(headerSigned, e.ID)
-	if e.ModelSizes == nil && !e.StreamsWithoutModel {
+	if e.SendsWithoutEnd.Load() {
+		e.sendWithoutEnd(w)
+	}
+	// An engine runs a request without a model too, so that tests see requests that are sent to the wrong service.
+	if e.ModelSizes == nil && !e.StreamsWithoutModel || e.ModelSizes != nil && model == "" {
 		e.whole(w, id)
 		return
 	}
 	e.stream(w, r, id)
 }
 
+// sendWithoutEnd sends bytes until the fault ends or the connection is closed, and breaks the answer off.
+func (e *Endpoint) sendWithoutEnd(w http.ResponseWriter) {
+	if e.ModelSizes != nil {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	for e.SendsWithoutEnd.Load() {
+		if _, err := w.Write(make([]byte, 1<<12)); err != nil {
+			break
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Endpoint) whole(w http.ResponseWriter, id string) {
 	time.Sleep(e.ResponseDelay)
 	body := "done " + id
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -37,6 +37,8 @@
 	Customers                   []Customer
 	// EngineSlots is the number of requests that an engine runs at once. Zero means 64.
 	EngineSlots int
+	// MaxBodyBytes bounds the bodies of requests. Zero means 1 MiB.
+	MaxBodyBytes int
 }
 
 // Spec returns the configuration in the form of the store.
@@ -66,7 +68,7 @@
 				"slots": cmp.Or(c.EngineSlots, 64), "kv-capacity": 100000, "weights-mb": c.EngineMemoryMB, "adapter-slots": 4, "loads-per-s": 20, "models": models,
 			}},
 		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": cmp.Or(c.MaxBodyBytes, 1<<20), "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	}
 }
 
@@ -78,6 +80,8 @@
 	MaxOpenFiles int
 	// ExtraRetries is the number of retries that each window of the retry budget allows in addition. Zero means 60.
 	ExtraRetries int
+	// MemoryMB is the memory that the VM may use. Zero means that the settings name none.
+	MemoryMB int
 }
 
 // The ports of a VM.
@@ -91,10 +95,14 @@
 
 // EncodeFile returns the content of the settings file.
 func (s Settings) EncodeFile() ([]byte, error) {
+	limits := map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "link-mbps": 1000}
+	if s.MemoryMB > 0 {
+		limits["memory-mb"] = s.MemoryMB
+	}
 	return json.Marshal(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": s.Centre, "internal-ports": []int{7600, 7615},
 		"listen":   map[string]any{"front": s.IP + CallersPort, "ready": s.IP + ReadyPort},
-		"platform": map[string]any{"address": s.StoreAddress}, "limits": map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "link-mbps": 1000},
+		"platform": map[string]any{"address": s.StoreAddress}, "limits": limits,
 		"bounds": map[string]any{
 			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": cmp.Or(s.ExtraRetries, 60),
 		},
