--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -39,6 +38,7 @@
 	crashPart = "dead"
 	// crashDelay lets the head of an answer arrive before the engine crashes, and crashedTime is how long the engine is gone.
 	crashDelay, crashedTime = 20 * time.Millisecond, time.Second
+	defaultLeaseDuration    = 1500 * time.Millisecond
 	// firstSubnet is the third byte of the first loopback subnet, 127.0.10.0/24. The seed selects the subnet of a run, so
 	// that runs with different seeds can share a machine.
 	firstSubnet = 10
@@ -46,35 +46,11 @@
 	subnetCount = 200
 )
 
-// vm is a VM of the fleet: one daemon that runs as its own process.
-type vm struct {
-	name, ip      string
-	settingsPath  string
-	platformProxy *proxy // platformProxy carries the connections of the VM to the store.
-	logFile       *os.File
-
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{} // exited is closed when the process has ended.
-	// pendingRestart is the exited channel of the last process for which a restart was scheduled.
-	pendingRestart chan struct{}
-	// faultFreeSince is the later of the start of the process and the end of the last fault injected into the VM. It is
-	// zero while a fault lasts.
-	faultFreeSince time.Time
-	// faultAt is when the last fault was injected into the VM.
-	faultAt time.Time
-	// delayEnds holds when a freeze of the process or a fault of its connections to the store ended.
-	delayEnds []time.Time
-	// startCount is the number of processes that were started for the VM.
-	startCount int
-	// isStopping is set when a planned stop is attempted and cleared when the next process starts.
-	isStopping bool
-}
-
 // fleet is the system under test: the platform's store, the endpoints and the VMs.
 type fleet struct {
 	daemonPath, outputDir string
 	leaseDuration         time.Duration
+	extraRetries          int // extraRetries is in the settings of VMs that are added later.
 	store                 *afplatform.Store
 	storeAddress          string
 	storeServer           *http.Server
@@ -87,6 +63,8 @@
 	customerByKey      map[string]string // customerByKey maps the API keys in force to their customers.
 	executions         map[string][]afplatform.ExecutedRequest
 	pauseArrivals      []pauseArrival
+	arrivals           map[string][]time.Time // arrivals holds when a request arrived at endpoints, by its ID.
+	endpointFaults     []endpointFault
 	// crashedAt holds when engines crashed that callers could reach until then.
 	crashedAt []time.Time
 	// restarts counts the engines that will start again, unless closing is closed before.
@@ -121,15 +99,15 @@
 
 // addEndpoint starts an endpoint and writes its entry to the store. The endpoint is an engine if models is not nil.
 func (f *fleet) addEndpoint(service string, models []string) error {
-	e, err := f.startEndpoint(service, models, false)
+	e, err := f.startEndpoint(service, models, func(*endpoint) {})
 	if err == nil {
 		e.WriteEntry("ready")
 	}
 	return err
 }
 
-// startEndpoint starts an endpoint that has no entry yet.
-func (f *fleet) startEndpoint(service string, models []string, isExtra bool) (*endpoint, error) {
+// startEndpoint starts an endpoint that has no entry yet. Configure may change its fields before it serves.
+func (f *fleet) startEndpoint(service string, models []string, configure func(*endpoint)) (*endpoint, error) {
 	f.mu.Lock()
 	f.lastEndpointNumber++
 	id := "i-" + strconv.Itoa(f.lastEndpointNumber)
@@ -142,15 +120,16 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{proxy: p, isExtra: isExtra, Endpoint: &afplatform.Endpoint{
+	e := &endpoint{proxy: p, Endpoint: &afplatform.Endpoint{
 		ID: id, Service: service, Centre: "z1", Address: p.address, Store: f.store, MemoryMB: engineMemoryMB, LoadTime: modelLoadTime,
-		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution,
+		StreamEvents: streamEventCount, ResponseDelay: plainResponseDelay, OnExecute: f.recordExecution, OnArrival: f.recordArrival,
 	}}
 	e.OnPauseArrival = func(a afplatform.PauseArrival) { f.recordPauseArrival(e, a) }
 	if models != nil {
 		e.ModelSizes, e.ResponseDelay = modelSizes(), streamEventDelay
 		e.CrashPart, e.OnCrash = crashPart, func() { f.crashEndpoint(e) }
 	}
+	configure(e)
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	f.mu.Lock()
@@ -178,6 +157,7 @@
 	f.mu.Lock()
 	e.isRemoved = true
 	f.mu.Unlock()
+	f.beginEndpointFault(e)
 	e.proxy.close()
 	_ = e.server.Close()
 	f.store.RemoveObject(afplatform.KindEndpoints, e.ID)
@@ -192,6 +172,7 @@
 		return
 	}
 	e.isCrashed = true
+	f.endpointFaults = append(f.endpointFaults, endpointFault{e.ID, period{startedAt: time.Now()}})
 	if e.proxy.currentFault() == NoFault {
 		f.crashedAt = append(f.crashedAt, time.Now())
 	}
@@ -215,6 +196,7 @@
 		f.mu.Lock()
 		e.restartedAt = time.Now()
 		f.mu.Unlock()
+		f.endEndpointFault(e)
 		e.Restart()
 	})
 }
@@ -235,6 +217,7 @@
 			IsResumable: resumable,
 		}
 	}
+	c.MaxBodyBytes = maxBodyBytes
 	c.Routes = []afplatform.Route{
 		route("talk", "streaming", "llm", 2, streamRouteTimeout, true), route("note", "streaming", "llm", 1, streamRouteTimeout, false),
 		route("pay", "unsafe", "app", 1, plainRouteTimeout, false), route("look", "safe", "app", 2, plainRouteTimeout, false),
@@ -265,7 +248,7 @@
 		return err
 	}
 	v := &vm{name: name, ip: ip, platformProxy: p, settingsPath: filepath.Join(f.outputDir, name+".json")}
-	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration}.EncodeFile()
+	raw, err := afplatform.Settings{VM: name, IP: ip, Centre: "z1", StoreAddress: p.address, GracePeriod: gracePeriod, LeaseDuration: f.leaseDuration, ExtraRetries: f.extraRetries, MemoryMB: vmMemoryMB}.EncodeFile()
 	if err != nil {
 		return err
 	}
@@ -276,68 +259,10 @@
 		return err
 	}
 	f.vms = append(f.vms, v)
+	v.onUnexpectedEnd = func(state string) { f.reportViolation("DIED", "%s ended by itself: %s", v.name, state) }
 	return v.startProcess(f.daemonPath)
 }
 
-// startProcess starts the daemon of the VM and marks the VM as fault-free from now on.
-func (v *vm) startProcess(daemonPath string) error {
-	cmd := exec.Command(daemonPath, "gateway")
-	cmd.Env = append(os.Environ(), afplatform.SettingsVariable+"="+v.settingsPath)
-	cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	exited := make(chan struct{})
-	v.mu.Lock()
-	v.cmd, v.exited, v.isStopping, v.faultFreeSince = cmd, exited, false, time.Now()
-	v.startCount++
-	v.mu.Unlock()
-	go func() {
-		_ = cmd.Wait() // The exit status is not checked: processes are also killed on purpose.
-		close(exited)
-	}()
-	return nil
-}
-
-// signalProcess sends a signal to the process of the VM if the process runs.
-func (v *vm) signalProcess(s syscall.Signal) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	select {
-	case <-v.exited:
-	default:
-		_ = v.cmd.Process.Signal(s) // An error means that the process has just ended.
-	}
-}
-
-// setFaulty records that a fault of the VM begins, or that it ended now.
-func (v *vm) setFaulty(isFaulty bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	v.faultFreeSince = now
-	if isFaulty {
-		v.faultFreeSince, v.faultAt = time.Time{}, now
-	}
-}
-
-// faultFreeTime returns the time from faultFreeSince to now, or 0 while a fault lasts.
-func (v *vm) faultFreeTime(now time.Time) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.faultFreeSince.IsZero() {
-		return 0
-	}
-	return now.Sub(v.faultFreeSince)
-}
-
-// hadFaultSince returns whether a fault was injected into the VM after a time.
-func (v *vm) hadFaultSince(at time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.faultAt.After(at)
-}
-
 // close stops all processes, endpoints, proxies and the store.
 func (f *fleet) close() {
 	close(f.closing)
@@ -356,10 +281,10 @@
 	_ = f.storeServer.Close()
 }
 
-// newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
-func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+// newBareFleet starts a store without objects.
+func newBareFleet(daemonPath, outputDir string, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: leaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, arrivals: map[string][]time.Time{}, extraRetries: retryExtra, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -369,6 +294,16 @@
 	f.storeAddress = l.Addr().String()
 	f.storeServer = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.storeServer.Serve(l) }()
+	return f, nil
+}
+
+// newFleet starts a store, endpoints and VMs. The seed selects the loopback subnet of the VMs.
+func newFleet(daemonPath, outputDir string, leaseDuration time.Duration, seed uint64, vmCount, engineCount, plainCount int, reportViolation func(string, string, ...any)) (*fleet, error) {
+	f, err := newBareFleet(daemonPath, outputDir, reportViolation)
+	if err != nil {
+		return nil, err
+	}
+	f.leaseDuration = leaseDuration
 	f.writeConfig()
 	for range engineCount {
 		if err := f.addEndpoint("llm", modelNames); err != nil {
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -65,6 +66,8 @@
 	// StreamEvents is the number of events of a stream and ResponseDelay the time between two.
 	StreamEvents  int
 	ResponseDelay time.Duration
+	// StreamsWithoutModel makes a plain service answer with streams.
+	StreamsWithoutModel bool
 	// StalledModel is the model whose streams send nothing after their first event. Empty means none.
 	StalledModel string
 	// OnExecute is called for each request that runs. It must not block.
@@ -75,8 +78,20 @@
 	// OnCrash is called when the engine crashes. It closes all connections to the engine.
 	OnCrash func()
 
+	// Slots is the number of requests that the endpoint runs at once, and QueueLength the number that it queues besides. It
+	// refuses any more. Zero slots means no bound.
+	Slots, QueueLength int
+	// RefusesInSilence makes the endpoint refuse requests and send reports while it is silent, but no answers.
+	RefusesInSilence bool
+	// HidesLoad makes entries and reports tell neither the slots nor the load.
+	HidesLoad bool
+	// OnArrival is called with the ID of each request that arrives, whether it runs or not. It must not block.
+	OnArrival func(requestID string)
+
 	// Faults are switched while the endpoint runs.
 	IsFull, TruncatesAnswers atomic.Bool
+	// SendsWithoutEnd makes the endpoint send bytes without an end after the head of an answer, until it is switched off.
+	SendsWithoutEnd atomic.Bool
 	// NamedLimit is the limit that the endpoint names in its answers, in requests a second. Zero means none.
 	NamedLimit atomic.Int64
 	// IsLeaving makes the endpoint say in all its answers that it leaves. A restart ends it.
@@ -94,6 +109,7 @@
 	orders []Order
 	over   bool
 	pause  pause
+	room   room
 }
 
 // SetDirectHeaders sets the headers of a call that comes without a daemon in between.
@@ -111,6 +127,23 @@
 	e.Store.PutObject(KindEndpoints, e.ID, spec)
 }
 
+// WriteForeignEntry writes what another writer makes of the endpoint's entry. A nil value takes a field out.
+func (e *Endpoint) WriteForeignEntry(changes map[string]any) {
+	e.mu.Lock()
+	spec := e.describe()
+	e.mu.Unlock()
+	for field, value := range changes {
+		spec[field] = value
+		if value == nil {
+			delete(spec, field)
+		}
+	}
+	e.Store.PutObject(KindEndpoints, e.ID, spec)
+}
+
+// WriteEntryAgain writes the endpoint's entry with its present state.
+func (e *Endpoint) WriteEntryAgain() { e.WriteForeignEntry(nil) }
+
 // Restart begins another run of the endpoint with the models and writes its entry.
 func (e *Endpoint) Restart(models ...string) {
 	e.mu.Lock()
@@ -122,13 +155,14 @@
 
 // describe is called with the lock held.
 func (e *Endpoint) describe() map[string]any {
+	running, waiting, slots := e.load()
 	models := []map[string]any{}
 	for _, m := range e.held {
 		models = append(models, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
 	return map[string]any{
-		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": 64, "state": e.state, "cold-remaining-ms": 0, "seq": e.seq,
-		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100000,
+		"service": e.Service, "address": e.Address, "zone": e.Centre, "version": "v1", "slots": slots, "state": e.state, "cold-remaining-ms": 0, "seq": e.seq,
+		"born": e.born, "models": models, "busy": e.busy, "stage": "both", "waiting": waiting, "running": running, "kv-used": 0, "kv-total": 100000,
 		"coming": []string{}, "at-hand": map[string]any{"in-memory": []string{}, "on-disk": e.disk},
 	}
 }
@@ -159,7 +193,10 @@
 	if e.IsLeaving.Load() {
 		w.Header().Set(headerLeaving, "1")
 	}
-	if e.refuseInPause(w, r) {
+	if id := r.Header.Get(headerID); id != "" && e.OnArrival != nil {
+		e.OnArrival(id)
+	}
+	if e.refuseInPause(w, r) || !e.RefusesInSilence && !e.awaitSpeech(r.Context()) {
 		return
 	}
 	switch {
@@ -217,7 +254,7 @@
 }
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerID)
+	id, model := r.Header.Get(headerID), r.Header.Get(headerModel)
 	w.Header().Set(headerID, id)
 	if limit := e.NamedLimit.Load(); limit > 0 {
 		w.Header().Set(headerLimit, strconv.FormatInt(limit, 10))
@@ -227,13 +264,22 @@
 		w.WriteHeader(status)
 	}
 	switch {
-	case r.Header.Get(headerExpect) != e.ID, e.ModelSizes != nil && !e.HasModel(r.Header.Get(headerModel)):
+	case r.Header.Get(headerExpect) != e.ID, e.ModelSizes != nil && model != "" && !e.HasModel(model):
 		refuse(http.StatusMisdirectedRequest)
 		return
 	case e.IsFull.Load():
 		refuse(http.StatusServiceUnavailable)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body) // The end of the connection is only seen after the body.
+	leave, ok, isFull := e.enter(r.Context())
+	if isFull {
+		refuse(http.StatusServiceUnavailable)
+	}
+	if !ok {
+		return
+	}
+	defer leave()
 	if e.OnExecute != nil {
 		e.OnExecute(ExecutedRequest{
 			RequestID: id, EndpointID: e.ID, Customer: r.Header.Get(headerCustomer), HasCallerKey: r.Header.Get("Authorization") != "", ExecutedAt: time.Now(),
@@ -241,13 +287,30 @@
 		})
 	}
 	w.Header().Set(headerSigned, e.ID)
-	if e.ModelSizes == nil {
+	if e.SendsWithoutEnd.Load() {
+		e.sendWithoutEnd(w)
+	}
+	// An engine runs a request without a model too, so that tests see requests that are sent to the wrong service.
+	if e.ModelSizes == nil && !e.StreamsWithoutModel || e.ModelSizes != nil && model == "" {
 		e.whole(w, id)
 		return
 	}
 	e.stream(w, r, id)
 }
 
+// sendWithoutEnd sends bytes until the fault ends or the connection is closed, and breaks the answer off.
+func (e *Endpoint) sendWithoutEnd(w http.ResponseWriter) {
+	if e.ModelSizes != nil {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	for e.SendsWithoutEnd.Load() {
+		if _, err := w.Write(make([]byte, 1<<12)); err != nil {
+			break
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Endpoint) whole(w http.ResponseWriter, id string) {
 	time.Sleep(e.ResponseDelay)
 	body := "done " + id
@@ -276,6 +339,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	for i := from + 1; i <= e.StreamEvents; i++ {
+		if !e.awaitSpeech(r.Context()) {
+			return
+		}
 		text := StreamEvent(id, i)
 		if e.TruncatesAnswers.Load() && i == e.StreamEvents/2+1 {
 			_, _ = w.Write([]byte(text[:len(text)/2]))
--- a/internal/afstandin/afplatform/operator.go
+++ b/internal/afstandin/afplatform/operator.go
@@ -37,7 +37,7 @@
 	Customers                   []Customer
 	// EngineSlots is the number of requests that an engine runs at once. Zero means 64.
 	EngineSlots int
-	// MaxBodyBytes bounds the bodies of requests. Zero means 1 MB.
+	// MaxBodyBytes bounds the bodies of requests. Zero means 1 MiB.
 	MaxBodyBytes int
 }
 
@@ -78,7 +78,9 @@
 	GracePeriod, LeaseDuration   time.Duration
 	// MaxOpenFiles bounds the VM's open files. Zero means 4,096.
 	MaxOpenFiles int
-	// MemoryMB bounds the VM's memory. Zero means no bound.
+	// ExtraRetries is the number of retries that each window of the retry budget allows in addition. Zero means 60.
+	ExtraRetries int
+	// MemoryMB is the memory that the VM may use. Zero means that the settings name none.
 	MemoryMB int
 }
 
@@ -93,12 +95,16 @@
 
 // EncodeFile returns the content of the settings file.
 func (s Settings) EncodeFile() ([]byte, error) {
+	limits := map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "link-mbps": 1000}
+	if s.MemoryMB > 0 {
+		limits["memory-mb"] = s.MemoryMB
+	}
 	return json.Marshal(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": s.Centre, "internal-ports": []int{7600, 7615},
 		"listen":   map[string]any{"front": s.IP + CallersPort, "ready": s.IP + ReadyPort},
-		"platform": map[string]any{"address": s.StoreAddress}, "limits": map[string]any{"max-fds": cmp.Or(s.MaxOpenFiles, 4096), "memory-mb": s.MemoryMB, "link-mbps": 1000},
+		"platform": map[string]any{"address": s.StoreAddress}, "limits": limits,
 		"bounds": map[string]any{
-			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 60,
+			"grace-s": s.GracePeriod.Seconds(), "lease-ms": s.LeaseDuration.Milliseconds(), "budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": cmp.Or(s.ExtraRetries, 60),
 		},
 	})
 }
