--- a/internal/afcrash/check_test.go
+++ b/internal/afcrash/check_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -89,9 +90,9 @@
 // Guards against a crash that is missed because the endpoint still accepted a connection before the answer broke off.
 func TestAnswerThatBreaksDuringCheckIsCheckedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, recorded := &slowDialer{}, 0
+		d, recorded := &slowDialer{}, atomic.Int32{}
 		c := &Checker{Dial: d.dial, RecordCrash: func(crash afquarantine.Crash) {
-			recorded++
+			recorded.Add(1)
 			require.Equal(t, []string{"dead", "second"}, crash.Suspects[0].Parts)
 			require.Len(t, crash.Suspects, 1)
 		}}
@@ -103,6 +104,6 @@
 		d.err = syscall.ECONNREFUSED
 		d.mu.Unlock()
 		<-time.After(10 * time.Second)
-		require.Equal(t, 1, recorded)
+		require.EqualValues(t, 1, recorded.Load())
 	})
 }
