--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test generate model measure bench bench-short slopes demo demo-umurongo up recover mutants fuzz fuzz-short soak soak-short
+.PHONY: build test generate model measure bench bench-short slopes demo demo-umurongo up recover mutants fuzz fuzz-short soak soak-short review
 
 build:
 	@mkdir -p $(BIN)
@@ -66,3 +66,9 @@
 # A short run for CI.
 soak-short: build
 	$(BIN)/arbutusfork-soak --seed 7 --length 8s --vms 3 --callers 8
+
+# The cases of the independent review, one run each.
+review:
+	go build -trimpath -ldflags=-linkmode=external -o target/ ./cmd/arbutusfork
+	bash review/build.sh
+	for c in 1 2 3 4; do bash review/$$c/run.sh || exit 1; done
--- a/internal/afgateway/queue.go
+++ b/internal/afgateway/queue.go
@@ -32,10 +32,10 @@
 	isUnservable func() bool
 	// unservable is closed if the request becomes unservable while it waits.
 	unservable chan struct{}
-	// isReplacement means that the request is at a silent endpoint and waits for another one. It does not keep later requests
+	// isSecondAttempt means that the request is at a silent endpoint and waits for a place at another one. It does not keep later requests
 	// from endpoints that it cannot use, and is not counted as waiting.
-	isReplacement bool
-	// silentEndpoint is the endpoint of a replacement, and empty for other requests.
+	isSecondAttempt bool
+	// silentEndpoint is the endpoint of the first live attempt of such a request, and empty for others.
 	silentEndpoint string
 }
 
@@ -137,7 +137,7 @@
 			}
 			blocked[class] = true
 		}
-		if !request.isReplacement && request.isUnservable() {
+		if !request.isSecondAttempt && request.isUnservable() {
 			close(request.unservable)
 			return true
 		}
@@ -151,7 +151,7 @@
 	defer q.mu.Unlock()
 	n := 0
 	for _, request := range q.requests {
-		if !request.isReplacement {
+		if !request.isSecondAttempt {
 			n++
 		}
 	}
@@ -164,7 +164,7 @@
 	defer q.mu.Unlock()
 	out := make(map[demandKey]waitCounts)
 	add := func(request *waitingRequest) {
-		if request.model == "" || request.isReplacement {
+		if request.model == "" || request.isSecondAttempt {
 			return
 		}
 		k := demandKey{request.model, request.adapter}
--- a/internal/afgateway/queue_test.go
+++ b/internal/afgateway/queue_test.go
@@ -17,17 +17,17 @@
 // against later requests that wait for endpoints that only it cannot use.
 func TestSilentRequestWaitsInItsTurn(t *testing.T) {
 	places, usable := 0, 0
-	newRequest := func(at int64, isReplacement bool) *waitingRequest {
+	newRequest := func(at int64, isSecondAttempt bool) *waitingRequest {
 		silentEndpoint := ""
-		if isReplacement {
+		if isSecondAttempt {
 			silentEndpoint = "i-1"
 		}
 		return &waitingRequest{
-			service: "llm", model: "m1", arrivedAt: time.Unix(at, 0), isReplacement: isReplacement, silentEndpoint: silentEndpoint, acquired: make(chan acquiredEndpoint, 1),
+			service: "llm", model: "m1", arrivedAt: time.Unix(at, 0), isSecondAttempt: isSecondAttempt, silentEndpoint: silentEndpoint, acquired: make(chan acquiredEndpoint, 1),
 			isUnservable: func() bool { return false },
 			pickEndpoint: func() (acquiredEndpoint, bool) {
 				available := &places
-				if isReplacement {
+				if isSecondAttempt {
 					available = &usable
 				}
 				if *available == 0 || places == 0 {
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -147,7 +147,7 @@
 	}
 	waiting := &waitingRequest{
 		service: p.service.Name, model: p.headers.Model, adapter: p.headers.Adapter, priority: p.priority, arrivedAt: p.arrivedAt,
-		acquired: make(chan acquiredEndpoint, 1), isReplacement: true, silentEndpoint: o.live[0].endpoint.ID,
+		acquired: make(chan acquiredEndpoint, 1), isSecondAttempt: true, silentEndpoint: o.live[0].endpoint.ID,
 		pickEndpoint: p.placePicker(excluded, silent, silentSince),
 	}
 	if e, ok := p.server.queue.acquireOrAdd(waiting); ok {
