afgateway: let a hung attempt stay hung until it speaks

TestRaceInAnyOrder found it, once in several runs: a place that was found for a third attempt was given back, while the request went on as if it waited for one, if the hung attempt counted as silent for a moment again. The mutant gateway-silent is adapted to the rule on hung attempts and is caught.

--- a/internal/afgateway/race.go
+++ b/internal/afgateway/race.go
@@ -79,7 +79,7 @@
 	if i < 0 || !r.racers[i].isSent {
 		return r, raceEffects{isRejected: true}
 	}
-	r.racers[i].isSilent, r.racers[i].isHung = true, isHung
+	r.racers[i].isSilent, r.racers[i].isHung = true, r.racers[i].isHung || isHung
 	if r.isOver || r.isSeeking || !mayRepeat {
 		return r, raceEffects{}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -142,9 +142,7 @@
 	'effects.closed[0] = r.racers[1-i]' 'effects.closed[1] = racer{}' \
 	./internal/afgateway TestRaceInAnyOrder
 mutant gateway-silent internal/afgateway/race.go \
-	'		if racer.id == 0 {
-			slot = i' '		if racer.isSilent {
-			slot = i' \
+	'if racer.isHung &&' 'if racer.isSilent &&' \
 	./internal/afgateway 'TestRace$'
 mutant gateway-order internal/afgateway/event.go \
 	'if e.unreadBytes() == 0 {' 'if true {' \
