afentry: wait until connections are idle in the test of limits

A caller has its answer a moment before the server records that the connection is idle, so that the test changed the limit, or let two hours pass, while the request still counted as running.

--- a/internal/afentry/memory_test.go
+++ b/internal/afentry/memory_test.go
@@ -171,11 +171,14 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, one(post(2000)))
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, two(get(2000)))
 
+	f.waitUntilIdle(t)
 	f.sweepConns(f.Timer.Now().Add(2 * time.Hour))
 	require.Equal(t, http.StatusOK, three(get(1)), "closed before the limit")
+	f.waitUntilIdle(t)
 	limits.Store(&Limits{IdleTimeout: time.Hour})
 	f.sweepConns(f.Timer.Now().Add(2 * time.Hour))
 	require.Equal(t, http.StatusOK, three(get(1)), "closed before the limit in force when it became idle")
+	f.waitUntilIdle(t)
 	require.Eventually(t, func() bool {
 		f.sweepConns(f.Timer.Now().Add(time.Hour + 2*idleMargin))
 		return f.countConns() == 0
@@ -196,6 +199,24 @@
 	require.Equal(t, http.StatusRequestTimeout, <-status)
 }
 
+// waitUntilIdle waits until no connection runs a request. A caller has its answer a moment earlier.
+func (f *fixture) waitUntilIdle(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for sc := range f.conns {
+			sc.mu.Lock()
+			isRunning := sc.isRunning
+			sc.mu.Unlock()
+			if isRunning {
+				return false
+			}
+		}
+		return true
+	}, time.Minute, time.Millisecond)
+}
+
 // Guards against a refused body whose bytes are taken for the next request of the connection.
 func TestRequestAfterRefusedBody(t *testing.T) {
 	f := newFixture(t, func(f *fixture) { f.Memory = &afmemory.Budget{Limit: 1 << 20} })
