afnode: count VMs whose entries the platform lost

Cause: each VM uses its share of the extra repeats, 52 / (2 x listed VMs). The store came back from a copy of before the VMs wrote their entries. The feed took the list as the truth, each VM counted one VM, and each used the share of a fleet of one: 26 repeats instead of 6.5 for each service.

All links between the VMs stayed up.

Ruled out: repeats without the budget (each send after the first takes one; read), restarts (none in the window), other settings (52 in the files of all VMs).

A VM counts itself without its entry. An unreachable VM whose entry was removed takes its old time along no more when it comes back.

--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -55,8 +55,11 @@
 	versions map[string]int64
 	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd.
 	startTimes map[string]int64
-	// unreachableSince is when a listed VM was first found unreachable. It has no value for VMs that are reachable.
+	// unreachableSince is when a VM of vms was first found unreachable. It has no value for VMs that are reachable.
 	unreachableSince map[string]time.Time
+	// missing holds the VMs of vms whose entries the platform lost. They may still serve requests and write their entries
+	// again, and are removed from vms when they have been unreachable for unreachableTimeout.
+	missing map[string]bool
 	// writeRequests receives a value when the entry of this VM is missing and must be written.
 	writeRequests chan struct{}
 }
@@ -66,17 +69,31 @@
 	l.versions = make(map[string]int64)
 	l.startTimes = make(map[string]int64)
 	l.unreachableSince = make(map[string]time.Time)
+	l.missing = make(map[string]bool)
 	l.writeRequests = make(chan struct{}, 1)
 }
 
-// countListedVMs returns the number of VMs that have an entry and so may be alive, and at least 1.
+// remove removes a VM from the copy. The caller holds mu.
+func (l *vmList) remove(vm string) {
+	delete(l.vms, vm)
+	delete(l.versions, vm)
+	delete(l.startTimes, vm)
+	delete(l.unreachableSince, vm)
+	delete(l.missing, vm)
+}
+
+// countListedVMs returns the number of VMs that may be alive: this VM, and others that have an entry or had one that the
+// platform lost.
 func (n *Node) countListedVMs() int {
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
-	return max(len(n.vmList.vms), 1)
+	if _, hasOwnEntry := n.vmList.vms[n.self.VM]; !hasOwnEntry {
+		return len(n.vmList.vms) + 1
+	}
+	return len(n.vmList.vms)
 }
 
-// listedVMNames returns the names of the VMs that have an entry.
+// listedVMNames returns the names of the VMs that have an entry, or had one that the platform lost.
 func (n *Node) listedVMNames() []string {
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
@@ -107,25 +124,21 @@
 	// The holder's views show whether VMs came or went since this copy was read.
 	f.IsSuspended = func() bool { return n.keeper.ReceivesPlacementViews() && f.IsInStep(n.vmFeedPollDelay()) }
 	odd := n.newOddObjects(vmKind)
-	f.OnList = func(objects []afobject.Object, _ affeed.Gap) {
+	f.OnList = func(objects []afobject.Object, gap affeed.Gap) {
 		odd.keep(objects)
 		listed := make(map[string]bool, len(objects))
 		for _, o := range objects {
 			listed[o.Name] = true
 			n.putVM(o, odd)
 		}
-		n.vmList.mu.Lock()
-		maps.DeleteFunc(n.vmList.vms, func(vm string, _ arbutusfork.VM) bool { return !listed[vm] })
-		maps.DeleteFunc(n.vmList.versions, func(vm string, _ int64) bool { return !listed[vm] })
-		n.vmList.mu.Unlock()
+		n.removeUnlistedVMs(listed, gap)
 		n.publishVMs()
 	}
 	f.OnChange = func(e afobject.Event) {
 		if e.Type == afobject.Deleted {
 			odd.remove(e.Object.Name)
 			n.vmList.mu.Lock()
-			delete(n.vmList.vms, e.Object.Name)
-			delete(n.vmList.versions, e.Object.Name)
+			n.vmList.remove(e.Object.Name)
 			n.vmList.mu.Unlock()
 			n.log.Info("VM no longer listed", "name", e.Object.Name)
 		} else {
@@ -136,6 +149,27 @@
 	return f
 }
 
+// removeUnlistedVMs removes the VMs that a list lacks, except those whose entries the platform may have lost during the gap
+// before the list or an earlier one. This VM's own entry is removed in any case, so that it is written again.
+func (n *Node) removeUnlistedVMs(listed map[string]bool, gap affeed.Gap) {
+	n.vmList.mu.Lock()
+	defer n.vmList.mu.Unlock()
+	for vm := range n.vmList.vms {
+		if listed[vm] {
+			continue
+		}
+		if vm == n.self.VM || !gap.MayLackEntries() && !n.vmList.missing[vm] {
+			n.vmList.remove(vm)
+			continue
+		}
+		delete(n.vmList.versions, vm)
+		if !n.vmList.missing[vm] {
+			n.vmList.missing[vm] = true
+			n.log.Info("VM entry lost by the platform", "name", vm, "outage", gap.Outage, "store_went_back", gap.WentBack)
+		}
+	}
+}
+
 // decodeVMSpec decodes a VM entry. It fails if the entry names no VM.
 func decodeVMSpec(raw []byte) (spec vmSpec, err error) {
 	if err := json.Unmarshal(raw, &spec); err != nil {
@@ -159,8 +193,9 @@
 		if fault, isNew := odd.add(o, err); isNew {
 			n.log.Warn("VM entry ignored", "name", o.Name, "error", fault)
 		}
-		if _, known := n.vmList.versions[o.Name]; known {
+		if _, known := n.vmList.vms[o.Name]; known {
 			n.vmList.versions[o.Name], n.vmList.startTimes[o.Name] = o.Version, 0
+			delete(n.vmList.missing, o.Name)
 		}
 		return
 	}
@@ -168,6 +203,7 @@
 	n.vmList.vms[o.Name] = arbutusfork.VM{Name: o.Name, Address: spec.Address, Centre: spec.Centre}
 	n.vmList.versions[o.Name] = o.Version
 	n.vmList.startTimes[o.Name] = spec.Start
+	delete(n.vmList.missing, o.Name)
 }
 
 // publishVMs passes the listed VMs to the links between VMs. If the entry of this VM is missing, it requests that the entry
@@ -259,8 +295,9 @@
 	}
 }
 
-// removeUnreachableVMs records which VMs are unreachable and removes the entries of VMs that have been so for more than
-// unreachableTimeout. Only the placement holder removes entries, so that only one VM writes.
+// removeUnreachableVMs records which VMs are unreachable, removes the entries of VMs that have been so for more than
+// unreachableTimeout, and forgets those whose entries the platform lost. Only the placement holder removes entries, so that
+// only one VM writes.
 func (n *Node) removeUnreachableVMs(ctx context.Context, now time.Time) {
 	live := make(map[string]bool)
 	for _, vm := range n.peers.LiveMembers() {
@@ -271,8 +308,9 @@
 		version int64
 	}
 	var unreachable []entry
+	hasForgotten := false
 	n.vmList.mu.Lock()
-	for vm, version := range n.vmList.versions {
+	for vm := range n.vmList.vms {
 		if live[vm] || vm == n.self.VM {
 			delete(n.vmList.unreachableSince, vm)
 			continue
@@ -280,11 +318,20 @@
 		if n.vmList.unreachableSince[vm].IsZero() {
 			n.vmList.unreachableSince[vm] = now
 		}
-		if now.Sub(n.vmList.unreachableSince[vm]) > unreachableTimeout {
-			unreachable = append(unreachable, entry{vm, version})
+		if now.Sub(n.vmList.unreachableSince[vm]) <= unreachableTimeout {
+			continue
+		}
+		if n.vmList.missing[vm] {
+			n.vmList.remove(vm)
+			hasForgotten = true
+		} else {
+			unreachable = append(unreachable, entry{vm, n.vmList.versions[vm]})
 		}
 	}
 	n.vmList.mu.Unlock()
+	if hasForgotten {
+		n.publishVMs()
+	}
 	if !n.keeper.HoldsLease() {
 		return
 	}
