soak: check the retry budget by service, with a small one

The check RETRIES added the second sends of all services and compared them with one budget. The budget is one for each service over all VMs (docs of the settings, RetryBudgetRatio).

Change: the check counts by service, with the requests for that service only, and the VMs of the soak get 10 extra retries instead of 52. So two services together are allowed 20 + 0.2 x requests where it was 52 + 0.2 x requests, and requests for one service no longer pay for retries at the other. Each run prints the window that came nearest. The play of silent endpoints keeps its 52.

mostOfBudget returns the worst window instead of the first one, which is why its test expects 67 instead of 53 for the same times.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -284,7 +284,7 @@
 // newBareFleet starts a store without objects.
 func newBareFleet(daemonPath, outputDir string, reportViolation func(string, string, ...any)) (*fleet, error) {
 	f := &fleet{
-		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, arrivals: map[string][]time.Time{}, extraRetries: retryExtra, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
+		daemonPath: daemonPath, outputDir: outputDir, leaseDuration: defaultLeaseDuration, store: afplatform.NewStore(), executions: map[string][]afplatform.ExecutedRequest{}, arrivals: map[string][]time.Time{}, extraRetries: extraRetries, reportViolation: reportViolation, configVersion: 1, closing: make(chan struct{}),
 		customerByKey: map[string]string{"key-one": "one", "key-two": "two", "key-limited": limitedCustomer},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/afsoak/outcome.go
+++ b/internal/afsoak/outcome.go
@@ -113,26 +113,3 @@
 		return e.endpointID == id && !e.startedAt.After(to) && (e.endedAt.IsZero() || !e.endedAt.Before(from))
 	})
 }
-
-// checkRetryBudget checks the number of further sends to endpoints in each window, over all VMs and services. The caller holds the
-// locks of fleet and callers.
-func (s *Soak) checkRetryBudget() {
-	var requests, retries []time.Time
-	retriesBy := map[string][]time.Time{} // By VM and service.
-	for _, req := range s.callers.calls {
-		requests = append(requests, req.sentAt)
-		if arrivals := s.fleet.arrivals[req.id]; len(arrivals) > 1 {
-			retries = append(retries, arrivals[1:]...)
-			by := req.vm.name + " " + serviceOfRoute(req.path)
-			retriesBy[by] = append(retriesBy[by], arrivals[1:]...)
-		}
-	}
-	if end, n, allowed := exceededBudget(requests, retries); n > 0 {
-		countBy := map[string]int{}
-		for by, times := range retriesBy {
-			countBy[by] = countInWindow(times, end)
-		}
-		s.reportViolation("RETRIES", "%d second sends in the %v before %s, the budget allows %.1f: %v", n, retryWindow, end.Format("15:04:05.000"), allowed, countBy)
-	}
-	s.logEvent("%d second sends", len(retries))
-}
--- a/internal/afsoak/silence.go
+++ b/internal/afsoak/silence.go
@@ -24,8 +24,8 @@
 	// minSilence and maxSilence bound how long a sound endpoint sends nothing.
 	minSilence, maxSilence = time.Second, 1400 * time.Millisecond
 	silenceConfigPeriod    = 1700 * time.Millisecond
-	// retryRatio, retryExtra and retryWindow are the retry budget in the settings of the VMs. It holds for all VMs together.
-	retryRatio, retryExtra, retryWindow = 0.2, 52, 10 * time.Second
+	// silenceExtraRetries is the part of the retry budget that needs no requests.
+	silenceExtraRetries = 52
 )
 
 // silenceSetting is what the seed draws for a whole run.
@@ -121,7 +121,7 @@
 		}
 	}
 	// Each process has loopback addresses of its own, so that plays can run side by side.
-	f.extraRetries = retryExtra
+	f.extraRetries = silenceExtraRetries
 	for i := range silenceVMs {
 		ip := fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%200, os.Getpid()/200%250, i+1)
 		if err := f.addVM(fmt.Sprintf("vm%d", i+1), ip); err != nil {
@@ -297,33 +297,11 @@
 		}
 	}
 	p.mu.Unlock()
-	if at, n, allowed := exceededBudget(requests, retries); n > 0 {
-		p.reportViolation("BUDGET", "%d second sends in the %v before %.3f s, the budget allows %.0f", n, retryWindow, at.Sub(p.startedAt).Seconds(), allowed)
+	if use := mostOfBudget(requests, retries, silenceExtraRetries); use.isOver() {
+		p.reportViolation("BUDGET", "%d second sends in the %v before %.3f s, the budget allows %.0f", use.n, retryWindow, use.end.Sub(p.startedAt).Seconds(), use.allowed)
 	}
 }
 
-// exceededBudget returns the end of the first window with more retries than the budget allows for the requests that arrived in
-// it, with both numbers. N is 0 if there is none.
-func exceededBudget(requests, retries []time.Time) (end time.Time, n int, allowed float64) {
-	for _, end := range retries {
-		n, allowed := countInWindow(retries, end), retryRatio*float64(countInWindow(requests, end))+retryExtra
-		if float64(n) > allowed {
-			return end, n, allowed
-		}
-	}
-	return time.Time{}, 0, 0
-}
-
-// countInWindow returns the number of times in the window of the retry budget that ends at end.
-func countInWindow(times []time.Time, end time.Time) (n int) {
-	for _, t := range times {
-		if !t.After(end) && end.Sub(t) < retryWindow {
-			n++
-		}
-	}
-	return n
-}
-
 // printCounts prints the figures of the play. The caller holds mu.
 func (p *SilencePlay) printCounts() {
 	count, resent := map[string]int{}, 0
