afkeeper: count the distance to late orders from the end of their calls

Cause: a holder noted an order when it sent it and told its successor that age when it stopped. Over a slow connection the order arrives up to the timeout of the call, 0.8 s, later.

Ruled out: a freeze or a cut of vm1 or vm2 (the check counted no order within 300 ms of one), two holders at once (the lease changed hands at 36.85 and 37.36).

The same cause in two more places, by reading: an order that is under way when its holder announces its stop, and one whose call outlasts the lease, after which a successor without an announcement counts from the end of the lease.

Change: the age of an order counts from the end of its call, a holder that stops ends the calls that are under way, and a call lasts no longer than the use of the lease.

What stays: bytes that a network delivers more than the 200 ms of the safety margin after the sender ended the call.

--- a/internal/afkeeper/lease.go
+++ b/internal/afkeeper/lease.go
@@ -166,7 +166,7 @@
 	// SuccessorDelayMs is the time in milliseconds until another holder may send orders. It is above zero if the holder that
 	// stopped still had to wait after the last orders of a previous holder, which it does not know.
 	SuccessorDelayMs int64 `msgpack:"after,omitempty"`
-	// OrderAgesMs holds the age of the last order to each engine that got one recently, in milliseconds.
+	// OrderAgesMs holds, for each engine that got an order recently, how long ago the call of the last one ended, in milliseconds.
 	OrderAgesMs map[string]int64 `msgpack:"orders,omitempty"`
 }
 
@@ -183,8 +183,8 @@
 	return m.Epoch >= 0 && m.Epoch <= maxLeaseCount && m.SuccessorDelayMs >= 0 && m.SuccessorDelayMs <= maxSuccessorDelay.Milliseconds()
 }
 
-// announceStop stops the use of the lease for good. It sends the other VMs the age of the last order to each engine, so that
-// the next holder waits no longer than necessary.
+// announceStop stops the use of the lease for good and ends the calls of orders. It sends the other VMs the age of the last order
+// to each engine, so that the next holder waits no longer than necessary.
 func (s *Service) announceStop(epoch int64) {
 	now := s.BootTime()
 	s.mu.Lock()
@@ -195,6 +195,10 @@
 	m := holderStop{Epoch: s.lease.Epoch(), OrderAgesMs: make(map[string]int64)}
 	m.SuccessorDelayMs = max(0, (s.lease.HandoverAt() - now + time.Millisecond - 1).Milliseconds())
 	s.lease = s.lease.WithOwnUseEnded()
+	for call := range s.ordersUnderWay {
+		call.cancel()
+		s.lastOrdersAt[call.engineID] = now
+	}
 	for id, at := range s.lastOrdersAt {
 		if age := now - at; age < 2*s.LeaseTiming.QuietPeriod {
 			m.OrderAgesMs[id] = age.Milliseconds()
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -111,24 +111,49 @@
 		"for", planned.MakesRoomFor, "store", planned.LoadsFromStore, "takes", planned.EstimatedDuration, "report_age", now.Sub(es.reportRequestedAt))
 	entry := es.entry
 	go func() {
-		orderCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
 		result := afengine.ResultRefused
-		s.mu.Lock()
-		sentAt := s.BootTime()
-		isUsable := s.lease.IsUsable(sentAt) && s.lease.Epoch() == epoch
-		if isUsable {
-			s.lastOrdersAt[entry.ID] = sentAt
-			s.lastOrderEpochs[entry.ID] = epoch
-		}
-		s.mu.Unlock()
-		if _, isPaused := s.Roster.PausedUntil(entry.Start()); isUsable && !isPaused && s.Roster.IsServing(entry.Start()) {
-			result = s.SendOrder(orderCtx, entry, s.Self.String(), epoch, planned.Order)
+		if call := s.beginOrder(ctx, entry.ID, epoch); call != nil {
+			if _, isPaused := s.Roster.PausedUntil(entry.Start()); !isPaused && s.Roster.IsServing(entry.Start()) {
+				result = s.SendOrder(call.ctx, entry, s.Self.String(), epoch, planned.Order)
+			}
+			s.endOrder(call)
 		}
 		s.orderResults <- orderResult{endpointID: entry.ID, born: entry.StartUnixMs, planned: planned, result: result}
 	}()
 }
 
+// orderCall is the call of an order.
+type orderCall struct {
+	engineID string
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// beginOrder begins the call of an order, whose context ends with the use of the lease. It returns nil if the lease is no longer
+// usable. Otherwise endOrder must follow.
+func (s *Service) beginOrder(ctx context.Context, engineID string, epoch int64) *orderCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.BootTime()
+	if !s.lease.IsUsable(now) || s.lease.Epoch() != epoch {
+		return nil
+	}
+	call := &orderCall{engineID: engineID}
+	call.ctx, call.cancel = context.WithTimeout(ctx, min(callTimeout, s.lease.UseEndsAt()-now))
+	s.lastOrdersAt[engineID], s.lastOrderEpochs[engineID] = now, epoch
+	s.ordersUnderWay[call] = true
+	return call
+}
+
+// endOrder records the end of the call of an order. The order may have arrived until then.
+func (s *Service) endOrder(call *orderCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.cancel()
+	delete(s.ordersUnderWay, call)
+	s.lastOrdersAt[call.engineID] = s.BootTime()
+}
+
 // handleOrderResult applies the result of an order to the engine's state.
 func (s *Service) handleOrderResult(r orderResult) {
 	s.Metrics.countOrder(r.planned, r.result)
--- a/internal/afkeeper/service.go
+++ b/internal/afkeeper/service.go
@@ -129,8 +129,11 @@
 	promises     promiseState
 	// holderLostPlatformAt is when the holder's views first said that it can't reach the platform. It is zero if it can.
 	holderLostPlatformAt time.Time
-	// lastOrdersAt holds the boot time of the last order to each engine, from any holder, as far as this VM knows.
+	// lastOrdersAt holds the boot time until which the last order to each engine may have arrived, from any holder, as far as
+	// this VM knows.
 	lastOrdersAt map[string]time.Duration
+	// ordersUnderWay holds the calls of this VM's orders that have not ended.
+	ordersUnderWay map[*orderCall]bool
 	// lastOrderEpochs holds the epoch of this VM's own last order to each engine.
 	lastOrderEpochs map[string]int64
 	// reportedLoads holds the loads in this VM's last report.
@@ -193,6 +196,7 @@
 	s.vmReports = make(map[string]receivedVMReport)
 	s.engines = make(map[string]*engineState)
 	s.lastOrdersAt = make(map[string]time.Duration)
+	s.ordersUnderWay = make(map[*orderCall]bool)
 	s.formerlyBusyModels = make(map[string]bool)
 	s.fullViewStarts = make(map[string]int64)
 	s.lastOrderEpochs = make(map[string]int64)
--- a/pkg/aflease/lease.go
+++ b/pkg/aflease/lease.go
@@ -162,7 +162,7 @@
 func (l Lease) WithWrittenRecord(r Record, version int64, sentAt, now time.Duration) Lease {
 	// A holder that takes the lease again in a new era, before its use in the old one had to end, goes on with it: nobody else
 	// can have used it in between.
-	isContinued := l.record.Holder == l.self && l.isRecordOfEarlierEra() && l.endedEpoch != l.record.Epoch && sentAt < l.useEndsAt()
+	isContinued := l.record.Holder == l.self && l.isRecordOfEarlierEra() && l.endedEpoch != l.record.Epoch && sentAt < l.UseEndsAt()
 	if (r.Epoch != l.record.Epoch || l.record.Holder != l.self) && !isContinued {
 		l = l.withOwnUseTimes(r.Epoch)
 	}
@@ -244,8 +244,8 @@
 	return l.IsHolder(now) && now >= l.ownUseEndsAt-l.timing.TTL/3
 }
 
-// useEndsAt returns when this process must stop using the lease, or zero if it must not use it.
-func (l Lease) useEndsAt() time.Duration {
+// UseEndsAt returns when this process must stop using the lease, or zero if it must not use it.
+func (l Lease) UseEndsAt() time.Duration {
 	if l.ownUseEndsAt == 0 {
 		return 0
 	}
@@ -304,11 +304,11 @@
 		}
 		return ActionWait, Record{}
 	}
-	if now < max(l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin, l.waitEndsAt()) && !l.mayTakeAtOnce(now) && (!isOwn || now >= l.useEndsAt()) {
+	if now < max(l.recordSeenAt+l.timing.TTL+l.timing.SafetyMargin, l.waitEndsAt()) && !l.mayTakeAtOnce(now) && (!isOwn || now >= l.UseEndsAt()) {
 		return ActionWait, Record{}
 	}
 	_, quietEndsAt, _ := l.ownUseTimes()
-	if isOwn && now < l.useEndsAt() {
+	if isOwn && now < l.UseEndsAt() {
 		quietEndsAt = l.quietPeriodEndsAt
 	}
 	return ActionWrite, Record{Holder: l.self, Machine: l.machine, Epoch: l.nextEpoch(), RenewalCount: l.record.RenewalCount + 1, IsQuietPeriodOver: now >= quietEndsAt}
@@ -335,7 +335,7 @@
 
 // HasExpired reports whether this process held the lease until its TTL ended and has not yet announced that it stopped.
 func (l Lease) HasExpired(now time.Duration) bool {
-	return l.record.Holder == l.self && l.ownUseEndsAt > 0 && now >= l.useEndsAt() && l.endedEpoch != l.record.Epoch
+	return l.record.Holder == l.self && l.ownUseEndsAt > 0 && now >= l.UseEndsAt() && l.endedEpoch != l.record.Epoch
 }
 
 // HandoverAt returns when a successor may begin that knows that this process has stopped and when it used the lease.
@@ -358,7 +358,7 @@
 
 // IsHolder reports whether this process holds the lease. It may still have to wait before the first use.
 func (l Lease) IsHolder(now time.Duration) bool {
-	return l.endedEpoch != l.record.Epoch && l.record.Holder == l.self && !l.record.IsReleased && now < l.useEndsAt()
+	return l.endedEpoch != l.record.Epoch && l.record.Holder == l.self && !l.record.IsReleased && now < l.UseEndsAt()
 }
 
 // IsUsable reports whether this process may use the lease now.
