affeed: leave out changes that the same answer replaces

Cause: VMs stop watching the endpoints while the holder relays them. When the holder falls silent, a VM watches again from the version of its own copy and gets all changes since, one after another: first the last entry of the endpoint, "ready", then its removal, of which the holder had told long before. Between the two the endpoint is listed for 2 to 5 ms, and the queue wakes waiting requests at each change of the list.

Change: a feed applies the changes of an answer when it has all of them, and only the last one to each object. That an endpoint drained is kept from a change that is left out, and the removal of an endpoint counts although only the holder had told of it.

Result: TestOnlyLastChangeOfAnAnswerCounts, TestRemovalOfRelayedEndpointCounts and TestDrainingIsKnownFromOutdatedChange failed on the code before (the latter two with the old handlers).

--- a/internal/affeed/feed.go
+++ b/internal/affeed/feed.go
@@ -95,8 +95,11 @@
 	Coordinator *RetryCoordinator
 	// OnList is called with each complete list.
 	OnList func(objects []afobject.Object, gap Gap)
-	// OnChange is called with each change after a list.
+	// OnChange is called with the changes after a list: with the last one to each object in an answer of the platform, so that
+	// a copy that catches up doesn't show states that are over.
 	OnChange func(afobject.Event)
+	// OnOutdatedChange is called, before OnChange, with the changes of an answer that a later one in it replaces. It may be nil.
+	OnOutdatedChange func(afobject.Event)
 	// IsSuspended reports whether this VM receives the changes from another VM, so that the feed need not call the
 	// platform. Nil means never.
 	IsSuspended func() bool
@@ -297,6 +300,25 @@
 // resetStale clears the mark that the copy is out of date, since the platform has sent data. The caller holds mu.
 func (f *Feed) resetStale() { f.staleSince, f.staleTimeout = time.Time{}, 0 }
 
+// applyChanges applies the changes of one answer.
+func (f *Feed) applyChanges(changes []afobject.Event) {
+	last := make(map[string]int, len(changes))
+	for i, e := range changes {
+		last[e.Object.Name] = i
+		f.recordChange(e)
+	}
+	for i, e := range changes {
+		if last[e.Object.Name] != i && f.OnOutdatedChange != nil {
+			f.OnOutdatedChange(e)
+		}
+	}
+	for i, e := range changes {
+		if last[e.Object.Name] == i {
+			f.OnChange(e)
+		}
+	}
+}
+
 // recordChange updates the position with a change.
 func (f *Feed) recordChange(e afobject.Event) {
 	f.mu.Lock()
@@ -325,22 +347,22 @@
 	for ctx.Err() == nil && !f.hasListRequest() {
 		watchCtx, cancel := context.WithCancel(ctx)
 		f.setCancelWatch(cancel)
-		hasChanges := false
+		var changes []afobject.Event
 		err := f.PollChanges(watchCtx, f.Kind, f.version, f.currentPollTimeout, func(e afobject.Event) {
 			f.recordReached()
 			if e.Type != afobject.Bookmark {
-				hasChanges = true
-				f.recordChange(e)
-				f.OnChange(e)
+				changes = append(changes, e)
 				return
 			}
+			f.applyChanges(changes)
+			hasChanges := len(changes) > 0
+			changes = nil
 			f.version, f.versionAt = max(f.version, e.Object.Version), f.Timer.Now()
 			if f.checkSuspended() {
 				cancel()
 				return
 			}
 			if hasChanges {
-				hasChanges = false
 				f.Timer.Sleep(ctx, f.PollDelay())
 			}
 		})
--- a/internal/afnode/feed.go
+++ b/internal/afnode/feed.go
@@ -210,6 +210,14 @@
 			n.keeper.RelayEndpoints(changedEntries, removed)
 		}
 	}
+	f.OnOutdatedChange = func(e afobject.Event) {
+		if e.Type == afobject.Deleted {
+			return
+		}
+		if entry, err := n.Platform.DecodeEndpointEntry(e.Object.Name, e.Object.Spec); err == nil && entry.State == afengine.StateDraining {
+			n.roster.RecordDraining(entry)
+		}
+	}
 	f.OnChange = func(e afobject.Event) {
 		id := e.Object.Name
 		var (
@@ -227,7 +235,8 @@
 			return
 		}
 		if found == entryOdd {
-			if listedIDs[id] {
+			// Another VM may have relayed the endpoint.
+			if _, isKnown := n.roster.Entry(id); isKnown || listedIDs[id] {
 				isHeld := e.Type == afobject.Deleted && !recoveredAt.IsZero() && n.timer.Now().Sub(recoveredAt) < recoveryWindow
 				n.log.Info("endpoint removed", "endpoint", id, "held", isHeld, "source", "platform")
 				n.roster.RemoveEntry(id, isHeld)
--- a/internal/afroster/departure.go
+++ b/internal/afroster/departure.go
@@ -67,6 +67,13 @@
 	return e
 }
 
+// RecordDraining records that an endpoint process drains, for which an entry that is no longer the latest is enough.
+func (r *Roster) RecordDraining(e afengine.EndpointEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordDeparture(e, false)
+}
+
 // recordDeparture records that an endpoint process drains, or that its entry was removed. The caller holds mu.
 func (r *Roster) recordDeparture(e afengine.EndpointEntry, isRemoved bool) {
 	if e.StartUnixMs == 0 {
