afnode: forget lost VMs that exchange no heartbeats

In a fleet of more than nine VMs, a VM that stopped while the platform was away, or whose removed entry fell into the gap before a list, stayed in the copies of most other VMs until they restarted. They used smaller shares of the customers' limits and of the retry budget, and still took the VM for one that takes work, for example as the home of an endpoint's limit.

Cause: a VM that a list lacks after an outage stays in the copy until it is unreachable. A VM with which this VM exchanges no heartbeats is live if it is listed, and it was listed because it was in the copy. No other VM removes it, since it has no entry.

Evidence: TestLostVMWithoutHeartbeatsIsForgotten on: 13 VMs instead of 9, 60 s after four VMs stopped.

Ruled out: fleets of up to nine VMs, in which all exchange heartbeats; listed VMs, whose entries the placement holder removes; it sends its views to all.

Change: a VM whose entry is missing counts as unreachable as long as it answers no heartbeats of this VM.

--- /dev/null
+++ b/internal/afnode/fleet_test.go
@@ -0,0 +1,95 @@
+package afnode
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/affeed"
+	"arbutusfork.example/arbutusfork/internal/afpeer"
+	"arbutusfork.example/arbutusfork/internal/afstandin"
+	"arbutusfork.example/arbutusfork/pkg/afmember"
+	"arbutusfork.example/arbutusfork/pkg/afobject"
+	"arbutusfork.example/arbutusfork/pkg/aftimer"
+)
+
+// runPeers runs a service and its timer until the test ends.
+func runPeers(t *testing.T, timer *aftimer.Service, s *afpeer.Service) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { timer.Run(ctx) })
+	running.Go(func() { _ = s.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+}
+
+// newConnectedNode returns the node of VM a, which is connected to the running VMs over an in-memory network.
+func newConnectedNode(t *testing.T, running ...string) *Node {
+	t.Helper()
+	n, _ := newOddNode(t)
+	network := new(afstandin.Network)
+	n.peers.ListenAddress, n.peers.Transport = "127.0.0.1:1", network.Transport("127.0.0.1:1")
+	runPeers(t, n.timer, n.peers)
+	for i, vm := range running {
+		address, timer := fmt.Sprint("127.0.0.1:", i+2), new(aftimer.Service)
+		runPeers(t, timer, &afpeer.Service{
+			Self: arbutusfork.Incarnation{VM: vm, StartID: 1}, ListenAddress: address, Seeds: []string{"127.0.0.1:1"}, Timer: timer,
+			Log: slog.New(slog.DiscardHandler), Transport: network.Transport(address),
+		})
+	}
+	time.Sleep(3 * time.Second)
+	synctest.Wait()
+	return n
+}
+
+// Guards against a VM that stays listed for ever after it stopped during an outage, in a fleet in which not all VMs exchange heartbeats.
+func TestLostVMWithoutHeartbeatsIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var others []arbutusfork.VM
+		for i := range 12 {
+			others = append(others, arbutusfork.VM{Name: fmt.Sprint("vm", i)})
+		}
+		var running []string
+		for _, vm := range afmember.HighestRanked(others, "a", afmember.MaxHeartbeatPeers) {
+			running = append(running, vm.Name)
+		}
+		n := newConnectedNode(t, running...)
+		var stopped, listed []afobject.Object
+		for i, vm := range others {
+			port, isRunning := 100+i, false
+			if at := slices.Index(running, vm.Name); at >= 0 {
+				port, isRunning = at+2, true
+			}
+			o := object(vm.Name, 1, fmt.Sprintf(`{"address":"127.0.0.1:%d","start":1}`, port))
+			if isRunning {
+				listed = append(listed, o)
+			} else {
+				stopped = append(stopped, o)
+			}
+		}
+		f := n.newVMFeed()
+		f.OnList(slices.Concat(listed, stopped), affeed.Gap{})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 13, n.countListedVMs())
+
+		f.OnList(listed[1:], affeed.Gap{WentBack: true})
+		for range 30 {
+			time.Sleep(unreachableCheckInterval)
+			n.removeUnreachableVMs(t.Context(), n.timer.Now())
+		}
+		synctest.Wait()
+		require.Equal(t, 9, n.countListedVMs(), "the VM that answers heartbeats stays although its entry is missing")
+		require.Len(t, n.peers.LiveMembers(), 9)
+	})
+}
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -299,8 +299,8 @@
 // unreachableTimeout, and forgets those whose entries the platform lost. Only the placement holder removes entries, so that
 // only one VM writes.
 func (n *Node) removeUnreachableVMs(ctx context.Context, now time.Time) {
-	live := make(map[string]bool)
-	for _, vm := range n.peers.LiveMembers() {
+	live, membership := make(map[string]bool), n.peers.Membership()
+	for _, vm := range membership.LiveVMs() {
 		live[vm.Name] = true
 	}
 	type entry struct {
@@ -311,7 +311,9 @@
 	hasForgotten := false
 	n.vmList.mu.Lock()
 	for vm := range n.vmList.vms {
-		if live[vm] || vm == n.self.VM {
+		// A listed VM with which this VM exchanges no heartbeats counts as live. No other VM removes a missing one from this copy.
+		isReachable := live[vm] && (!n.vmList.missing[vm] || membership.AnswersHeartbeats(vm))
+		if isReachable || vm == n.self.VM {
 			delete(n.vmList.unreachableSince, vm)
 			continue
 		}
--- a/pkg/afmember/view.go
+++ b/pkg/afmember/view.go
@@ -151,6 +151,9 @@
 	})
 }
 
+// AnswersHeartbeats reports whether a VM answers the heartbeats of this VM. It is false for a VM with which this VM exchanges none.
+func (v View) AnswersHeartbeats(name string) bool { return v.observed[name].Alive }
+
 // ListedVM returns the platform's entry for a VM. A VM that the list does not contain is gone. ok is false if the list
 // has not been read yet.
 func (v View) ListedVM(name string) (vm arbutusfork.VM, ok bool) {
