afnode: count connected VMs without entries

A VM that had just started while the platform was away, or came back without the entries of the others, could use the whole of a customer's limit until the holder's grants arrived, and its part of the retry budget as in a fleet of one: 26 repeats per service and window instead of 6.5 in a fleet of four.

Cause: the count of VMs came from the list only, which is empty until the platform answers, although the links show the others and the configuration can come from them.

TestConnectedVMsAreCountedWithoutTheirEntries on: 1 VM instead of 3.

Change: the live VMs of the membership that have no entry are counted too. A VM that stops is not, once it says that it leaves.

Result: the test passes. The first moments before any link is open, up to 0.25 s in the logs, still count one VM.

--- a/internal/afnode/fleet_test.go
+++ b/internal/afnode/fleet_test.go
@@ -93,3 +93,16 @@
 		require.Len(t, n.peers.LiveMembers(), 9)
 	})
 }
+
+// Guards against a VM that uses the whole of the customers' limits and of the retry budget after its start, because it has no
+// list of VMs yet or one that lacks VMs.
+func TestConnectedVMsAreCountedWithoutTheirEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newConnectedNode(t, "b", "c")
+		require.Len(t, n.peers.LiveMembers(), 3)
+		require.Equal(t, 3, n.countListedVMs(), "no list yet")
+		n.newVMFeed().OnList(nil, affeed.Gap{})
+		synctest.Wait()
+		require.Equal(t, 3, n.countListedVMs(), "an empty list")
+	})
+}
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -82,15 +82,22 @@
 	delete(l.missing, vm)
 }
 
-// countListedVMs returns the number of VMs that may be alive: this VM, and others that have an entry or had one that the
-// platform lost.
+// countListedVMs returns the number of VMs that may be alive: this VM, those that answer its heartbeats, and others that have
+// an entry or had one that the platform lost. A VM that has just started may have no list yet, or an older one.
 func (n *Node) countListedVMs() int {
+	live := n.peers.LiveMembers()
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
+	count := len(n.vmList.vms)
 	if _, hasOwnEntry := n.vmList.vms[n.self.VM]; !hasOwnEntry {
-		return len(n.vmList.vms) + 1
+		count++
 	}
-	return len(n.vmList.vms)
+	for _, vm := range live {
+		if _, hasEntry := n.vmList.vms[vm.Name]; !hasEntry && vm.Name != n.self.VM {
+			count++
+		}
+	}
+	return count
 }
 
 // listedVMNames returns the names of the VMs that have an entry, or had one that the platform lost.
