afnode: replace own entry of an earlier start

After the store came back from a copy of before this VM's last start, the entry of its earlier process stayed, with that process's address and centre if they had changed. VMs that started later dialled the old address.

Cause: this VM wrote its entry again only if it was missing or odd.

Evidence: TestOwnEntryOfEarlierStartIsReplaced on the parent commit: no write is requested.

An entry of a later process stays, so that two processes of one name do not replace each other's.

Change: once this process's entry was listed, an older one counts as odd and is replaced.

Result: the test passes.

--- a/internal/afnode/fleet_test.go
+++ b/internal/afnode/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,3 +107,25 @@
 		require.Equal(t, 3, n.countListedVMs(), "an empty list")
 	})
 }
+
+// Guards against an entry of an earlier start that stays after the store came back with it.
+func TestOwnEntryOfEarlierStartIsReplaced(t *testing.T) {
+	n, _ := newOddNode(t)
+	f := n.newVMFeed()
+	entry := func(start int64) []afobject.Object {
+		return []afobject.Object{object("a", 1, `{"address":"127.0.0.1:7","start":`+strconv.FormatInt(start, 10)+`}`)}
+	}
+	f.OnList(entry(n.self.StartID-1), affeed.Gap{})
+	require.Empty(t, n.vmList.writeRequests, "the entry is replaced at the start")
+	f.OnList(entry(n.self.StartID), affeed.Gap{})
+	require.Empty(t, n.vmList.writeRequests)
+	f.OnList(entry(n.self.StartID-1), affeed.Gap{WentBack: true})
+	require.Len(t, n.vmList.writeRequests, 1)
+	<-n.vmList.writeRequests
+	require.False(t, n.isOwnEntryListed())
+	f.OnList(entry(n.self.StartID-1), affeed.Gap{WentBack: true})
+	require.Len(t, n.vmList.writeRequests, 1, "the platform came back with it once more")
+	<-n.vmList.writeRequests
+	f.OnList(entry(n.self.StartID+1), affeed.Gap{})
+	require.Empty(t, n.vmList.writeRequests, "a later process replaced this one")
+}
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -53,7 +53,8 @@
 	vms map[string]arbutusfork.VM
 	// versions holds the object versions of the entries.
 	versions map[string]int64
-	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd.
+	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd and for one of this VM that is to be
+	// replaced, since the platform came back with it from an earlier start.
 	startTimes map[string]int64
 	// unreachableSince is when a VM of vms was first found unreachable. It has no value for VMs that are reachable.
 	unreachableSince map[string]time.Time
@@ -209,11 +210,16 @@
 	odd.remove(o.Name)
 	n.vmList.vms[o.Name] = arbutusfork.VM{Name: o.Name, Address: spec.Address, Centre: spec.Centre}
 	n.vmList.versions[o.Name] = o.Version
-	n.vmList.startTimes[o.Name] = spec.Start
+	start := spec.Start
+	previous, known := n.vmList.startTimes[o.Name]
+	if o.Name == n.self.VM && known && (previous == n.self.StartID || previous == 0) && start < n.self.StartID {
+		start = 0
+	}
+	n.vmList.startTimes[o.Name] = start
 	delete(n.vmList.missing, o.Name)
 }
 
-// publishVMs passes the listed VMs to the links between VMs. If the entry of this VM is missing, it requests that the entry
+// publishVMs passes the listed VMs to the links between VMs. If the entry of this VM is missing or to be replaced, it requests that the entry
 // is written.
 func (n *Node) publishVMs() {
 	n.vmList.mu.Lock()
