afnode: publish lists of VMs in order

Since, two goroutines pass the list of VMs to the links, and the older list could come last. The links then lacked a VM, or kept a forgotten one, until the next change of the list.

Cause: the list was built under the lock and passed on after it.

Ruled out: blocking under the lock, since SetListedVMs only queues the list.

Change: the list is passed on under the lock.

--- a/internal/afnode/fleet_test.go
+++ b/internal/afnode/fleet_test.go
@@ -129,3 +129,34 @@
 	f.OnList(entry(n.self.StartID+1), affeed.Gap{})
 	require.Empty(t, n.vmList.writeRequests, "a later process replaced this one")
 }
+
+// Guards against a list of VMs for the links that is older than the copy, because the feed and a check publish at once.
+func TestLatestListIsPublished(t *testing.T) {
+	n, _ := newOddNode(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.timer.Run(ctx)
+	n.peers.ListenAddress = "127.0.0.1:0"
+	go func() { _ = n.peers.Run(ctx) }()
+	<-n.peers.Ready()
+	odd := n.newOddObjects(vmKind)
+	for round := range 1000 {
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				n.putVM(object(fmt.Sprintf("vm%d", i), 1, fmt.Sprintf(`{"address":"127.0.0.1:7","start":1,"centre":"%d"}`, round)), odd)
+				n.publishVMs()
+			})
+		}
+		wg.Wait()
+		isLatest := func() bool {
+			for i := range 8 {
+				if vm, _ := n.peers.Membership().ListedVM(fmt.Sprintf("vm%d", i)); vm.Centre != fmt.Sprint(round) {
+					return false
+				}
+			}
+			return true
+		}
+		require.Eventually(t, isLatest, 2*time.Second, 50*time.Microsecond, "round %d", round)
+	}
+}
--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -229,8 +229,9 @@
 	}
 	_, hasOwnEntry := n.vmList.vms[n.self.VM]
 	hasOwnEntry = hasOwnEntry && n.vmList.startTimes[n.self.VM] != 0
-	n.vmList.mu.Unlock()
+	// The feed and the checks publish at the same time. The last list must not be an older one.
 	n.peers.SetListedVMs(vms)
+	n.vmList.mu.Unlock()
 	if !hasOwnEntry && !n.isStopping.Load() {
 		select {
 		case n.vmList.writeRequests <- struct{}{}:
