--- a/internal/afnode/member.go
+++ b/internal/afnode/member.go
@@ -53,7 +53,8 @@
 	vms map[string]arbutusfork.VM
 	// versions holds the object versions of the entries.
 	versions map[string]int64
-	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd.
+	// startTimes holds vmSpec.Start of the entries, or zero for an entry that became odd and for one of this VM that is to be
+	// replaced, since the platform came back with it from an earlier start.
 	startTimes map[string]int64
 	// unreachableSince is when a VM of vms was first found unreachable. It has no value for VMs that are reachable.
 	unreachableSince map[string]time.Time
@@ -82,15 +83,22 @@
 	delete(l.missing, vm)
 }
 
-// countListedVMs returns the number of VMs that may be alive: this VM, and others that have an entry or had one that the
-// platform lost.
+// countListedVMs returns the number of VMs that may be alive: this VM, those that answer its heartbeats, and others that have
+// an entry or had one that the platform lost. A VM that has just started may have no list yet, or an older one.
 func (n *Node) countListedVMs() int {
+	live := n.peers.LiveMembers()
 	n.vmList.mu.Lock()
 	defer n.vmList.mu.Unlock()
+	count := len(n.vmList.vms)
 	if _, hasOwnEntry := n.vmList.vms[n.self.VM]; !hasOwnEntry {
-		return len(n.vmList.vms) + 1
+		count++
 	}
-	return len(n.vmList.vms)
+	for _, vm := range live {
+		if _, hasEntry := n.vmList.vms[vm.Name]; !hasEntry && vm.Name != n.self.VM {
+			count++
+		}
+	}
+	return count
 }
 
 // listedVMNames returns the names of the VMs that have an entry, or had one that the platform lost.
@@ -202,11 +210,16 @@
 	odd.remove(o.Name)
 	n.vmList.vms[o.Name] = arbutusfork.VM{Name: o.Name, Address: spec.Address, Centre: spec.Centre}
 	n.vmList.versions[o.Name] = o.Version
-	n.vmList.startTimes[o.Name] = spec.Start
+	start := spec.Start
+	previous, known := n.vmList.startTimes[o.Name]
+	if o.Name == n.self.VM && known && (previous == n.self.StartID || previous == 0) && start < n.self.StartID {
+		start = 0
+	}
+	n.vmList.startTimes[o.Name] = start
 	delete(n.vmList.missing, o.Name)
 }
 
-// publishVMs passes the listed VMs to the links between VMs. If the entry of this VM is missing, it requests that the entry
+// publishVMs passes the listed VMs to the links between VMs. If the entry of this VM is missing or to be replaced, it requests that the entry
 // is written.
 func (n *Node) publishVMs() {
 	n.vmList.mu.Lock()
@@ -216,8 +229,9 @@
 	}
 	_, hasOwnEntry := n.vmList.vms[n.self.VM]
 	hasOwnEntry = hasOwnEntry && n.vmList.startTimes[n.self.VM] != 0
-	n.vmList.mu.Unlock()
+	// The feed and the checks publish at the same time. The last list must not be an older one.
 	n.peers.SetListedVMs(vms)
+	n.vmList.mu.Unlock()
 	if !hasOwnEntry && !n.isStopping.Load() {
 		select {
 		case n.vmList.writeRequests <- struct{}{}:
@@ -299,8 +313,8 @@
 // unreachableTimeout, and forgets those whose entries the platform lost. Only the placement holder removes entries, so that
 // only one VM writes.
 func (n *Node) removeUnreachableVMs(ctx context.Context, now time.Time) {
-	live := make(map[string]bool)
-	for _, vm := range n.peers.LiveMembers() {
+	live, membership := make(map[string]bool), n.peers.Membership()
+	for _, vm := range membership.LiveVMs() {
 		live[vm.Name] = true
 	}
 	type entry struct {
@@ -311,7 +325,9 @@
 	hasForgotten := false
 	n.vmList.mu.Lock()
 	for vm := range n.vmList.vms {
-		if live[vm] || vm == n.self.VM {
+		// A listed VM with which this VM exchanges no heartbeats counts as live. No other VM removes a missing one from this copy.
+		isReachable := live[vm] && (!n.vmList.missing[vm] || membership.AnswersHeartbeats(vm))
+		if isReachable || vm == n.self.VM {
 			delete(n.vmList.unreachableSince, vm)
 			continue
 		}
