afgateway: keep a second attempt while the first has no usable answer

Callers got a 500 or 502, a cut answer or a stream without an event although a second endpoint was about to answer: their first endpoint was silent, a second one was asked, and then the first one answered with something that is no answer for the caller.

Any byte of the body of the first answer counted as speech and closed the second attempt, also that of a server error, of a long answer that HTTP/1.0 cannot get and of a status without a text, all of which are no answer when the second endpoint sends them. The second attempt had been sent and counted as a run, so that the server error could not be repeated either. A stream that ended with a comment alone closed it too.

Change: the body of an answer speaks as it arrives only if the head shows that any body can be relayed. Another answer fails its attempt while another attempt is live, and a short server error is kept for the caller in case that one gives nothing. Without another live attempt nothing changes.

Ruled out: a refusal as not run and an event that does not follow were handled before any speech.

--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -345,6 +345,13 @@
 	return o.sends - o.refusedSeconds, o.possibleRuns, o.breaksAtBegin, o.failure
 }
 
+// hasOther reports whether another attempt is live, which may still give an answer if this one does not.
+func (o *attemptOwner) hasOther(a *liveAttempt) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.ContainsFunc(o.live, func(other *liveAttempt) bool { return other != a })
+}
+
 // mayHaveRun reports whether an endpoint may have run the request or may still do so.
 func (o *attemptOwner) mayHaveRun() bool {
 	o.mu.Lock()
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -40,12 +40,21 @@
 	if ans.isStream {
 		return p.relayStream(o, a, ans)
 	}
-	ans.exchange.response.Body = bodyReader{ans.exchange.response.Body, o, a}
+	if p.isRelayable(ans) {
+		ans.exchange.response.Body = bodyReader{ans.exchange.response.Body, o, a}
+	}
 	result := p.relayBuffered(o, a, ans)
 	result.progress = max(result.progress, progressHead)
 	return result
 }
 
+// isRelayable reports whether any body makes an answer that is not a stream one for the caller. The first part of another answer does
+// not close a second attempt, which may give a better one.
+func (p *proxiedRequest) isRelayable(ans *answer) bool {
+	status := ans.exchange.response.StatusCode
+	return status < http.StatusInternalServerError && http.StatusText(status) != "" && !p.responseStarted && p.checkLong(ans.exchange) == nil
+}
+
 // classifyFailure ends an attempt without a complete response at its endpoint and returns its result.
 func (p *proxiedRequest) classifyFailure(a *liveAttempt, err error) attemptResult {
 	cause := context.Cause(a.ctx)
@@ -85,12 +94,15 @@
 	}
 	a.endpoint.request.End(health)
 	response := bufferedResponse{status, header, ans.body}
-	if isServerError && p.mayRetryServerError(o, a) {
+	if isServerError && (o.hasOther(a) || p.mayRetryServerError(o, a)) {
 		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status), serverError: &response}
 	}
 	if p.responseStarted {
 		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status) + " in mid-stream"}
 	}
+	if http.StatusText(status) == "" && o.hasOther(a) {
+		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status)}
+	}
 	if !o.speakFinally(a) {
 		return attemptResult{cause: errReplaced.Error()}
 	}
@@ -109,6 +121,10 @@
 	if err := p.checkLong(ex); err != nil {
 		return p.classifyFailure(a, err)
 	}
+	if status := ex.response.StatusCode; status >= http.StatusInternalServerError && o.hasOther(a) {
+		a.endpoint.request.End(afroster.HealthFailure)
+		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status)}
+	}
 	if !o.speakFinally(a) {
 		return attemptResult{cause: errReplaced.Error()}
 	}
@@ -281,6 +297,9 @@
 		if !p.responseStarted {
 			return attemptResult{brokenOff: true, cause: "stream without an event"}
 		}
+		if p.position.events == 0 && o.hasOther(a) {
+			return attemptResult{cause: "stream without an event"}
+		}
 		if !o.speakFinally(a) {
 			return attemptResult{cause: errReplaced.Error()}
 		}
