afroster: keep the own load of an endpoint that leaves and comes back

No caller is known to have seen this; the review of a request's places found it. An endpoint whose entry was removed and written again while a request was in progress there had a load of -1 requests for as long as it stayed listed, so that this VM sent it one request more than it takes, for each such request.

Cause: the load was kept in the entry's state. A new state began with zero, and the end of the earlier request was subtracted from it. A request that was begun between the choice of an endpoint and the removal had the same effect.

Change: the load by this VM's requests is kept by endpoint beside the entries, like the counts by model, and goes with the last request. An endpoint that comes back is loaded with the requests that still run there.

Not changed: the end of such a request still counts for the health of the endpoint that came back.

--- a/internal/afroster/roster.go
+++ b/internal/afroster/roster.go
@@ -82,6 +82,8 @@
 	doubtEndsAt time.Time
 	// runningByEndpoint counts this VM's requests by endpoint and by model or model/adapter.
 	runningByEndpoint map[string]map[string]int
+	// ownLoads holds the load by this VM's requests by endpoint, also while an endpoint is not listed: the requests end later.
+	ownLoads map[string]Load
 }
 
 // endpointState is the state of one endpoint.
@@ -91,7 +93,6 @@
 	// lapsedAt is the time at which the entry disappeared during an outage of the platform. It is zero for listed entries.
 	lapsedAt     time.Time
 	engineStatus *EngineStatus
-	ownLoad      Load
 	// otherVMsLoad is the load by requests of the other VMs in the placement holder's latest view.
 	otherVMsLoad  Load
 	healthTracker afhealth.Tracker
@@ -101,6 +102,7 @@
 	if r.endpoints == nil {
 		r.endpoints = make(map[string]*endpointState)
 		r.runningByEndpoint = make(map[string]map[string]int)
+		r.ownLoads = make(map[string]Load)
 	}
 }
 
@@ -130,7 +132,7 @@
 	updated := &endpointState{EndpointEntry: e, changedAt: r.Now()}
 	changed = true
 	if old != nil {
-		updated.ownLoad, updated.otherVMsLoad, updated.healthTracker = old.ownLoad, old.otherVMsLoad, old.healthTracker
+		updated.otherVMsLoad, updated.healthTracker = old.otherVMsLoad, old.healthTracker
 		if old.StartUnixMs == e.StartUnixMs {
 			updated.engineStatus = old.engineStatus
 			changed = old.State != e.State || old.Address != e.Address || !old.lapsedAt.IsZero()
@@ -273,7 +275,7 @@
 		if !accepts(models, closing) {
 			continue
 		}
-		endpoint := Endpoint{EndpointEntry: e.EndpointEntry, OwnLoad: e.ownLoad, Health: e.healthTracker, ClosingModels: closing}
+		endpoint := Endpoint{EndpointEntry: e.EndpointEntry, OwnLoad: r.ownLoads[e.ID], Health: e.healthTracker, ClosingModels: closing}
 		endpoint.Models = models
 		if isViewRecent {
 			endpoint.OtherVMsLoad = e.otherVMsLoad
--- a/internal/afroster/running.go
+++ b/internal/afroster/running.go
@@ -23,8 +23,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.initMaps()
+	r.addOwnLoad(endpointID, request.load)
 	if e := r.endpoints[endpointID]; e != nil {
-		e.ownLoad = e.ownLoad.Add(request.load)
 		if e.healthTracker.IsTrialDue(r.Now()) {
 			e.healthTracker = e.healthTracker.WithTrialStarted()
 			request.isTrial = true
@@ -34,6 +34,16 @@
 	return request
 }
 
+// addOwnLoad adds to the load of an endpoint by this VM's requests. The caller holds mu.
+func (r *Roster) addOwnLoad(endpointID string, delta Load) {
+	load := r.ownLoads[endpointID].Add(delta)
+	if load == (Load{}) {
+		delete(r.ownLoads, endpointID)
+		return
+	}
+	r.ownLoads[endpointID] = load
+}
+
 // addRunning adds delta to the counts of the request's model and adapter at its endpoint.
 func (r *Roster) addRunning(request *RunningRequest, delta int) {
 	byModel := r.runningByEndpoint[request.endpointID]
@@ -64,9 +74,7 @@
 		return
 	}
 	request.promptRead = true
-	if e := r.endpoints[request.endpointID]; e != nil {
-		e.ownLoad.UnreadPromptTokens -= request.load.UnreadPromptTokens
-	}
+	r.addOwnLoad(request.endpointID, Load{UnreadPromptTokens: -request.load.UnreadPromptTokens})
 	request.load.UnreadPromptTokens = 0
 	r.mu.Unlock()
 	r.notifyChange()
@@ -105,8 +113,8 @@
 		return
 	}
 	request.ended = true
+	r.addOwnLoad(request.endpointID, Load{Requests: -request.load.Requests, UnreadPromptTokens: -request.load.UnreadPromptTokens, TotalTokens: -request.load.TotalTokens})
 	if e := r.endpoints[request.endpointID]; e != nil {
-		e.ownLoad = e.ownLoad.Add(Load{Requests: -request.load.Requests, UnreadPromptTokens: -request.load.UnreadPromptTokens, TotalTokens: -request.load.TotalTokens})
 		switch {
 		case result != HealthUnaffected:
 			e.healthTracker = e.healthTracker.WithResult(result == HealthSuccess, r.Now())
@@ -126,9 +134,9 @@
 	defer r.mu.Unlock()
 	loads = make(map[string]Load)
 	running = make(map[string]map[string]int, len(r.runningByEndpoint))
-	for id, e := range r.endpoints {
-		if e.ownLoad != (Load{}) {
-			loads[id] = e.ownLoad
+	for id, load := range r.ownLoads {
+		if r.endpoints[id] != nil {
+			loads[id] = load
 		}
 	}
 	for id, byModel := range r.runningByEndpoint {
@@ -145,8 +153,5 @@
 func (r *Roster) OwnRequests(endpointID string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.endpoints[endpointID]; e != nil {
-		return e.ownLoad.Requests
-	}
-	return 0
+	return r.ownLoads[endpointID].Requests
 }
