afgateway: give back the retry of a place that is gone

Callers of repeatable requests could be refused, or stay at a silent endpoint, because fewer repeats were left than the budget allows.

Cause: a silent request chooses an endpoint, takes a retry and chooses once more to count the request there. Another request or an answer may make the endpoint full, paused or limited between the two choices. The retry was then kept without a send until it left the window.

Change: the retry is given back if the second choice finds no endpoint.

Evidence: TestRetryWithoutPlaceIsGivenBack failed before ("the retry was kept") and passes now.

Ruled out: the other ends of a second attempt (place not needed, caller gone, no slot, quarantine, closed before the send) give it back once each; read, and TestRaceInAnyOrder plays them.

--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -202,6 +202,9 @@
 			return acquiredEndpoint{}, false
 		}
 		e, ok := p.pickCandidate(candidates, needs)
+		if !ok {
+			s.returnRetry(p.service.Name, now) // The endpoint became full or asked for a pause meanwhile.
+		}
 		e.retryAt = now
 		return e, ok
 	}
