afgateway: watch the attempts of a request by one timer

Callers saw nothing of this. Each second attempt that began during a check of the silent ones started a timer, and the check started another one over it. Both went on: a request with one second attempt made 31 checks in two seconds in place of 17 or 18, on the goroutine that calls all timers, and the timers that the owner had lost kept the ended request in memory until they were due.

Change: starting the timer stops the one that runs. The later one is that of the check, which is due first.

Evidence: TestOneTimerWatchesAllAttempts counted 31 checks before, where at most 20 fit in, and passes now.

--- a/internal/afgateway/owner_test.go
+++ b/internal/afgateway/owner_test.go
@@ -1,6 +1,7 @@
 package afgateway
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -44,3 +45,28 @@
 	require.True(t, s.takeRetry("app", s.Timer.Now()))
 	require.True(t, s.takeRetry("app", s.Timer.Now()), "the retry was kept")
 }
+
+// Guards against timers that add up with each second attempt and go on after the request.
+func TestOneTimerWatchesAllAttempts(t *testing.T) {
+	limits := EndpointLimits{TakeSlot: func(ctx context.Context, _ afengine.EndpointStart, _ time.Duration) (time.Duration, bool) {
+		<-ctx.Done() // The second attempt waits, so that the first one stays silent.
+		return 0, false
+	}}
+	s := newOwnerServer(limits, RetryBudget{ExtraRetries: 20, Window: time.Minute})
+	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}, route: afroute.Route{Kind: afroute.KindSafe, MaxAttempts: 2}, deadline: s.Timer.Now().Add(time.Minute), timeoutSpread: 0.1}
+	o := newAttemptOwner(t.Context(), p)
+	first, ok := p.pickEndpoint(nil)
+	require.True(t, ok)
+	o.begin(first)
+	checks := 0
+	for last, step := o.timer, 0; step < 2000; step++ {
+		s.Timer.AdvanceTo(s.Timer.Now().Add(time.Millisecond))
+		if o.timer != last {
+			last = o.timer
+			checks++
+		}
+	}
+	require.Len(t, o.live, 2)
+	o.end()
+	require.LessOrEqual(t, checks, int(2*time.Second/placeRetryDelay))
+}
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -58,8 +58,12 @@
 	return timeout + time.Duration(p.timeoutSpread*float64(timeout))
 }
 
-// startTimer starts the timer for the next check. The caller holds mu.
+// startTimer starts the timer for the next check in place of one that runs, which is that of an attempt begun during a check. The
+// caller holds mu.
 func (o *attemptOwner) startTimer(delay time.Duration) {
+	if o.timer != nil {
+		o.timer.Stop()
+	}
 	o.timer = o.request.server.Timer.CallAfter(delay, o.check)
 }
 
