afgateway: estimate by real answers how long a request takes at a stop

Callers could get a cut answer at the end of a planned stop: whether a request ends in time is judged by the slowest recent answer of its route, and failures counted as answers. Eight answers with status 404 or 500 within a millisecond, or eight callers that left before the request was sent, were enough to take a request of any length.

Change: only answers with a status from 200 to 399 count. A route without eight of them is judged by the deadline, as before.

Evidence: TestStopCountsNoFailuresAsAnswers failed before (404 of the endpoint in place of 503, after 20 answers with 404 and one second before the stop) and passes now.

Not changed: eight or more short answers still say nothing certain about a longer one of the same route.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -275,7 +275,7 @@
 			p.refundLimit()
 		}
 	}
-	if refusal == nil && !p.responseBroken {
+	if refusal == nil && !p.responseBroken && p.statusCode >= http.StatusOK && p.statusCode < http.StatusBadRequest {
 		s.stop.recordAnswer(p.route.Name, s.Timer.Now().Sub(p.arrivedAt)-p.waitTime, s.Timer.Now())
 	}
 	s.Metrics.countRequest(p, outcome, refusal)
