afgateway: forget the answer times of removed routes

Callers saw nothing of this. The slowest answers were kept by the name of the route for as long as the process ran, so that each name that a configuration ever had stayed in memory.

Change: a name that is not known yet removes those without an answer in two windows, which no decision uses any more.

Evidence: TestRemovedRoutesAreForgotten kept 1,000 names before, where 121 are recent enough, and passes now.

--- a/internal/afgateway/stop.go
+++ b/internal/afgateway/stop.go
@@ -1,6 +1,7 @@
 package afgateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -64,6 +65,10 @@
 	if s.slowestByRoute == nil {
 		s.slowestByRoute = make(map[string]slowestAnswers)
 	}
+	if _, isKnown := s.slowestByRoute[route]; !isKnown {
+		// The route may be the new name of another one.
+		maps.DeleteFunc(s.slowestByRoute, func(_ string, a slowestAnswers) bool { return now.Sub(a.windowStartedAt) >= 2*durationWindow })
+	}
 	s.slowestByRoute[route] = s.slowestByRoute[route].withAnswer(d, now)
 }
 
--- a/internal/afgateway/stop_test.go
+++ b/internal/afgateway/stop_test.go
@@ -1,6 +1,7 @@
 package afgateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -34,3 +35,14 @@
 		require.Equal(t, c.outlasts, s.mayOutlast("talk", now.Add(timeout), now), name)
 	}
 }
+
+// Guards against memory that is used up by the names of routes that were removed.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	var s stopState
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		now = now.Add(time.Second)
+		s.recordAnswer(strconv.Itoa(i), time.Second, now)
+	}
+	require.LessOrEqual(t, len(s.slowestByRoute), int(2*durationWindow/time.Second)+1)
+}
