afgateway: search for places beside the goroutine that calls all timers

The searches after an endpoint refused as full ran there too, one for all waiting requests.

Change: both run in goroutines of their own. A check that is late finds the request ended and does nothing. The searches cost as much as before.

Evidence: both cases of TestSearchForPlaceBlocksNoTimer failed before ("the timer waits for the search") and pass now.

--- a/internal/afgateway/full.go
+++ b/internal/afgateway/full.go
@@ -112,7 +112,7 @@
 		if s.full.get(k) != state || now.Sub(state.refusedAt) > forgetFullTime {
 			return
 		}
-		s.DispatchWaiting()
+		go s.DispatchWaiting() // It may take as long as the search of all waiting requests.
 		s.dispatchWhenRoomMayBe(k, state, state.fullTime)
 	})
 }
--- a/internal/afgateway/owner_test.go
+++ b/internal/afgateway/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -48,25 +49,58 @@
 
 // Guards against timers that add up with each second attempt and go on after the request.
 func TestOneTimerWatchesAllAttempts(t *testing.T) {
-	limits := EndpointLimits{TakeSlot: func(ctx context.Context, _ afengine.EndpointStart, _ time.Duration) (time.Duration, bool) {
-		<-ctx.Done() // The second attempt waits, so that the first one stays silent.
-		return 0, false
-	}}
-	s := newOwnerServer(limits, RetryBudget{ExtraRetries: 20, Window: time.Minute})
-	p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}, route: afroute.Route{Kind: afroute.KindSafe, MaxAttempts: 2}, deadline: s.Timer.Now().Add(time.Minute), timeoutSpread: 0.1}
-	o := newAttemptOwner(t.Context(), p)
-	first, ok := p.pickEndpoint(nil)
-	require.True(t, ok)
-	o.begin(first)
-	checks := 0
-	for last, step := o.timer, 0; step < 2000; step++ {
-		s.Timer.AdvanceTo(s.Timer.Now().Add(time.Millisecond))
-		if o.timer != last {
-			last = o.timer
-			checks++
+	synctest.Test(t, func(t *testing.T) {
+		limits := EndpointLimits{TakeSlot: func(ctx context.Context, _ afengine.EndpointStart, _ time.Duration) (time.Duration, bool) {
+			<-ctx.Done() // The second attempt waits, so that the first one stays silent.
+			return 0, false
+		}}
+		s := newOwnerServer(limits, RetryBudget{ExtraRetries: 20, Window: time.Minute})
+		p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}, route: afroute.Route{Kind: afroute.KindSafe, MaxAttempts: 2}, deadline: s.Timer.Now().Add(time.Minute), timeoutSpread: 0.1}
+		o := newAttemptOwner(t.Context(), p)
+		first, ok := p.pickEndpoint(nil)
+		require.True(t, ok)
+		o.begin(first)
+		checks := 0
+		for last, step := o.timer, 0; step < 2000; step++ {
+			s.Timer.AdvanceTo(s.Timer.Now().Add(time.Millisecond))
+			synctest.Wait()
+			if o.timer != last {
+				last = o.timer
+				checks++
+			}
 		}
+		require.Len(t, o.live, 2)
+		o.end()
+		require.LessOrEqual(t, checks, int(2*time.Second/placeRetryDelay))
+	})
+}
+
+// Guards against heartbeats and other timers that are late because many requests at silent or full endpoints look for a place.
+func TestSearchForPlaceBlocksNoTimer(t *testing.T) {
+	for name, search := range map[string]func(*proxiedRequest){
+		"silent endpoint": func(p *proxiedRequest) {
+			o := newAttemptOwner(t.Context(), p)
+			first, ok := p.pickEndpoint(nil)
+			require.True(t, ok)
+			o.begin(first)
+			t.Cleanup(o.end)
+		},
+		"full endpoint": func(p *proxiedRequest) { p.recordFull(p.server.Roster.UsableEndpoints("app")[0]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newOwnerServer(EndpointLimits{}, RetryBudget{Window: time.Minute})
+			p := &proxiedRequest{server: s, service: afroute.Service{Name: "app"}, route: afroute.Route{Kind: afroute.KindSafe, MaxAttempts: 2}, deadline: s.Timer.Now().Add(time.Minute)}
+			search(p)
+			called := make(chan struct{})
+			s.Timer.CallAfter(time.Second, func(time.Time) { close(called) })
+			s.queue.mu.Lock() // Another search is in progress.
+			defer s.queue.mu.Unlock()
+			go s.Timer.AdvanceTo(s.Timer.Now().Add(time.Second))
+			select {
+			case <-called:
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "the timer waits for the search")
+			}
+		})
 	}
-	require.Len(t, o.live, 2)
-	o.end()
-	require.LessOrEqual(t, checks, int(2*time.Second/placeRetryDelay))
 }
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -64,7 +64,9 @@
 	if o.timer != nil {
 		o.timer.Stop()
 	}
-	o.timer = o.request.server.Timer.CallAfter(delay, o.check)
+	o.timer = o.request.server.Timer.CallAfter(delay, func(now time.Time) {
+		go o.check(now) // With hundreds of endpoints, hundreds of silent requests look for places for longer than a second.
+	})
 }
 
 // watch starts the timer for an attempt, unless it runs. The caller holds mu.
@@ -74,7 +76,8 @@
 	}
 }
 
-// check tells the race of endpoints that are silent, and starts the timer for the next check.
+// check tells the race of endpoints that are silent, and starts the timer for the next check. It does nothing after the end of the
+// owner.
 func (o *attemptOwner) check(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
