afgateway: say at a stop that a refused request has not run

Callers could get a 502, by which the request may have run, though its endpoint had refused it as not run and it may be sent again.

Cause: if the process aborted the requests in progress while the refusal was read, the result of the attempt was dropped, and an attempt without a result counts as one that may have run. The same held for a connection that was not open yet.

Change: a result that shows that the request has not run is recorded before the request ends.

Evidence: TestRefusedRequestIsNotRunAtAbort failed before (502 in place of 503) and passes now, with the tests of ./platform whose names match Stop|Abort.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -65,6 +65,9 @@
 		result := p.runFirst(o, a)
 		for !result.responseEnded {
 			if ctx.Err() != nil {
+				if result.notRun {
+					o.fail(a, result)
+				}
 				return p.endCancelled(ctx, o)
 			}
 			o.fail(a, result)
