afgateway: leave repeats to others when a second endpoint keeps refusing

Callers of the same service were refused with 'the budget for repeats is used up' because one request stayed at a hung endpoint: every 100 ms it asked the only other endpoint again, which refused it as not run with status 429, and each refusal costs a repeat. One request used all 20 repeats of the budget.

Cause: beside a hung endpoint, one that refused before may be asked again and the whole budget may be used, and refused second attempts do not count as sends. Only a refusal with 503 makes an endpoint count as full for a time.

Change: endpoints that failed the request before are asked again by a second attempt only after 150 ms, which doubles up to 1.2 s with each refusal, like the time for full endpoints. An endpoint that was not asked yet is asked at once, as before.

--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -59,11 +59,13 @@
 	chargedUnits int64
 
 	// endpointError is a response with a server error, which the caller gets if no other endpoint answers. While an attempt is live,
-	// it belongs to the attemptOwner, as do timedOutEndpoints, avoidedEndpoint and lastEndpoint.
+	// it belongs to the attemptOwner, as do timedOutEndpoints, askAgainAt, avoidedEndpoint and lastEndpoint.
 	endpointError *bufferedResponse
 
 	// timedOutEndpoints holds the IDs of the silent endpoints that another one has replaced.
 	timedOutEndpoints map[string]bool
+	// askAgainAt is when a second attempt may be sent to an endpoint that failed the request before.
+	askAgainAt time.Time
 
 	// sends is the number of times that the request was sent to an endpoint. It is set when all attempts have ended.
 	sends int
--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -217,6 +217,8 @@
 		o.possibleRuns-- // apply counts each attempt that was sent.
 		if a.isSecond {
 			o.refusedSeconds++
+			// Endpoints that refused are not asked at once again, since each refusal costs a retry of the budget.
+			p.askAgainAt = s.Timer.Now().Add(min(firstFullTime<<min(o.refusedSeconds-1, 4), maxFullTime))
 		}
 	}
 	o.race.racers[i].isSilent = false // Its endpoint did not stay silent.
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -181,7 +181,7 @@
 // placePicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
 // It may be called while attempts are in progress, with the lock of the queue.
 func (p *proxiedRequest) placePicker(excluded, silent map[string]bool, silentSince time.Time) func() (acquiredEndpoint, bool) {
-	s := p.server
+	s, askAgainAt := p.server, p.askAgainAt
 	var nextTryAt time.Time // The queue tries again with each change of the roster, which may be hundreds of times a second.
 	return func() (acquiredEndpoint, bool) {
 		now := s.Timer.Now()
@@ -196,7 +196,7 @@
 		candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
 		if _, ok := chooseEndpoint(candidates, needs); !ok {
 			// An endpoint that failed before is better only than one that is hung.
-			if !isHung {
+			if !isHung || now.Before(askAgainAt) {
 				return acquiredEndpoint{}, false
 			}
 			needs.excluded = silent
