afretry: count the last bucket when a retry is allowed again

Callers could wait for a repeat, take a place at an endpoint and be told that the budget is still used up, and a Retry-After could be a tenth of the window too short.

Cause: a window counts eleven buckets, and the time until a retry was sought in the next ten. Retries of the present bucket are in all of these, so that the length of the window was returned, which is up to one bucket too early.

Change: the eleventh bucket is looked at too. The time is at most that of the window and of one bucket, which TestTimeUntilRetry allowed already.

Evidence: TestRetryIsAllowedAfterTimeUntilRetry failed before (0 ms after the begin of a bucket) and passes now, with the tests of ./pkg/afretry.

--- a/pkg/afretry/window.go
+++ b/pkg/afretry/window.go
@@ -62,11 +62,11 @@
 }
 
 // TimeUntilRetry returns the time after which the window allows a retry if no request and no retry is counted until then. It is at
-// most the length of the window, after which all retries have left it.
+// most the length of the window and of a bucket, after which all retries have left it.
 func (w *RetryWindow) TimeUntilRetry(now time.Time) time.Duration {
 	length := max(int64(w.Length/windowBuckets), 1)
 	first := now.UnixNano() / length
-	for index := first; index <= first+windowBuckets; index++ {
+	for index := first; index <= first+windowBuckets+1; index++ {
 		if requests, retries := w.count(first, index); w.allows(requests, retries+1, 1) {
 			return max(time.Duration(index*length-now.UnixNano()), 0)
 		}
--- a/pkg/afretry/window_test.go
+++ b/pkg/afretry/window_test.go
@@ -81,3 +81,14 @@
 	require.True(t, w.TakeRetry(now.Add(wait)))
 	require.LessOrEqual(t, w.TimeUntilRetry(now.Add(wait)), 11*time.Second)
 }
+
+// Guards against a request that waits as long as it is told and finds the window used up again.
+func TestRetryIsAllowedAfterTimeUntilRetry(t *testing.T) {
+	const bucket = time.Second / windowBuckets
+	for offset := range bucket / time.Millisecond {
+		now := time.Unix(1000, 0).Add(offset * time.Millisecond)
+		w := RetryWindow{ExtraRetries: 1, Length: time.Second}
+		require.True(t, w.TakeRetry(now))
+		require.True(t, w.TakeRetry(now.Add(w.TimeUntilRetry(now))), "%d ms after the begin of a bucket", offset)
+	}
+}
