--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -217,6 +217,8 @@
 		o.possibleRuns-- // apply counts each attempt that was sent.
 		if a.isSecond {
 			o.refusedSeconds++
+			// Endpoints that refused are not asked at once again, since each refusal costs a retry of the budget.
+			p.askAgainAt = s.Timer.Now().Add(min(firstFullTime<<min(o.refusedSeconds-1, 4), maxFullTime))
 		}
 	}
 	o.race.racers[i].isSilent = false // Its endpoint did not stay silent.
@@ -345,6 +347,13 @@
 	return o.sends - o.refusedSeconds, o.possibleRuns, o.breaksAtBegin, o.failure
 }
 
+// hasOther reports whether another attempt is live, which may still give an answer if this one does not.
+func (o *attemptOwner) hasOther(a *liveAttempt) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.ContainsFunc(o.live, func(other *liveAttempt) bool { return other != a })
+}
+
 // mayHaveRun reports whether an endpoint may have run the request or may still do so.
 func (o *attemptOwner) mayHaveRun() bool {
 	o.mu.Lock()
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -58,9 +58,15 @@
 	return timeout + time.Duration(p.timeoutSpread*float64(timeout))
 }
 
-// startTimer starts the timer for the next check. The caller holds mu.
+// startTimer starts the timer for the next check in place of one that runs, which is that of an attempt begun during a check. The
+// caller holds mu.
 func (o *attemptOwner) startTimer(delay time.Duration) {
-	o.timer = o.request.server.Timer.CallAfter(delay, o.check)
+	if o.timer != nil {
+		o.timer.Stop()
+	}
+	o.timer = o.request.server.Timer.CallAfter(delay, func(now time.Time) {
+		go o.check(now) // With hundreds of endpoints, hundreds of silent requests look for places for longer than a second.
+	})
 }
 
 // watch starts the timer for an attempt, unless it runs. The caller holds mu.
@@ -70,7 +76,8 @@
 	}
 }
 
-// check tells the race of endpoints that are silent, and starts the timer for the next check.
+// check tells the race of endpoints that are silent, and starts the timer for the next check. It does nothing after the end of the
+// owner.
 func (o *attemptOwner) check(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -174,7 +181,7 @@
 // placePicker returns a function that chooses an endpoint with capacity that is not excluded and takes a retry of the budget.
 // It may be called while attempts are in progress, with the lock of the queue.
 func (p *proxiedRequest) placePicker(excluded, silent map[string]bool, silentSince time.Time) func() (acquiredEndpoint, bool) {
-	s := p.server
+	s, askAgainAt := p.server, p.askAgainAt
 	var nextTryAt time.Time // The queue tries again with each change of the roster, which may be hundreds of times a second.
 	return func() (acquiredEndpoint, bool) {
 		now := s.Timer.Now()
@@ -189,7 +196,7 @@
 		candidates := s.findCandidates(p.service, p.headers.Model, p.headers.Adapter)
 		if _, ok := chooseEndpoint(candidates, needs); !ok {
 			// An endpoint that failed before is better only than one that is hung.
-			if !isHung {
+			if !isHung || now.Before(askAgainAt) {
 				return acquiredEndpoint{}, false
 			}
 			needs.excluded = silent
@@ -202,6 +209,9 @@
 			return acquiredEndpoint{}, false
 		}
 		e, ok := p.pickCandidate(candidates, needs)
+		if !ok {
+			s.returnRetry(p.service.Name, now) // The endpoint became full or asked for a pause meanwhile.
+		}
 		e.retryAt = now
 		return e, ok
 	}
