afgateway: send the kept error if no further attempt can be made

Cause: a response with a server error is kept for the caller while another endpoint is tried. If none can be, because the budget for repeats is used up or no endpoint has room, the kept response is written and no refusal is returned. The nil pointer was recovered, and the connection closed before the response was sent.

TestKeptErrorIsSentWithoutRepeat failed before with EOF.

Class: the owner of attempts treats "nothing to do" as "go on". Its other results were read: await returns nil only after a failed attempt, a second attempt without a place ends with the place.

Change: takeEndpoint says whether it took an endpoint.

Result: the test passes.

--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -57,8 +57,8 @@
 		p.sends = o.sends // No other goroutine uses the owner any more.
 	}()
 	for {
-		endpoint, refusal := p.takeEndpoint(ctx, o)
-		if refusal != nil {
+		endpoint, isTaken, refusal := p.takeEndpoint(ctx, o)
+		if !isTaken {
 			return refusal
 		}
 		a := o.begin(endpoint)
@@ -96,15 +96,16 @@
 }
 
 // takeEndpoint waits for an endpoint and for what else an attempt needs: a slot, if the endpoint named a limit, and a retry of the
-// budget, unless it is the first attempt.
-func (p *proxiedRequest) takeEndpoint(ctx context.Context, o *attemptOwner) (acquiredEndpoint, *arbutusfork.Refusal) {
+// budget, unless it is the first attempt. It returns false if the request has ended: with the refusal, or without one after it sent
+// the response with a server error that was kept for the caller.
+func (p *proxiedRequest) takeEndpoint(ctx context.Context, o *attemptOwner) (acquiredEndpoint, bool, *arbutusfork.Refusal) {
 	s := p.server
 	sends, possibleRuns, _, failure := o.snapshot()
-	refuse := func(refusal *arbutusfork.Refusal) (acquiredEndpoint, *arbutusfork.Refusal) {
+	refuse := func(refusal *arbutusfork.Refusal) (acquiredEndpoint, bool, *arbutusfork.Refusal) {
 		if ctx.Err() != nil {
-			return acquiredEndpoint{}, p.endCancelled(ctx, o)
+			return acquiredEndpoint{}, false, p.endCancelled(ctx, o)
 		}
-		return acquiredEndpoint{}, p.refuseWithoutEndpoint(o, refusal, failure.cause)
+		return acquiredEndpoint{}, false, p.refuseWithoutEndpoint(o, refusal, failure.cause)
 	}
 	excluded := o.excludedEndpoints()
 	for {
@@ -165,7 +166,7 @@
 			giveUp()
 			continue
 		}
-		return endpoint, nil
+		return endpoint, true, nil
 	}
 }
 
