affact: round the rest of a relayed pause up

Cause: a VM sends the others what is left of a pause in whole milliseconds, rounded down. On a fast link the receiver then ends the pause up to a millisecond before its sender.

Evidence: the request came from vm2, and the report had been read by the other VM.

Ruled out: a clock that lags, since the timer service reads the system's.

Change: the rest is rounded up.

--- a/internal/affact/message.go
+++ b/internal/affact/message.go
@@ -120,8 +120,9 @@
 		if n.AfterLift != 0 {
 			out.PausesAfter = withEntry(out.PausesAfter, len(out.Pauses), n.AfterLift)
 		}
+		left := max(n.Until.Sub(now)+time.Millisecond-1, 0) // Rounded up, so that no VM ends the pause early.
 		out.Pauses = append(out.Pauses, pauseMessage{
-			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs, Number: n.Number, LeftMs: max(n.Until.Sub(now).Milliseconds(), 0),
+			Endpoint: k.Endpoint, StartUnixMs: k.StartUnixMs, HeardBy: n.HeardBy, AgeMs: ageMs, Number: n.Number, LeftMs: left.Milliseconds(),
 		})
 	}
 	return out
