--- a/review/_fleet/crash.go
+++ b/review/_fleet/crash.go
@@ -57,6 +57,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	sound, served := 0, 0
+	var cutAt []time.Time // cutAt holds when sound streams that may not be repeated broke off.
 	newRequest := func(parts string) request {
 		return request{
 			method: "POST", path: "/tag/x", key: "key-one", model: "m0", parts: parts, promptTokens: 646, outputTokens: 69, timeout: 8 * time.Second, body: "{}",
@@ -68,15 +69,24 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(200 * time.Millisecond):
+			case <-time.After(120 * time.Millisecond):
 			}
 			wg.Go(func() {
-				resp := f.send(f.machines[rand.IntN(3)], newRequest("5c1e07a2:93,91bd3f06:62,"+ownPart()+":491"))
+				q := newRequest("5c1e07a2:93,91bd3f06:62," + ownPart() + ":491")
+				isLong := rand.IntN(2) == 0
+				if isLong {
+					q.path, q.outputTokens, q.timeout = "/rewrite/x", 300, 30*time.Second
+				}
+				resp := f.send(f.machines[rand.IntN(3)], q)
 				mu.Lock()
 				defer mu.Unlock()
 				sound++
-				if resp.status == 200 && resp.isComplete {
+				switch {
+				case resp.status == 200 && resp.isComplete:
 					served++
+				case isLong && resp.status == 200:
+					cutAt = append(cutAt, time.Now())
+					f.record.printf("%s is lost: cut in the middle of its answer", resp.id)
 				}
 			})
 		}
@@ -113,5 +123,11 @@
 			f.record.printf("request %s reached %s %.1f s after the fifth crash", a.requestID, a.engine, a.at.Sub(fifth).Seconds())
 		}
 	}
-	return f.verdict(late > 3, "%d requests with the part reached engines later than contact-ms after the fifth crash; %d in all; %d of %d sound requests served", late, len(reached), served, sound), nil
+	lost := 0
+	for _, at := range cutAt {
+		if at.After(fifth.Add(contactTime)) {
+			lost++
+		}
+	}
+	return f.verdict(late > 3, "%d requests with the part reached engines later than contact-ms after the fifth crash, and cut %d accepted streams of others; %d in all; %d of %d sound requests served", late, lost, len(reached), served, sound), nil
 }
--- a/review/_fleet/engine.go
+++ b/review/_fleet/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -34,6 +35,8 @@
 	// tokensPerMs is how fast prompts are read, and eventInterval the time between two events of a stream.
 	tokensPerMs   float64
 	eventInterval time.Duration
+	// status is the status of the answers of a plain service. Zero means 200.
+	status int
 	// maxEvents bounds the events of a stream. Zero means as many as the request allows.
 	maxEvents int
 	// crashPart is the part on which the engine crashes when it begins to write an answer. It then sends no byte of the answer.
@@ -303,6 +306,7 @@
 		text := "done " + id + " " + strconv.Itoa(len(body))
 		w.Header().Set("X-Arbutusfork-Server-Signature", engineID)
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.WriteHeader(cmp.Or(e.status, http.StatusOK))
 		_, _ = io.WriteString(w, text)
 		return
 	}
