--- a/review/_fleet/engine.go
+++ b/review/_fleet/engine.go
@@ -46,6 +46,8 @@
 	// restartTime is how long a crashed engine is gone.
 	restartTime time.Duration
 	onArrival   func(arrival)
+	// onBody is called with the body of each request that runs.
+	onBody func(requestID, body string)
 	// before is called before a request is handled. It returns true if it has answered.
 	before func(e *engine, w http.ResponseWriter, r *http.Request) bool
 
@@ -292,6 +294,9 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	if e.onBody != nil {
+		e.onBody(id, string(body))
+	}
 	e.note(engineID, id, parts, true)
 	e.mu.Lock()
 	e.running++
--- a/review/_fleet/main.go
+++ b/review/_fleet/main.go
@@ -17,7 +17,7 @@
 
 // cases holds the cases by name. Each returns its exit status.
 var cases = map[string]func(f *fleet, isTroubled bool) (int, error){
-	"crash": runCrash, "crash-restart": runCrashRestart, "quota": runQuota, "head": runHead, "status": runStatus,
+	"crash": runCrash, "crash-restart": runCrashRestart, "quota": runQuota, "head": runHead, "status": runStatus, "parts": runParts,
 }
 
 func main() {
