--- a/review/_fleet/parts.go
+++ b/review/_fleet/parts.go
@@ -43,7 +43,7 @@
 			return "POST /pay/x HTTP/1.1\r\nHost: review.example\r\nX-Arbutusfork-Request-Id: " + id +
 				"\r\nX-Arbutusfork-Deadline-Ms: 1500\r\nAuthorization: Bearer key-one\r\n" + framing + "\r\n\r\n"
 		}
-		second, third := "note="+strings.Repeat("a", 100)+"\r\n\r\namount=1", "amount=2"+strings.Repeat("b", 200)
+		second, third := "note="+strings.Repeat("a", 300)+"\r\n\r\namount=1", "amount=2"+strings.Repeat("b", 200)
 		mu.Lock()
 		sent[ids[0]], sent[ids[1]], sent[ids[2]] = "amount=0", second, third
 		mu.Unlock()
