afgateway: refuse answers with an invalid status line

What callers saw: an endpoint in trouble sent an answer with status 000. If the bytes behind its head looked like an answer, the caller got them as one, with the endpoint's signature. An answer with status 600 or 999 reached the caller as the head of a 200 and the end of the connection, and one of HTTP/2.0 or HTTP/0.9 as a 200.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads for a status, and the gateway took every status below 200 for that of an interim answer and read on behind it. No place checked the range from above, nor the version.

Ruled out: a check of the parsed status alone. It does not see "+99", and an interim answer has to be told from an invalid one before the bytes behind it are read as a head.

The reader that shows HTTP/1.0 as HTTP/1.1 now reads the whole status line. It fails at a version other than HTTP/1, at a code that is not three digits in 100 to 599, and at 101, since no request asks to switch protocols. The parser never gets the rest, so that no head becomes complete. The attempt fails like one whose answer broke off: a request that may be repeated goes to another endpoint, any other gets a 502 without a signature, and nothing that the head says is believed. The package moves to pkg/, where the client of the store can use it too.

Already handled: 000 to 099 and 101 with nothing behind them that looks like an answer ended as failures before, too. The tests keep these cases.

--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"arbutusfork.example/arbutusfork/internal/afhead"
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 	"arbutusfork.example/arbutusfork/pkg/afretry"
 )
 
@@ -35,7 +35,7 @@
 type sealableConn struct {
 	net.Conn
 	// version reads from Conn. Only the transport's reader uses it before the head of the first response is complete.
-	version    afhead.VersionReader
+	version    afhead.Reader
 	mu         sync.Mutex
 	writeCount int
 	isSealed   bool
@@ -119,7 +119,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: c, version: afhead.VersionReader{Reader: c}}, nil
+			return &sealableConn{Conn: c, version: afhead.Reader{Reader: c}}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -14,8 +14,8 @@
 
 	"github.com/go-faster/errors"
 
-	"arbutusfork.example/arbutusfork/internal/afhead"
 	"arbutusfork.example/arbutusfork/internal/afmemory"
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 )
 
 const (
@@ -57,7 +57,7 @@
 		return nil, &sendError{err: errors.Wrap(err, "connect")}
 	}
 	ex := &exchange{conn: conn, reader: readerPool.Get().(*bufio.Reader)}
-	ex.head = afmemory.HeadLimiter{Reader: &afhead.VersionReader{Reader: conn}, RemainingBytes: maxHeadBytes}
+	ex.head = afmemory.HeadLimiter{Reader: &afhead.Reader{Reader: conn}, RemainingBytes: maxHeadBytes}
 	ex.reader.Reset(&ex.head)
 	ex.stopCancelWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := make(chan struct{})
--- /dev/null
+++ b/pkg/afhead/reader.go
@@ -0,0 +1,141 @@
+// Package afhead checks the heads of answers. net/http accepts some that HTTP/1.1 does not allow, so that an answer that was damaged on
+// its way looks sound.
+package afhead
+
+import (
+	"io"
+	"net/http"
+)
+
+// maxShownBytes is how many bytes of a malformed line an error shows. It is more than the part of a status line that is checked.
+const maxShownBytes = 40
+
+// statusLineStart is the form of the beginning of a status line, in which a 0 stands for any digit. A space or the end of the line follows.
+const statusLineStart = "HTTP/1.0 000"
+
+// position is the part of an answer to which the next byte belongs.
+type position int
+
+const (
+	inStatusLine position = iota
+	inFields
+	inBody
+)
+
+// Reader reads answers from a connection and fails where the head of one is malformed, so that this head never becomes complete. Interim
+// (1xx) answers are checked too. The head of the first answer begins with the first byte.
+//
+// It shows the version of HTTP/1.0 answers as HTTP/1.1. net/http drops the Transfer-Encoding header of an HTTP/1.0 answer and takes
+// the chunks for a body that ends with the connection, so that an answer that breaks off looks complete.
+type Reader struct {
+	Reader io.Reader
+
+	position position
+	// line holds the first bytes of the current line, of which lineLength bytes were read.
+	line       [maxShownBytes]byte
+	lineLength int
+	// status is the status code of the latest status line.
+	status int
+	// isOldVersion means that the version of the latest status line is HTTP/1.0.
+	isOldVersion bool
+	// err is the error of a malformed head. All later reads fail with it.
+	err error
+}
+
+// Read reads from the reader. It returns an *Error if a head is malformed, after the bytes before the malformed part.
+func (r *Reader) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.Reader.Read(b)
+	for i := 0; i < n && r.position != inBody; i++ {
+		isInStatusLine := r.position == inStatusLine
+		if b[i], r.err = r.check(b[i]); r.err == nil {
+			continue
+		}
+		if isInStatusLine {
+			i++ // A transport that gets no byte of an answer at all may send the request again.
+		}
+		if i > 0 {
+			return i, nil
+		}
+		return 0, r.err
+	}
+	return n, err
+}
+
+// IsOldVersion reports whether the latest answer has the version HTTP/1.0.
+func (r *Reader) IsOldVersion() bool { return r.isOldVersion }
+
+// check checks the next byte of a head and returns the byte in its place.
+func (r *Reader) check(c byte) (byte, error) {
+	i := r.lineLength
+	if i < maxShownBytes {
+		r.line[i] = c
+	}
+	r.lineLength++
+	if r.position == inStatusLine {
+		return r.checkStatusLine(i, c)
+	}
+	if c == '\n' {
+		r.endFieldLine()
+	}
+	return c, nil
+}
+
+// checkStatusLine checks the byte at an index of a status line.
+func (r *Reader) checkStatusLine(i int, c byte) (byte, error) {
+	const minorIndex, firstDigit = len("HTTP/1."), len("HTTP/1.0 ")
+	switch {
+	case i > len(statusLineStart):
+	case i == len(statusLineStart):
+		if c != ' ' && c != '\r' && c != '\n' {
+			return c, r.newError(StatusLine)
+		}
+	case statusLineStart[i] == '0':
+		if c < '0' || c > '9' {
+			return c, r.newError(StatusLine)
+		}
+		if i >= firstDigit {
+			r.status = r.status*10 + int(c-'0')
+		}
+	case statusLineStart[i] != c:
+		return c, r.newError(StatusLine)
+	}
+	switch {
+	case i == minorIndex:
+		r.status, r.isOldVersion = 0, c == '0'
+		if r.isOldVersion {
+			c = '1'
+		}
+	case i == len(statusLineStart)-1 && !isValidStatus(r.status):
+		return c, r.newError(StatusCode)
+	case c == '\n':
+		r.position, r.lineLength = inFields, 0
+	}
+	return c, nil
+}
+
+// endFieldLine ends a line of the head. An empty one ends the head.
+func (r *Reader) endFieldLine() {
+	if r.lineLength == 1 || r.lineLength == 2 && r.line[0] == '\r' {
+		r.position = inBody
+		if isInterim(r.status) {
+			r.position = inStatusLine
+		}
+	}
+	r.lineLength = 0
+}
+
+// newError returns the error of the current line.
+func (r *Reader) newError(kind ErrorKind) error {
+	return &Error{Op: "read head", Kind: kind, Text: string(r.line[:min(r.lineLength, maxShownBytes)])}
+}
+
+// isValidStatus reports whether an answer may have the status. No request asks to switch protocols.
+func isValidStatus(status int) bool {
+	return status >= http.StatusContinue && status <= 599 && status != http.StatusSwitchingProtocols
+}
+
+// isInterim reports whether the status is that of an interim answer.
+func isInterim(status int) bool { return status < http.StatusOK }
--- /dev/null
+++ b/pkg/afhead/reader_test.go
@@ -0,0 +1,97 @@
+package afhead
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// soundAnswers are answers that HTTP/1.1 allows, with the body "ok".
+var soundAnswers = map[string]string{
+	"length":                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"no length":               "HTTP/1.1 200 OK\r\n\r\nok",
+	"no text of the status":   "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
+	"odd text of the status":  "HTTP/1.1 200 a \xe4 000\r\nContent-Length: 2\r\n\r\nok",
+	"line feeds":              "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+	"interim":                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"interim with line feeds": "HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"version 1.0":             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"version 1.7":             "HTTP/1.7 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"lowest status":           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"highest status":          "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok",
+	"fields":                  "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Blank:  \t \r\nX-Colon: a : b\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// readAnswer reads the first answer that is not an interim one.
+func readAnswer(r io.Reader) (body string, err error) {
+	b := bufio.NewReader(r)
+	for {
+		resp, err := http.ReadResponse(b, nil)
+		if err != nil {
+			return "", err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			body, err := io.ReadAll(resp.Body)
+			return string(body), err
+		}
+	}
+}
+
+// readInParts calls fn with readers that return the text in one part, in two parts of each length, and byte by byte.
+func readInParts(text string, fn func(r io.Reader)) {
+	for n := range len(text) {
+		fn(io.MultiReader(strings.NewReader(text[:n]), strings.NewReader(text[n:])))
+	}
+	fn(iotest.OneByteReader(strings.NewReader(text)))
+}
+
+// Guards against sound answers that are refused or changed, in whichever parts they arrive.
+func TestSoundAnswersPass(t *testing.T) {
+	for name, answer := range soundAnswers {
+		readInParts(answer, func(r io.Reader) {
+			reader := &Reader{Reader: r}
+			body, err := readAnswer(reader)
+			require.NoError(t, err, name)
+			require.Equal(t, "ok", body, name)
+			require.Equal(t, name == "version 1.0", reader.IsOldVersion(), name)
+		})
+	}
+}
+
+// Guards against an answer with a malformed status line of which a part looks like an answer, in whichever parts it arrives.
+func TestMalformedStatusLinesFail(t *testing.T) {
+	const rest = "\r\nContent-Length: 2\r\n\r\nok"
+	for line, kind := range map[string]ErrorKind{
+		"HTTP/1.1 000 OK": StatusCode, "HTTP/1.1 099 OK": StatusCode, "HTTP/1.1 600 Odd": StatusCode, "HTTP/1.1 999": StatusCode, "HTTP/1.1 101 Odd": StatusCode,
+		"HTTP/1.1 +99 OK": StatusLine, "HTTP/1.1 -00 OK": StatusLine, "HTTP/1.1 20 OK": StatusLine, "HTTP/1.1 2000 OK": StatusLine,
+		"HTTP/1.1  200 OK": StatusLine, "HTTP/1.1\t200 OK": StatusLine, "HTTP/2.0 200 OK": StatusLine, "HTTP/0.9 200 OK": StatusLine,
+		"HTTP/1.10 200 OK": StatusLine, "http/1.1 200 OK": StatusLine, " HTTP/1.1 200 OK": StatusLine, "200 OK": StatusLine, "": StatusLine,
+	} {
+		for _, answer := range []string{line + rest, "HTTP/1.1 100 Continue\r\n\r\n" + line + rest, line + "\r\n\r\nHTTP/1.1 200 OK" + rest} {
+			readInParts(answer, func(r io.Reader) {
+				reader := &Reader{Reader: r}
+				_, err := readAnswer(reader)
+				require.Error(t, err, "%q", answer)
+				_, err = reader.Read(make([]byte, 1))
+				var malformed *Error
+				require.ErrorAs(t, err, &malformed, "%q", answer)
+				require.Equal(t, kind, malformed.Kind, "%q", answer)
+			})
+		}
+	}
+}
+
+// Guards against a transport that sends a request again because the first byte of an answer is malformed.
+func TestMalformedFirstByteIsRead(t *testing.T) {
+	reader := &Reader{Reader: strings.NewReader("\nHTTP/1.1 200 OK\r\n\r\n")}
+	n, err := reader.Read(make([]byte, 100))
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	_, err = reader.Read(make([]byte, 100))
+	require.EqualError(t, err, `read head: malformed status line "\n"`)
+}
