afhead: refuse heads with a malformed field name or line end

What callers saw: an endpoint in trouble sent an answer in whose head the name of a field held a blank. The caller got it as a 200 with the endpoint's signature: with that line passed on, or, where the line was Content-Length or Transfer-Encoding, with another body: chunk sizes as a part of it, or bytes up to the end of the connection. A blank or a line feed in front of a name did the same: the line was joined to the value before it, or ended the head early, so that the rest of the head began the body.

It refuses all other control bytes in names already; the tests keep these cases.

Ruled out: a check of the parsed names. A line that was joined to another one, or that ended the head, has no name any more.

The reader of heads now checks each line: a name is a token and is followed by its colon, and all lines of a head end like its status line. HTTP/1.1 lets a gateway discard answers with folded lines, and leaves line feeds alone to the receiver; heads that consist of lines with line feeds only are still read. Interim answers are checked in the same way.

--- a/pkg/afhead/error.go
+++ b/pkg/afhead/error.go
@@ -13,6 +13,10 @@
 	StatusLine ErrorKind = iota // malformed status line
 	// StatusCode means that a status code is outside of 100 to 599, or 101, which only answers a request to switch protocols.
 	StatusCode // invalid status code
+	// FieldName means that the name of a field is empty or contains a byte that names cannot have, or that a line has no name.
+	FieldName // malformed field name
+	// LineEnd means that some lines of a head end with CR and LF and others with LF alone.
+	LineEnd // malformed end of a line
 )
 
 // Error describes what is malformed in an answer.
--- a/pkg/afhead/error_string.go
+++ b/pkg/afhead/error_string.go
@@ -10,11 +10,13 @@
 	var x [1]struct{}
 	_ = x[StatusLine-0]
 	_ = x[StatusCode-1]
+	_ = x[FieldName-2]
+	_ = x[LineEnd-3]
 }
 
-const _ErrorKind_name = "malformed status lineinvalid status code"
+const _ErrorKind_name = "malformed status lineinvalid status codemalformed field namemalformed end of a line"
 
-var _ErrorKind_index = [...]uint8{0, 21, 40}
+var _ErrorKind_index = [...]uint8{0, 21, 40, 60, 83}
 
 func (i ErrorKind) String() string {
 	idx := int(i) - 0
--- a/pkg/afhead/reader.go
+++ b/pkg/afhead/reader.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 )
 
 // maxShownBytes is how many bytes of a malformed line an error shows. It is more than the part of a status line that is checked.
@@ -18,7 +19,9 @@
 
 const (
 	inStatusLine position = iota
-	inFields
+	// inFieldName means at the beginning of a line or in the name of a field.
+	inFieldName
+	inFieldValue
 	inBody
 )
 
@@ -36,6 +39,10 @@
 	lineLength int
 	// status is the status code of the latest status line.
 	status int
+	// lastByte is the byte before the next one.
+	lastByte byte
+	// hasCR means that the lines of the head end with CR and LF.
+	hasCR bool
 	// isOldVersion means that the version of the latest status line is HTTP/1.0.
 	isOldVersion bool
 	// err is the error of a malformed head. All later reads fail with it.
@@ -74,13 +81,20 @@
 		r.line[i] = c
 	}
 	r.lineLength++
-	if r.position == inStatusLine {
-		return r.checkStatusLine(i, c)
-	}
-	if c == '\n' {
-		r.endFieldLine()
+	var err error
+	switch r.position {
+	case inStatusLine:
+		c, err = r.checkStatusLine(i, c)
+	case inFieldName:
+		err = r.checkFieldName(i, c)
+	case inFieldValue:
+		if c == '\n' {
+			err = r.endFieldLine()
+		}
+	case inBody:
 	}
-	return c, nil
+	r.lastByte = c
+	return c, err
 }
 
 // checkStatusLine checks the byte at an index of a status line.
@@ -111,20 +125,42 @@
 	case i == len(statusLineStart)-1 && !isValidStatus(r.status):
 		return c, r.newError(StatusCode)
 	case c == '\n':
-		r.position, r.lineLength = inFields, 0
+		r.hasCR = r.lastByte == '\r'
+		r.position, r.lineLength = inFieldName, 0
 	}
 	return c, nil
 }
 
-// endFieldLine ends a line of the head. An empty one ends the head.
-func (r *Reader) endFieldLine() {
-	if r.lineLength == 1 || r.lineLength == 2 && r.line[0] == '\r' {
-		r.position = inBody
+// checkFieldName checks the byte at an index of a line that is in the name of a field or ends the head. A line that begins with a blank is
+// malformed, although it may continue the value before it in an old form: after damage to a name it would hide that field.
+func (r *Reader) checkFieldName(i int, c byte) error {
+	isAfterCR := r.lastByte == '\r'
+	switch {
+	case c == '\n' && (i == 0 || isAfterCR):
+		if isAfterCR != r.hasCR {
+			return r.newError(LineEnd)
+		}
+		r.position, r.lineLength = inBody, 0
 		if isInterim(r.status) {
 			r.position = inStatusLine
 		}
+	case c == '\r' && i == 0:
+	case c == ':' && i > 0 && !isAfterCR:
+		r.position = inFieldValue
+	case !isTokenByte(c) || isAfterCR:
+		return r.newError(FieldName)
+	}
+	return nil
+}
+
+// endFieldLine ends a line with a field. A line whose end differs from that of the status line may be a part of one whose name contains a
+// line feed, which would end the head early.
+func (r *Reader) endFieldLine() error {
+	if (r.lastByte == '\r') != r.hasCR {
+		return r.newError(LineEnd)
 	}
-	r.lineLength = 0
+	r.position, r.lineLength = inFieldName, 0
+	return nil
 }
 
 // newError returns the error of the current line.
@@ -139,3 +175,12 @@
 
 // isInterim reports whether the status is that of an interim answer.
 func isInterim(status int) bool { return status < http.StatusOK }
+
+// isTokenByte reports whether the name of a field may contain the byte.
+func isTokenByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
--- a/pkg/afhead/reader_test.go
+++ b/pkg/afhead/reader_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// requireMalformed requires that the first answer fails because its head is malformed.
+func requireMalformed(t *testing.T, kind ErrorKind, answer string) {
+	t.Helper()
+	readInParts(answer, func(r io.Reader) {
+		reader := &Reader{Reader: r}
+		body, err := readAnswer(reader)
+		require.Error(t, err, "%q has the body %q", answer, body)
+		_, err = reader.Read(make([]byte, 1)) // The parser may have found another error in the bytes before.
+		var malformed *Error
+		require.ErrorAs(t, err, &malformed, "%q", answer)
+		require.Equal(t, kind, malformed.Kind, "%q", answer)
+	})
+}
+
 // readInParts calls fn with readers that return the text in one part, in two parts of each length, and byte by byte.
 func readInParts(text string, fn func(r io.Reader)) {
 	for n := range len(text) {
@@ -73,19 +87,38 @@
 		"HTTP/1.10 200 OK": StatusLine, "http/1.1 200 OK": StatusLine, " HTTP/1.1 200 OK": StatusLine, "200 OK": StatusLine, "": StatusLine,
 	} {
 		for _, answer := range []string{line + rest, "HTTP/1.1 100 Continue\r\n\r\n" + line + rest, line + "\r\n\r\nHTTP/1.1 200 OK" + rest} {
-			readInParts(answer, func(r io.Reader) {
-				reader := &Reader{Reader: r}
-				_, err := readAnswer(reader)
-				require.Error(t, err, "%q", answer)
-				_, err = reader.Read(make([]byte, 1))
-				var malformed *Error
-				require.ErrorAs(t, err, &malformed, "%q", answer)
-				require.Equal(t, kind, malformed.Kind, "%q", answer)
-			})
+			requireMalformed(t, kind, answer)
+		}
+	}
+}
+
+// Guards against an answer with a malformed line in its head of which a part looks like an answer, in whichever parts it arrives.
+func TestMalformedFieldLinesFail(t *testing.T) {
+	const status, rest = "HTTP/1.1 200 OK\r\nX-A: 1\r\n", "\r\nContent-Length: 2\r\n\r\nok"
+	for line, kind := range map[string]ErrorKind{
+		"X B: 1": FieldName, "X-B : 1": FieldName, " X-B: 1": FieldName, "\tX-B: 1": FieldName, "X-B\t: 1": FieldName, "X\x00B: 1": FieldName,
+		"X\x1fB: 1": FieldName, "X\x7fB: 1": FieldName, "X\xffB: 1": FieldName, "X\rB: 1": FieldName, "\rX-B: 1": FieldName, "X\nB: 1": FieldName,
+		"X(B: 1": FieldName, "X\"B: 1": FieldName, "X/B: 1": FieldName, ": 1": FieldName, "X-B": FieldName, "\r:": FieldName, "\r\r": FieldName,
+		"\nX-B: 1": LineEnd, "X-B: 1\nX-C: 1": LineEnd, "X-B: 1\n": LineEnd,
+	} {
+		for _, answer := range []string{
+			status + line + rest, "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + status + rest[2:], "HTTP/1.1 100 Continue\r\n\r\n" + status + line + rest,
+		} {
+			requireMalformed(t, kind, answer)
 		}
 	}
 }
 
+// Guards against a line feed in a name that ends a head with other line ends early.
+func TestLineEndsDoNotMix(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\nContent-Length: 2\n\r\nok", "HTTP/1.1 200 OK\nContent-Length: 2\r\n\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\n\r\nok",
+		"HTTP/1.1 200 OK\n\r\nok", "HTTP/1.1 200 OK\r\n\nok",
+	} {
+		requireMalformed(t, LineEnd, answer)
+	}
+}
+
 // Guards against a transport that sends a request again because the first byte of an answer is malformed.
 func TestMalformedFirstByteIsRead(t *testing.T) {
 	reader := &Reader{Reader: strings.NewReader("\nHTTP/1.1 200 OK\r\n\r\n")}
