afhead: take an answer with a malformed trailer for a broken one

What callers saw: the name of a field in the trailer section of a chunked answer held a blank, and the answer reached the caller as a whole one.

Cause: the parser of net/http that accepts blanks in names reads trailers too. A control byte there already let the reading of the body fail.

The body of a chunked answer now fails at its end in both cases, so that the paths for broken answers apply: a short answer is repeated at another endpoint if it may be, and becomes a 502 otherwise; a long one or a stream, of which the caller has a part, ends without its last chunk.

Not covered: a trailer line that begins with a blank and follows another one is joined to it by net/http. The gateway relays no trailers and the body is whole by its chunks, so that the caller gets the endpoint's answer.

TestCheckTrailer keeps sound trailers, announced or not.

--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -91,6 +91,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			ex.head.IsHeadComplete = true
+			afhead.CheckTrailer(resp)
 			return resp, nil
 		}
 	}
