afdispatch: check every answer on a kept connection, and trailers

What callers of serve saw: the second or a later answer on a kept connection had the status 000, another version, or a blank in the name of a field, or the trailer of any answer had one, and the caller got it as an answer.

Cause: net/http accepts such answers, as for the gateway. The reader on the connection checked the head of the first answer only, since it cannot know where the next one begins.

afhead.Conn checks the first bytes after a request as the head of its answer, and afhead.Transport tells it when a request begins and checks what net/http has parsed, for connections that are no Conns, and trailers. A malformed answer is an error of the transport, so that the call may have run: one that is idempotent is sent again on another connection within the budget, any other fails with the outcome unknown, also if the head says "not run".

Ruled out: an error before any byte of an answer was handed on. http.Transport sends a request on a kept connection again then, outside the budget; the reader hands on a malformed first byte (TestMalformedFirstByteIsRead).

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -109,7 +109,7 @@
 func (t *connTracker) isOldVersion() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.conn != nil && t.conn.version.IsOldVersion()
+	return t.conn != nil && t.conn.IsOldVersion()
 }
 
 func (t *connTracker) isReused() bool {
--- a/internal/afdispatch/conn.go
+++ b/internal/afdispatch/conn.go
@@ -33,17 +33,12 @@
 // sealableConn is a connection to an endpoint that counts its writes and can refuse further ones, so that the caller
 // learns whether bytes of a request were passed to the operating system.
 type sealableConn struct {
-	net.Conn
-	// version reads from Conn. Only the transport's reader uses it before the head of the first response is complete.
-	version    afhead.Reader
+	*afhead.Conn
 	mu         sync.Mutex
 	writeCount int
 	isSealed   bool
 }
 
-// Read reads received bytes.
-func (c *sealableConn) Read(b []byte) (int, error) { return c.version.Read(b) }
-
 // Write passes the bytes to the operating system unless the connection is sealed.
 func (c *sealableConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -77,38 +72,41 @@
 // transportPool holds one transport per address, so that the idle connections to one endpoint can be closed.
 type transportPool struct {
 	mu        sync.Mutex
-	byAddress map[string]*http.Transport
-	singleUse *http.Transport
+	byAddress map[string]*afhead.Transport
+	singleUse *afhead.Transport
 }
 
 // singleUseTransport returns the transport for calls that are not idempotent. It opens a connection for each call, which
 // takes about a millisecond. If a reused connection had died while idle, the outcome of the call would be unknown.
-func (p *transportPool) singleUseTransport() *http.Transport {
+func (p *transportPool) singleUseTransport() *afhead.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.singleUse == nil {
-		p.singleUse = newTransport()
-		p.singleUse.DisableKeepAlives = true
+		base := newBaseTransport()
+		base.DisableKeepAlives = true
+		p.singleUse = &afhead.Transport{Base: base}
 	}
 	return p.singleUse
 }
 
 // transportFor returns the transport for idempotent calls to the address. It creates the transport if needed.
-func (p *transportPool) transportFor(address string) *http.Transport {
+func (p *transportPool) transportFor(address string) *afhead.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.byAddress[address]; t != nil {
 		return t
 	}
 	if p.byAddress == nil {
-		p.byAddress = make(map[string]*http.Transport)
+		p.byAddress = make(map[string]*afhead.Transport)
 	}
 	t := newTransport()
 	p.byAddress[address] = t
 	return t
 }
 
-func newTransport() *http.Transport {
+func newTransport() *afhead.Transport { return &afhead.Transport{Base: newBaseTransport()} }
+
+func newBaseTransport() *http.Transport {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -119,7 +117,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: c, version: afhead.Reader{Reader: c}}, nil
+			return &sealableConn{Conn: afhead.NewConn(c)}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
--- a/pkg/afhead/reader.go
+++ b/pkg/afhead/reader.go
@@ -55,7 +55,12 @@
 		return 0, r.err
 	}
 	n, err := r.Reader.Read(b)
-	for i := 0; i < n && r.position != inBody; i++ {
+	return r.checkPart(b[:n], err)
+}
+
+// checkPart checks the bytes that were read with the error and returns what Read returns for them.
+func (r *Reader) checkPart(b []byte, err error) (int, error) {
+	for i := 0; i < len(b) && r.position != inBody; i++ {
 		isInStatusLine := r.position == inStatusLine
 		if b[i], r.err = r.check(b[i]); r.err == nil {
 			continue
@@ -68,7 +73,7 @@
 		}
 		return 0, r.err
 	}
-	return n, err
+	return len(b), err
 }
 
 // IsOldVersion reports whether the latest answer has the version HTTP/1.0.
