afobject: count malformed answers of the store as lost

What was seen: an answer of the store with status 000, with another version, or with a blank in the name of a field or trailer counted. A conditional write with status 000 counted as executed, a malformed 404, 409 or 410 as the state of the object, and a malformed 429 as "the write was not executed". A field whose name was joined to the line before it, such as the era, was missing.

Cause: the client took every status below 300 for success and left the rest to net/http, which accepts these answers.

All calls and watches now go through afhead.Transport, and the connections of the shared client and of the gateway check heads. A read or watch without a sound answer fails as "platform unavailable", a write as "outcome unknown", so that the writer reads the object to find out. The era of such an answer is not recorded.

Ruled out: a check in doCall alone. Watches have a path of their own, and a joined line cannot be told there.

--- a/internal/afnode/status.go
+++ b/internal/afnode/status.go
@@ -13,6 +13,7 @@
 	"arbutusfork.example/arbutusfork/internal/afaccept"
 	"arbutusfork.example/arbutusfork/internal/affeed"
 	"arbutusfork.example/arbutusfork/internal/afmemory"
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 )
 
 const (
@@ -86,7 +87,7 @@
 		Timeout:         platformCallTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdleConnTimeout, MaxResponseHeaderBytes: platformMaxHeadBytes}
+	return &http.Transport{DialContext: afhead.DialConns(d.DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdleConnTimeout, MaxResponseHeaderBytes: platformMaxHeadBytes}
 }
 
 // newIgnoredObjects registers and returns the counter of the objects of the platform that were left out.
--- a/pkg/afobject/client.go
+++ b/pkg/afobject/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 	"arbutusfork.example/arbutusfork/pkg/afversion"
 )
 
@@ -37,7 +38,8 @@
 	// BaseURL is the scheme and host of the platform, without a path.
 	BaseURL string
 	// HTTPClient sends the requests. Nil means an http.Client that all Clients share. Streaming watches use a copy
-	// whose transport opens a new connection for each request.
+	// whose transport opens a new connection for each request. Malformed answers are found more reliably if the
+	// connections of its transport are opened by afhead.DialConns.
 	HTTPClient *http.Client
 	// Timeout limits the duration of each call other than a watch. Zero means 2 s.
 	Timeout time.Duration
@@ -60,8 +62,9 @@
 	eras    eraTracker
 	answers answerReader
 
-	watchClientOnce   sync.Once
-	cachedWatchClient *http.Client
+	httpClientsOnce sync.Once
+	// callClient and watchClient send the requests. They are set by httpClientsOnce.
+	callClient, watchClient *http.Client
 }
 
 // wireMetadata is the JSON form of the metadata of an object or a list.
@@ -301,31 +304,43 @@
 
 // sharedHTTPClient serves all Clients without an HTTPClient, so that they share its idle connections.
 var sharedHTTPClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: defaultCallTimeout}).DialContext,
+	DialContext:         afhead.DialConns((&net.Dialer{Timeout: defaultCallTimeout}).DialContext),
 	MaxIdleConnsPerHost: 16,
 	IdleConnTimeout:     30 * time.Second,
 
 	MaxResponseHeaderBytes: maxAnswerHeadBytes,
 }}
 
-func (c *Client) httpClient() *http.Client {
-	if c.HTTPClient != nil {
-		return c.HTTPClient
+// initHTTPClients sets the clients that send the requests. Their transports fail for malformed answers, so that these count as lost.
+func (c *Client) initHTTPClients() {
+	base := c.HTTPClient
+	if base == nil {
+		base = sharedHTTPClient
+	}
+	transport := base.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
 	}
-	return sharedHTTPClient
+	callClient, watchClient := *base, *base
+	callClient.Transport = &afhead.Transport{Base: transport}
+	if t, ok := transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		transport = t
+	}
+	watchClient.Transport = &afhead.Transport{Base: transport}
+	c.callClient, c.watchClient = &callClient, &watchClient
+}
+
+// httpClient returns the client for calls other than streaming watches.
+func (c *Client) httpClient() *http.Client {
+	c.httpClientsOnce.Do(c.initHTTPClients)
+	return c.callClient
 }
 
 // watchHTTPClient returns an HTTP client that opens a new connection for each request, because an idle connection may
 // have stopped delivering data unnoticed.
 func (c *Client) watchHTTPClient() *http.Client {
-	c.watchClientOnce.Do(func() {
-		watchClient := *c.httpClient()
-		if transport, ok := watchClient.Transport.(*http.Transport); ok {
-			transport = transport.Clone()
-			transport.DisableKeepAlives = true
-			watchClient.Transport = transport
-		}
-		c.cachedWatchClient = &watchClient
-	})
-	return c.cachedWatchClient
+	c.httpClientsOnce.Do(c.initHTTPClients)
+	return c.watchClient
 }
