afserve: do not take malformed answers for the status or order of an endpoint

What was seen in serve: the status of an endpoint counted although a name in the head or trailer held a blank or its version was another one. An order that was answered with status 000 or 600, or with a malformed 503, counted as refused, and one with a malformed 409 as overtaken, although the endpoint may carry it out.

Cause: net/http accepts these answers; the order's outcome followed from the status alone. The status was decoded without reading its body to the end, so that what follows the JSON was never seen.

The client for statuses and orders uses afhead.Transport on connections that check heads. After a malformed answer, the answer to an order counts as lost, so that the endpoint's next status decides. The status is read to its end.

Already handled: a status of 000 made no endpoint status before.

--- a/internal/afcontrol/endpoint.go
+++ b/internal/afcontrol/endpoint.go
@@ -113,7 +113,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return st, &Error{Op: "status " + ep.Name, Kind: EndpointUnreachable}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&st); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes)) // Only at its end is a body known to be whole.
+	if err != nil {
+		return st, &Error{Op: "status " + ep.Name, Kind: EndpointUnreachable, Err: err}
+	}
+	if err := json.Unmarshal(body, &st); err != nil {
 		return st, &Error{Op: "status " + ep.Name, Kind: MalformedMessage, Err: err}
 	}
 	return st, nil
--- a/internal/afserve/server.go
+++ b/internal/afserve/server.go
@@ -26,6 +26,7 @@
 	"arbutusfork.example/arbutusfork/internal/afquota"
 	"arbutusfork.example/arbutusfork/internal/afsettings"
 	"arbutusfork.example/arbutusfork/internal/afsync"
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 	"arbutusfork.example/arbutusfork/pkg/afmember"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
@@ -182,5 +183,6 @@
 	transport.Proxy = nil
 	// On a kept connection, a second copy of an earlier answer would count as the status or as the answer to an order.
 	transport.DisableKeepAlives = true
-	return &http.Client{Transport: transport}
+	transport.DialContext = afhead.DialConns(transport.DialContext)
+	return &http.Client{Transport: &afhead.Transport{Base: transport}}
 }
