afverb: report malformed answers of the server as errors

What operators saw: the operators' verbs reported a change as accepted after an answer with status 000 or a malformed head or trailer, and as refused after a malformed 409. Status 600 was shown as a refusal.

Cause: every status below 400 counted as success, and net/http accepts these answers.

The client uses afhead.Transport on connections that check heads, so that such an answer is "server unreachable", as one that breaks off: the operator looks at the object before sending the change again.

--- a/internal/afverb/program.go
+++ b/internal/afverb/program.go
@@ -17,6 +17,7 @@
 
 	"arbutusfork.example/arbutusfork/internal/afsettings"
 	"arbutusfork.example/arbutusfork/pkg/afcheck"
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 )
 
 // The exit codes of the program.
@@ -228,7 +229,9 @@
 	}
 	sendRequest := p.SendRequest
 	if sendRequest == nil {
-		sendRequest = (&http.Client{Timeout: callTimeout}).Do
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.DialContext = afhead.DialConns(transport.DialContext)
+		sendRequest = (&http.Client{Transport: &afhead.Transport{Base: transport}, Timeout: callTimeout}).Do
 	}
 	return client{baseURL: baseURL, token: p.token, sendRequest: sendRequest}
 }
