afhead: name the malformed line in errors

What operators saw: the cause of a failed attempt was one of the parser's errors about the part of the line before the malformed byte, such as `missing colon: "X"` for the name "X Odd".

Cause: the reader handed on the bytes before the malformed one, and the line reader of net/textproto takes a line that ends with an error for a whole one.

It hands on whole lines only now, the malformed status line among them, so that the parser has nothing to report before the next read, which fails with the reader's own error. A head still never becomes complete, and a transport still gets the first byte of each answer.

Evidence: TestErrorsNameTheMalformedPart, which fails before.

--- a/internal/afserve/endpoint_test.go
+++ b/internal/afserve/endpoint_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/pkg/afhead"
 )
 
 // TestEndpointClientRefusesMalformedAnswers guards against a malformed answer that counts as the status of an endpoint, or as the answer to an
@@ -50,6 +52,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Odd: 1\r\n\r\n",
 	} {
 		body, err := fetch(answer)
-		require.Error(t, err, "%q has the body %q", answer, body)
+		var malformed *afhead.Error
+		require.ErrorAs(t, err, &malformed, "%q has the body %q", answer, body)
 	}
 }
--- a/pkg/afhead/reader.go
+++ b/pkg/afhead/reader.go
@@ -3,6 +3,7 @@
 package afhead
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -49,7 +50,8 @@
 	err error
 }
 
-// Read reads from the reader. It returns an *Error if a head is malformed, after the bytes before the malformed part.
+// Read reads from the reader. It returns an *Error if a head is malformed, after the lines before the malformed one. A malformed status line
+// is returned too, since a head needs more than that.
 func (r *Reader) Read(b []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
@@ -60,22 +62,33 @@
 
 // checkPart checks the bytes that were read with the error and returns what Read returns for them.
 func (r *Reader) checkPart(b []byte, err error) (int, error) {
+	lineStart := 0
 	for i := 0; i < len(b) && r.position != inBody; i++ {
 		isInStatusLine := r.position == inStatusLine
-		if b[i], r.err = r.check(b[i]); r.err == nil {
-			continue
+		b[i], r.err = r.check(b[i])
+		switch {
+		case r.err != nil && isInStatusLine:
+			// A transport that gets no byte of an answer may send the request again.
+			return i + lineLength(b[i:]), nil
+		case r.err != nil && lineStart > 0:
+			return lineStart, nil
+		case r.err != nil:
+			return 0, r.err
+		case r.lineLength == 0:
+			lineStart = i + 1
 		}
-		if isInStatusLine {
-			i++ // A transport that gets no byte of an answer at all may send the request again.
-		}
-		if i > 0 {
-			return i, nil
-		}
-		return 0, r.err
 	}
 	return len(b), err
 }
 
+// lineLength returns the length of the first line of b with its end.
+func lineLength(b []byte) int {
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(b)
+}
+
 // IsOldVersion reports whether the latest answer has the version HTTP/1.0.
 func (r *Reader) IsOldVersion() bool { return r.isOldVersion }
 
--- a/pkg/afhead/reader_test.go
+++ b/pkg/afhead/reader_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// Guards against an error that shows a part of a line, which says less than the line.
+func TestErrorsNameTheMalformedPart(t *testing.T) {
+	for answer, want := range map[string]string{
+		"HTTP/1.1 000 OK\r\nX-A: 1\r\n\r\n":                       `read head: invalid status code "HTTP/1.1 000"`,
+		"HTTP/2.0 200 OK\r\nX-A: 1\r\n\r\n":                       `read head: malformed status line "HTTP/2"`,
+		"HTTP/1.1 200 OK\r\nX-A: 1\r\nX Odd: 1\r\n\r\n":           `read head: malformed field name "X "`,
+		"HTTP/1.1 200 OK\r\nX-A: 1\r\n Content-Length: 1\r\n\r\n": `read head: malformed field name " "`,
+		"HTTP/1.1 200 OK\r\nX-A: 1\n\r\n":                         `read head: malformed end of a line "X-A: 1\n"`,
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 100) + " : 1": `read head: malformed field name "` + strings.Repeat("x", maxShownBytes) + `"`,
+	} {
+		_, err := readAnswer(&Reader{Reader: strings.NewReader(answer)})
+		require.EqualError(t, err, want)
+	}
+}
+
 // Guards against a transport that sends a request again because the first byte of an answer is malformed.
 func TestMalformedFirstByteIsRead(t *testing.T) {
 	reader := &Reader{Reader: strings.NewReader("\nHTTP/1.1 200 OK\r\n\r\n")}
@@ -149,3 +164,44 @@
 	_, err = reader.Read(make([]byte, 100))
 	require.EqualError(t, err, `read head: malformed status line "\n"`)
 }
+
+// FuzzReader guards against a head that passes although its status or the name of a field is malformed, and against bytes that change on the
+// way.
+func FuzzReader(f *testing.F) {
+	for _, answer := range soundAnswers {
+		f.Add([]byte(answer), 1)
+	}
+	f.Add([]byte("HTTP/1.1 102 Processing\r\nX Odd: 1\r\n\r\nHTTP/1.1 000 OK\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, answer []byte, partBytes int) {
+		partBytes = min(max(partBytes, 1), len(answer)+1)
+		parts := iotest.DataErrReader(strings.NewReader(string(answer)))
+		read, err := io.ReadAll(&partReader{reader: &Reader{Reader: parts}, bytes: partBytes})
+		require.LessOrEqual(t, len(read), len(answer))
+		for i, c := range read {
+			require.True(t, c == answer[i] || c == '1' && answer[i] == '0', "byte %d", i)
+		}
+		if err == nil {
+			require.Len(t, read, len(answer))
+		}
+		b := bufio.NewReader(&Reader{Reader: strings.NewReader(string(answer))})
+		for {
+			resp, err := http.ReadResponse(b, nil)
+			if err != nil {
+				return
+			}
+			require.NoError(t, checkHead(resp))
+			require.Equal(t, 1, resp.ProtoMajor)
+			if resp.StatusCode >= http.StatusOK {
+				return
+			}
+		}
+	})
+}
+
+// partReader reads at most a number of bytes at a time.
+type partReader struct {
+	reader io.Reader
+	bytes  int
+}
+
+func (r *partReader) Read(b []byte) (int, error) { return r.reader.Read(b[:min(len(b), r.bytes)]) }
