afhead: keep the bound of http.Transport for interim answers

Cause: afhead.Transport looked at the names in interim answers through httptrace, and http.Transport begins its bound for heads anew after each interim answer that a trace has seen.

The transport leaves interim answers to the connection, which checks their heads anyway. On connections that are no Conns they are not checked; nothing in them is used.

--- a/pkg/afhead/transport.go
+++ b/pkg/afhead/transport.go
@@ -5,14 +5,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"strconv"
 )
 
 // Transport is an http.RoundTripper that fails for malformed answers, as a Reader does. The error wraps an *Error.
 //
 // It sees all that a Reader sees if the connections of Base are Conns. Otherwise it cannot tell a line of a head that was joined to the one
-// before, or a head that ended early, from a sound one.
+// before, or a head that ended early, from a sound one, and does not check interim answers.
 type Transport struct {
 	// Base sends the requests.
 	Base http.RoundTripper
@@ -20,13 +19,13 @@
 
 // RoundTrip sends a request and returns the answer.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// A trace of interim answers would lift the bound of http.Transport for their length.
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(interface{ ExpectAnswer() }); ok {
 				c.ExpectAnswer()
 			}
 		},
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkFieldNames("read head", http.Header(h)) },
 	}
 	resp, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
