--- a/internal/afcontrol/malformed_test.go
+++ b/internal/afcontrol/malformed_test.go
@@ -1,29 +1,25 @@
 package afcontrol
 
 import (
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"arbutusfork.example/arbutusfork"
+	"arbutusfork.example/arbutusfork/internal/afstandin"
 	"arbutusfork.example/arbutusfork/pkg/afhead"
 	"arbutusfork.example/arbutusfork/pkg/afplacement"
 )
 
 // serveRaw answers each request with the bytes and closes the connection. It returns the endpoint.
 func serveRaw(t *testing.T, answer string) arbutusfork.Endpoint {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		_, _ = c.Write([]byte(answer)) // A reader that has seen enough may have closed the connection.
-		_ = c.Close()
-	}))
-	t.Cleanup(server.Close)
-	return arbutusfork.Endpoint{Name: "e1", Address: server.Listener.Addr().String()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go afstandin.ServeOnce(l, func(*http.Request) string { return answer })
+	return arbutusfork.Endpoint{Name: "e1", Address: l.Addr().String()}
 }
 
 // TestMalformedAnswersSayNothing guards against an order that counts as refused or accepted, and against a status that counts, because of a
--- a/internal/afserve/endpoint_test.go
+++ b/internal/afserve/endpoint_test.go
@@ -1,7 +1,6 @@
 package afserve
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusfork.example/arbutusfork/internal/afstandin"
 	"arbutusfork.example/arbutusfork/pkg/afhead"
 )
 
@@ -19,18 +19,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	answers := make(chan string, 1)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, <-answers)
-			}
-			_ = c.Close()
-		}
-	}()
+	go afstandin.ServeOnce(l, func(*http.Request) string { return <-answers })
 	client := newEndpointClient()
 	fetch := func(answer string) (string, error) {
 		answers <- answer
--- a/internal/afverb/malformed_test.go
+++ b/internal/afverb/malformed_test.go
@@ -1,14 +1,14 @@
 package afverb
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"arbutusfork.example/arbutusfork/internal/afstandin"
 )
 
 // Guards against a change that the program reports as accepted or refused although the server's answer is malformed.
@@ -17,18 +17,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	answers := make(chan string, 1)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, <-answers)
-			}
-			_ = c.Close()
-		}
-	}()
+	go afstandin.ServeOnce(l, func(*http.Request) string { return <-answers })
 	p := &Program{serverAddress: l.Addr().String()}
 	put := func(answer string) error {
 		answers <- answer
--- a/pkg/afobject/malformed_test.go
+++ b/pkg/afobject/malformed_test.go
@@ -1,15 +1,14 @@
 package afobject_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"arbutusfork.example/arbutusfork/internal/afstandin"
 	"arbutusfork.example/arbutusfork/pkg/afobject"
 )
 
@@ -18,24 +17,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body) // The content does not matter.
-		_, _ = io.WriteString(c, answer)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	go afstandin.ServeOnce(l, func(*http.Request) string { return answer })
 	return &afobject.Client{BaseURL: "http://" + l.Addr().String()}
 }
 
