afsoak: endpoints that send malformed heads

The soak's endpoints broke off, dripped and sent noise, but no answer of theirs was malformed. An endpoint's proxy now makes heads malformed for a while: status 000, or a blank, a tab, a line feed or another control byte at a place in the name of a field, each answer another one. Reports and answers to orders are damaged too. Callers report a malformed head as MIXED. The new choice has a random source of its own, so that the other faults of a seed stay.

--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -127,6 +127,9 @@
 		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close() // The body was read to its end or failed with an error.
 		req.status, req.body, req.isComplete, req.err = resp.StatusCode, string(body), err == nil, err
+		if part := malformedPart(resp); part != "" {
+			c.fleet.reportViolation("MIXED", "request %s: malformed head %q", req.id, part)
+		}
 		if req.status == http.StatusOK && !afplatform.HasSignature(resp.Header) {
 			c.fleet.reportViolation("MIXED", "request %s: success without a signature", req.id)
 		}
--- a/internal/afsoak/moment.go
+++ b/internal/afsoak/moment.go
@@ -57,11 +57,15 @@
 	return live[s.momentRandom.IntN(len(live))]
 }
 
-// breakAnswers makes an endpoint stop inside the heads of its answers, or send bodies without an end.
+// breakAnswers makes an endpoint stop inside the heads of its answers, send malformed heads, or send bodies without an end.
 func (s *Soak) breakAnswers(e *endpoint, isEndless bool, d time.Duration) {
 	if !isEndless {
-		s.logEvent("endpoint %s stops inside heads", e.ID)
-		s.beginProxyFault(e, StopInsideHead)
+		fault, what := StopInsideHead, "stops inside heads"
+		if s.headRandom.IntN(2) == 0 {
+			fault, what = DamageHeads, "sends malformed heads"
+		}
+		s.logEvent("endpoint %s %s", e.ID, what)
+		s.beginProxyFault(e, fault)
 		s.endLater(d, func() { s.endProxyFault(e) })
 		return
 	}
--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -21,6 +21,7 @@
 	SendWithoutEnd                    // SendWithoutEnd sends bytes that are no answer on new connections until the client closes.
 	DripServerData                    // DripServerData forwards single bytes of the server with pauses between them.
 	StopInsideHead                    // StopInsideHead forwards only the first headStopBytes of what the server sends on a connection.
+	DamageHeads                       // DamageHeads makes the head of the first answer on a connection malformed.
 )
 
 const (
@@ -30,17 +31,21 @@
 	dripPause = 20 * time.Millisecond
 	// headStopBytes is less than the head of any answer.
 	headStopBytes = 20
+	// damageStep is a prime, so that successive damages differ in the line, the byte and its place.
+	damageStep = 37
 )
 
 // proxy forwards TCP connections to a target address on loopback and applies a fault to them.
 type proxy struct {
 	target, address string
 
-	mu          sync.Mutex
-	listener    net.Listener
-	isClosed    bool
-	fault       ProxyFault
-	connections map[*proxyConnection]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	isClosed bool
+	fault    ProxyFault
+	// damagedHeads counts the heads that DamageHeads made malformed, so that each gets another damage.
+	damagedHeads int
+	connections  map[*proxyConnection]struct{}
 }
 
 // proxyConnection is a client connection together with its connection to the target.
@@ -156,12 +161,17 @@
 	buf := make([]byte, proxyBufferSize)
 	for {
 		n, err := from.Read(buf)
+		data := buf[:n]
 		p.mu.Lock()
 		if isFromServer {
 			if p.fault == StopInsideHead && conn.serverBytes < headStopBytes {
 				conn.dropsData, n = true, min(n, headStopBytes)
 				_, _ = to.Write(buf[:n]) // The client may have closed the connection.
 			}
+			if p.fault == DamageHeads && conn.serverBytes == 0 && n > 0 {
+				data = damageHead(data, p.damagedHeads)
+				p.damagedHeads += damageStep
+			}
 			conn.serverBytes += n
 		}
 		fault, dropsData := p.fault, conn.dropsData
@@ -171,10 +181,10 @@
 				time.Sleep(proxyDelay)
 			}
 			if fault == DripServerData && isFromServer {
-				if p.writeDripping(to, buf[:n]) != nil {
+				if p.writeDripping(to, data) != nil {
 					break
 				}
-			} else if _, err := to.Write(buf[:n]); err != nil {
+			} else if _, err := to.Write(data); err != nil {
 				break
 			}
 		}
