--- a/pkg/afhead/reader.go
+++ b/pkg/afhead/reader.go
@@ -69,7 +69,7 @@
 		switch {
 		case r.err != nil && isInStatusLine:
 			// A transport that gets no byte of an answer may send the request again.
-			return i + lineLength(b[i:]), nil
+			return i + firstLineLength(b[i:]), nil
 		case r.err != nil && lineStart > 0:
 			return lineStart, nil
 		case r.err != nil:
@@ -81,8 +81,8 @@
 	return len(b), err
 }
 
-// lineLength returns the length of the first line of b with its end.
-func lineLength(b []byte) int {
+// firstLineLength returns the length of the first line of b with its end.
+func firstLineLength(b []byte) int {
 	if i := bytes.IndexByte(b, '\n'); i >= 0 {
 		return i + 1
 	}
