afgateway: do not take a reset during an upload for the end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer, with the endpoint's signature; of a stream, a whole stream.

Cause: Linux reports a reset to one call only. The gateway writes the request in one goroutine and reads the answer in another. The write waits for room, gets ECONNRESET, and its error was dropped, on the assumption that reading fails too. Reading then returns 0, as after a FIN, and the body of an answer without a length ends there.

Fix: afreset.Conn keeps the error of a write that found the connection broken, and returns it from a read that would return io.EOF. If a write is in progress at that moment, its deadline is set to the past, so that it ends with the error that it got, or with the deadline if the peer closed its side and reads no more. EPIPE is no evidence: the kernel gives it after a FIN, or when another call got the error. The same holds for ETIMEDOUT, which TCP_USER_TIMEOUT causes. The gateway's rules for answers that break off then apply: repeated elsewhere, 502 with unknown outcome, or a visible break.

--- a/internal/afgateway/exchange.go
+++ b/internal/afgateway/exchange.go
@@ -16,6 +16,7 @@
 
 	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/pkg/afhead"
+	"arbutusfork.example/arbutusfork/pkg/afreset"
 )
 
 const (
@@ -52,10 +53,11 @@
 // openExchange connects to the address, sends the request and reads the head of the response. The error is a
 // *sendError.
 func (s *Server) openExchange(ctx context.Context, address string, r *http.Request, h http.Header, body []byte) (*exchange, error) {
-	conn, err := s.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := s.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &sendError{err: errors.Wrap(err, "connect")}
 	}
+	conn := afreset.NewConn(dialed)
 	ex := &exchange{conn: conn, reader: readerPool.Get().(*bufio.Reader)}
 	ex.head = afmemory.HeadLimiter{Reader: &afhead.Reader{Reader: conn}, RemainingBytes: maxHeadBytes}
 	ex.reader.Reset(&ex.head)
