afhead: report a reset during an upload on connections of transports

What callers of serve saw: as at the gateway, an answer without a length, or a stream of a service whose streams end with the connection, looked whole although the endpoint had reset the connection while the request was being written. It is rarer here, since http.Transport closes the connection after a failed write: the answer looks whole only if the read is ahead of that.

All transports that read answers (serve, engines' reports and orders, status and orders of serve, the store's client, verbs) open their connections by afhead.DialConns or NewConn.

Fix: afhead.NewConn reads and writes through an afreset.Conn. A read that would return io.EOF returns the error of the write. Calls end with the outcome unknown.

--- a/pkg/afhead/conn.go
+++ b/pkg/afhead/conn.go
@@ -3,10 +3,13 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"arbutusfork.example/arbutusfork/pkg/afreset"
 )
 
 // Conn is a connection of an HTTP transport on which the heads of answers are checked as by a Reader. Bytes are not checked before the
-// first call of ExpectAnswer, so that a connection may begin with a handshake.
+// first call of ExpectAnswer, so that a connection may begin with a handshake. Reads tell a reset from the end of the input as those of an
+// afreset.Conn do.
 type Conn struct {
 	net.Conn
 	// reader is used by the goroutine that reads from the connection.
@@ -15,7 +18,10 @@
 }
 
 // NewConn returns a connection that reads from and writes to c.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, reader: Reader{Reader: c, position: inBody}} }
+func NewConn(c net.Conn) *Conn {
+	conn := afreset.NewConn(c)
+	return &Conn{Conn: conn, reader: Reader{Reader: conn, position: inBody}}
+}
 
 // ExpectAnswer says that the next byte begins the head of an answer. It is called before a request is sent, after the answer to the one
 // before was read.
--- a/pkg/afhead/transport_test.go
+++ b/pkg/afhead/transport_test.go
@@ -134,3 +134,34 @@
 	_, err := fetch(t, newCheckedTransport(&http.Transport{MaxResponseHeaderBytes: 4 << 10}), url, "")
 	require.ErrorContains(t, err, "server response headers exceeded")
 }
+
+// Guards against an answer without a length that looks whole although its connection was reset while the request was still being written.
+func TestTransportReportsResetDuringUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	const (
+		resets      = 200 // Most resets end the request before the transport reads on.
+		uploadBytes = 8 << 20
+	)
+	looksWhole, upload := 0, strings.Repeat("x", uploadBytes)
+	for range resets {
+		if _, err := fetch(t, newCheckedTransport(&http.Transport{}), "http://"+l.Addr().String(), upload); err == nil {
+			looksWhole++
+		}
+	}
+	require.Zero(t, looksWhole, "answers of %d that look whole", resets)
+}
