afsoak: endpoints that reset uploads after a part of an answer

The soak sent large bodies, but no endpoint answered one before it was read, and no answer lacked a length. While large bodies are sent, in half of the cases the proxy of a plain endpoint now answers such requests early with a 200 without a length, sends a part of the body and resets the connection. Callers report the part as MIXED if it looks whole. The choice has a random source of its own, so that the other faults of a seed stay.

--- a/internal/afsoak/body.go
+++ b/internal/afsoak/body.go
@@ -26,12 +26,16 @@
 	memoryCheckInterval     = 50 * time.Millisecond
 )
 
-// sendLargeBodies lets callers send large bodies to a VM, all at once, some of which drip at first or for good.
+// sendLargeBodies lets callers send large bodies to a VM, all at once, some of which drip at first or for good. In half of the cases an
+// endpoint resets uploads meanwhile.
 func (s *Soak) sendLargeBodies() {
 	random := s.momentRandom
 	v := s.fleet.vms[random.IntN(len(s.fleet.vms))]
 	n := 10 + random.IntN(maxLargeBodies-10)
 	s.logEvent("%d callers send large bodies to %s", n, v.name)
+	if s.resetRandom.IntN(2) == 0 {
+		s.resetUploads()
+	}
 	for range n {
 		path := []string{"/talk/x", "/note/x", "/pay/x"}[random.IntN(3)]
 		size, drip := maxBodyBytes/4+random.IntN(maxBodyBytes*3/4), time.Duration(0)
--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -22,6 +22,7 @@
 	DripServerData                    // DripServerData forwards single bytes of the server with pauses between them.
 	StopInsideHead                    // StopInsideHead forwards only the first headStopBytes of what the server sends on a connection.
 	DamageHeads                       // DamageHeads makes the head of the first answer on a connection malformed.
+	ResetUploads                      // ResetUploads answers requests with large bodies early, without a length, and resets the connection.
 )
 
 const (
@@ -51,9 +52,9 @@
 // proxyConnection is a client connection together with its connection to the target.
 type proxyConnection struct {
 	client, server net.Conn
-	// serverBytes counts the bytes of the server that were forwarded.
-	serverBytes int
-	dropsData   bool // dropsData makes the proxy drop all data of the connection until it is closed.
+	// serverBytes and clientBytes count the bytes of the server and of the client that were forwarded.
+	serverBytes, clientBytes int
+	dropsData                bool // dropsData makes the proxy drop all data of the connection until it is closed.
 }
 
 func newProxy(listen, target string) (*proxy, error) {
@@ -162,6 +163,7 @@
 	for {
 		n, err := from.Read(buf)
 		data := buf[:n]
+		var part []byte
 		p.mu.Lock()
 		if isFromServer {
 			if p.fault == StopInsideHead && conn.serverBytes < headStopBytes {
@@ -173,9 +175,19 @@
 				p.damagedHeads += damageStep
 			}
 			conn.serverBytes += n
+		} else {
+			if p.fault == ResetUploads && conn.clientBytes == 0 {
+				part = earlyPart(data)
+			}
+			conn.clientBytes += n
 		}
 		fault, dropsData := p.fault, conn.dropsData
 		p.mu.Unlock()
+		if part != nil {
+			_, _ = from.Write(part) // The client may have closed the connection.
+			resetConnection(from)
+			break
+		}
 		if n > 0 && !dropsData && fault != DropAllData && (fault != DropServerData || !isFromServer) {
 			if fault == DelayData {
 				time.Sleep(proxyDelay)
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -68,6 +68,8 @@
 	momentRandom *rand.Rand
 	// headRandom chooses the endpoints that send malformed heads.
 	headRandom *rand.Rand
+	// resetRandom chooses the endpoints that reset uploads.
+	resetRandom *rand.Rand
 	// backRandom chooses when and how the store goes back.
 	backRandom  *rand.Rand
 	goBacks     []goBack
@@ -114,6 +116,7 @@
 	s.noticeRandom = rand.New(rand.NewPCG(s.Seed, 6))
 	s.momentRandom = rand.New(rand.NewPCG(s.Seed, 7))
 	s.headRandom = rand.New(rand.NewPCG(s.Seed, 8))
+	s.resetRandom = rand.New(rand.NewPCG(s.Seed, 9))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -364,6 +364,11 @@
 	}
 }
 
+// EncodeWithoutLength returns an answer to a request that only the end of the connection ends, with the beginning of its body.
+func EncodeWithoutLength(r *http.Request, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: early\r\n\r\n%s", headerID, r.Header.Get(headerID), headerSigned, body)
+}
+
 // StreamEvent returns the text of an event of a request's stream.
 func StreamEvent(id string, i int) string {
 	return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", i, id, i)
