afgateway: use an ejected endpoint that speaks again if no other has room

Callers were refused (503, not run) for seconds although a sound endpoint had room: it had been silent for 1.7 s, and the others were full.

Cause: each request that waits for a silent endpoint counts as a failure. Three eject the endpoint for a second, and each further one doubles the time, so that one silence of an endpoint with six or more streams takes it out of use for 8 s. Only the trial after that time shows that it works, although its streams go on at once. The chooser uses an ejected endpoint only if half of all are ejected, whether or not another one has room. What works is given up before what replaces it is certain.

Change: an event or a body after a recorded silence is recorded too. An ejected endpoint that has gone on since its latest failure gets the requests that no other endpoint has room for. Others are still preferred, and one that has not spoken, or that fails again, stays out as before.

Ruled out: to end the ejection at the first event. A slow endpoint speaks after each silence and would never be ejected.

TestEjectedEndpointThatSpeaksIsBetterThanNone tests the choice.

--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -88,13 +88,13 @@
 }
 
 // chooseEndpoint returns the endpoint with capacity that should send the first event or response soonest. An ejected
-// endpoint is only chosen if no other has capacity and at least half of all endpoints of the service are ejected. A cause
-// outside the endpoints is then likely.
+// endpoint is only chosen if no other has capacity, and if it has gone on with an answer since its latest failure or at least half of
+// all endpoints of the service are ejected. A cause outside the endpoints is then likely.
 func chooseEndpoint(candidates afroster.Candidates, needs requirements) (afroster.Endpoint, bool) {
 	var (
-		best, bestEjected         afroster.Endpoint
-		bestCost, bestEjectedCost int64
-		found, foundEjected       bool
+		best, bestEjected              afroster.Endpoint
+		bestCost, bestEjectedCost      int64
+		found, foundEjected, hasSpoken bool
 	)
 	for _, e := range candidates.Endpoints {
 		if needs.excluded[e.ID] || !hasCapacity(e, needs) || needs.isUnavailable != nil && needs.isUnavailable(e) {
@@ -113,8 +113,12 @@
 			estimate += startWait.Milliseconds() * slotWaitCostTokens
 		}
 		if e.Health.IsEjected(needs.now) {
-			if !foundEjected || estimate < bestEjectedCost {
-				bestEjected, bestEjectedCost, foundEjected = e, estimate, true
+			isBetter := estimate < bestEjectedCost
+			if e.Health.HasSpoken() != hasSpoken {
+				isBetter = e.Health.HasSpoken()
+			}
+			if !foundEjected || isBetter {
+				bestEjected, bestEjectedCost, foundEjected, hasSpoken = e, estimate, true, e.Health.HasSpoken()
 			}
 			continue
 		}
@@ -127,7 +131,7 @@
 			best, bestCost, found = e, estimate, true
 		}
 	}
-	if !found && foundEjected && 2*candidates.EjectedCount >= candidates.UsableCount {
+	if !found && foundEjected && (hasSpoken || 2*candidates.EjectedCount >= candidates.UsableCount) {
 		return bestEjected, true
 	}
 	return best, found
--- a/internal/afgateway/choose_test.go
+++ b/internal/afgateway/choose_test.go
@@ -87,3 +87,28 @@
 	_, ok = chooseEndpoint(candidatesOf(failing, working, alsoWorking), needs)
 	require.True(t, ok, "no endpoint is chosen although all of them fail")
 }
+
+// Guards against requests that are refused although an endpoint that was silent for a moment has room and works again.
+func TestEjectedEndpointThatSpeaksIsBetterThanNone(t *testing.T) {
+	silent, full, failing := newEngineEndpoint("i-1", afroster.Load{}, afroster.Load{}), newEngineEndpoint("i-2", afroster.Load{Requests: 12}, afroster.Load{}), newEngineEndpoint("i-3", afroster.Load{}, afroster.Load{})
+	alsoFull := newEngineEndpoint("i-4", afroster.Load{Requests: 12}, afroster.Load{})
+	failing.Centre = "z2"
+	silent.Health, failing.Health = newFailedTracker(6), newFailedTracker(3)
+	needs := requirements{centre: "z2", now: testTime}
+	_, ok := chooseEndpoint(candidatesOf(silent, full, alsoFull), needs)
+	require.False(t, ok, "an endpoint that has not spoken since it was ejected is chosen")
+	silent.Health = silent.Health.WithSpeech()
+	e, ok := chooseEndpoint(candidatesOf(silent, full, alsoFull), needs)
+	require.True(t, ok)
+	require.Equal(t, "i-1", e.ID)
+	e, ok = chooseEndpoint(candidatesOf(failing, silent, full, alsoFull), needs)
+	require.True(t, ok)
+	require.Equal(t, "i-1", e.ID, "a closer endpoint that has not spoken is chosen")
+	full.OwnLoad.Requests = 11
+	e, ok = chooseEndpoint(candidatesOf(silent, full, alsoFull), needs)
+	require.True(t, ok)
+	require.Equal(t, "i-2", e.ID, "an ejected endpoint is chosen although another one has room")
+	silent.Health = silent.Health.WithResult(false, testTime)
+	_, ok = chooseEndpoint(candidatesOf(silent, alsoFull, alsoFull), needs)
+	require.False(t, ok, "an endpoint that fails again is chosen")
+}
--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -142,7 +142,10 @@
 		return false
 	}
 	a.progressAt = o.request.server.Timer.Now()
-	a.isSilenceRecorded = false
+	if a.isSilenceRecorded {
+		a.isSilenceRecorded = false
+		a.endpoint.request.RecordSpeech()
+	}
 	o.apply(next, effects)
 	return true
 }
--- a/internal/afroster/running.go
+++ b/internal/afroster/running.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// RecordSpeech records that the endpoint went on with the answer after a recorded silence. The endpoint may serve waiting requests then.
+func (request *RunningRequest) RecordSpeech() {
+	r := request.roster
+	r.mu.Lock()
+	if e := r.endpoints[request.endpointID]; e != nil && !request.ended {
+		e.healthTracker = e.healthTracker.WithSpeech()
+	}
+	r.mu.Unlock()
+	r.notifyChange()
+}
+
 // HealthResult is the effect of a request's end on the health of its endpoint.
 type HealthResult int
 
--- a/pkg/afhealth/tracker.go
+++ b/pkg/afhealth/tracker.go
@@ -31,6 +31,8 @@
 	ejectedUntil        time.Time
 	// trialInProgress means that the trial request after an ejection was sent and has not ended.
 	trialInProgress bool
+	// hasSpoken means that the endpoint went on with an answer after its latest failure.
+	hasSpoken bool
 }
 
 // WithResult returns the tracker after a request to the endpoint succeeded or failed.
@@ -46,6 +48,7 @@
 		}
 		return t
 	}
+	t.hasSpoken = false
 	t.consecutiveFailures++
 	failureCount := 0
 	for _, failed := range t.failures {
@@ -60,6 +63,12 @@
 	return t
 }
 
+// WithSpeech returns the tracker after the endpoint went on with an answer that it had kept waiting for too long.
+func (t Tracker) WithSpeech() Tracker {
+	t.hasSpoken = true
+	return t
+}
+
 // WithTrialStarted returns the tracker after the trial request was sent.
 func (t Tracker) WithTrialStarted() Tracker {
 	t.trialInProgress = true
@@ -77,6 +86,10 @@
 	return !t.ejectedUntil.IsZero() && (now.Before(t.ejectedUntil) || t.trialInProgress)
 }
 
+// HasSpoken reports whether the endpoint went on with an answer after its latest failure. It may have been silent only for a moment, so
+// that an ejected endpoint is better than none then.
+func (t Tracker) HasSpoken() bool { return t.hasSpoken }
+
 // IsTrialDue reports whether the ejection has ended and the next request is the trial.
 func (t Tracker) IsTrialDue(now time.Time) bool {
 	return !t.ejectedUntil.IsZero() && !now.Before(t.ejectedUntil) && !t.trialInProgress
