afgateway: keep hung attempts until another one has spoken

On routes with three attempts or more, a stream was cut at its deadline although its endpoint went on after 3.5 s: the second endpoint hung, and the third one refused, hung or had no slot.

Cause: an attempt at an endpoint that had been silent for two seconds was closed for the place of a third one, before the third had its slot, had accepted the request or had sent anything. What works is given up before what replaces it is certain.

Change: hung attempts stay live until another one has spoken. At most two attempts are not hung, as before, and the route's attempts bound all of them, so that no more endpoints run a request than before. The race still decides alone; withPlace closes nothing any more.

TestRace expected that the hung attempt is closed for the place and that its later answer is rejected: that was the fault. It now expects that each of the three may speak and that only speech closes the others. The order of the closed attempts in the result says nothing and is left out of the comparison. Guards of two mutants adapted.

--- a/internal/afgateway/race.go
+++ b/internal/afgateway/race.go
@@ -1,7 +1,13 @@
 package afgateway
 
-// maxLiveAttempts bounds the attempts of one request that are live at once.
-const maxLiveAttempts = 2
+import "slices"
+
+const (
+	// maxLiveAttempts bounds the attempts of one request that are live at once.
+	maxLiveAttempts = maxTotalAttempts
+	// maxExpectedAttempts bounds those that are not hung, so that the answer of each can still be expected.
+	maxExpectedAttempts = 2
+)
 
 // attemptID identifies an attempt of one request. Zero is no attempt.
 type attemptID int
@@ -18,7 +24,7 @@
 
 // race decides which of the live attempts of a request answers the caller. An attempt at a silent endpoint stays live until
 // another one has spoken, which means that it has a part of the answer for the caller: a sound endpoint may be silent for a
-// second, and another one may refuse. A race is immutable: its methods return the next one with what has to be done.
+// second, and another one may refuse. That holds for hung endpoints too, beside which more attempts are made. A race is immutable: its methods return the next one with what has to be done.
 type race struct {
 	racers [maxLiveAttempts]racer
 	// lastID is the ID of the latest attempt.
@@ -37,7 +43,8 @@
 	started attemptID
 	// unneededPlace means that the place that was found, with its retry, is given back.
 	unneededPlace bool
-	// closed are attempts whose connection is closed. Their places are given back, and the retries of those that were not sent.
+	// closed are attempts whose connection is closed. Their places are given back, and the retries of those that were not sent. The
+	// entries without an ID are unused.
 	closed [maxLiveAttempts]racer
 	// isRejected means that the attempt of the event is not live any more and must do nothing.
 	isRejected bool
@@ -72,57 +79,48 @@
 	return r, r.lastID
 }
 
-// withSilence records that an attempt has got nothing for too long. Another one is sought if all live attempts are silent and the
-// request may be sent once more, beside two live ones only if one of them is hung.
+// withSilence records that an attempt has got nothing for too long. Another one is sought if all live attempts are silent, at most one
+// of them is not hung and the request may be sent once more.
 func (r race) withSilence(id attemptID, isHung, mayRepeat bool) (race, raceEffects) {
 	i := r.find(id)
 	if i < 0 || !r.racers[i].isSent {
 		return r, raceEffects{isRejected: true}
 	}
 	r.racers[i].isSilent, r.racers[i].isHung = true, r.racers[i].isHung || isHung
-	if r.isOver || r.isSeeking || !mayRepeat {
+	if r.isOver || r.isSeeking || !mayRepeat || r.freeSlot() < 0 {
 		return r, raceEffects{}
 	}
+	expected := 0
 	for _, racer := range r.racers {
 		if racer.id != 0 && !racer.isSilent {
 			return r, raceEffects{}
 		}
+		if racer.id != 0 && !racer.isHung {
+			expected++
+		}
 	}
-	if r.freeSlot() < 0 {
+	if expected >= maxExpectedAttempts {
 		return r, raceEffects{}
 	}
 	r.isSeeking = true
 	return r, raceEffects{seek: true}
 }
 
-// freeSlot returns the index in racers for one more attempt: an unused one, or that of the earliest attempt that is hung. It returns
-// -1 if there is none.
+// freeSlot returns the index in racers for one more attempt, or -1 if there is none.
 func (r race) freeSlot() int {
-	slot := -1
-	for i, racer := range r.racers {
-		if racer.id == 0 {
-			return i
-		}
-		if racer.isHung && (slot < 0 || racer.id < r.racers[slot].id) {
-			slot = i
-		}
-	}
-	return slot
+	return slices.IndexFunc(r.racers[:], func(racer racer) bool { return racer.id == 0 })
 }
 
-// withPlace begins an attempt with the place that was found. If two attempts are live, one that is hung is closed for it.
+// withPlace begins an attempt with the place that was found.
 func (r race) withPlace() (race, raceEffects) {
 	slot := r.freeSlot()
 	if !r.isSeeking || r.isOver || slot < 0 {
 		return r, raceEffects{unneededPlace: true}
 	}
-	effects := raceEffects{}
 	r.isSeeking = false
-	effects.closed[0] = r.racers[slot]
 	r.lastID++
 	r.racers[slot] = racer{id: r.lastID}
-	effects.started = r.lastID
-	return r, effects
+	return r, raceEffects{started: r.lastID}
 }
 
 // withSend records that an attempt is about to be sent.
@@ -135,7 +133,7 @@
 	return r, raceEffects{}
 }
 
-// withSpeech records that an attempt has a part of the answer for the caller. The other live attempt is closed.
+// withSpeech records that an attempt has a part of the answer for the caller. The other live attempts are closed.
 func (r race) withSpeech(id attemptID) (race, raceEffects) {
 	i := r.find(id)
 	if i < 0 || !r.racers[i].isSent {
@@ -143,9 +141,10 @@
 	}
 	effects := raceEffects{stopSeeking: r.isSeeking}
 	r.isSeeking = false
-	r.racers[i].isSilent, r.racers[i].isHung = false, false
-	effects.closed[0] = r.racers[1-i]
-	r.racers[1-i] = racer{}
+	effects.closed = r.racers
+	effects.closed[i] = racer{}
+	r.racers = [maxLiveAttempts]racer{}
+	r.racers[i] = racer{id: id, isSent: true}
 	return r, effects
 }
 
--- a/internal/afgateway/race_test.go
+++ b/internal/afgateway/race_test.go
@@ -1,6 +1,7 @@
 package afgateway
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,14 +21,19 @@
 		copy(e.closed[:], racers)
 		return e
 	}
-	start := func(id attemptID, racers ...racer) raceEffects {
-		e := closed(racers...)
-		e.started = id
+	// listClosed moves the closed attempts in front of the unused entries.
+	listClosed := func(e raceEffects) raceEffects {
+		used := slices.DeleteFunc(slices.Clone(e.closed[:]), func(r racer) bool { return r.id == 0 })
+		e.closed = closed(used...).closed
 		return e
 	}
+	start := func(id attemptID) raceEffects { return raceEffects{started: id} }
+	beginSecond := []step{{"silence", 1, raceEffects{seek: true}}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, raceEffects{}}}
+	beginThird := append(beginSecond, step{"long silence", 1, raceEffects{seek: true}}, step{"place", 0, start(3)}, step{"send", 3, raceEffects{}})
+	spokenWhileSeeking := closed(racer{id: 2, isSent: true, isSilent: true})
+	spokenWhileSeeking.stopSeeking = true
+	hung, silentSecond := racer{1, true, true, true}, racer{id: 2, isSent: true, isSilent: true}
 	seek, rejected, stopSeeking := raceEffects{seek: true}, raceEffects{isRejected: true}, raceEffects{stopSeeking: true}
-	over := closed(racer{id: 1, isSent: true})
-	over.stopSeeking = true
 	for name, steps := range map[string][]step{
 		"second speaks":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 2, closed(racer{id: 1, isSent: true, isSilent: true})}, {"speech", 1, rejected}},
 		"first speaks while second is": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"speech", 1, closed(racer{id: 2, isSent: true})}, {"speech", 2, rejected}},
@@ -37,9 +43,12 @@
 		"second has no slot":           {{"silence", 1, seek}, {"place", 0, start(2)}, {"end", 2, closed(racer{id: 2})}, {"silence", 1, seek}},
 		"first breaks off":             {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"end", 1, closed(racer{id: 1, isSent: true, isSilent: true})}, {"speech", 2, raceEffects{}}},
 		"both are silent for a moment": {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, raceEffects{}}, {"speech", 2, closed(racer{id: 1, isSent: true, isSilent: true})}},
-		"first is hung":                {{"silence", 1, seek}, {"place", 0, start(2)}, {"send", 2, raceEffects{}}, {"silence", 2, raceEffects{}}, {"long silence", 1, seek}, {"place", 0, start(3, racer{1, true, true, true})}, {"speech", 1, rejected}, {"speech", 2, closed(racer{id: 3})}},
+		"first is hung and speaks":     append(slices.Clone(beginThird), step{"speech", 1, closed(silentSecond, racer{id: 3, isSent: true})}, step{"speech", 2, rejected}, step{"speech", 3, rejected}),
+		"first is hung, second speaks": append(slices.Clone(beginThird), step{"speech", 2, closed(hung, racer{id: 3, isSent: true})}, step{"speech", 1, rejected}),
+		"first is hung, third refuses": append(slices.Clone(beginThird), step{"end", 3, closed(racer{id: 3, isSent: true})}, step{"long silence", 1, seek}, step{"speech", 1, spokenWhileSeeking}),
+		"third is silent too":          append(slices.Clone(beginThird), step{"silence", 3, raceEffects{}}, step{"long silence", 1, raceEffects{}}, step{"long silence", 2, seek}),
 		"last allowed run":             {{"final silence", 1, raceEffects{}}, {"speech", 1, raceEffects{}}},
-		"over while it seeks":          {{"silence", 1, seek}, {"over", 0, raceEffects{stopSeeking: true, closed: [2]racer{{id: 1, isSent: true, isSilent: true}}}}, {"place", 0, raceEffects{unneededPlace: true}}},
+		"over while it seeks":          {{"silence", 1, seek}, {"over", 0, raceEffects{stopSeeking: true, closed: closed(racer{id: 1, isSent: true, isSilent: true}).closed}}, {"place", 0, raceEffects{unneededPlace: true}}},
 		"speech without a send":        {{"silence", 1, seek}, {"place", 0, start(2)}, {"speech", 2, rejected}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -64,7 +73,7 @@
 				case "over":
 					r, got = r.withOver()
 				}
-				require.Equal(t, s.want, got, "step %d: %s", i, s.event)
+				require.Equal(t, s.want, listClosed(got), "step %d: %s", i, s.event)
 			}
 		})
 	}
--- a/internal/afgateway/silence.go
+++ b/internal/afgateway/silence.go
@@ -34,11 +34,16 @@
 	placeRetryDelay = 100 * time.Millisecond
 )
 
+// mayBeRepeated reports whether a second attempt of the request may be made at all.
+func (p *proxiedRequest) mayBeRepeated() bool {
+	return p.route.IsRepeatable() && p.route.MaxAttempts > 1
+}
+
 // firstTimeout returns the longest time until the first event or response after which an endpoint counts as silent, or 0 if the
 // request may not be sent to another one.
 func (p *proxiedRequest) firstTimeout() time.Duration {
 	switch {
-	case !p.route.IsRepeatable() || p.route.MaxAttempts < maxLiveAttempts:
+	case !p.mayBeRepeated():
 		return 0
 	case isStream(p.route):
 		return p.spread(max(firstEventTimeoutFactor*p.route.TargetLatency, minFirstEventTimeout))
@@ -48,7 +53,7 @@
 
 // eventTimeout returns the longest time between two events after which an endpoint counts as silent.
 func (p *proxiedRequest) eventTimeout() time.Duration {
-	if !p.route.IsRepeatable() || p.route.MaxAttempts < maxLiveAttempts {
+	if !p.mayBeRepeated() {
 		return 0
 	}
 	return p.spread(max(eventTimeoutFactor*p.route.TargetEventInterval, minEventTimeout))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -151,10 +151,10 @@
 	'result.notRun && possibleRuns == 0 || p.route.IsRepeatable() && possibleRuns < p.route.MaxAttempts' 'possibleRuns < 3' \
 	./platform TestUnsafeRunsOnce
 mutant gateway-race internal/afgateway/race.go \
-	'effects.closed[0] = r.racers[1-i]' 'effects.closed[1] = racer{}' \
+	'effects.closed = r.racers' '_ = r.racers' \
 	./internal/afgateway TestRaceInAnyOrder
 mutant gateway-silent internal/afgateway/race.go \
-	'if racer.isHung &&' 'if racer.isSilent &&' \
+	'racer.id != 0 && !racer.isHung' 'racer.id != 0 && !racer.isSilent' \
 	./internal/afgateway 'TestRace$'
 mutant gateway-order internal/afgateway/event.go \
 	'if e.unreadBytes() == 0 {' 'if true {' \
