afkeeper: do not count a replica as serving while its unload is unanswered

A busy model was left without a serving engine, so that its requests waited for seconds or were refused: the holder had ordered the unload of one of its two replicas, the engine was silent for a moment and did not answer, and the next plan unloaded the other replica, because the first one still counted.

Cause: an order that has no answer yet, or whose answer was lost, changed nothing in what the planner knew of the engine until its next report.

Change: the planner gets the model of an unload that the engine may have accepted (Engine.UnloadingModel). It is no replica any more, as a closing one, until the engine refuses the order or a later report shows what it holds.

--- a/internal/afkeeper/engine.go
+++ b/internal/afkeeper/engine.go
@@ -68,6 +68,10 @@
 	loadEndsAt time.Time
 	// adapterReadyAt holds when the adapters ordered since the last report count as loaded, by afassign.AdapterKey.
 	adapterReadyAt map[string]time.Time
+	// unloadingModel is the model of an unload that the engine may have accepted. If its answer was lost at unloadUnclearAt, a report
+	// that was requested later shows it.
+	unloadingModel  string
+	unloadUnclearAt time.Time
 	// unblockedAt is when the engine may get another order. Until then, a report should show the result of the last one.
 	unblockedAt time.Time
 	// reservedModel is the model for which memory was freed, until reservationEndsAt.
@@ -172,6 +176,9 @@
 		s.hasViewChanged = true
 	}
 	es.report, es.reportRequestedAt, es.isReportKnown, es.acceptedOrders = r.report, r.requestedAt, true, r.report.AcceptedOrders
+	if !es.isOrderPending && r.requestedAt.After(es.unloadUnclearAt) {
+		es.unloadingModel = ""
+	}
 	for key := range es.adapterReadyAt {
 		if !slices.Contains(r.report.LoadingAdapters, key) {
 			delete(es.adapterReadyAt, key)
@@ -243,7 +250,7 @@
 	e := afassign.Engine{
 		ID: es.entry.ID, LoadedModels: es.loadedModels(now), ClosingModels: es.closingModels(now), LoadingModel: es.loadingModel, LoadsFromStore: es.loadsFromStore,
 		ModelsInMemory: es.report.ModelsInMemory, ModelsOnDisk: es.report.ModelsOnDisk, AcceptedOrders: es.acceptedOrders, RunningRequests: runningRequests,
-		IsExecutingOrder: es.loadingModel != "" || es.report.HasOrderInProgress,
+		IsExecutingOrder: es.loadingModel != "" || es.report.HasOrderInProgress, UnloadingModel: es.unloadingModel,
 	}
 	if es.isOrderPending && es.pendingLoadModel != "" {
 		e.LoadingModel, e.LoadsFromStore, e.IsExecutingOrder = es.pendingLoadModel, es.isPendingLoadFromStore, true
--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -101,6 +101,9 @@
 	if !planned.Order.IsUnload && planned.Order.Adapter == "" {
 		es.pendingLoadModel = planned.Order.Model
 	}
+	if planned.Order.IsUnload && planned.Order.Adapter == "" {
+		es.unloadingModel = planned.Order.Model
+	}
 	if planned.Reason == afassign.ReasonMakeRoom && planned.Order.Adapter == "" {
 		es.reservedModel, es.reservationEndsAt = planned.MakesRoomFor, now.Add(reservationTimeout)
 	}
@@ -169,6 +172,11 @@
 		s.Log.Info("order not accepted", "endpoint", r.endpointID, "model", order.Model, "adapter", order.Adapter,
 			"unload", order.IsUnload, "expected", order.ExpectedAcceptedOrders, "result", r.result.String())
 	}
+	if r.result == afengine.ResultUnclear {
+		es.unloadUnclearAt = now
+	} else {
+		es.unloadingModel = ""
+	}
 	switch r.result {
 	case afengine.ResultAccepted:
 		s.applyAcceptedOrder(es, r.planned, now)
--- a/pkg/afassign/need.go
+++ b/pkg/afassign/need.go
@@ -64,7 +64,7 @@
 func (p *planner) engineTokenRate(e *Engine) float64 {
 	sum := 0.0
 	for _, h := range e.LoadedModels {
-		if !slices.Contains(e.ClosingModels, h.Model) {
+		if !e.isClosing(h.Model) {
 			sum += p.promptTokenRates[h.Model] / float64(max(p.replicas[h.Model], 1))
 		}
 	}
--- a/pkg/afassign/option.go
+++ b/pkg/afassign/option.go
@@ -102,7 +102,7 @@
 		remainingReplicas := p.replicas[h.Model] - 1
 		// Replicas that are being loaded serve no requests yet.
 		remainingServing := p.servingReplicas[h.Model] - p.plannedUnloads[h.Model] - 1
-		if slices.Contains(e.ClosingModels, h.Model) {
+		if e.isClosing(h.Model) {
 			victims = append(victims, victim{h.Model, 0, isServing})
 			continue
 		}
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		for _, h := range e.LoadedModels {
-			if !slices.Contains(e.ClosingModels, h.Model) {
+			if !e.isClosing(h.Model) {
 				p.replicas[h.Model]++
 				p.servingReplicas[h.Model]++
 			}
@@ -215,8 +215,7 @@
 // once the engine has unloaded all victims.
 func (p *planner) makeRoom(o loadOption, model string) {
 	victim := o.victims[0]
-	closing := slices.Contains(o.engine.ClosingModels, victim)
-	if !closing {
+	if !o.engine.isClosing(victim) {
 		p.replicas[victim]--
 		p.plannedUnloads[victim]++
 	}
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -10,6 +10,7 @@
 package afassign
 
 import (
+	"slices"
 	"time"
 
 	"arbutusfork.example/arbutusfork/pkg/afengine"
@@ -24,6 +25,8 @@
 	LoadingAdapters []string
 	// ClosingModels names the loaded models that get no new requests, so that they can be unloaded.
 	ClosingModels []string
+	// UnloadingModel is the model whose unload was ordered, as long as the engine may have accepted the order. It is no replica any more.
+	UnloadingModel string
 	// LoadingModel is the model that is being loaded. It is empty while IsExecutingOrder is set if the order is unknown.
 	LoadingModel string
 	// LoadsFromStore means that the load in progress reads from the weight store.
@@ -50,6 +53,11 @@
 	IsUnavailable bool
 }
 
+// isClosing reports whether a loaded model gets no new requests.
+func (e *Engine) isClosing(model string) bool {
+	return model == e.UnloadingModel || slices.Contains(e.ClosingModels, model)
+}
+
 // Demand is the recent demand for one model or adapter.
 type Demand struct {
 	Model string
