afassign: let a closing replica serve again when the other one fails

A busy model was left without a serving engine: one of its two replicas was closing for another model, the engine of the other one failed, and the closing one was unloaded all the same, although it worked.

Cause: a closing replica was a victim without a further check.

Change: while no other engine serves a model that is requested 0.8 times a second or more, a closing replica of it is opened again at once (Decision.ReopenedReplicas) and not unloaded. Rarely requested models make room for each other as before: otherwise two of them would open and close in turn.

Evidence: TestClosingReplicaServesAgainWhenOtherFails; its central check on the code before: "Should be empty, but was [{a {true m1 0} room for another m4 false 0s}]". go test ./internal/afkeeper ./pkg/afassign passes.

--- a/internal/afkeeper/order.go
+++ b/internal/afkeeper/order.go
@@ -63,6 +63,11 @@
 			}
 			es.closingEndsAt[c.Model] = now.Add(closingTimeout)
 		}
+		for _, r := range decision.ReopenedReplicas {
+			delete(s.engines[r.EngineID].closingEndsAt, r.Model)
+			s.hasViewChanged = true
+			s.Log.Info("replica reopened", "endpoint", r.EngineID, "model", r.Model)
+		}
 		for _, planned := range decision.Orders {
 			s.sendOrder(ctx, planned, epoch, now)
 		}
--- a/pkg/afassign/plan.go
+++ b/pkg/afassign/plan.go
@@ -147,12 +147,36 @@
 			p.replicas[e.ReservedModel]++
 		}
 	}
+	p.reopenReplicas()
 	for i := range p.Engines {
 		p.countDiskCopies(&p.Engines[i])
 	}
 	return p
 }
 
+// reopenReplicas lets a closing replica of each often requested model that no engine serves any more get requests again.
+func (p *planner) reopenReplicas() {
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if e.IsUnavailable {
+			continue
+		}
+		for _, model := range e.ClosingModels {
+			if p.servingReplicas[model] > 0 || p.requestRates[model] < lastReplicaMinRate || model == e.UnloadingModel || !afengine.IsLoaded(e.LoadedModels, model, "") {
+				continue
+			}
+			p.replicas[model]++
+			p.servingReplicas[model]++
+			p.decision.ReopenedReplicas = append(p.decision.ReopenedReplicas, ReopenedReplica{EngineID: e.ID, Model: model})
+		}
+		for _, r := range p.decision.ReopenedReplicas {
+			if r.EngineID == e.ID {
+				e.ClosingModels = slices.DeleteFunc(slices.Clone(e.ClosingModels), func(model string) bool { return model == r.Model })
+			}
+		}
+	}
+}
+
 // planReservedLoads plans the loads for which room was made by earlier orders.
 func (p *planner) planReservedLoads() {
 	for i := range p.Engines {
--- a/pkg/afassign/plan_test.go
+++ b/pkg/afassign/plan_test.go
@@ -383,3 +383,23 @@
 	require.Len(t, d.Orders, 1)
 	require.Equal(t, afengine.Order{IsUnload: true, Model: "m1"}, d.Orders[0].Order)
 }
+
+// Guards against a busy model without a serving engine, because one of its replicas is closing when the other one fails.
+func TestClosingReplicaServesAgainWhenOtherFails(t *testing.T) {
+	v := newSnapshot(Engine{ID: "a", LoadedModels: heldModels("m1"), ClosingModels: []string{"m1"}, ModelsOnDisk: []string{"m4"}}, Engine{ID: "b", LoadedModels: heldModels("m1")})
+	v.EngineSpec.MemoryMB = 80
+	v.MaxStoreLoads = 0
+	v.Demand = []Demand{{Model: "m1", RequestRate: 1}, {Model: "m4", WaitingRequests: 6}}
+	d := PlanOrders(v)
+	require.Len(t, d.Orders, 1, "the closing replica is unloaded while another one serves")
+	require.Empty(t, d.ReopenedReplicas)
+	v.Engines[1].IsUnavailable = true
+	d = PlanOrders(v)
+	require.Empty(t, d.Orders)
+	require.Equal(t, []ReopenedReplica{{EngineID: "a", Model: "m1"}}, d.ReopenedReplicas)
+	v.Engines[0].RunningRequests = map[string]int{"m1": 1}
+	require.Empty(t, PlanOrders(v).ClosingReplicas, "it is closed again")
+	v.Demand[0].RequestRate = 0.1
+	v.Engines[0].RunningRequests = nil
+	require.Len(t, PlanOrders(v).Orders, 1, "a rarely used model makes room as before")
+}
--- a/pkg/afassign/view.go
+++ b/pkg/afassign/view.go
@@ -129,11 +129,18 @@
 	EngineID, Model string
 }
 
+// ReopenedReplica is a closing replica that should get new requests again.
+type ReopenedReplica struct {
+	EngineID, Model string
+}
+
 // Decision is the output of PlanOrders.
 type Decision struct {
 	Orders []PlannedOrder
 	// ClosingReplicas are the replicas whose running requests have to end before they are unloaded.
 	ClosingReplicas []ClosingReplica
+	// ReopenedReplicas are the closing replicas of models that no other engine serves any more.
+	ReopenedReplicas []ReopenedReplica
 	// MinLoadDelays holds the minimum delay until a model is loaded, for models that requests wait for and that are queued for
 	// the weight store.
 	MinLoadDelays map[string]time.Duration
