soak: a play of silences with full endpoints, reloads and stops

`play silence` had 20 callers for 24 slots, so that its endpoints were never full, one silence at a time, and no trouble of VMs beside it. Requests may be refused there if they have not run; an answer that is cut, incomplete or out of order counts as before, and so does a request that ran and gets no answer.

--- a/cmd/arbutusfork-soak/main.go
+++ b/cmd/arbutusfork-soak/main.go
@@ -28,6 +28,7 @@
 	callers := soak.Flag("callers", "Number of callers.").Default("12").Int()
 	lease := soak.Flag("lease", "Time within which an engine must not get orders from two VMs.").Default("1.5s").Duration()
 	silence := app.Command("play", "Plays one kind of trouble.").Command("silence", "Sound endpoints are silent for a moment, one after another.")
+	full := silence.Flag("full", "Fill all endpoints, reload and stop VMs, and let several endpoints be silent at once.").Bool()
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -42,7 +43,7 @@
 			return s.Run()
 		}
 		if command == silence.FullCommand() {
-			run = func() ([]string, error) { return playSilence(ctx, *program, outputDir, runSeed, *duration) }
+			run = func() ([]string, error) { return playSilence(ctx, *program, outputDir, runSeed, *duration, *full) }
 		}
 		violations, err := run()
 		if err != nil {
@@ -60,7 +61,7 @@
 }
 
 // playSilence runs the play. What happened is in the file play.log of the folder, and what broke is printed.
-func playSilence(ctx context.Context, program, dir string, seed uint64, duration time.Duration) ([]string, error) {
-	p := afsoak.SilencePlay{DaemonPath: program, OutputDir: dir, Seed: seed, Duration: duration, Output: os.Stdout}
+func playSilence(ctx context.Context, program, dir string, seed uint64, duration time.Duration, isFull bool) ([]string, error) {
+	p := afsoak.SilencePlay{DaemonPath: program, OutputDir: dir, Seed: seed, Duration: duration, IsFull: isFull, Output: os.Stdout}
 	return p.Run(ctx)
 }
--- a/internal/afsoak/silence.go
+++ b/internal/afsoak/silence.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"arbutusfork.example/arbutusfork/internal/afstandin/afplatform"
@@ -20,6 +21,7 @@
 	silenceVMs, silenceEndpoints, silenceCallers = 3, 2, 20
 	silenceSlots, silenceQueue                   = 12, 2
 	silenceEvents, silenceEventDelay             = 40, 100 * time.Millisecond
+	shortSilenceEvents                           = 12
 	silenceCallTime                              = 30 * time.Second
 	// minSilence and maxSilence bound how long a sound endpoint sends nothing.
 	minSilence, maxSilence = time.Second, 1400 * time.Millisecond
@@ -39,12 +41,22 @@
 	// isMixed means that half of the requests allow one attempt. Otherwise all allow three, so that all VMs may leave a silent
 	// endpoint at the same moment.
 	isMixed bool
+	// events is the number of events of each stream.
+	events int
 }
 
 func drawSilenceSetting(seed uint64) silenceSetting {
 	random := rand.New(rand.NewPCG(seed, 2))
 	draw := func(n int) bool { return random.IntN(n) == 0 }
-	return silenceSetting{draw(2), draw(3), draw(2), draw(4)}
+	return silenceSetting{draw(2), draw(3), draw(2), draw(4), silenceEvents}
+}
+
+// callerCount returns the number of callers.
+func (p *SilencePlay) callerCount() int {
+	if p.IsFull {
+		return silenceEndpoints*(silenceSlots+silenceQueue) + 2
+	}
+	return silenceCallers
 }
 
 func (s silenceSetting) service() string {
@@ -68,7 +80,10 @@
 	Seed                  uint64
 	// Duration is the time during which callers send requests.
 	Duration time.Duration
-	Output   io.Writer
+	// IsFull means that the callers fill all slots and queues, that several endpoints may be silent at once, and that VMs reload their
+	// settings and, beside short streams, stop meanwhile. Requests may be refused then, if they have not run.
+	IsFull bool
+	Output io.Writer
 
 	setting   silenceSetting
 	fleet     *fleet
@@ -100,6 +115,9 @@
 // Run performs the play and returns the rules that were broken, one for each time. It returns an error if it could not start.
 func (p *SilencePlay) Run(ctx context.Context) ([]string, error) {
 	p.startedAt, p.sends, p.setting = time.Now(), map[string][]time.Time{}, drawSilenceSetting(p.Seed)
+	if p.IsFull && p.Seed%2 == 0 {
+		p.setting.events = shortSilenceEvents
+	}
 	if err := os.MkdirAll(p.OutputDir, 0o755); err != nil {
 		return nil, err
 	}
@@ -148,7 +166,10 @@
 			p.writeConfig(version)
 		}
 	})
-	for i := range silenceCallers {
+	if p.IsFull {
+		trouble.Go(func() { p.disturbVMs(ctx) })
+	}
+	for i := range p.callerCount() {
 		callers.Go(func() { p.sendStreams(ctx, i, end) })
 	}
 	callers.Wait()
@@ -173,7 +194,7 @@
 		models = nil
 	}
 	e, err := p.fleet.startEndpoint(p.setting.service(), models, func(e *endpoint) {
-		e.Slots, e.QueueLength, e.StreamEvents, e.ResponseDelay, e.CrashPart = silenceSlots, silenceQueue, silenceEvents, silenceEventDelay, ""
+		e.Slots, e.QueueLength, e.StreamEvents, e.ResponseDelay, e.CrashPart = silenceSlots, silenceQueue, p.setting.events, silenceEventDelay, ""
 		e.StreamsWithoutModel, e.HidesLoad, e.RefusesInSilence = p.setting.isPlain, p.setting.hidesLoad, p.setting.refusesInSilence
 		e.OnArrival = func(id string) {
 			p.mu.Lock()
@@ -219,6 +240,34 @@
 		d := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
 		p.logEvent("%s is silent for %v", e.ID, d.Round(time.Millisecond))
 		e.BeginSilence(d)
+		if p.IsFull && random.IntN(3) == 0 && waitFor(ctx, time.Duration(random.Int64N(int64(d)))) {
+			other := p.fleet.endpoints[(i+1)%silenceEndpoints]
+			p.logEvent("%s is silent too for %v", other.ID, d.Round(time.Millisecond))
+			other.BeginSilence(d)
+		}
+	}
+}
+
+// disturbVMs lets VMs reload their settings, and stop and start again, one after the other.
+func (p *SilencePlay) disturbVMs(ctx context.Context) {
+	random := rand.New(rand.NewPCG(p.Seed, 3))
+	for waitFor(ctx, 500*time.Millisecond+time.Duration(random.IntN(1500))*time.Millisecond) {
+		v := p.fleet.vms[random.IntN(len(p.fleet.vms))]
+		if p.setting.events == silenceEvents || random.IntN(4) > 0 {
+			p.logEvent("reload %s", v.name)
+			v.signalProcess(syscall.SIGHUP)
+			continue
+		}
+		p.logEvent("stop %s", v.name)
+		v.mu.Lock()
+		v.isStopping = true
+		exited := v.exited
+		v.mu.Unlock()
+		v.signalProcess(syscall.SIGTERM)
+		<-exited
+		if err := v.startProcess(p.fleet.daemonPath); err != nil {
+			p.reportViolation("SOAK", "%s not started: %v", v.name, err)
+		}
 	}
 }
 
@@ -256,7 +305,7 @@
 	}
 	c.endedAt = time.Now()
 	p.logEvent("%s answered %d after %v, %d events, %v", id, c.status, c.endedAt.Sub(c.sentAt).Round(time.Millisecond), strings.Count(c.body, "\n\n"), c.err)
-	if rule, text := checkSilenceCall(c); rule != "" {
+	if rule, text := checkSilenceCall(c, p.setting.events); rule != "" && !(p.IsFull && p.mayBeRefused(c)) {
 		p.reportViolation(rule, "%s %s at %s, sent %v ago: %s", id, path, v.name, c.endedAt.Sub(c.sentAt).Round(time.Millisecond), text)
 	}
 	p.mu.Lock()
@@ -264,10 +313,19 @@
 	p.calls = append(p.calls, c)
 }
 
-// checkSilenceCall returns the rule that the answer to a call breaks, or nothing.
-func checkSilenceCall(c call) (rule, text string) {
+// mayBeRefused reports whether a call may get no answer: it has not run, and was refused or met the end of its VM's process.
+func (p *SilencePlay) mayBeRefused(c call) bool {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hasMetClose := c.status == 0 && c.endedAt.Sub(c.sentAt) <= requestTransferTime
+	return len(f.executions[c.id]) == 0 && (c.status == http.StatusServiceUnavailable || hasMetClose)
+}
+
+// checkSilenceCall returns the rule that the answer to a call of a stream with so many events breaks, or nothing.
+func checkSilenceCall(c call, streamEvents int) (rule, text string) {
 	var want strings.Builder
-	for i := 1; i <= silenceEvents; i++ {
+	for i := 1; i <= streamEvents; i++ {
 		want.WriteString(afplatform.StreamEvent(c.id, i))
 	}
 	events := strings.Count(c.body, "\n\n")
@@ -304,12 +362,17 @@
 
 // printCounts prints the figures of the play. The caller holds mu.
 func (p *SilencePlay) printCounts() {
-	count, resent := map[string]int{}, 0
+	count, resent, refused := map[string]int{}, 0, 0
 	for _, rule := range p.violations {
 		count[rule]++
 	}
 	for _, sends := range p.sends {
 		resent += len(sends) - 1
 	}
-	p.print(p.Output, "%d requests, %d second sends, broken: %v; %+v, program %s, logs in %s", len(p.calls), resent, count, p.setting, p.DaemonPath, p.OutputDir)
+	for _, c := range p.calls {
+		if c.status != http.StatusOK {
+			refused++
+		}
+	}
+	p.print(p.Output, "%d requests, %d refused, %d second sends, broken: %v; %+v, program %s, logs in %s", len(p.calls), refused, resent, count, p.setting, p.DaemonPath, p.OutputDir)
 }
