soak: let silent endpoints be full and shared by all VMs

The soak let the other endpoints of a service refuse requests while one was silent, but nothing filled the silent one: with 12 callers it had a request or none, and plain endpoints went on to answer, since only streams and reports heeded the silence. Streams of half a second were seldom under way in it.

Plain endpoints of the stand-in heed silences.

--- a/internal/afsoak/body.go
+++ b/internal/afsoak/body.go
@@ -61,16 +61,8 @@
 		c.fleet.reportViolation("SOAK", "request not made: %v", err)
 		return
 	}
-	r.Host, r.ContentLength = "soak.example", int64(size)
-	headers := afplatform.RequestHeaders{RequestID: req.id, APIKey: req.key, Timeout: streamRouteTimeout, PromptTokens: requestTokens * 2 / 3, OutputTokens: requestTokens / 3}
-	if serviceOfRoute(path) == "llm" {
-		headers.Model, headers.PromptParts = model, []string{"system", req.id}
-	}
-	headers.SetOn(r.Header)
-	req.begin()
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: callTimeout}
-	defer client.CloseIdleConnections()
-	c.finishRequest(req, client, r)
+	r.ContentLength = int64(size)
+	c.sendOnce(req, r, model)
 }
 
 // drippingBody gives small pieces with pauses until a time.
--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -66,6 +66,8 @@
 	mu        sync.Mutex
 	calls     []call
 	callCount int
+	// running holds the VM of each request in progress by its ID.
+	running map[string]*vm
 }
 
 // sendRequests sends the requests of one caller, one after another, until ctx ends.
@@ -120,6 +122,9 @@
 
 // finishRequest sends a request, checks the answer and records the call.
 func (c *callers) finishRequest(req call, client *http.Client, r *http.Request) {
+	c.mu.Lock()
+	c.running[req.id] = req.vm
+	c.mu.Unlock()
 	resp, err := client.Do(r)
 	if err != nil {
 		req.err = err
@@ -137,6 +142,7 @@
 	req.endedAt, req.hadFault = time.Now(), req.vm.hadFaultSince(req.sentAt)
 	c.checkAnswer(req)
 	c.mu.Lock()
+	delete(c.running, req.id)
 	c.calls = append(c.calls, req)
 	c.mu.Unlock()
 }
--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -110,7 +110,8 @@
 func (f *fleet) startEndpoint(service string, models []string, configure func(*endpoint)) (*endpoint, error) {
 	f.mu.Lock()
 	f.lastEndpointNumber++
-	id := "i-" + strconv.Itoa(f.lastEndpointNumber)
+	number := f.lastEndpointNumber
+	id := "i-" + strconv.Itoa(number)
 	f.mu.Unlock()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -129,6 +130,8 @@
 		e.ModelSizes, e.ResponseDelay = modelSizes(), streamEventDelay
 		e.CrashPart, e.OnCrash = crashPart, func() { f.crashEndpoint(e) }
 	}
+	// Plain endpoints would answer before a silence that also keeps requests from being read.
+	e.RefusesInSilence = models == nil || number%2 == 0
 	configure(e)
 	e.server = &http.Server{Handler: e.Endpoint, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
--- a/internal/afsoak/moment.go
+++ b/internal/afsoak/moment.go
@@ -78,20 +78,6 @@
 	})
 }
 
-// silenceEndpoint lets a sound endpoint be silent for a moment while the others of its service are full.
-func (s *Soak) silenceEndpoint() {
-	e := s.pickForMoment()
-	d := s.betweenMoments(minSilence, maxSilence)
-	s.logEvent("endpoint %s is silent for %v, the others are full", e.ID, d.Round(time.Millisecond))
-	e.BeginSilence(d)
-	for _, other := range s.fleet.liveEndpoints(e.Service) {
-		if other != e {
-			other.IsFull.Store(true)
-			s.endLater(d, func() { other.IsFull.Store(false) })
-		}
-	}
-}
-
 // writeForeignEntry lets another writer replace the entry of an endpoint, which writes its own again some time later.
 func (s *Soak) writeForeignEntry() {
 	e := s.pickForMoment()
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -119,7 +119,7 @@
 	s.resetRandom = rand.New(rand.NewPCG(s.Seed, 9))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
-	s.callers = &callers{fleet: f, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
+	s.callers = &callers{fleet: f, running: map[string]*vm{}, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
 	if s.Ctx == nil {
 		s.Ctx = context.Background()
 	}
--- a/internal/afstandin/afplatform/engine.go
+++ b/internal/afstandin/afplatform/engine.go
@@ -292,7 +292,7 @@
 	}
 	// An engine runs a request without a model too, so that tests see requests that are sent to the wrong service.
 	if e.ModelSizes == nil && !e.StreamsWithoutModel || e.ModelSizes != nil && model == "" {
-		e.whole(w, id)
+		e.whole(w, r, id)
 		return
 	}
 	e.stream(w, r, id)
@@ -311,8 +311,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (e *Endpoint) whole(w http.ResponseWriter, id string) {
+func (e *Endpoint) whole(w http.ResponseWriter, r *http.Request, id string) {
 	time.Sleep(e.ResponseDelay)
+	if !e.awaitSpeech(r.Context()) {
+		return
+	}
 	body := "done " + id
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if e.TruncatesAnswers.Load() {
