afdispatch: check a silent endpoint twice before its request is sent again

A request that an endpoint of `serve` was running was cancelled and sent again, at the cost of a retry, because the endpoint was silent for 1.4 s at the moment at which it was checked. With the budget for retries spent, the caller would have got an error although its endpoint worked.

No answer within a second counted like a refused connection. What works was given up before it was certain that it did not.

Change: the check tells what it saw (probeResult). Only a refusal, an engine that runs nothing, or two checks in a row without an answer show that the request is lost.

--- a/internal/afdispatch/send_test.go
+++ b/internal/afdispatch/send_test.go
@@ -176,6 +176,49 @@
 	}
 }
 
+// Guards against a request that is given up and sent again because its sound endpoint is silent for a moment as it is checked.
+func TestEndpointSilentDuringCheckIsKept(t *testing.T) {
+	arrived, sends := make(chan struct{}, 9), atomic.Int32{}
+	silenceEnds := make(chan struct{})
+	statusAsked := make(chan struct{}, 9)
+	e := serveReplica("e1", func(w http.ResponseWriter, req *http.Request) {
+		switch req.URL.Path {
+		case "/status":
+			statusAsked <- struct{}{}
+			<-silenceEnds
+			_, _ = io.WriteString(w, `{"running":1,"waiting":0}`)
+		case "/2":
+			sends.Add(1)
+			arrived <- struct{}{}
+			<-silenceEnds
+			_, _ = io.WriteString(w, "answer")
+		default:
+			_, _ = io.WriteString(w, "fresh")
+		}
+	}, t)
+	h := newHarness(t, e).startOwner()
+	rec := &recordingSink{}
+	require.Nil(t, h.SendCall(context.Background(), h.newRequest("m", "a"), newGetCall("/1"), rec.sink()).Refusal)
+	out := make(chan Result, 1)
+	go func() { out <- h.SendCall(context.Background(), h.newRequest("m", "a"), newGetCall("/2"), rec.sink()) }()
+	<-arrived
+	h.advance(defaultConnCheckDelay)
+	<-statusAsked
+	silence := time.After(probeTimeout + 400*time.Millisecond)
+	for isOver := false; !isOver; {
+		select {
+		case <-silence:
+			isOver = true
+			close(silenceEnds)
+		case <-time.After(50 * time.Millisecond):
+			h.Timer.AdvanceTo(h.Timer.Now().Add(50 * time.Millisecond)) // A retry would wait for its backoff.
+		}
+	}
+	require.Nil(t, (<-out).Refusal)
+	require.Equal(t, "answer", rec.body)
+	require.EqualValues(t, 1, sends.Load())
+}
+
 // TestStalledStream guards against a stream that never ends because the endpoint stops sending events without closing it.
 func TestStalledStream(t *testing.T) {
 	block := make(chan struct{})
--- a/internal/afdispatch/watch.go
+++ b/internal/afdispatch/watch.go
@@ -9,12 +9,17 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"arbutusfork.example/arbutusfork/pkg/aftimer"
 )
 
 const (
 	// probeTimeout bounds the check of an endpoint over a new connection.
 	probeTimeout = time.Second
+	// silentProbes is the number of checks in a row without an answer after which an endpoint counts as unreachable. A sound endpoint may
+	// be silent for a second or so.
+	silentProbes = 2
 	// maxStatusBytes bounds the status that an endpoint returns.
 	maxStatusBytes = 1 << 20
 )
@@ -110,13 +115,16 @@
 	w.scheduleCheck(now)
 }
 
-// checkConn asks the endpoint over a new connection whether it runs anything. If the endpoint runs nothing or cannot be
-// reached, the request is taken as lost and the connection is dropped.
+// checkConn asks the endpoint over a new connection whether it runs anything. If the endpoint runs nothing, cannot be reached or answers
+// to no check, the request is taken as lost and the connection is dropped.
 func (w *watchdog) checkConn() {
-	isReachable, isIdle := w.service.probeEndpoint(w.lease)
+	result := probeSilent
+	for n := 0; n < silentProbes && result == probeSilent; n++ {
+		result = w.service.probeEndpoint(w.lease)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isStopped || w.isResponseStarted || (isReachable && !isIdle) {
+	if w.isStopped || w.isResponseStarted || result == probeBusy {
 		return
 	}
 	w.dropConn()
@@ -173,37 +181,56 @@
 	return n, err
 }
 
-// probeEndpoint connects to the endpoint of the lease over a new connection. An engine is also asked for its status: isIdle
-// means that it runs no request and none waits.
-func (s *Service) probeEndpoint(l *Lease) (isReachable, isIdle bool) {
+// probeResult is what a check of an endpoint over a new connection shows.
+type probeResult int
+
+const (
+	// probeBusy means that the endpoint may run the request.
+	probeBusy probeResult = iota
+	// probeIdle means that the engine runs no request and none waits.
+	probeIdle
+	// probeRefused means that the endpoint took no connection or closed it.
+	probeRefused
+	// probeSilent means that the endpoint did not answer in time, which a sound one may do too.
+	probeSilent
+)
+
+// probeEndpoint connects to the endpoint of the lease over a new connection. An engine is also asked for its status.
+func (s *Service) probeEndpoint(l *Lease) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	failed := func(err error) probeResult {
+		if e, ok := errors.Into[net.Error](err); ok && e.Timeout() {
+			return probeSilent
+		}
+		return probeRefused
+	}
 	if l.request.Model == "" {
 		var d net.Dialer
 		c, err := d.DialContext(ctx, "tcp", l.Replica.Address)
 		if err != nil {
-			return false, false
+			return failed(err)
 		}
 		_ = c.Close()
-		return true, false
+		return probeBusy
 	}
 	t := newTransport()
 	defer t.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Replica.Address+"/status", nil)
 	if err != nil {
-		return false, false
+		return probeRefused
 	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return false, false
+		return failed(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var status struct {
 		Running int `json:"running"`
 		Waiting int `json:"waiting"`
 	}
-	if json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status) != nil {
-		return true, false
+	if json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status) != nil || status.Running+status.Waiting > 0 {
+		return probeBusy
 	}
-	return true, status.Running+status.Waiting == 0
+	return probeIdle
 }
