--- a/internal/afgateway/owner.go
+++ b/internal/afgateway/owner.go
@@ -141,11 +141,13 @@
 	if effects.isRejected {
 		return false
 	}
-	a.progressAt = o.request.server.Timer.Now()
+	now := o.request.server.Timer.Now()
 	if a.isSilenceRecorded {
 		a.isSilenceRecorded = false
 		a.endpoint.request.RecordSpeech()
+		o.request.server.Log.Info("endpoint speaks again", "request", o.request.headers.RequestID, "endpoint", a.endpoint.ID, "attempt", int(a.id), "silence", now.Sub(a.progressAt))
 	}
+	a.progressAt = now
 	o.apply(next, effects)
 	return true
 }
