--- a/internal/afsoak/silence.go
+++ b/internal/afsoak/silence.go
@@ -305,7 +305,7 @@
 	}
 	c.endedAt = time.Now()
 	p.logEvent("%s answered %d after %v, %d events, %v", id, c.status, c.endedAt.Sub(c.sentAt).Round(time.Millisecond), strings.Count(c.body, "\n\n"), c.err)
-	if rule, text := checkSilenceCall(c, p.setting.events); rule != "" && !(p.IsFull && p.mayBeRefused(c)) {
+	if rule, text := checkSilenceCall(c, p.setting.events); rule != "" && (!p.IsFull || !p.mayBeRefused(c)) {
 		p.reportViolation(rule, "%s %s at %s, sent %v ago: %s", id, path, v.name, c.endedAt.Sub(c.sentAt).Round(time.Millisecond), text)
 	}
 	p.mu.Lock()
