--- a/internal/afgateway/choose.go
+++ b/internal/afgateway/choose.go
@@ -92,9 +92,9 @@
 // all endpoints of the service are ejected. A cause outside the endpoints is then likely.
 func chooseEndpoint(candidates afroster.Candidates, needs requirements) (afroster.Endpoint, bool) {
 	var (
-		best, bestEjected              afroster.Endpoint
-		bestCost, bestEjectedCost      int64
-		found, foundEjected, hasSpoken bool
+		best, bestEjected               afroster.Endpoint
+		bestCost, bestEjectedCost       int64
+		found, foundEjected, bestSpeaks bool
 	)
 	for _, e := range candidates.Endpoints {
 		if needs.excluded[e.ID] || !hasCapacity(e, needs) || needs.isUnavailable != nil && needs.isUnavailable(e) {
@@ -113,12 +113,9 @@
 			estimate += startWait.Milliseconds() * slotWaitCostTokens
 		}
 		if e.Health.IsEjected(needs.now) {
-			isBetter := estimate < bestEjectedCost
-			if e.Health.HasSpoken() != hasSpoken {
-				isBetter = e.Health.HasSpoken()
-			}
-			if !foundEjected || isBetter {
-				bestEjected, bestEjectedCost, foundEjected, hasSpoken = e, estimate, true, e.Health.HasSpoken()
+			speaks := e.Health.HasSpoken()
+			if !foundEjected || speaks && !bestSpeaks || speaks == bestSpeaks && estimate < bestEjectedCost {
+				bestEjected, bestEjectedCost, foundEjected, bestSpeaks = e, estimate, true, speaks
 			}
 			continue
 		}
@@ -131,7 +128,7 @@
 			best, bestCost, found = e, estimate, true
 		}
 	}
-	if !found && foundEjected && (hasSpoken || 2*candidates.EjectedCount >= candidates.UsableCount) {
+	if !found && foundEjected && (bestSpeaks || 2*candidates.EjectedCount >= candidates.UsableCount) {
 		return bestEjected, true
 	}
 	return best, found
--- a/internal/afgateway/race.go
+++ b/internal/afgateway/race.go
@@ -24,7 +24,8 @@
 
 // race decides which of the live attempts of a request answers the caller. An attempt at a silent endpoint stays live until
 // another one has spoken, which means that it has a part of the answer for the caller: a sound endpoint may be silent for a
-// second, and another one may refuse. That holds for hung endpoints too, beside which more attempts are made. A race is immutable: its methods return the next one with what has to be done.
+// second, and another one may refuse. That holds for hung endpoints too, beside which more attempts are made. A race is immutable: its
+// methods return the next one with what has to be done.
 type race struct {
 	racers [maxLiveAttempts]racer
 	// lastID is the ID of the latest attempt.
