soak: do not let silences of an endpoint add up

Trace: the soak had chosen the same engine four times, 16.82, 18.12, 18.94 and 19.68, so that it sent nothing from 17.07 to 20.9 but for some events. No fault of the gateway.

An endpoint is now silent again only a second after its last silence, and no silence begins if none is free. The check is as before.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -85,6 +85,8 @@
 	isExtra bool
 	// restartedAt is when the endpoint last started again, ready, after a crash.
 	restartedAt time.Time
+	// silentUntil is when the latest silence of the endpoint ends.
+	silentUntil time.Time
 }
 
 // recordExecution stores a request that an endpoint executed and checks that the API key was not forwarded.
--- a/internal/afsoak/full.go
+++ b/internal/afsoak/full.go
@@ -14,6 +14,8 @@
 	// fillRequests is the number of requests of each VM with which the endpoints of a service are filled, and fillTime how long they have
 	// to begin.
 	fillRequests, fillTime = 6, 250 * time.Millisecond
+	// silenceBreak is the least time between two silences of an endpoint, so that they don't add up to a longer one.
+	silenceBreak = time.Second
 	// maxFillingVMs bounds the VMs that send them.
 	maxFillingVMs = 20
 )
@@ -24,7 +26,11 @@
 	e := s.pickForMoment()
 	d := s.betweenMoments(minSilence, maxSilence)
 	live := s.fleet.liveEndpoints(e.Service)
-	e, model := s.pickSound(e, live)
+	e, model, ok := s.pickSound(e, live)
+	if !ok {
+		return
+	}
+	e.silentUntil = time.Now().Add(fillTime + d)
 	s.logEvent("endpoint %s is silent for %v, all of its service are full", e.ID, d.Round(time.Millisecond))
 	if e.RefusesInSilence {
 		e.BeginSilence(d)
@@ -52,25 +58,25 @@
 	s.endLater(d, func() { e.IsFull.Store(false) })
 }
 
-// pickSound returns an endpoint without a fault and a model that it has, the given endpoint if it is one. Plain endpoints need no
-// model.
-func (s *Soak) pickSound(e *endpoint, live []*endpoint) (*endpoint, string) {
+// pickSound returns an endpoint without a fault that was not silent lately and a model that it has, the given endpoint if it is one.
+// Plain endpoints need no model. It returns false if there is none.
+func (s *Soak) pickSound(e *endpoint, live []*endpoint) (sound *endpoint, model string, ok bool) {
 	now := time.Now()
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	for _, candidate := range append([]*endpoint{e}, live...) {
-		if candidate.isCrashed || candidate.IsLeaving.Load() || s.fleet.hadEndpointFault(candidate.ID, now, now) {
+		if now.Before(candidate.silentUntil.Add(silenceBreak)) || candidate.isCrashed || candidate.IsLeaving.Load() || s.fleet.hadEndpointFault(candidate.ID, now, now) {
 			continue
 		}
 		i := slices.IndexFunc(modelNames, candidate.HasModel)
 		switch {
 		case candidate.Service != "llm":
-			return candidate, ""
+			return candidate, "", true
 		case i >= 0:
-			return candidate, modelNames[i]
+			return candidate, modelNames[i], true
 		}
 	}
-	return e, modelNames[0]
+	return nil, "", false
 }
 
 // fillEndpoints sends requests for the endpoints of a service through the VMs. Half of them may run only once.
