soak: leave out answers that run until the end of a planned stop

No fault of the gateway was found: with the deadline of the stop 0.7 s away and the endpoint silent, nothing replaces it for a stream that may run once.

The check is narrowed to exactly that: an answer that had begun, sent within 3 s of the signal, ended in the last sixth.

--- a/internal/afsoak/outcome.go
+++ b/internal/afsoak/outcome.go
@@ -15,6 +15,9 @@
 // deadlineSlack is how long before a route's timeout an answer may end because of it.
 const deadlineSlack = 300 * time.Millisecond
 
+// stopIntakeTime is how long after SIGTERM the platform may leave a request out of what a planned stop must not cut.
+const stopIntakeTime = 3 * time.Second
+
 // endpointFault is a period in which an endpoint may break off answers or delay them without end.
 type endpointFault struct {
 	endpointID string
@@ -76,10 +79,10 @@
 }
 
 // checkCut checks that no answer ends early, and no request that was read goes unanswered, unless an endpoint that ran it had a
-// fault meanwhile, the VM was killed or frozen, or the deadline was reached. The caller holds the locks of fleet and callers.
+// fault meanwhile, the VM was killed or frozen, or the deadline was reached, or a planned stop ended an answer as ranUntilStop says. The caller holds the locks of fleet and callers.
 func (s *Soak) checkCut(req call, executions []afplatform.ExecutedRequest) {
 	took := req.endedAt.Sub(req.sentAt)
-	isCut := req.status == http.StatusOK && !req.isComplete
+	isCut := req.status == http.StatusOK && !req.isComplete && !s.ranUntilStop(req)
 	isUnanswered := req.status == 0 && req.err != nil && len(executions) > 0 && took > requestTransferTime
 	timeout := plainRouteTimeout
 	if serviceOfRoute(req.path) == "llm" {
@@ -100,6 +103,15 @@
 	s.reportViolation("CUT", "request %s %s at %s: status %d, %d bytes, %v, %v after it was sent; it ran at %v, which had no fault", req.id, req.path, req.vm.name, req.status, len(req.body), req.err, took.Round(time.Millisecond), at)
 }
 
+// ranUntilStop reports whether an answer was cut in the last sixth of the grace period of a planned stop, after its request was sent within
+// stopIntakeTime of the signal. A VM takes requests as long as the load balancer may send them, and their endpoint may fall silent.
+func (s *Soak) ranUntilStop(req call) bool {
+	return slices.ContainsFunc(s.plannedStops, func(stop plannedStop) bool {
+		return stop.vm == req.vm && stop.vmStartCount == req.vmStartCount && !req.sentAt.After(stop.stoppedAt.Add(stopIntakeTime)) &&
+			!req.endedAt.Before(stop.stoppedAt.Add(gracePeriod-gracePeriod/6))
+	})
+}
+
 // wasHalted reports whether the process was killed or frozen, or thawed, in a period.
 func (v *vm) wasHalted(from, to time.Time) bool {
 	v.mu.Lock()
