--- a/review/_kit3/fleet.go
+++ b/review/_kit3/fleet.go
@@ -34,6 +34,7 @@
 type gateway struct {
 	name, ip, settingsPath string
 	log                    *os.File
+	proxy                  *storeProxy // proxy carries the connections to the store. It is nil unless the case cuts them.
 	cmd                    *exec.Cmd
 	exited                 chan struct{}
 }
@@ -47,6 +48,8 @@
 	storeAt  string
 	gateways []*gateway
 	runners  []*runner
+	// hasProxies makes each gateway reach the store through a proxy. It is set before the gateways start.
+	hasProxies bool
 
 	mu sync.Mutex
 	// crashes holds when runners crashed.
@@ -80,6 +83,7 @@
 		"version": 7,
 		"routes": []any{
 			route("talk", "streaming", engineName, 15000, 500, 2, true),
+			route("note", "streaming", engineName, 15000, 500, 1, false),
 			route("pay", "unsafe", plainName, 800, 150, 1, false),
 			route("look", "safe", plainName, 800, 150, 2, false),
 		},
@@ -126,6 +130,11 @@
 	for i := range vmCount {
 		g := &gateway{name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s.%d", subnet, i+1)}
 		g.settingsPath = filepath.Join(f.dir, g.name+".json")
+		if f.hasProxies {
+			if g.proxy, err = newStoreProxy(f.storeAt); err != nil {
+				return err
+			}
+		}
 		raw, err := json.Marshal(f.settings(g, zones[i%len(zones)]))
 		if err != nil {
 			return err
@@ -150,6 +159,10 @@
 }
 
 func (f *fleet) settings(g *gateway, zone string) map[string]any {
+	storeAt := f.storeAt
+	if g.proxy != nil {
+		storeAt = g.proxy.address()
+	}
 	return map[string]any{
 		"node-name": g.name, "role": "gateway", "machine-class": "front", "serves": []string{"front"}, "ip": g.ip, "zone": zone, "region": "cairo",
 		"zones":          map[string]string{"cairo-a": "cairo", "cairo-b": "cairo", "cairo-c": "cairo"},
@@ -166,7 +179,7 @@
 			"reuse-after-s": 2, "seed-lag-s": 3, "catch-up-s": 4,
 		},
 		"platform": map[string]any{
-			"address": f.storeAt, "form": "objects", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "min-ttl-ms": 1000,
+			"address": storeAt, "form": "objects", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "min-ttl-ms": 1000,
 		},
 	}
 }
@@ -214,6 +227,9 @@
 		_ = g.cmd.Process.Kill()
 		<-g.exited
 		_ = g.log.Close()
+		if g.proxy != nil {
+			_ = g.proxy.listener.Close()
+		}
 	}
 	for _, r := range f.runners {
 		r.shut()
