--- a/review/_kit3/case_answers.go
+++ b/review/_kit3/case_answers.go
@@ -21,8 +21,9 @@
 	plainRunners         = 8
 	// greyLength is how long the disruption lasts.
 	greyLength = 6500 * time.Millisecond
-	// payments is the number of payments a second.
-	payments = 40
+	// payments is the number of payments a second, as on the sheet.
+	payments = 7
+	episodes = 3
 )
 
 // greyServer answers requests like a sound plain service, except that grey runners run a part of their requests and answer them with a
@@ -77,12 +78,14 @@
 
 // run lasts until some seconds after the disruption.
 func (g *greyServer) run() {
-	time.Sleep(contactTime)
-	g.isGrey.Store(true)
-	g.fleet.rec.line("the grey runner begins to fail")
-	time.Sleep(greyLength)
-	g.isGrey.Store(false)
-	g.fleet.rec.line("the grey runner is sound again")
+	for range episodes {
+		time.Sleep(contactTime)
+		g.isGrey.Store(true)
+		g.fleet.rec.line("the grey runner begins to fail")
+		time.Sleep(greyLength)
+		g.isGrey.Store(false)
+		g.fleet.rec.line("the grey runner is sound again")
+	}
 	time.Sleep(contactTime)
 }
 
--- a/review/_kit3/case_signature.go
+++ b/review/_kit3/case_signature.go
@@ -76,9 +76,9 @@
 		}
 	}
 	t := &traffic{stop: make(chan struct{})}
-	t.every(20, func(n int) { judge(talk(fmt.Sprintf("t-%d", n), n, sharedPart, documentPart, fmt.Sprintf("%07x", n))) })
-	t.every(40, func(n int) { judge(pay(fmt.Sprintf("p-%d", n), n)) })
-	t.every(40, func(n int) { judge(look(fmt.Sprintf("l-%d", n), n)) })
+	t.every(29, func(n int) { judge(talk(fmt.Sprintf("t-%d", n), n, sharedPart, documentPart, fmt.Sprintf("%07x", n))) })
+	t.every(7, func(n int) { judge(pay(fmt.Sprintf("p-%d", n), n)) })
+	t.every(3.6, func(n int) { judge(look(fmt.Sprintf("l-%d", n), n)) })
 	for range episodes {
 		time.Sleep(episodePause)
 		f.rec.line("garble begins")
