afgateway: withhold statuses that would promise that a request has not run

What callers saw: a payment ran, its endpoint answered 503 without saying that it had not run it, and the caller got that 503 with the endpoint's signature.

Cause: the gateway passed on the status of each answer that was not marked as not run. A 408, 429 or 503 means nothing certain from an endpoint, and becomes a promise on its way out.

Ruled out by the wire: a refusal of the gateway's own (the answers bear the endpoint's signature and body), and a misread marker (the answers have none, and marked ones went elsewhere).

The head of an answer is now judged where it is read, in openAnswer, which first and second attempts share: MayRelayStatus is the one place that decides. If the request must not run twice and the endpoint did not say that it has not run, the attempt ends as one that may have run. The caller gets 502 without a signature and without Retry-After, at once, also when the answer is long or a stream; the request is not sent again, its units stay charged, and it counts as unknown. A Retry-After still pauses the endpoint, and its health is judged as before. Statuses that promise nothing, and all those of requests that may be repeated, are passed on as before; marked refusals and 421 go elsewhere as before.

Evidence: TestStatusPromisesOnlyWhatIsTrue reads the wire over status, marker, kind of answer, Retry-After, route, method and version.

--- a/internal/afgateway/answer.go
+++ b/internal/afgateway/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"arbutusfork.example/arbutusfork"
 	"arbutusfork.example/arbutusfork/internal/afmemory"
 	"arbutusfork.example/arbutusfork/internal/afroster"
 )
@@ -88,6 +89,9 @@
 		return nil, attemptResult{notRun: true, cause: "endpoint answered " + strconv.Itoa(status) + ", not run"}
 	}
 	s.full.recordAnswer(p.fullKey(endpoint.Endpoint), a.progressAt)
+	if !arbutusfork.MayRelayStatus(ex.response.StatusCode, p.route.IsRepeatable()) {
+		return nil, p.withholdAnswer(a, ex, headers)
+	}
 	ans := &answer{exchange: ex, headers: headers, held: s.AnswerMemory.Hold()}
 	ans.isStream = isStream(p.route) && ex.response.StatusCode == http.StatusOK && strings.HasPrefix(ex.response.Header.Get("Content-Type"), "text/event-stream")
 	if ans.isStream {
@@ -96,6 +100,23 @@
 	return ans, attemptResult{}
 }
 
+// withholdAnswer ends an attempt whose answer must not reach the caller because of its status. The request may have run.
+func (p *proxiedRequest) withholdAnswer(a *liveAttempt, ex *exchange, headers ResponseHeaders) attemptResult {
+	status := ex.response.StatusCode
+	ex.close()
+	a.endpoint.request.End(answerHealth(status, headers))
+	p.server.Metrics.countWithheld(status)
+	return attemptResult{progress: progressHead, cause: "endpoint answered " + strconv.Itoa(status) + ", which does not say that the request did not run"}
+}
+
+// answerHealth returns the health result of an attempt whose endpoint has answered.
+func answerHealth(status int, headers ResponseHeaders) afroster.HealthResult {
+	if headers.Said.Pause > 0 {
+		return afroster.HealthUnaffected // The endpoint says itself when it is to be used again.
+	}
+	return healthResult(status < http.StatusInternalServerError)
+}
+
 // runSecond sends the request to a second endpoint while the first one is silent. The answer is handed to the goroutine of the request
 // as soon as it has a part for the caller, unless the first endpoint has spoken by then.
 func (p *proxiedRequest) runSecond(o *attemptOwner, a *liveAttempt) {
--- a/internal/afgateway/attempt.go
+++ b/internal/afgateway/attempt.go
@@ -231,7 +231,7 @@
 	if p.timeLeft() <= 0 {
 		code = arbutusfork.CodeDeadlineExceeded
 	}
-	return arbutusfork.NewRefusal(code, "the endpoint gave no whole answer: "+cause).WithOutcome(arbutusfork.OutcomeUnknown)
+	return arbutusfork.NewRefusal(code, "the endpoint gave no usable answer: "+cause).WithOutcome(arbutusfork.OutcomeUnknown)
 }
 
 // refuseWithoutEndpoint ends a request for which no endpoint is available. It returns the given refusal if the request
--- a/internal/afgateway/metrics.go
+++ b/internal/afgateway/metrics.go
@@ -17,6 +17,7 @@
 	attempts       prometheus.Counter
 	retries        *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
+	withheld       *prometheus.CounterVec
 	limitedAnswers prometheus.Counter
 	brokenAnswers  *prometheus.CounterVec
 	firstEventTime *prometheus.HistogramVec
@@ -45,6 +46,9 @@
 		failedAttempts: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_failed_sends_total", Help: "Sends that may have run and got no whole answer, by the part of the answer that had arrived.",
 		}, []string{"progress"}),
+		withheld: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "arbutusfork_gateway_withheld_answers_total", Help: "Answers withheld from callers since their status would promise that the request did not run, by status.",
+		}, []string{"status"}),
 		limitedAnswers: f.NewCounter(prometheus.CounterOpts{
 			Name: "arbutusfork_gateway_limited_answers_total", Help: "Answers in which an endpoint named a limit of its requests.",
 		}),
@@ -100,6 +104,13 @@
 	}
 }
 
+// countWithheld counts an answer of an endpoint that is withheld from the caller because of its status.
+func (m Metrics) countWithheld(status int) {
+	if m.withheld != nil {
+		m.withheld.WithLabelValues(strconv.Itoa(status)).Inc()
+	}
+}
+
 // countLimit counts an answer in which the endpoint named a limit.
 func (m Metrics) countLimit(limit float64) {
 	if m.limitedAnswers != nil && limit > 0 {
--- a/internal/afgateway/relay.go
+++ b/internal/afgateway/relay.go
@@ -92,11 +92,7 @@
 		return p.relayLong(o, a, ans)
 	}
 	isServerError := status >= http.StatusInternalServerError
-	health := healthResult(!isServerError)
-	if ans.headers.Said.Pause > 0 {
-		health = afroster.HealthUnaffected // The endpoint says itself when it is to be used again.
-	}
-	a.endpoint.request.End(health)
+	a.endpoint.request.End(answerHealth(status, ans.headers))
 	response := bufferedResponse{status, header, ans.body}
 	if isServerError && (o.hasOther(a) || p.mayRetryServerError(o, a)) {
 		return attemptResult{cause: "endpoint answered " + strconv.Itoa(status), serverError: &response}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -150,6 +150,12 @@
 mutant gateway-twice internal/afgateway/attempt.go \
 	'result.notRun && possibleRuns == 0 || p.route.IsRepeatable() && possibleRuns < p.route.MaxAttempts' 'possibleRuns < 3' \
 	./platform TestUnsafeRunsOnce
+mutant gateway-status promise.go \
+	'isRepeatable || !promisesNotRun(status)' 'isRepeatable || status != 0' \
+	./platform TestStatusPromisesOnlyWhatIsTrue
+mutant gateway-withheld internal/afgateway/answer.go \
+	'MayRelayStatus(ex.response.StatusCode, p.route.IsRepeatable())' 'MayRelayStatus(ex.response.StatusCode, true)' \
+	./platform TestWithheldAnswerIsChargedCountedAndLogged
 mutant gateway-race internal/afgateway/race.go \
 	'effects.closed = r.racers' '_ = r.racers' \
 	./internal/afgateway TestRaceInAnyOrder
