afretry: believe a 429 only if it says that the call did not run

What callers of `serve` saw: a payment whose endpoint answered 429 after running it was sent to another endpoint and ran twice. If no endpoint was left, its caller got `no_capacity` with outcome "not run", and its claim was cancelled, so that a retry with the same Idempotency-Key ran it again.

Cause: ClassifyAttempt took each 429 for a refusal, while a 503 needs X-Not-Run. A 429 may come from behind the endpoint, for instance from a service that it calls after it has stored the payment. The stand-ins of this repository send none.

A 429 now needs the header like a 503. Without it the outcome is unknown: a call that may be repeated still goes to another endpoint within the same budgets, any other ends with 502 `endpoint_failed`, outcome unknown, without Retry-After. On a kept connection it still counts as a possible second copy of an earlier answer.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -61,8 +61,10 @@
 	switch {
 	case errors.Is(a.err, errDeadlineExceeded):
 		return arbutusfork.NewRefusal(arbutusfork.CodeDeadlineExceeded, "the endpoint did not answer within the deadline")
-	case a.isDraining, a.StatusCode == http.StatusTooManyRequests, a.StatusCode == http.StatusServiceUnavailable:
+	case a.isDraining, a.NotRun && (a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable):
 		return arbutusfork.NewRefusal(arbutusfork.CodeNoCapacity, "no endpoint accepted the request").WithRetryAfter(time.Second)
+	case a.StatusCode == http.StatusTooManyRequests:
+		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint answered 429, and may have run the request")
 	case a.isResponseStarted:
 		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint broke the answer off")
 	case a.StatusCode != 0:
@@ -151,7 +153,8 @@
 	a.RequestWritten = true
 	a.StatusCode = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
-	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun && tracker.isReused() && resp.Header.Get(RequestIDHeader) != c.ID {
+	isRefusal := afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun || resp.StatusCode == http.StatusTooManyRequests
+	if isRefusal && tracker.isReused() && resp.Header.Get(RequestIDHeader) != c.ID {
 		a.MayBeRepeated = true
 		a.err = errors.Errorf("refused with status %d on a connection that was used before", resp.StatusCode)
 		// The response to this call may follow. A refusal on a new connection is certain.
@@ -161,7 +164,7 @@
 	}
 	a.isDraining = isDrainingResponse(resp.StatusCode, resp.Header)
 	a.isModelMissing = a.NotRun && !a.isDraining && resp.StatusCode == http.StatusServiceUnavailable && l.request.Model != ""
-	if afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun {
+	if isRefusal {
 		a.err = errors.Errorf("refused with status %d", resp.StatusCode)
 		return a
 	}
--- a/pkg/afretry/attempt.go
+++ b/pkg/afretry/attempt.go
@@ -7,8 +7,8 @@
 	"arbutusfork.example/arbutusfork"
 )
 
-// NotRunHeader is the header of a 503 response by which an endpoint reports, with the value "true", that it did not run
-// the call.
+// NotRunHeader is the header of a 429 or 503 response by which an endpoint reports, with the value "true", that it did not run
+// the call. Without it, the status may come from behind the endpoint, after the call began to run.
 const NotRunHeader = "X-Not-Run"
 
 // Attempt is what the sender of a call knows about one attempt.
@@ -28,10 +28,12 @@
 
 // ClassifyAttempt returns whether the call was answered, was not run, or may have run (OutcomeUnknown).
 func ClassifyAttempt(a Attempt) arbutusfork.Outcome {
-	isRefusal := a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable && a.NotRun
+	isRefusal := a.NotRun && (a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable)
 	switch {
 	case isRefusal && a.MayBeRepeated:
 		return arbutusfork.OutcomeUnknown
+	case a.StatusCode == http.StatusTooManyRequests && !a.NotRun:
+		return arbutusfork.OutcomeUnknown // Another endpoint may have room, if the call may be repeated.
 	case isRefusal:
 		return arbutusfork.OutcomeNotRun
 	case a.StatusCode != 0 && !a.ResponseTruncated:
--- a/pkg/afretry/retry_test.go
+++ b/pkg/afretry/retry_test.go
@@ -20,7 +20,7 @@
 			StatusCode: rapid.SampledFrom([]int{0, 200, 400, 429, 500, 502, 503, 504}).Draw(t, "status"),
 		}
 		outcome := ClassifyAttempt(a)
-		reportedNotRun := a.StatusCode == http.StatusTooManyRequests || (a.StatusCode == http.StatusServiceUnavailable && a.NotRun)
+		reportedNotRun := a.NotRun && (a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable)
 		mayHaveReached := a.RequestWritten || a.StatusCode != 0
 		require.False(t, mayHaveReached && !reportedNotRun && MayRetry(outcome, false, false))
 		require.False(t, outcome == arbutusfork.OutcomeNotRun && mayHaveReached && !reportedNotRun, "the outcome of a call that may have run is not run")
