afdispatch: withhold statuses that would promise that a call has not run

What callers of `serve` saw: a payment ran, its endpoint answered 408, 421 or 503 without X-Not-Run, and the caller got that status and its Retry-After. docs/callers.md gives these statuses to refusals of calls that have not run. With an Idempotency-Key the answer was stored and given to each retry, so that a caller who then took a fresh key paid twice.

SendCall relays each whole answer, whatever its status says. Since 429 needs X-Not-Run, it ended as unknown already.

sendAttempt now asks MayRelayStatus, the place that the gateway asks, before it reads the body. A call that must not run twice ends with 502 `endpoint_failed`, outcome unknown and no Retry-After, and that refusal is what its Idempotency-Key keeps. It is not sent again, and its endpoint does not count as failed, as before. Calls that may be repeated, and all other statuses, get the endpoint's answer as before.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -37,6 +37,8 @@
 	isSinkError bool
 	// isDraining means that the endpoint refused because it takes no new requests.
 	isDraining bool
+	// isWithheld means that the caller must not get the response, since its status would promise that the call did not run.
+	isWithheld bool
 	// isModelMissing means that the endpoint refused because it does not have the model.
 	isModelMissing bool
 	// isResponseStarted means that a part of the response has reached the sink.
@@ -53,18 +55,18 @@
 
 func (a attemptResult) isEndpointFault() bool {
 	return !a.isSinkError && !errors.Is(a.err, errDeadlineExceeded) && !errors.Is(a.err, context.Canceled) &&
-		a.StatusCode != http.StatusTooManyRequests && !a.MayBeRepeated
+		a.StatusCode != http.StatusTooManyRequests && !a.MayBeRepeated && !a.isWithheld
 }
 
 // toRefusal returns the refusal for the caller if the call is not sent again.
 func (a attemptResult) toRefusal() *arbutusfork.Refusal {
 	switch {
+	case a.isWithheld:
+		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint answered "+strconv.Itoa(a.StatusCode)+", and may have run the request")
 	case errors.Is(a.err, errDeadlineExceeded):
 		return arbutusfork.NewRefusal(arbutusfork.CodeDeadlineExceeded, "the endpoint did not answer within the deadline")
 	case a.isDraining, a.NotRun && (a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable):
 		return arbutusfork.NewRefusal(arbutusfork.CodeNoCapacity, "no endpoint accepted the request").WithRetryAfter(time.Second)
-	case a.StatusCode == http.StatusTooManyRequests:
-		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint answered 429, and may have run the request")
 	case a.isResponseStarted:
 		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint broke the answer off")
 	case a.StatusCode != 0:
@@ -153,7 +155,8 @@
 	a.RequestWritten = true
 	a.StatusCode = resp.StatusCode
 	a.NotRun = resp.Header.Get(afretry.NotRunHeader) == "true"
-	isRefusal := afretry.ClassifyAttempt(a.Attempt) == arbutusfork.OutcomeNotRun || resp.StatusCode == http.StatusTooManyRequests
+	outcome := afretry.ClassifyAttempt(a.Attempt)
+	isRefusal := outcome == arbutusfork.OutcomeNotRun || resp.StatusCode == http.StatusTooManyRequests
 	if isRefusal && tracker.isReused() && resp.Header.Get(RequestIDHeader) != c.ID {
 		a.MayBeRepeated = true
 		a.err = errors.Errorf("refused with status %d on a connection that was used before", resp.StatusCode)
@@ -164,7 +167,12 @@
 	}
 	a.isDraining = isDrainingResponse(resp.StatusCode, resp.Header)
 	a.isModelMissing = a.NotRun && !a.isDraining && resp.StatusCode == http.StatusServiceUnavailable && l.request.Model != ""
-	if isRefusal {
+	a.isWithheld = outcome != arbutusfork.OutcomeNotRun && !arbutusfork.MayRelayStatus(resp.StatusCode, c.IsIdempotent)
+	switch {
+	case a.isWithheld:
+		a.err = errors.Errorf("status %d does not say that the call did not run", resp.StatusCode)
+		return a
+	case isRefusal:
 		a.err = errors.Errorf("refused with status %d", resp.StatusCode)
 		return a
 	}
--- a/internal/afdispatch/promise_test.go
+++ b/internal/afdispatch/promise_test.go
@@ -1,12 +1,17 @@
 package afdispatch
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"arbutusfork.example/arbutusfork"
@@ -57,3 +62,51 @@
 		}
 	}
 }
+
+// TestStatusPromisesOnlyWhatIsTrue guards against a caller that takes an endpoint's 408, 421, 429 or 503 for the promise that its call did
+// not run, and against another status, or one of a call that may be repeated, that does not reach its caller.
+func TestStatusPromisesOnlyWhatIsTrue(t *testing.T) {
+	promises := []int{408, 421, 429, 503}
+	long := strings.Repeat("error text ", 20_000)
+	for _, isIdempotent := range []bool{false, true} {
+		for _, status := range []int{400, 404, 408, 421, 429, 500, 502, 503, 504} {
+			for _, contentType := range []string{"text/plain", "text/event-stream"} {
+				for _, body := range []string{"data: error text\n\n", long + "\n\n"} {
+					for _, header := range []string{"", "Retry-After", DrainingHeader, afretry.NotRunHeader} {
+						if isIdempotent && status == 429 || header == afretry.NotRunHeader && (status == 429 || status == 503) {
+							continue // They go to another endpoint.
+						}
+						name := fmt.Sprint(isIdempotent, status, contentType, len(body), header)
+						h, calls := newStatusHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+							w.Header().Set("Content-Type", contentType)
+							if header != "" {
+								w.Header().Set(header, "true")
+							}
+							w.WriteHeader(status)
+							_, _ = io.WriteString(w, body)
+						})
+						c := newGetCall("/")
+						c.IsIdempotent = isIdempotent
+						r := h.newRequest("m", "a")
+						r.Deadline = time.Now().Add(10 * time.Second)
+						rec := &recordingSink{}
+						res := h.SendCall(t.Context(), r, c, rec.sink())
+						assert.EqualValues(t, 1, calls.Load(), name)
+						if isIdempotent || !slices.Contains(promises, status) {
+							assert.Nil(t, res.Refusal, name)
+							assert.Equal(t, status, rec.status, name)
+							assert.Equal(t, arbutusfork.OutcomeAnswered, res.Outcome, name)
+							continue
+						}
+						assert.Zero(t, rec.status, name)
+						assert.Equal(t, arbutusfork.OutcomeUnknown, res.Outcome, name)
+						if assert.NotNil(t, res.Refusal, name) {
+							assert.Equal(t, http.StatusBadGateway, res.Refusal.HTTPStatus(), name)
+							assert.Zero(t, res.Refusal.RetryAfter, name)
+						}
+					}
+				}
+			}
+		}
+	}
+}
