refusal: no status that promises "not run" with another outcome

What callers of `serve` saw: a payment that its endpoint ran and did not answer within the timeout ended with status 503 and `deadline_exceeded`, which docs/callers.md tells to send again, and outcome "unknown" in the body. A client that goes by the status pays twice. With an Idempotency-Key the 503 was stored.

Cause: the gateway replaced 429 and 503 by 504 in its own writeRefusal if the request may have run; `serve` did not, and 408 and 421 were missing in both.

Refusal.HTTPStatus now decides by the outcome, with the set of statuses that MayRelayStatus uses, so that no writer of refusals can send such a status with another outcome. The gateway's condition is gone; its statuses are the same.

--- a/internal/afentry/promise_test.go
+++ b/internal/afentry/promise_test.go
@@ -99,3 +99,27 @@
 		}
 	}
 }
+
+// TestUnansweredPaymentIsNoPromise guards against the status of a refusal for a payment that its endpoint ran and did not answer in time.
+func TestUnansweredPaymentIsNoPromise(t *testing.T) {
+	isOver := make(chan struct{})
+	var runs atomic.Int64
+	f := newFixture(t, func(f *fixture) {
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			<-isOver
+		}))
+		t.Cleanup(srv.Close)
+		t.Cleanup(func() { close(isOver) })
+		f.Dispatcher.ServiceEndpoints = func(string) []afplacement.Replica {
+			return []afplacement.Replica{{Endpoint: "p1", Address: srv.Listener.Addr().String(), Slots: 8}}
+		}
+	})
+	for range 2 {
+		resp, body, _ := f.exchangeRaw("POST", "/pay", "1.1", "Idempotency-Key: k", "X-Request-Timeout: 0.3")
+		require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, body)
+		require.Contains(t, body, `"code":"deadline_exceeded"`)
+		require.Contains(t, body, `"outcome":"unknown"`)
+	}
+	require.EqualValues(t, 1, runs.Load())
+}
--- a/internal/afgateway/job.go
+++ b/internal/afgateway/job.go
@@ -216,9 +216,6 @@
 		h[k] = v
 	}
 	status := refusal.HTTPStatus()
-	if refusal.Outcome != arbutusfork.OutcomeNotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		status = http.StatusGatewayTimeout
-	}
 	if refusal.RetryAfter > 0 && refusal.Outcome == arbutusfork.OutcomeNotRun {
 		h.Set("Retry-After", formatSeconds(refusal.RetryAfter))
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -92,8 +92,14 @@
 	return &c
 }
 
-// HTTPStatus returns the HTTP status code of the refusal.
-func (r *Refusal) HTTPStatus() int { return httpStatusByCode[r.Code] }
+// HTTPStatus returns the HTTP status code of the refusal. Unless the request did not run, a status that promises so is replaced.
+func (r *Refusal) HTTPStatus() int {
+	status := httpStatusByCode[r.Code]
+	if r.Outcome != OutcomeNotRun && promisesNotRun(status) {
+		return http.StatusGatewayTimeout
+	}
+	return status
+}
 
 // Error returns the code and the message.
 func (r *Refusal) Error() string { return r.Code.String() + ": " + r.Message }
