--- a/internal/afsoak/caller.go
+++ b/internal/afsoak/caller.go
@@ -40,6 +40,8 @@
 	hasLargeBody bool
 	status       int
 	body         string
+	// isSigned means that the response bears an endpoint's signature.
+	isSigned bool
 	// isComplete reports whether the response body was read to its end without an error.
 	isComplete bool
 	err        error
@@ -135,7 +137,8 @@
 		if part := malformedPart(resp); part != "" {
 			c.fleet.reportViolation("MIXED", "request %s: malformed head %q", req.id, part)
 		}
-		if req.status == http.StatusOK && !afplatform.HasSignature(resp.Header) {
+		req.isSigned = afplatform.HasSignature(resp.Header)
+		if req.status == http.StatusOK && !req.isSigned {
 			c.fleet.reportViolation("MIXED", "request %s: success without a signature", req.id)
 		}
 	}
--- a/internal/afsoak/soak.go
+++ b/internal/afsoak/soak.go
@@ -70,6 +70,8 @@
 	headRandom *rand.Rand
 	// resetRandom chooses the endpoints that reset uploads.
 	resetRandom *rand.Rand
+	// failureRandom chooses the endpoints that run requests and answer them with a failure.
+	failureRandom *rand.Rand
 	// backRandom chooses when and how the store goes back.
 	backRandom  *rand.Rand
 	goBacks     []goBack
@@ -117,6 +119,7 @@
 	s.momentRandom = rand.New(rand.NewPCG(s.Seed, 7))
 	s.headRandom = rand.New(rand.NewPCG(s.Seed, 8))
 	s.resetRandom = rand.New(rand.NewPCG(s.Seed, 9))
+	s.failureRandom = rand.New(rand.NewPCG(s.Seed, 10))
 	partRandom := rand.New(rand.NewPCG(s.Seed, 3))
 	crashPartDelay := settleDelay + time.Duration(partRandom.Int64N(int64(s.Duration/3)+1))
 	s.callers = &callers{fleet: f, running: map[string]*vm{}, seed: s.Seed, crashPartSince: time.Now().Add(crashPartDelay)}
@@ -146,6 +149,9 @@
 		case 1:
 			s.pauseEndpoint()
 		}
+		if s.failureRandom.IntN(3) == 0 {
+			s.failEndpoint()
+		}
 		s.injectMoment()
 		time.Sleep(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
 	}
