--- a/internal/afsoak/failure.go
+++ b/internal/afsoak/failure.go
@@ -39,7 +39,7 @@
 		s.reportViolation("MIXED", "request %s %s: status %d bears a signature, and no endpoint gave it", req.id, req.path, req.status)
 	}
 	isRepeatable := strings.HasPrefix(req.path, "/talk/") || strings.HasPrefix(req.path, "/look/")
-	if len(executions) > 0 && slices.Contains(notRunStatuses, req.status) && !(isRepeatable && isOfEndpoint) {
+	if len(executions) > 0 && slices.Contains(notRunStatuses, req.status) && (!isRepeatable || !isOfEndpoint) {
 		s.reportViolation("REFUSED", "request %s %s was answered %d and ran at %s", req.id, req.path, req.status, executions[0].EndpointID)
 	}
 }
