afsoak: break a connection after bytes that were dropped on it

The proxy in front of that endpoint dropped all data from 01:57:39.794, the endpoint fell silent at 39.836 after its sixth event, and another fault ended the dropping at 40.409. The seventh event then followed on the same connections. TCP never does that: it delivers what was lost, or nothing more.

The proxy now resets a connection on which bytes would follow dropped ones.

This is no change of a check. It is a fault of the soak's network; the gateway relayed what it got.

--- a/internal/afsoak/proxy.go
+++ b/internal/afsoak/proxy.go
@@ -160,6 +160,7 @@
 // server.
 func (p *proxy) copyData(conn *proxyConnection, from, to net.Conn, isFromServer bool) {
 	buf := make([]byte, proxyBufferSize)
+	hasDropped := false // TCP delivers nothing after bytes that were lost.
 	for {
 		n, err := from.Read(buf)
 		data := buf[:n]
@@ -188,7 +189,14 @@
 			resetConnection(from)
 			break
 		}
-		if n > 0 && !dropsData && fault != DropAllData && (fault != DropServerData || !isFromServer) {
+		isDropped := dropsData || fault == DropAllData || fault == DropServerData && isFromServer
+		if n > 0 && !isDropped && hasDropped {
+			resetConnection(conn.client)
+			resetConnection(conn.server)
+			break
+		}
+		hasDropped = hasDropped || n > 0 && isDropped
+		if n > 0 && !isDropped {
 			if fault == DelayData {
 				time.Sleep(proxyDelay)
 			}
