afdispatch: name the status when all endpoints answered 429

A call that may be repeated and that every endpoint answered with an unmarked 429 ended with "the endpoint's answer was cut", which is not what happened.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -61,7 +61,7 @@
 // toRefusal returns the refusal for the caller if the call is not sent again.
 func (a attemptResult) toRefusal() *arbutusfork.Refusal {
 	switch {
-	case a.isWithheld:
+	case a.isWithheld, a.StatusCode == http.StatusTooManyRequests && !a.NotRun:
 		return arbutusfork.NewRefusal(arbutusfork.CodeEndpointFailed, "the endpoint answered "+strconv.Itoa(a.StatusCode)+", and may have run the request")
 	case errors.Is(a.err, errDeadlineExceeded):
 		return arbutusfork.NewRefusal(arbutusfork.CodeDeadlineExceeded, "the endpoint did not answer within the deadline")
--- a/internal/afdispatch/promise_test.go
+++ b/internal/afdispatch/promise_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// TestTooManyRequestsEverywhere guards against "not run", or a wrong cause, for a call that may be repeated and that all endpoints answer with
+// 429.
+func TestTooManyRequestsEverywhere(t *testing.T) {
+	h := newHarness(t, serveReplica("e1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, t)).startWithRealClock()
+	r := h.newRequest("m", "a")
+	r.Deadline = time.Now().Add(time.Second)
+	res := h.SendCall(t.Context(), r, newGetCall("/"), (&recordingSink{}).sink())
+	require.Equal(t, arbutusfork.OutcomeUnknown, res.Refusal.Outcome)
+	require.Equal(t, http.StatusBadGateway, res.Refusal.HTTPStatus())
+	require.Contains(t, res.Refusal.Message, "answered 429")
+}
+
 // TestStatusPromisesOnlyWhatIsTrue guards against a caller that takes an endpoint's 408, 421, 429 or 503 for the promise that its call did
 // not run, and against another status, or one of a call that may be repeated, that does not reach its caller.
 func TestStatusPromisesOnlyWhatIsTrue(t *testing.T) {
--- a/pkg/afretry/attempt.go
+++ b/pkg/afretry/attempt.go
@@ -32,10 +32,10 @@
 	switch {
 	case isRefusal && a.MayBeRepeated:
 		return arbutusfork.OutcomeUnknown
-	case a.StatusCode == http.StatusTooManyRequests && !a.NotRun:
-		return arbutusfork.OutcomeUnknown // Another endpoint may have room, if the call may be repeated.
 	case isRefusal:
 		return arbutusfork.OutcomeNotRun
+	case a.StatusCode == http.StatusTooManyRequests:
+		return arbutusfork.OutcomeUnknown // Another endpoint may have room, if the call may be repeated.
 	case a.StatusCode != 0 && !a.ResponseTruncated:
 		return arbutusfork.OutcomeAnswered
 	case a.StatusCode == 0 && !a.RequestWritten:
