afsoak: an endpoint drains until it first starts again, not until it last does

The check kept only the time of the latest restart, so that it took the endpoint for one that drained until then.

The check now ends at the first restart after the drain.

--- a/internal/afsoak/fleet.go
+++ b/internal/afsoak/fleet.go
@@ -83,8 +83,8 @@
 	// isExtra means that only the fault that added the endpoint chooses it, so that the other faults of a seed stay as they
 	// were.
 	isExtra bool
-	// restartedAt is when the endpoint last started again, ready, after a crash.
-	restartedAt time.Time
+	// restarts holds when the endpoint started again, ready, after crashes.
+	restarts []time.Time
 	// silentUntil is when the latest silence of the endpoint ends.
 	silentUntil time.Time
 }
@@ -199,7 +199,7 @@
 			f.reportViolation("SOAK", "endpoint %s not started again: %v", e.ID, err)
 		}
 		f.mu.Lock()
-		e.restartedAt = time.Now()
+		e.restarts = append(e.restarts, time.Now())
 		f.mu.Unlock()
 		f.endEndpointFault(e)
 		e.Restart()
--- a/internal/afsoak/goback.go
+++ b/internal/afsoak/goback.go
@@ -160,8 +160,8 @@
 func (s *Soak) checkDrains() {
 	for _, d := range s.drains {
 		until := time.Now()
-		if d.endpoint.restartedAt.After(d.startedAt) {
-			until = d.endpoint.restartedAt
+		if i := slices.IndexFunc(d.endpoint.restarts, d.startedAt.Before); i >= 0 {
+			until = d.endpoint.restarts[i] // It is ready again.
 		}
 		for _, e := range s.executionsAt(d.endpoint.ID, period{d.startedAt, until}) {
 			if e.call.sentAt.After(s.knownFrom(d.startedAt, e.call)) {
