--- a/internal/afsoak/proxy_test.go
+++ b/internal/afsoak/proxy_test.go
@@ -23,23 +23,27 @@
 		require.NoError(t, err)
 		server, err := l.Accept()
 		require.NoError(t, err)
-		write := func(text string, total int) {
+		write := func(text string) {
 			_, err := io.WriteString(server, text)
 			require.NoError(t, err)
+		}
+		awaitBytes := func(total int) {
 			require.Eventually(t, func() bool {
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				for conn := range p.connections {
 					return conn.serverBytes == total
 				}
-				return true
+				return false
 			}, 10*time.Second, time.Millisecond)
 		}
-		write("a", 1)
+		write("a")
+		awaitBytes(1)
 		p.setFault(fault)
-		write("b", 2)
+		write("b")
+		awaitBytes(2)
 		p.setFault(NoFault)
-		write("c", 3)
+		write("c")
 		_ = server.Close()
 		got, _ := io.ReadAll(client) // A reset is an error.
 		require.NotContains(t, string(got), "c", "bytes were dropped before it")
