afdispatch: no answer from a connection that an HTTP/1.0 endpoint closes

What callers of `serve` saw: a call that may be repeated got the answer to an earlier one, if its endpoint speaks HTTP/1.0 and writes its answers twice.

Cause: the transport puts the connection of a whole answer back at the end of the body, and the attempt closes it a moment later. If the next call takes it before the transport has seen the close, the second copy that was read meanwhile counts as its answer. The request itself is not written, as the connection is sealed.

A connection that had answered with HTTP/1.0 before the call carries no answer to it. Such an answer is dropped and the connection closed; the call, which may be repeated, as only those use kept connections, goes out again. It says nothing about the endpoint.

--- a/internal/afdispatch/attempt.go
+++ b/internal/afdispatch/attempt.go
@@ -82,7 +82,9 @@
 	conn         *sealableConn
 	writeMark    int
 	isReusedConn bool
-	connCount    int
+	// wasOldVersion means that the connection had answered an earlier call with HTTP/1.0.
+	wasOldVersion bool
+	connCount     int
 }
 
 // recordConn is the GotConn hook of httptrace.ClientTrace.
@@ -92,7 +94,7 @@
 	t.connCount++
 	t.isReusedConn = info.Reused
 	if c, ok := info.Conn.(*sealableConn); ok {
-		t.conn, t.writeMark = c, c.countWrites()
+		t.conn, t.writeMark, t.wasOldVersion = c, c.countWrites(), c.IsOldVersion()
 	}
 }
 
@@ -116,6 +118,13 @@
 	return t.conn != nil && t.conn.IsOldVersion()
 }
 
+// isRepeatedAnswer reports whether an answer on the connection can only be a second copy of an earlier one, after which the endpoint closes.
+func (t *connTracker) isRepeatedAnswer() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isReusedConn && t.wasOldVersion
+}
+
 func (t *connTracker) isReused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -149,6 +158,11 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if tracker.isRepeatedAnswer() {
+		a.RequestWritten, a.MayBeRepeated = tracker.closeConn(), true
+		a.err = errors.New("answer on a connection that the endpoint closes")
+		return a
+	}
 	if tracker.isOldVersion() {
 		defer tracker.closeConn() // The transport would use the connection again.
 	}
